--- /dev/null
+++ b/Meta/cicadadrum.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# Builds, runs, tests and measures cicadadrum. Every command installs the packages that are missing.
+# Usage: Meta/cicadadrum.sh build|test|run|bench|lint|generate
+set -euo pipefail
+cd "$(dirname "$0")/.."
+root=$PWD
+build=${CICADADRUM_BUILD_DIR:-$root/Build/default}
+export CCACHE_BASEDIR=$root CCACHE_NOHASHDIR=1
+
+install_packages() { # $@: package names
+  local missing=()
+  for package in "$@"; do
+    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
+  done
+  [ ${#missing[@]} -eq 0 ] && return
+  local sudo=
+  [ "$(id -u)" -eq 0 ] || sudo=sudo
+  $sudo apt-get update -qq
+  DEBIAN_FRONTEND=noninteractive $sudo apt-get install -y -qq "${missing[@]}" >/dev/null
+}
+
+build() { # $1: build folder, $2...: CMake options
+  local folder=$1
+  shift
+  mapfile -t packages < Meta/packages.txt
+  install_packages "${packages[@]}"
+  cmake -S . -B "$folder" -G Ninja "$@" >/dev/null
+  cmake --build "$folder"
+}
+
+run_tests() { # $1: build folder
+  ctest --test-dir "$1" --output-on-failure -j 4
+}
+
+lint() {
+  install_packages clang-format clang-tidy
+  git ls-files '*.cc' '*.h' | grep -v '^Generated/' | xargs clang-format --dry-run -Werror
+  cmake -S . -B "$build" -G Ninja >/dev/null
+  # The result for a file is kept until the file, a header or the rules change.
+  local cache=${XDG_CACHE_HOME:-$HOME/.cache}/cicadadrum-tidy
+  mkdir -p "$cache"
+  local headers
+  headers=$(git ls-files '*.h' .clang-tidy | xargs cat | sha256sum)
+  git ls-files '*.cc' | xargs -P 8 -I{} Meta/tidy_file.sh {} "$build" "$cache" "$headers"
+}
+
+case "${1:-}" in
+  build) build "$build" ;;
+  test) build "$build" && run_tests "$build" ;;
+  run) build "$build" && shift && Meta/demonstration.sh "$build" "$@" ;;
+  bench) build "$build" && shift && "$build/Utilities/Bench/cicadadrum-bench" "$@" ;;
+  lint) lint ;;
+  generate) install_packages capnproto && Meta/generate.sh ;;
+  *) sed -n '2,3p' "$0"; exit 2 ;;
+esac
--- /dev/null
+++ b/Meta/tidy_file.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs clang-tidy on one file unless it passed before with the same content, headers and rules.
+# Arguments: file, build folder, cache folder, hash of headers and rules.
+set -euo pipefail
+key=$( (echo "$4"; cat "$1") | sha256sum | cut -d' ' -f1)
+[ -e "$3/$key" ] && exit 0
+clang-tidy --quiet -p "$2" "$1" 2>/dev/null
+touch "$3/$key"
