--- /dev/null
+++ b/Schemas/store.capnp
@@ -0,0 +1,60 @@
+@0x8f66375290822d4e;
+# Bodies of the platform's HTTP interfaces: table service and VM list.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("cicadadrum::schema");
+
+struct Row {
+  key @0 :Text;
+  value @1 :Text;
+  version @2 :UInt64;  # Grows by one with each write of the row; 0 means the row is absent.
+}
+
+struct RowCheck {
+  key @0 :Text;
+  version @1 :UInt64;  # The version the row must have; 0 means it must be absent.
+}
+
+struct RowWrite {
+  key @0 :Text;
+  value @1 :Text;
+  check @2 :Bool;  # Write this row only if its version is checkVersion; other rows are not affected.
+  checkVersion @3 :UInt64;
+}
+
+# All checks must hold or nothing is written. A transaction sent again with the same token has no further
+# effect and gets the first answer.
+struct Transaction {
+  token @0 :Text;
+  checks @1 :List(RowCheck);
+  writes @2 :List(RowWrite);
+}
+
+struct TransactionAnswer {
+  committed @0 :Bool;
+  rows @1 :List(Row);  # After a commit the rows written; otherwise the rows whose checks failed.
+}
+
+struct RowList {
+  rows @0 :List(Row);
+}
+
+enum VmState {
+  live @0;
+  leaving @1;
+}
+
+struct Vm {
+  name @0 :Text;
+  service @1 :Text;
+  region @2 :Text;
+  failureDomain @3 :Text;
+  address @4 :Text;  # IP:port
+  slots @5 :UInt32;
+  connections @6 :UInt32;
+  state @7 :VmState;
+}
+
+struct VmList {
+  vms @0 :List(Vm);
+}
