LibSteering: Add the request core with pools, claims and attempts

Cause: the decision core is to be free functions over plain structs, driven by events and time. Conclusion: a request can be admitted, claimed, granted a slot, retried and answered without any input or output.

--- /dev/null
+++ b/Libraries/LibBase/include/cicadadrum/base/hash.h
@@ -0,0 +1,32 @@
+// Hashing and rendezvous ranking. Hash values are the same on every machine and
+// in every version, because entry VMs must agree on them.
+
+#ifndef CICADADRUM_BASE_HASH_H_
+#define CICADADRUM_BASE_HASH_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cicadadrum {
+
+// Returns the 64-bit XXH3 hash of `bytes`.
+std::uint64_t HashBytes(std::string_view bytes, std::uint64_t seed = 0);
+
+// Returns the rendezvous (highest random weight) score of `candidate` for
+// `key`.
+std::uint64_t RendezvousScore(std::string_view key, std::string_view candidate);
+
+// Returns the candidate with the highest score for `key`, or an empty view if
+// there is none.
+std::string_view RendezvousWinner(std::string_view key,
+                                  const std::vector<std::string>& candidates);
+
+// Sorts `candidates` by score for `key`, highest first.
+void RankByRendezvous(std::string_view key,
+                      std::vector<std::string>& candidates);
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_BASE_HASH_H_
--- /dev/null
+++ b/Libraries/LibModel/include/cicadadrum/model/deployment.h
@@ -0,0 +1,71 @@
+// The fixed parts of a deployment (regions, services, entry VMs) and the VMs
+// the platform lists.
+
+#ifndef CICADADRUM_MODEL_DEPLOYMENT_H_
+#define CICADADRUM_MODEL_DEPLOYMENT_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cicadadrum/base/time.h"
+#include "cicadadrum/model/request.h"
+
+namespace cicadadrum {
+
+struct Region {
+  std::string name;
+  std::vector<std::string> failure_domains;  // Not empty.
+};
+
+struct Service {
+  std::string name;
+  std::vector<RequestClass> classes;
+};
+
+struct EntryVm {
+  std::string name;
+  std::string region;
+  std::string failure_domain;
+  std::string caller_address;  // IP:port for callers and operators.
+  std::string peer_address;    // IP:port for other entry VMs.
+  bool operator==(const EntryVm&) const = default;
+};
+
+struct Deployment {
+  std::string name;
+  std::vector<Region> regions;
+  std::vector<Service> services;
+  std::vector<EntryVm> entries;
+  std::uint32_t link_megabits_per_second =
+      0;                    // Each way, between each pair of regions.
+  Duration region_delay{};  // One way, between regions.
+  Duration domain_delay{};  // One way, between failure domains of a region.
+  std::uint32_t shift_cap_percent = 0;  // 1 to 100.
+  Duration shift_window{};
+  std::string platform_address;  // IP:port.
+};
+
+struct BackendServer {
+  std::string name;
+  std::string service;
+  std::string region;
+  std::string failure_domain;
+  std::string address;  // IP:port.
+  std::uint32_t slots = 0;
+  std::uint32_t connections = 0;
+  bool leaving = false;
+  bool operator==(const BackendServer&) const = default;
+};
+
+// The backend servers of one service in one region.
+struct PoolKey {
+  std::string region;
+  std::string service;
+  auto operator<=>(const PoolKey&) const = default;
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_MODEL_DEPLOYMENT_H_
--- /dev/null
+++ b/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
@@ -0,0 +1,111 @@
+// State of the request core at an entry VM.
+
+#ifndef CICADADRUM_STEERING_ENTRY_STATE_H_
+#define CICADADRUM_STEERING_ENTRY_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cicadadrum/base/random.h"
+#include "cicadadrum/base/time.h"
+#include "cicadadrum/claim/claim.h"
+#include "cicadadrum/model/configuration.h"
+#include "cicadadrum/model/deployment.h"
+#include "cicadadrum/steering/events.h"
+#include "cicadadrum/steering/pool.h"
+
+namespace cicadadrum {
+
+enum class AttemptPhase : std::uint8_t { kAsking, kSent, kEnded };
+
+template <>
+struct EnumNames<AttemptPhase> {
+  static constexpr auto kTable = std::to_array<EnumName<AttemptPhase>>({
+      {AttemptPhase::kAsking, "asking"},
+      {AttemptPhase::kSent, "sent"},
+      {AttemptPhase::kEnded, "ended"},
+  });
+};
+
+struct Attempt {
+  std::uint32_t number = 0;  // From 1, unique within the request.
+  AttemptPhase phase = AttemptPhase::kAsking;
+  PoolKey pool;
+  std::string
+      owner;  // Entry VM that was asked for the slot; empty for a direct share.
+  std::uint64_t lease = 0;  // Set once granted by an owner.
+  std::string server;       // Set once sent.
+  TimePoint sent_at;
+};
+
+enum class RequestPhase : std::uint8_t { kClaiming, kAttempting };
+
+template <>
+struct EnumNames<RequestPhase> {
+  static constexpr auto kTable = std::to_array<EnumName<RequestPhase>>({
+      {RequestPhase::kClaiming, "claiming"},
+      {RequestPhase::kAttempting, "attempting"},
+  });
+};
+
+struct Request {
+  RequestArrived arrived;
+  RequestPhase phase = RequestPhase::kAttempting;
+  std::vector<Attempt> attempts;
+  Verdict verdict = Verdict::kNotRun;  // Of the attempts that have ended.
+  TimePoint arrived_at;
+};
+
+// Tokens for retries of idempotent requests: each request adds a fraction, each
+// retry takes one.
+struct RetryBudget {
+  double tokens = 0;
+};
+
+struct EntryState {
+  EntryVm self;
+  Deployment deployment;
+  Random random;
+  Configuration configuration;  // Invariant: the version never decreases.
+  std::uint64_t configuration_floor =
+      0;                      // Highest version any caller or peer has named.
+  std::vector<EntryVm> live;  // Live entry VMs, with this one.
+  std::vector<BackendServer> servers;
+  TimePoint servers_confirmed_at;  // When `servers` was last confirmed.
+  bool servers_known = false;
+  std::map<PoolKey, Pool> pools;  // Pools this entry VM owns or has owned.
+  std::map<std::uint64_t, Request> requests;
+  std::map<std::string, std::uint64_t>
+      direct_requests;  // Request on the direct share of each server.
+  RetryBudget retry_budget;
+  ClaimState claims;
+  bool stopping = false;
+  bool stop_reported = false;
+};
+
+// Returns a state that knows no configuration and no servers.
+EntryState MakeEntryState(const Deployment& deployment,
+                          const EntryVm& self,
+                          const Incarnation& incarnation,
+                          std::uint64_t seed);
+
+// Whether this entry VM can serve: it knows a configuration not older than any
+// version it has heard of, and the servers.
+bool IsReady(const EntryState& state);
+
+// Returns the name of the owner of `pool` among the live entry VMs: one of its
+// region, or of any region if it has none. Empty if no entry VM is live.
+std::string PoolOwner(const EntryState& state, const PoolKey& pool);
+
+// Applies one event at time `now` and appends the actions that follow. Every
+// RequestArrived is answered by exactly one AnswerCaller.
+void Step(EntryState& state,
+          const Event& event,
+          TimePoint now,
+          Actions& actions);
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_STEERING_ENTRY_STATE_H_
--- /dev/null
+++ b/Libraries/LibSteering/request_flow.h
@@ -0,0 +1,44 @@
+// The life of a request: claim, attempts, answer.
+
+#ifndef CICADADRUM_STEERING_REQUEST_FLOW_H_
+#define CICADADRUM_STEERING_REQUEST_FLOW_H_
+
+#include "cicadadrum/steering/entry_state.h"
+
+namespace cicadadrum {
+
+void AdmitRequest(EntryState& state,
+                  const RequestArrived& arrived,
+                  TimePoint now,
+                  Actions& actions);
+void EndForCaller(EntryState& state,
+                  const CallerGone& gone,
+                  TimePoint now,
+                  Actions& actions);
+void ApplyGrant(EntryState& state,
+                const SlotGranted& granted,
+                TimePoint now,
+                Actions& actions);
+void ApplyRefusal(EntryState& state,
+                  const SlotRefused& refused,
+                  TimePoint now,
+                  Actions& actions);
+void ApplyAnswer(EntryState& state,
+                 const BackendAnswered& answered,
+                 TimePoint now,
+                 Actions& actions);
+void ApplyFailure(EntryState& state,
+                  const BackendFailed& failed,
+                  TimePoint now,
+                  Actions& actions);
+void ApplyClaimEvent(EntryState& state,
+                     const ClaimEvent& event,
+                     TimePoint now,
+                     Actions& actions);
+
+// Ends the requests whose deadline has passed.
+void ExpireRequests(EntryState& state, TimePoint now, Actions& actions);
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_STEERING_REQUEST_FLOW_H_
--- /dev/null
+++ b/Libraries/LibSteering/routing.cc
@@ -0,0 +1,80 @@
+// Choice of pools and direct servers.
+
+#include "routing.h"
+
+#include <algorithm>
+
+#include "admission.h"
+#include "cicadadrum/base/hash.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A leaving backend server receives no new work after this time.
+constexpr Duration kLeavingBound = Seconds(5);
+
+bool HasUsableServer(const EntryState& state,
+                     const std::string& region,
+                     const std::string& service) {
+  return std::any_of(state.servers.begin(), state.servers.end(),
+                     [&](const BackendServer& server) {
+                       return server.region == region &&
+                              server.service == service && !server.leaving;
+                     });
+}
+
+bool WasAttemptedIn(const Request& request, const std::string& region) {
+  return std::any_of(
+      request.attempts.begin(), request.attempts.end(),
+      [&](const Attempt& attempt) { return attempt.pool.region == region; });
+}
+
+}  // namespace
+
+std::optional<PoolKey> ChoosePool(const EntryState& state,
+                                  const Request& request) {
+  const Plan* plan = FindPlan(state.configuration, request.arrived.customer);
+  if (plan == nullptr)
+    return std::nullopt;
+  std::vector<std::string> usable;
+  for (const std::string& region : plan->regions) {
+    if (HasUsableServer(state, region, request.arrived.service))
+      usable.push_back(region);
+  }
+  if (usable.empty())
+    return std::nullopt;
+  // Regions without an earlier attempt first, then this entry VM's region, then
+  // a fixed order by customer.
+  RankByRendezvous(request.arrived.customer, usable);
+  std::stable_sort(usable.begin(), usable.end(),
+                   [&](const std::string& a, const std::string& b) {
+                     const auto rank = [&](const std::string& region) {
+                       return (WasAttemptedIn(request, region) ? 2 : 0) +
+                              (region == state.self.region ? 0 : 1);
+                     };
+                     return rank(a) < rank(b);
+                   });
+  return PoolKey{usable.front(), request.arrived.service};
+}
+
+const BackendServer* ChooseDirectServer(const EntryState& state,
+                                        const PoolKey& pool,
+                                        TimePoint now) {
+  if (now - state.servers_confirmed_at > kLeavingBound)
+    return nullptr;
+  std::vector<std::string> names;
+  for (const EntryVm& entry : state.live)
+    names.push_back(entry.name);
+  for (const BackendServer& server : state.servers) {
+    if (server.region != pool.region || server.service != pool.service ||
+        server.leaving)
+      continue;
+    if (RendezvousWinner(server.name, names) == state.self.name &&
+        !state.direct_requests.contains(server.name))
+      return &server;
+  }
+  return nullptr;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Tests/LibSteering/test_step.cc
@@ -0,0 +1,115 @@
+// Tests of the request core: one entry VM that owns its pools.
+
+#include <doctest/doctest.h>
+
+#include "cicadadrum/steering/entry_state.h"
+
+namespace cicadadrum {
+
+namespace {
+
+template <typename T>
+const T* FindAction(const Actions& actions) {
+  for (const Action& action : actions) {
+    if (const T* found = std::get_if<T>(&action))
+      return found;
+  }
+  return nullptr;
+}
+
+struct Fixture {
+  EntryState state =
+      MakeEntryState({}, {.name = "entry-1", .region = "cusco"}, {1, 2}, 1);
+  TimePoint now{Seconds(1)};
+
+  Fixture() {
+    Run(ConfigurationAdopted{
+        {.version = 1,
+         .customers = {{"roads", "gold"}},
+         .plans = {{.name = "gold",
+                    .services = {"status-board"},
+                    .classes = {RequestClass::kUrgent, RequestClass::kWrite},
+                    .regions = {"cusco"}}}}});
+    Run(ServersChanged{{{.name = "sb-1",
+                         .service = "status-board",
+                         .region = "cusco",
+                         .address = "127.0.0.1:1",
+                         .slots = 3},
+                        {.name = "sb-2",
+                         .service = "status-board",
+                         .region = "cusco",
+                         .address = "127.0.0.1:2",
+                         .slots = 3}}});
+  }
+
+  Actions Run(const Event& event) {
+    Actions actions;
+    Step(state, event, now, actions);
+    return actions;
+  }
+
+  Actions Arrive(std::uint64_t id,
+                 RequestClass request_class,
+                 const std::string& key = "") {
+    return Run(RequestArrived{.request = id,
+                              .customer = "roads",
+                              .service = "status-board",
+                              .request_class = request_class,
+                              .key = key,
+                              .deadline = now + Seconds(5)});
+  }
+};
+
+}  // namespace
+
+// Guards against the response of a cancelled attempt reaching the caller (I3).
+TEST_CASE("a response to an earlier attempt is dropped") {
+  Fixture fixture;
+  fixture.state.retry_budget.tokens = 5;
+  fixture.Arrive(1, RequestClass::kUrgent);
+  const Actions retried =
+      fixture.Run(BackendFailed{1, 1, AttemptOutcome::kConnectionLost});
+  REQUIRE(FindAction<SendToBackend>(retried) != nullptr);
+  CHECK(FindAction<SendToBackend>(retried)->attempt == 2);
+  CHECK(FindAction<AnswerCaller>(fixture.Run(
+            BackendAnswered{1, 1, AttemptOutcome::kAnswered, {}})) == nullptr);
+  const Actions answered =
+      fixture.Run(BackendAnswered{1, 2, AttemptOutcome::kAnswered, {}});
+  REQUIRE(FindAction<AnswerCaller>(answered) != nullptr);
+  CHECK(FindAction<AnswerCaller>(answered)->attempt == 2);
+}
+
+// Guards against a second execution of a non-idempotent request whose
+// connection was lost (I5).
+TEST_CASE(
+    "a write whose connection was lost is not sent again and is not called not "
+    "run") {
+  Fixture fixture;
+  fixture.state.retry_budget.tokens = 5;
+  const Actions claim = fixture.Arrive(1, RequestClass::kWrite, "k1");
+  REQUIRE(FindAction<WriteClaims>(claim) != nullptr);
+  CHECK(FindAction<SendToBackend>(claim) == nullptr);
+  const Actions sent =
+      fixture.Run(WriteAnswered{1, {{"k1", ClaimWriteOutcome::kInserted, {}}}});
+  REQUIRE(FindAction<SendToBackend>(sent) != nullptr);
+  const Actions ended =
+      fixture.Run(BackendFailed{1, 1, AttemptOutcome::kConnectionLost});
+  CHECK(FindAction<SendToBackend>(ended) == nullptr);
+  REQUIRE(FindAction<AnswerCaller>(ended) != nullptr);
+  CHECK(FindAction<AnswerCaller>(ended)->verdict == Verdict::kMayHaveRun);
+}
+
+// Guards against work being granted on a server that is leaving (I6).
+TEST_CASE("a leaving server gets no new request") {
+  Fixture fixture;
+  std::vector<BackendServer> servers = fixture.state.servers;
+  servers[0].leaving = true;
+  fixture.Run(ServersChanged{servers});
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    const Actions actions = fixture.Arrive(id, RequestClass::kUrgent);
+    REQUIRE(FindAction<SendToBackend>(actions) != nullptr);
+    CHECK(FindAction<SendToBackend>(actions)->server == "sb-2");
+  }
+}
+
+}  // namespace cicadadrum
