LibLoop: Add the event loop, and HTTP server and client on evhttp

Cause: the daemons need one libevent loop with HTTP on both sides. evhttp stops reading while a request is handled, so a caller that leaves was not seen; the server watches EV_CLOSED instead. The client tells a connection that was never made from one that was lost, which decides between not run and may have run. Conclusion: requests can be answered in any order, and a client that closes is reported.

--- /dev/null
+++ b/Libraries/LibLoop/event_loop.cc
@@ -0,0 +1,104 @@
+// Event loop, timers and signals on libevent.
+
+#include "cicadadrum/loop/event_loop.h"
+
+#include <event2/event.h>
+
+#include <algorithm>
+
+namespace cicadadrum {
+
+namespace {
+
+struct EventDeleter {
+  void operator()(event* pointer) const { event_free(pointer); }
+};
+using EventPointer = std::unique_ptr<event, EventDeleter>;
+
+timeval ToTimeval(Duration duration) {
+  const std::int64_t microseconds = std::max<std::int64_t>(duration.count(), 0);
+  return {.tv_sec = microseconds / 1'000'000,
+          .tv_usec = microseconds % 1'000'000};
+}
+
+}  // namespace
+
+struct EventLoop::Impl {
+  event_base* base = nullptr;
+};
+
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {
+  impl_->base = event_base_new();
+}
+
+EventLoop::~EventLoop() {
+  event_base_free(impl_->base);
+}
+
+void EventLoop::Run() {
+  event_base_loop(impl_->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void EventLoop::Stop() {
+  event_base_loopbreak(impl_->base);
+}
+
+TimePoint EventLoop::Now() const {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+event_base* EventLoop::base() const {
+  return impl_->base;
+}
+
+struct Timer::Impl {
+  EventLoop& loop;
+  std::function<void()> callback;
+  EventPointer event;
+};
+
+Timer::Timer(EventLoop& loop, std::function<void()> callback)
+    : impl_(new Impl{loop, std::move(callback), nullptr}) {
+  const auto fire = [](evutil_socket_t /*fd*/, short /*what*/, void* argument) {
+    // The copy stays valid if the callback destroys the timer.
+    const std::function<void()> present =
+        static_cast<Impl*>(argument)->callback;
+    present();
+  };
+  impl_->event.reset(event_new(loop.base(), -1, 0, fire, impl_.get()));
+}
+
+Timer::~Timer() = default;
+
+void Timer::Schedule(TimePoint at) {
+  if (at == kNever)
+    return Cancel();
+  const timeval delay = ToTimeval(at - impl_->loop.Now());
+  event_add(impl_->event.get(), &delay);
+}
+
+void Timer::Cancel() {
+  event_del(impl_->event.get());
+}
+
+struct SignalWatcher::Impl {
+  std::function<void()> callback;
+  EventPointer event;
+};
+
+SignalWatcher::SignalWatcher(EventLoop& loop,
+                             int signal_number,
+                             std::function<void()> callback)
+    : impl_(new Impl{std::move(callback), nullptr}) {
+  const auto fire = [](evutil_socket_t /*fd*/, short /*what*/, void* argument) {
+    static_cast<Impl*>(argument)->callback();
+  };
+  impl_->event.reset(
+      evsignal_new(loop.base(), signal_number, fire, impl_.get()));
+  event_add(impl_->event.get(), nullptr);
+}
+
+SignalWatcher::~SignalWatcher() = default;
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibLoop/http_server.cc
@@ -0,0 +1,252 @@
+// HTTP/1.1 server on evhttp.
+
+#include "cicadadrum/loop/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <map>
+
+#include "cicadadrum/base/error.h"
+#include "cicadadrum/loop/address.h"
+#include "http_fields.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// How long accepting pauses after it failed, for example because no descriptor
+// is free. Without a pause the listener would report the same error in every
+// round of the loop.
+constexpr Duration kAcceptPause = Milliseconds(100);
+
+constexpr auto kMethods =
+    std::to_array<std::pair<evhttp_cmd_type, HttpMethod>>({
+        {EVHTTP_REQ_GET, HttpMethod::kGet},
+        {EVHTTP_REQ_HEAD, HttpMethod::kHead},
+        {EVHTTP_REQ_POST, HttpMethod::kPost},
+        {EVHTTP_REQ_PUT, HttpMethod::kPut},
+        {EVHTTP_REQ_DELETE, HttpMethod::kDelete},
+    });
+
+bool ReadMethod(evhttp_request* source, HttpMethod& method) {
+  for (const auto& [type, value] : kMethods) {
+    if (type == evhttp_request_get_command(source)) {
+      method = value;
+      return true;
+    }
+  }
+  return false;
+}
+
+// Reads a request out of evhttp. Returns false if its method or target is not
+// acceptable.
+bool ReadRequest(evhttp_request* source, HttpRequest& request) {
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(source);
+  const char* path = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+  if (path == nullptr || !ReadMethod(source, request.method))
+    return false;
+  request.target = evhttp_request_get_uri(source);
+  std::size_t length = 0;
+  char* decoded = evhttp_uridecode(path, 0, &length);
+  if (decoded == nullptr)
+    return false;
+  request.path.assign(decoded, length);
+  free(decoded);
+  const char* query = evhttp_uri_get_query(uri);
+  if (query != nullptr) {
+    evkeyvalq parameters{};
+    if (evhttp_parse_query_str(query, &parameters) != 0)
+      return false;
+    request.query = ReadFields(&parameters);
+    evhttp_clear_headers(&parameters);
+  }
+  request.headers = ReadFields(evhttp_request_get_input_headers(source));
+  request.body = DrainBuffer(evhttp_request_get_input_buffer(source));
+  return true;
+}
+
+std::uint16_t BoundPort(evutil_socket_t fd) {
+  sockaddr_storage storage{};
+  socklen_t length = sizeof(storage);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &length);
+  return ntohs(storage.ss_family == AF_INET6
+                   ? reinterpret_cast<sockaddr_in6*>(&storage)->sin6_port
+                   : reinterpret_cast<sockaddr_in*>(&storage)->sin_port);
+}
+
+}  // namespace
+
+struct HttpServer::Impl {
+  // A request that has no answer yet.
+  struct Pending {
+    Impl* server = nullptr;
+    std::uint64_t id = 0;
+    evhttp_request* request = nullptr;
+    event* closed_event =
+        nullptr;  // Reports that the client closed; freed with the request.
+  };
+
+  Impl(EventLoop& event_loop, RequestHandler handler, CloseHandler close)
+      : loop(event_loop),
+        on_request(std::move(handler)),
+        on_close(std::move(close)) {}
+
+  EventLoop& loop;
+  RequestHandler on_request;
+  CloseHandler on_close;
+  evhttp* http = nullptr;
+  evhttp_bound_socket* socket = nullptr;
+  std::unique_ptr<Timer> resume_accept;
+  std::map<std::uint64_t, Pending>
+      pending;  // Nodes of a map keep their address.
+  std::uint64_t next_id = 1;
+  HttpServerCounters counters;
+
+  void Accept(evhttp_request* source);
+  void WatchClose(Pending& entry);
+  static void ForgetClose(Pending& entry);
+};
+
+void HttpServer::Impl::Accept(evhttp_request* source) {
+  HttpRequest request;
+  if (!ReadRequest(source, request)) {
+    ++counters.malformed;
+    evhttp_send_error(source, HTTP_BADREQUEST, "Bad Request");
+    return;
+  }
+  ++counters.requests;
+  const std::uint64_t id = next_id++;
+  Pending& entry = pending[id];
+  entry = {.server = this, .id = id, .request = source};
+  WatchClose(entry);
+  on_request(id, std::move(request));
+}
+
+// evhttp stops reading while a request is handled, so it does not see that the
+// client has closed. EV_CLOSED reports it without reading.
+void HttpServer::Impl::WatchClose(Pending& entry) {
+  evhttp_connection* connection = evhttp_request_get_connection(entry.request);
+  const evutil_socket_t fd =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  const auto closed = [](evutil_socket_t /*fd*/, short /*what*/,
+                         void* argument) {
+    Pending& closing = *static_cast<Pending*>(argument);
+    ForgetClose(closing);
+    closing.server->on_close(closing.id);
+  };
+  entry.closed_event = event_new(loop.base(), fd, EV_CLOSED, closed, &entry);
+  event_add(entry.closed_event, nullptr);
+  const auto freed = [](evhttp_connection* /*connection*/, void* argument) {
+    ForgetClose(*static_cast<Pending*>(argument));
+  };
+  evhttp_connection_set_closecb(connection, freed, &entry);
+}
+
+void HttpServer::Impl::ForgetClose(Pending& entry) {
+  if (entry.closed_event == nullptr)
+    return;
+  event_free(entry.closed_event);
+  entry.closed_event = nullptr;
+}
+
+HttpServer::HttpServer(EventLoop& loop,
+                       const HttpServerOptions& options,
+                       RequestHandler on_request,
+                       CloseHandler on_close)
+    : impl_(std::make_unique<Impl>(loop,
+                                   std::move(on_request),
+                                   std::move(on_close))) {
+  impl_->http = evhttp_new(loop.base());
+  evhttp_set_max_body_size(impl_->http,
+                           static_cast<ev_ssize_t>(options.max_body_bytes));
+  evhttp_set_max_headers_size(
+      impl_->http, static_cast<ev_ssize_t>(options.max_header_bytes));
+  evhttp_set_timeout(impl_->http, options.idle_timeout_seconds);
+  const auto accept = [](evhttp_request* request, void* argument) {
+    static_cast<Impl*>(argument)->Accept(request);
+  };
+  evhttp_set_gencb(impl_->http, accept, impl_.get());
+}
+
+HttpServer::~HttpServer() {
+  for (auto& [id, entry] : impl_->pending) {
+    Impl::ForgetClose(entry);
+    evhttp_connection* connection =
+        evhttp_request_get_connection(entry.request);
+    if (connection != nullptr)
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  }
+  evhttp_free(impl_->http);
+}
+
+boost::leaf::result<std::uint16_t> HttpServer::Listen(
+    const std::string& address) {
+  BOOST_LEAF_AUTO(target, ParseAddress(address));
+  impl_->socket = evhttp_bind_socket_with_handle(
+      impl_->http, target.host.c_str(), target.port);
+  if (impl_->socket == nullptr)
+    return boost::leaf::new_error(
+        Error{ErrorCode::kBindFailed, "can't listen on " + address});
+  evconnlistener* listener = evhttp_bound_socket_get_listener(impl_->socket);
+  impl_->resume_accept = std::make_unique<Timer>(
+      impl_->loop, [listener] { evconnlistener_enable(listener); });
+  const auto accept_failed = [](evconnlistener* failed, void* argument) {
+    auto* impl = static_cast<Impl*>(argument);
+    evconnlistener_disable(failed);
+    impl->resume_accept->Schedule(impl->loop.Now() + kAcceptPause);
+  };
+  evconnlistener_set_error_cb(listener, accept_failed);
+  return BoundPort(evhttp_bound_socket_get_fd(impl_->socket));
+}
+
+void HttpServer::StopListening() {
+  if (impl_->socket == nullptr)
+    return;
+  impl_->resume_accept.reset();
+  evhttp_del_accept_socket(impl_->http, impl_->socket);
+  impl_->socket = nullptr;
+}
+
+void HttpServer::Respond(std::uint64_t id, const HttpResponse& response) {
+  const auto found = impl_->pending.find(id);
+  if (found == impl_->pending.end())
+    return;
+  evhttp_request* request = found->second.request;
+  Impl::ForgetClose(found->second);
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  if (connection != nullptr)
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  impl_->pending.erase(found);
+  WriteFields(response.headers, evhttp_request_get_output_headers(request));
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, response.body.data(), response.body.size());
+  evhttp_send_reply(request, response.status, nullptr, body);
+  evbuffer_free(body);
+}
+
+void HttpServer::Abort(std::uint64_t id) {
+  const auto found = impl_->pending.find(id);
+  if (found == impl_->pending.end())
+    return;
+  evhttp_connection* connection =
+      evhttp_request_get_connection(found->second.request);
+  if (connection == nullptr)
+    return Respond(id, {.status = 503});
+  Impl::ForgetClose(found->second);
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  impl_->pending.erase(found);
+  evhttp_connection_free(connection);
+}
+
+const HttpServerCounters& HttpServer::counters() const {
+  return impl_->counters;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -0,0 +1,73 @@
+// HTTP/1.1 client on evhttp with kept and bounded connections.
+
+#ifndef CICADADRUM_LOOP_HTTP_CLIENT_H_
+#define CICADADRUM_LOOP_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cicadadrum/base/enum_names.h"
+#include "cicadadrum/loop/event_loop.h"
+#include "cicadadrum/loop/http_message.h"
+
+namespace cicadadrum {
+
+enum class HttpOutcome : std::uint8_t {
+  kAnswered,      // A whole response arrived.
+  kNotConnected,  // No connection was made, so no byte of the request was sent.
+  kNoConnection,  // The bound on connections to this address is reached;
+                  // nothing was sent.
+  kLost,      // The connection ended or the response was malformed after the
+              // request was sent.
+  kTimedOut,  // No whole response within the time; the connection was closed.
+};
+
+template <>
+struct EnumNames<HttpOutcome> {
+  static constexpr auto kTable = std::to_array<EnumName<HttpOutcome>>({
+      {HttpOutcome::kAnswered, "answered"},
+      {HttpOutcome::kNotConnected, "not-connected"},
+      {HttpOutcome::kNoConnection, "no-connection"},
+      {HttpOutcome::kLost, "lost"},
+      {HttpOutcome::kTimedOut, "timed-out"},
+  });
+};
+
+struct HttpClientOptions {
+  std::uint32_t max_connections_per_address = 64;
+  std::uint64_t max_response_bytes = 8'388'608;
+  int connect_timeout_seconds = 2;
+  int idle_timeout_seconds = 50;
+};
+
+class HttpClient {
+ public:
+  using Callback =
+      std::function<void(HttpOutcome outcome, HttpResponse response)>;
+
+  HttpClient(EventLoop& loop, const HttpClientOptions& options);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Sends a request to `address` (IP:port) and calls `callback` once, never
+  // before Send has returned. Returns an id for Cancel.
+  std::uint64_t Send(const std::string& address,
+                     const HttpRequest& request,
+                     TimePoint deadline,
+                     Callback callback);
+
+  // Closes the connection of the request `id` and drops its callback. An
+  // unknown id is ignored.
+  void Cancel(std::uint64_t id);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_LOOP_HTTP_CLIENT_H_
