--- /dev/null
+++ b/Libraries/LibConfiguration/conversion.cc
@@ -0,0 +1,103 @@
+// Conversion between schema types and the plain structs of LibModel.
+
+#include "conversion.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Both enumerations list the classes in the same order.
+static_assert(static_cast<int>(schema::RequestClass::BULK) ==
+              static_cast<int>(RequestClass::kBulk));
+static_assert(static_cast<int>(schema::RequestClass::WRITE) ==
+              static_cast<int>(RequestClass::kWrite));
+
+std::vector<std::string> ReadTexts(capnp::List<capnp::Text>::Reader source) {
+  std::vector<std::string> texts;
+  for (const auto text : source)
+    texts.emplace_back(text.cStr());
+  return texts;
+}
+
+std::vector<RequestClass> ReadClasses(
+    capnp::List<schema::RequestClass>::Reader source) {
+  std::vector<RequestClass> classes;
+  for (const auto request_class : source)
+    classes.push_back(static_cast<RequestClass>(request_class));
+  return classes;
+}
+
+template <typename Builder>
+void WriteTexts(const std::vector<std::string>& texts, Builder target) {
+  for (std::size_t i = 0; i < texts.size(); ++i)
+    target.set(static_cast<unsigned>(i), texts[i]);
+}
+
+unsigned Count(std::size_t size) {
+  return static_cast<unsigned>(size);
+}
+
+void WritePlan(const Plan& plan, schema::Plan::Builder target) {
+  target.setName(plan.name);
+  WriteTexts(plan.services, target.initServices(Count(plan.services.size())));
+  WriteTexts(plan.regions, target.initRegions(Count(plan.regions.size())));
+  auto classes = target.initClasses(Count(plan.classes.size()));
+  for (unsigned i = 0; i < classes.size(); ++i)
+    classes.set(i, static_cast<schema::RequestClass>(plan.classes[i]));
+  target.setRequestsPerSecond(plan.requests_per_second);
+  target.setConcurrency(plan.concurrency);
+  target.setMaxBodyBytes(plan.max_body_bytes);
+}
+
+}  // namespace
+
+Deployment ReadDeployment(schema::Deployment::Reader source) {
+  Deployment deployment;
+  deployment.name = source.getName();
+  for (const auto region : source.getRegions())
+    deployment.regions.push_back(
+        {region.getName(), ReadTexts(region.getFailureDomains())});
+  for (const auto service : source.getServices())
+    deployment.services.push_back(
+        {service.getName(), ReadClasses(service.getClasses())});
+  for (const auto entry : source.getEntries()) {
+    deployment.entries.push_back(
+        {entry.getName(), entry.getRegion(), entry.getFailureDomain(),
+         entry.getCallerAddress(), entry.getPeerAddress()});
+  }
+  deployment.link_megabits_per_second = source.getLinkMegabitsPerSecond();
+  deployment.region_delay = Microseconds(source.getRegionDelayMicroseconds());
+  deployment.domain_delay = Microseconds(source.getDomainDelayMicroseconds());
+  deployment.shift_cap_percent = source.getShiftCapPercent();
+  deployment.shift_window = Seconds(source.getShiftWindowSeconds());
+  deployment.platform_address = source.getPlatformAddress();
+  return deployment;
+}
+
+Configuration ReadConfiguration(schema::Configuration::Reader source) {
+  Configuration configuration;
+  for (const auto customer : source.getCustomers())
+    configuration.customers.push_back({customer.getName(), customer.getPlan()});
+  for (const auto plan : source.getPlans()) {
+    configuration.plans.push_back(
+        {plan.getName(), ReadTexts(plan.getServices()),
+         ReadClasses(plan.getClasses()), ReadTexts(plan.getRegions()),
+         plan.getRequestsPerSecond(), plan.getConcurrency(),
+         plan.getMaxBodyBytes()});
+  }
+  return configuration;
+}
+
+void WriteConfiguration(const Configuration& configuration,
+                        schema::Configuration::Builder target) {
+  auto customers = target.initCustomers(Count(configuration.customers.size()));
+  for (unsigned i = 0; i < customers.size(); ++i) {
+    customers[i].setName(configuration.customers[i].name);
+    customers[i].setPlan(configuration.customers[i].plan);
+  }
+  auto plans = target.initPlans(Count(configuration.plans.size()));
+  for (unsigned i = 0; i < plans.size(); ++i)
+    WritePlan(configuration.plans[i], plans[i]);
+}
+
+}  // namespace cicadadrum
