LibFakeBackend: Add stand-ins for backend servers and the platform

Cause: the whole path is to run on one machine without third-party servers. Conclusion: a backend stand-in has slots, shedding, cold start, slow spells, crashes and uploads.

--- a/Generated/schemas/http.capnp.c++
+++ b/Generated/schemas/http.capnp.c++
@@ -344,6 +344,50 @@
   0, 4, i_af03a11e4950b343, nullptr, nullptr, { &s_af03a11e4950b343, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_845b5a4dc664ae7c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    124, 174, 100, 198,  77,  90,  91, 132,
+     11,   0,   0,   0,   1,   0,   1,   0,
+    152, 213,  64, 108,  63, 142, 227, 135,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    104, 116, 116, 112,  46,  99,  97, 112,
+    110, 112,  58,  85, 112, 108, 111,  97,
+    100,  79, 102, 102, 115, 101, 116,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    114, 101,  99, 101, 105, 118, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_845b5a4dc664ae7c = b_845b5a4dc664ae7c.words;
+#if !CAPNP_LITE
+static const uint16_t m_845b5a4dc664ae7c[] = {0};
+static const uint16_t i_845b5a4dc664ae7c[] = {0};
+const ::capnp::_::RawSchema s_845b5a4dc664ae7c = {
+  0x845b5a4dc664ae7c, b_845b5a4dc664ae7c.words, 33, nullptr, m_845b5a4dc664ae7c,
+  0, 1, i_845b5a4dc664ae7c, nullptr, nullptr, { &s_845b5a4dc664ae7c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_fabd2fe71c45b547 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      71, 181,  69,  28, 231,  47, 189, 250,
@@ -784,6 +828,14 @@
 constexpr ::capnp::_::RawSchema const* LoadReport::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// UploadOffset
+constexpr uint16_t UploadOffset::_capnpPrivate::dataWordSize;
+constexpr uint16_t UploadOffset::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind UploadOffset::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* UploadOffset::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // MarkLeaving
 constexpr uint16_t MarkLeaving::_capnpPrivate::dataWordSize;
 constexpr uint16_t MarkLeaving::_capnpPrivate::pointerCount;
--- a/Generated/schemas/http.capnp.h
+++ b/Generated/schemas/http.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(dc21c3f494a27ff9);
 CAPNP_DECLARE_SCHEMA(fdc8f1ea91766eb0);
 CAPNP_DECLARE_SCHEMA(af03a11e4950b343);
+CAPNP_DECLARE_SCHEMA(845b5a4dc664ae7c);
 CAPNP_DECLARE_SCHEMA(fabd2fe71c45b547);
 CAPNP_DECLARE_SCHEMA(d1f8a12215f3e14b);
 CAPNP_DECLARE_SCHEMA(d2c2c05b354024bd);
@@ -91,6 +92,21 @@
   };
 };
 
+struct UploadOffset {
+  UploadOffset() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(845b5a4dc664ae7c, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MarkLeaving {
   MarkLeaving() = delete;
 
@@ -548,6 +564,82 @@
 };
 #endif  // !CAPNP_LITE
 
+class UploadOffset::Reader {
+public:
+  typedef UploadOffset Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getReceived() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UploadOffset::Builder {
+public:
+  typedef UploadOffset Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getReceived();
+  inline void setReceived( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UploadOffset::Pipeline {
+public:
+  typedef UploadOffset Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class MarkLeaving::Reader {
 public:
   typedef MarkLeaving Reads;
@@ -1335,6 +1427,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t UploadOffset::Reader::getReceived() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UploadOffset::Builder::getReceived() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UploadOffset::Builder::setReceived( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MarkLeaving::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Generated/schemas/store.capnp.h
+++ b/Generated/schemas/store.capnp.h
@@ -25,6 +25,7 @@
 CAPNP_DECLARE_SCHEMA(b9b37560a19315b9);
 CAPNP_DECLARE_SCHEMA(a2688eea66a0b85d);
 CAPNP_DECLARE_SCHEMA(c52b3c4d522ccfb4);
+CAPNP_DECLARE_SCHEMA(feba181528df7f17);
 CAPNP_DECLARE_SCHEMA(b7587ccae8aec08f);
 enum class VmState_b7587ccae8aec08f: uint16_t {
   LIVE,
@@ -130,6 +131,21 @@
   };
 };
 
+struct Claim {
+  Claim() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(feba181528df7f17, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 typedef ::capnp::schemas::VmState_b7587ccae8aec08f VmState;
 
 struct Vm {
@@ -715,6 +731,132 @@
 };
 #endif  // !CAPNP_LITE
 
+class Claim::Reader {
+public:
+  typedef Claim Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
+
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
+
+  inline bool getFinished() const;
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Text::Reader getBody() const;
+
+  inline bool getTruncated() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Claim::Builder {
+public:
+  typedef Claim Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
+
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+
+  inline bool getFinished();
+  inline void setFinished(bool value);
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasBody();
+  inline  ::capnp::Text::Builder getBody();
+  inline void setBody( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownBody();
+
+  inline bool getTruncated();
+  inline void setTruncated(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Claim::Pipeline {
+public:
+  typedef Claim Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Vm::Reader {
 public:
   typedef Vm Reads;
@@ -1344,6 +1486,184 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Claim::Reader::hasHolder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Claim::Builder::hasHolder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Claim::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Claim::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Claim::Builder::initHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptHolder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Claim::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Claim::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Claim::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Claim::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Claim::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Claim::Reader::getFinished() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Claim::Builder::getFinished() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setFinished(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Claim::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Claim::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Claim::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Claim::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Claim::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Claim::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Claim::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Claim::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Claim::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Claim::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Claim::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Claim::Builder::setBody( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Claim::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Claim::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Claim::Reader::getTruncated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Claim::Builder::getTruncated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Claim::Builder::setTruncated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Vm::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/Schemas/backend.capnp
@@ -0,0 +1,44 @@
+@0xc8be53a814f3dc1c;
+# Settings and bodies of the backend server stand-in.
+
+using Cxx = import "/capnp/c++.capnp";
+using Store = import "store.capnp";
+$Cxx.namespace("cicadadrum::schema");
+
+# One process can stand in for several backend servers, for example those of a failure domain.
+struct FakeBackendSettings {
+  servers @0 :List(Store.Vm);
+  readMicroseconds @1 :UInt32 = 10000;  # Time that a read keeps its slot.
+  writeMicroseconds @2 :UInt32 = 20000;
+  bulkMicroseconds @3 :UInt32 = 200000;
+  coldRequests @4 :UInt32 = 0;  # Requests that take coldFactor times as long after the start.
+  coldFactor @5 :UInt32 = 3;
+  logLevel @6 :Text = "warning";
+}
+
+# Body of POST /control to one server.
+struct BackendControl {
+  slowFactor @0 :UInt32 = 1;
+  crashMilliseconds @1 :UInt32 = 0;  # Drops all connections and refuses new ones for this time.
+  reportLagMilliseconds @2 :UInt32 = 0;
+}
+
+struct Execution {
+  key @0 :Text;
+  count @1 :UInt32;
+}
+
+# Answer to GET /executions: runs of non-idempotent requests that were begun.
+struct Executions {
+  executions @0 :List(Execution);
+}
+
+# Answer to a service request.
+struct Echo {
+  server @0 :Text;
+  service @1 :Text;
+  target @2 :Text;
+  bodyBytes @3 :UInt64;
+  bodyHash @4 :Text;  # 16 hexadecimal digits of XXH3.
+  key @5 :Text;
+}
--- a/Schemas/http.capnp
+++ b/Schemas/http.capnp
@@ -31,6 +31,11 @@
   ageMilliseconds @3 :UInt32;
 }
 
+# Answer of a backend server to an upload part or to a question for the offset.
+struct UploadOffset {
+  received @0 :UInt64;
+}
+
 struct MarkLeaving {
   server @0 :Text;
   leaving @1 :Bool;
--- a/Schemas/store.capnp
+++ b/Schemas/store.capnp
@@ -39,6 +39,17 @@
   rows @0 :List(Row);
 }
 
+# Value of a row claims/<key>.
+struct Claim {
+  holder @0 :Text;
+  incarnation @1 :Text;  # 32 hexadecimal digits.
+  finished @2 :Bool;
+  status @3 :UInt16;
+  contentType @4 :Text;
+  body @5 :Text;  # Base64.
+  truncated @6 :Bool;
+}
+
 enum VmState {
   live @0;
   leaving @1;
