--- /dev/null
+++ b/Libraries/LibEntry/entry_core.h
@@ -0,0 +1,90 @@
+// The decision core with what the front end keeps for it: request bodies and
+// the responses of attempts.
+
+#ifndef CICADADRUM_ENTRY_ENTRY_CORE_H_
+#define CICADADRUM_ENTRY_ENTRY_CORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "backend_link.h"
+#include "cicadadrum/configuration/settings.h"
+#include "cicadadrum/loop/event_loop.h"
+#include "cicadadrum/loop/http_message.h"
+#include "cicadadrum/steering/entry_state.h"
+#include "cicadadrum/telemetry/metrics.h"
+#include "cicadadrum/telemetry/trace.h"
+#include "platform_link.h"
+
+namespace cicadadrum {
+
+// A request in progress, as the front end sees it.
+struct HeldRequest {
+  RequestArrived arrived;
+  HttpRequest request;
+  std::map<std::uint32_t, HttpResponse> responses;  // By attempt.
+  std::function<void(const HttpResponse&)> respond;
+  std::optional<TraceContext> parent;
+  TraceContext context;
+  TimePoint started_at;
+};
+
+// Feeds events into Step and carries out the actions that follow.
+class EntryCore {
+ public:
+  EntryCore(EventLoop& loop,
+            const EntrySettings& settings,
+            const Incarnation& incarnation);
+
+  void Start();
+  void Dispatch(const Event& event);
+
+  // Takes a caller's request. `respond` is called once with its response.
+  void TakeRequest(std::uint64_t id,
+                   HttpRequest request,
+                   std::function<void(const HttpResponse&)> respond);
+
+  std::uint64_t NewRequestId() { return next_request_++; }
+  EntryState& state() { return state_; }
+  Metrics& metrics() { return metrics_; }
+  std::function<void()> on_stopped;
+
+ private:
+  void Perform(Action& action);
+  void Perform(const AskPoolOwner& action);
+  void Perform(const CancelAtPoolOwner& action);
+  void Perform(const ReturnToPoolOwner& action);
+  void Perform(const AnswerPeer& action);
+  void Perform(const SendToBackend& action);
+  void Perform(const CancelAtBackend& action);
+  void Perform(const AnswerCaller& action);
+  void Perform(const WriteClaims& action);
+  void Perform(const StoreResult& action);
+  void Perform(const AskHome& action);
+  void Perform(const WakeAt& action);
+  void Perform(const Stopped& action);
+  void EndSpan(const HeldRequest& held, const AnswerCaller& answer);
+  HttpResponse MakeResponse(HeldRequest& held, const AnswerCaller& answer);
+
+  EventLoop& loop_;
+  const EntrySettings& settings_;
+  EntryState state_;
+  std::map<std::uint64_t, HeldRequest> held_;
+  std::uint64_t buffered_bytes_ =
+      0;  // Invariant: sum of the body sizes in held_.
+  std::uint64_t next_request_ = 1;
+  TimePoint wake_at_ = kNever;
+  Timer wake_timer_;
+  BackendLink backends_;
+  PlatformLink platform_;
+  Metrics metrics_;
+  SpanWriter spans_;
+  Random random_;
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_ENTRY_ENTRY_CORE_H_
--- /dev/null
+++ b/Libraries/LibEntry/entry_server.cc
@@ -0,0 +1,186 @@
+// HTTP towards callers and operators.
+
+#include "cicadadrum/entry/entry_server.h"
+
+#include <capnp/message.h>
+
+#include "caller_protocol.h"
+#include "cicadadrum/base/hash.h"
+#include "cicadadrum/configuration/json.h"
+#include "cicadadrum/loop/http_server.h"
+#include "cicadadrum/telemetry/log.h"
+#include "entry_core.h"
+#include "schemas/http.capnp.h"
+
+namespace cicadadrum {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::uint32_t kLookupLifetimeSeconds = 30;
+constexpr std::size_t kMaxRankedEntries = 5;
+
+// Ranks the live entry VMs for a customer's work on a service: those of
+// `region` first, an entry VM that is stopping last.
+std::vector<EntryVm> RankEntryVms(const EntryState& state,
+                                  const std::string& customer,
+                                  const std::string& service,
+                                  const std::string& region) {
+  std::vector<EntryVm> ranked = state.live;
+  const std::string key = customer + "/" + service;
+  const auto order = [&](const EntryVm& entry) {
+    const bool last = state.stopping && entry.name == state.self.name;
+    return std::tuple(last, entry.region != region,
+                      ~RendezvousScore(key, entry.name));
+  };
+  std::sort(
+      ranked.begin(), ranked.end(),
+      [&](const EntryVm& a, const EntryVm& b) { return order(a) < order(b); });
+  if (ranked.size() > kMaxRankedEntries)
+    ranked.resize(kMaxRankedEntries);
+  return ranked;
+}
+
+}  // namespace
+
+struct EntryServer::Impl {
+  EntrySettings settings;
+  EntryCore core;
+  HttpServer server;
+  std::map<std::uint64_t, std::uint64_t>
+      request_of_http;  // Request in progress of each HTTP exchange.
+
+  Impl(EventLoop& loop,
+       const EntrySettings& entry_settings,
+       const Incarnation& incarnation)
+      : settings(entry_settings),
+        core(loop, settings, incarnation),
+        server(
+            loop,
+            {.max_body_bytes = settings.max_body_bytes},
+            [this](std::uint64_t id, HttpRequest request) {
+              Handle(id, std::move(request));
+            },
+            [this](std::uint64_t id) { HandleClose(id); }) {}
+
+  void Handle(std::uint64_t id, HttpRequest request);
+  void HandleClose(std::uint64_t id);
+  HttpResponse Lookup(const HttpRequest& request);
+  HttpResponse Status();
+};
+
+void EntryServer::Impl::Handle(std::uint64_t id, HttpRequest request) {
+  if (request.path.starts_with("/v1/services/")) {
+    const std::uint64_t core_id = core.NewRequestId();
+    request_of_http[id] = core_id;
+    return core.TakeRequest(core_id, std::move(request),
+                            [this, id](const HttpResponse& response) {
+                              request_of_http.erase(id);
+                              server.Respond(id, response);
+                            });
+  }
+  if (request.path == "/v1/lookup")
+    return server.Respond(id, Lookup(request));
+  if (request.path == "/v1/status")
+    return server.Respond(id, Status());
+  if (request.path == "/metrics")
+    return server.Respond(
+        id, {.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+             .body = core.metrics().Render()});
+  if (request.path == "/healthz")
+    return server.Respond(id, {.body = "ok\n"});
+  if (request.path == "/readyz") {
+    const bool ready = IsReady(core.state()) && !core.state().stopping;
+    return server.Respond(
+        id, {.status = static_cast<std::uint16_t>(ready ? 200 : 503),
+             .body = ready ? "ready\n" : "not ready\n"});
+  }
+  server.Respond(id, {.status = 404, .body = "not found\n"});
+}
+
+void EntryServer::Impl::HandleClose(std::uint64_t id) {
+  const auto found = request_of_http.find(id);
+  if (found != request_of_http.end())
+    core.Dispatch(CallerGone{found->second});
+}
+
+HttpResponse EntryServer::Impl::Lookup(const HttpRequest& request) {
+  const EntryState& state = core.state();
+  const std::string customer(FindField(request.query, "customer"));
+  const std::string service(FindField(request.query, "service"));
+  std::string region(FindField(request.query, "region"));
+  if (region.empty())
+    region = state.self.region;
+  capnp::MallocMessageBuilder message;
+  auto answer = message.initRoot<schema::LookupAnswer>();
+  answer.setRegion(region);
+  const std::vector<EntryVm> ranked =
+      RankEntryVms(state, customer, service, region);
+  auto entries = answer.initEntries(static_cast<unsigned>(ranked.size()));
+  for (unsigned i = 0; i < entries.size(); ++i) {
+    entries[i].setName(ranked[i].name);
+    entries[i].setRegion(ranked[i].region);
+    entries[i].setAddress(ranked[i].caller_address);
+  }
+  answer.setLifetimeSeconds(kLookupLifetimeSeconds);
+  answer.setConfigurationVersion(state.configuration.version);
+  auto keys = answer.initRequestKeys(1);
+  keys.set(0, IssueRequestKey(core.state().claims).text);
+  return MakeJson(200, EncodeJson(answer.asReader()));
+}
+
+HttpResponse EntryServer::Impl::Status() {
+  const EntryState& state = core.state();
+  capnp::MallocMessageBuilder message;
+  auto status = message.initRoot<schema::EntryStatus>();
+  status.setName(state.self.name);
+  status.setRegion(state.self.region);
+  status.setReady(IsReady(state));
+  status.setConfigurationVersion(state.configuration.version);
+  status.setRequestsInProgress(
+      static_cast<std::uint32_t>(state.requests.size()));
+  auto members = status.initMembers(static_cast<unsigned>(state.live.size()));
+  for (unsigned i = 0; i < members.size(); ++i)
+    members.set(i, state.live[i].name);
+  unsigned count = 0;
+  for (const auto& [key, pool] : state.pools)
+    count += static_cast<unsigned>(pool.servers.size());
+  auto servers = status.initPools(count);
+  unsigned next = 0;
+  for (const auto& [key, pool] : state.pools) {
+    for (const auto& [name, pool_server] : pool.servers) {
+      auto row = servers[next++];
+      row.setName(name);
+      row.setService(key.service);
+      row.setRegion(key.region);
+      row.setState(std::string(NameOf(pool_server.state)));
+      row.setSlots(pool_server.description.slots);
+      row.setInFlight(pool_server.leases);
+    }
+  }
+  return MakeJson(200, EncodeJson(status.asReader()));
+}
+
+EntryServer::EntryServer(EventLoop& loop,
+                         const EntrySettings& settings,
+                         const Incarnation& incarnation)
+    : impl_(std::make_unique<Impl>(loop, settings, incarnation)) {}
+
+EntryServer::~EntryServer() = default;
+
+leaf::result<void> EntryServer::Start() {
+  BOOST_LEAF_AUTO(port,
+                  impl_->server.Listen(impl_->settings.self.caller_address));
+  LoggerFor("entry")->info("{} listens on port {}", impl_->settings.self.name,
+                           port);
+  impl_->core.Start();
+  return {};
+}
+
+void EntryServer::RequestStop(std::function<void()> on_stopped) {
+  impl_->core.on_stopped = std::move(on_stopped);
+  impl_->core.Dispatch(StopRequested{});
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Services/EntryServer/main.cc
@@ -0,0 +1,71 @@
+// cicadadrum-entry: the daemon of every entry VM.
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+#include "cicadadrum/configuration/settings.h"
+#include "cicadadrum/entry/entry_server.h"
+#include "cicadadrum/loop/event_loop.h"
+#include "cicadadrum/program/program.h"
+#include "cicadadrum/telemetry/log.h"
+
+namespace cicadadrum {
+
+namespace {
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+
+Incarnation RandomIncarnation() {
+  std::random_device device;
+  const auto draw = [&device] {
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+  };
+  return {draw(), draw()};
+}
+
+leaf::result<ExitCode> Run(const po::variables_map& values) {
+  BOOST_LEAF_AUTO(settings,
+                  LoadEntrySettings(values["settings"].as<std::string>()));
+  if (!SetLogLevel(settings.log_level)) {
+    return leaf::new_error(Error{ErrorCode::kInvalidSettings,
+                                 "logLevel: '" + settings.log_level +
+                                     "' is not allowed; expected trace, debug, "
+                                     "info, warning, error or off"});
+  }
+  if (values.contains("check")) {
+    std::cout << "settings are valid\n";
+    return ExitCode::kSuccess;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  EventLoop loop;
+  EntryServer server(loop, settings, RandomIncarnation());
+  BOOST_LEAF_CHECK(server.Start());
+  const auto stop = [&] { server.RequestStop([&loop] { loop.Stop(); }); };
+  const SignalWatcher on_term(loop, SIGTERM, stop);
+  const SignalWatcher on_interrupt(loop, SIGINT, stop);
+  loop.Run();
+  LoggerFor("entry")->info("stopped");
+  return ExitCode::kSuccess;
+}
+
+}  // namespace
+
+}  // namespace cicadadrum
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  const cicadadrum::ProgramInfo info{
+      "cicadadrum-entry", "steers callers' requests to backend servers"};
+  po::options_description options("Options");
+  options.add_options()("settings", po::value<std::string>()->required(),
+                        "settings file, JSON with comments");
+  options.add_options()("check", "validate the settings and exit");
+  const auto parsed =
+      cicadadrum::ParseCommandLine(info, options, {}, argc, argv);
+  if (parsed.exit)
+    return static_cast<int>(*parsed.exit);
+  return cicadadrum::RunProgram(info,
+                                [&] { return cicadadrum::Run(parsed.values); });
+}
