LibCaller: Find an entry VM, repeat safely and upload in parts

Cause: there is no balancer, so callers cache ranked look-up answers and move on when an entry VM fails.

--- /dev/null
+++ b/Libraries/LibCaller/caller.cc
@@ -0,0 +1,267 @@
+// Requests of a caller over HTTP.
+
+#include "cicadadrum/caller/caller.h"
+
+#include <capnp/message.h>
+
+#include <charconv>
+
+#include "cicadadrum/caller/choice.h"
+#include "cicadadrum/configuration/json.h"
+#include "cicadadrum/loop/http_client.h"
+#include "schemas/http.capnp.h"
+#include "upload.h"
+
+namespace cicadadrum {
+
+namespace {
+
+constexpr Duration kLookupTimeout = Seconds(1);
+// An answer "not run" is repeated after this time, doubled with each attempt.
+constexpr Duration kFirstBackoff = Milliseconds(50);
+constexpr Duration kMaxBackoff = Seconds(1);
+constexpr std::uint32_t kMaxAttempts = 8;
+
+std::uint64_t ReadNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+// Whether a refusal with this status may succeed at another entry VM or later.
+bool IsRepeatable(std::uint16_t status) {
+  return status == 503 || status == 429;
+}
+
+}  // namespace
+
+struct Caller::Impl {
+  struct Call {
+    CallerRequest request;
+    std::function<void(const CallerAnswer&)> callback;
+    CallerAnswer answer;
+    TimePoint deadline;
+    std::vector<std::string>
+        remaining;  // Entry VMs not asked yet in this round, best first.
+    std::unique_ptr<Timer> timer;
+  };
+  using CallPointer = std::shared_ptr<Call>;
+
+  EventLoop& loop;
+  CallerOptions options;
+  CallerState state;
+  HttpClient client;
+
+  Impl(EventLoop& event_loop, const CallerOptions& caller_options)
+      : loop(event_loop),
+        options(caller_options),
+        client(event_loop,
+               {.max_connections_per_address =
+                    caller_options.max_connections_per_entry}) {
+    state.seeds = options.seeds;
+    state.random.state = options.seed;
+  }
+
+  void Begin(const CallPointer& call);
+  void Lookup(const CallPointer& call, std::vector<std::string> addresses);
+  bool TakeLookup(const std::string& service, const HttpResponse& response);
+  bool NeedsKey(const Call& call) const;
+  void Attempt(const CallPointer& call);
+  HttpRequest MakeRequest(const Call& call) const;
+  void Apply(const CallPointer& call,
+             const std::string& address,
+             HttpOutcome outcome,
+             HttpResponse response);
+  void Repeat(const CallPointer& call);
+  void Finish(const CallPointer& call);
+};
+
+bool Caller::Impl::NeedsKey(const Call& call) const {
+  return !IsIdempotent(call.request.request_class) && call.answer.key.empty();
+}
+
+void Caller::Impl::Begin(const CallPointer& call) {
+  const auto cached = state.lookups.find(call->request.service);
+  const bool has_key =
+      cached != state.lookups.end() && !cached->second.request_keys.empty();
+  if (NeedsLookup(state, call->request.service, loop.Now()) ||
+      (NeedsKey(*call) && !has_key))
+    return Lookup(call,
+                  RankAddresses(state, call->request.service, loop.Now()));
+  if (NeedsKey(*call)) {
+    call->answer.key = cached->second.request_keys.front();
+    state.lookups[call->request.service].request_keys.pop_front();
+  }
+  call->remaining = RankAddresses(state, call->request.service, loop.Now());
+  Attempt(call);
+}
+
+void Caller::Impl::Lookup(const CallPointer& call,
+                          std::vector<std::string> addresses) {
+  const bool usable =
+      state.lookups.contains(call->request.service) && !NeedsKey(*call);
+  if (addresses.empty() && usable) {
+    // No entry VM answered; the expired answer still names entry VMs that may
+    // come back.
+    call->remaining = RankAddresses(state, call->request.service, loop.Now());
+    return Attempt(call);
+  }
+  if (addresses.empty() || loop.Now() >= call->deadline)
+    return Finish(call);
+  const std::string address = addresses.front();
+  addresses.erase(addresses.begin());
+  const HttpRequest request{
+      .method = HttpMethod::kGet,
+      .target = "/v1/lookup?customer=" + options.customer + "&service=" +
+                call->request.service + "&region=" + options.region};
+  const TimePoint deadline =
+      std::min(call->deadline, loop.Now() + kLookupTimeout);
+  client.Send(address, request, deadline,
+              [this, call, address, addresses](HttpOutcome outcome,
+                                               const HttpResponse& response) {
+                if (outcome == HttpOutcome::kAnswered &&
+                    TakeLookup(call->request.service, response))
+                  return Begin(call);
+                RecordFailure(state, address, loop.Now());
+                Lookup(call, addresses);
+              });
+}
+
+bool Caller::Impl::TakeLookup(const std::string& service,
+                              const HttpResponse& response) {
+  capnp::MallocMessageBuilder message;
+  const auto answer = DecodeJsonAs<schema::LookupAnswer>(
+      response.body, "look-up answer", ErrorCode::kInvalidMessage, message);
+  if (response.status != 200 || !answer || answer->getEntries().size() == 0 ||
+      answer->getRequestKeys().size() == 0)
+    return false;
+  CachedLookup& cached = state.lookups[service];
+  cached.addresses.clear();
+  for (const auto entry : answer->getEntries())
+    cached.addresses.emplace_back(entry.getAddress());
+  for (const auto key : answer->getRequestKeys())
+    cached.request_keys.emplace_back(key);
+  cached.expires_at = loop.Now() + Seconds(answer->getLifetimeSeconds());
+  RecordVersion(state, answer->getConfigurationVersion());
+  return true;
+}
+
+HttpRequest Caller::Impl::MakeRequest(const Call& call) const {
+  HttpRequest request{
+      .method = call.request.method,
+      .target = "/v1/services/" + call.request.service + call.request.target,
+      .headers = call.request.headers,
+      .body = call.request.body};
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+      call.deadline - loop.Now());
+  request.headers.emplace_back("Cicadadrum-Customer", options.customer);
+  request.headers.emplace_back("Cicadadrum-Class",
+                               NameOf(call.request.request_class));
+  request.headers.emplace_back(
+      "Cicadadrum-Deadline-Ms",
+      std::to_string(std::max<std::int64_t>(remaining.count(), 1)));
+  request.headers.emplace_back("Cicadadrum-Configuration-Floor",
+                               std::to_string(state.configuration_floor));
+  if (!call.answer.key.empty())
+    request.headers.emplace_back("Cicadadrum-Request-Key", call.answer.key);
+  return request;
+}
+
+void Caller::Impl::Attempt(const CallPointer& call) {
+  if (loop.Now() >= call->deadline || call->remaining.empty())
+    return Repeat(call);
+  const std::string address = call->remaining.front();
+  call->remaining.erase(call->remaining.begin());
+  ++call->answer.attempts;
+  client.Send(
+      address, MakeRequest(*call), call->deadline,
+      [this, call, address](HttpOutcome outcome, HttpResponse response) {
+        Apply(call, address, outcome, std::move(response));
+      });
+}
+
+void Caller::Impl::Apply(const CallPointer& call,
+                         const std::string& address,
+                         HttpOutcome outcome,
+                         HttpResponse response) {
+  if (outcome == HttpOutcome::kNotConnected ||
+      outcome == HttpOutcome::kNoConnection) {
+    RecordFailure(state, address, loop.Now());
+    return Attempt(call);
+  }
+  if (outcome != HttpOutcome::kAnswered) {
+    RecordFailure(state, address, loop.Now());
+    call->answer.verdict = Verdict::kMayHaveRun;
+    // A repeat of a non-idempotent request is safe because it has the same key.
+    return Attempt(call);
+  }
+  RecordVersion(state,
+                ReadNumber(FindField(response.headers,
+                                     "Cicadadrum-Configuration-Version")));
+  const auto verdict =
+      ParseName<Verdict>(FindField(response.headers, "Cicadadrum-Verdict"))
+          .value_or(Verdict::kMayHaveRun);
+  const bool repeatable =
+      verdict == Verdict::kNotRun && IsRepeatable(response.status);
+  call->answer.verdict = Combine(call->answer.verdict, verdict);
+  call->answer.response = std::move(response);
+  if (repeatable && call->answer.attempts < kMaxAttempts)
+    return Repeat(call);
+  Finish(call);
+}
+
+// Waits before the next round. Entry VMs that are still to be asked come before
+// a new round.
+void Caller::Impl::Repeat(const CallPointer& call) {
+  const Duration factor =
+      kFirstBackoff * (1 << std::min(call->answer.attempts, 5U));
+  const Duration backoff = std::min(factor, kMaxBackoff);
+  const Duration wait =
+      backoff / 2 +
+      Microseconds(static_cast<std::int64_t>(RandomBelow(
+          state.random, static_cast<std::uint64_t>(backoff.count()))));
+  if (call->answer.attempts >= kMaxAttempts ||
+      loop.Now() + wait >= call->deadline)
+    return Finish(call);
+  call->timer = std::make_unique<Timer>(loop, [this, call] {
+    if (call->remaining.empty())
+      call->remaining = RankAddresses(state, call->request.service, loop.Now());
+    Attempt(call);
+  });
+  call->timer->Schedule(loop.Now() + wait);
+}
+
+void Caller::Impl::Finish(const CallPointer& call) {
+  const auto callback = std::move(call->callback);
+  // The timer holds a reference to the call.
+  const std::unique_ptr<Timer> timer = std::move(call->timer);
+  callback(call->answer);
+}
+
+Caller::Caller(EventLoop& loop, const CallerOptions& options)
+    : impl_(std::make_unique<Impl>(loop, options)) {}
+
+Caller::~Caller() = default;
+
+void Caller::Send(const CallerRequest& request,
+                  std::function<void(const CallerAnswer&)> callback) {
+  const auto call = std::make_shared<Impl::Call>();
+  call->request = request;
+  call->callback = std::move(callback);
+  call->answer.key = request.key;
+  call->deadline = impl_->loop.Now() + request.deadline;
+  impl_->Begin(call);
+}
+
+void Caller::Upload(const std::string& service,
+                    const std::string& target,
+                    const std::string& upload,
+                    const std::string& bytes,
+                    Duration deadline,
+                    std::function<void(const UploadAnswer&)> callback) {
+  StartUpload(impl_->loop, *this,
+              {service, target, upload, bytes, impl_->loop.Now() + deadline},
+              std::move(callback));
+}
+
+}  // namespace cicadadrum
