Utilities: Add the operator's command, the caller's command and the demonstration load

Cause: operators drive the system by two lists and leaving marks only, and a run has to check the promises by itself. Conclusion: submitting on an edit that was not seen names both versions; the same submit again tells whether an edit with a lost answer was accepted.

--- a/Generated/schemas/backend.capnp.h
+++ b/Generated/schemas/backend.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(f7636823a9df42c0);
 CAPNP_DECLARE_SCHEMA(cc6988716bae17f9);
 CAPNP_DECLARE_SCHEMA(85d936bec0d4a02d);
+CAPNP_DECLARE_SCHEMA(d817f5f7c09711b6);
 CAPNP_DECLARE_SCHEMA(84d65a2a15d2b23b);
 
 }  // namespace schemas
@@ -89,6 +90,21 @@
   };
 };
 
+struct BackendStats {
+  BackendStats() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d817f5f7c09711b6, 5, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Echo {
   Echo() = delete;
 
@@ -475,6 +491,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class BackendStats::Reader {
+public:
+  typedef BackendStats Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBegun() const;
+
+  inline  ::uint64_t getShed() const;
+
+  inline  ::uint64_t getCancelled() const;
+
+  inline  ::uint32_t getInFlight() const;
+
+  inline  ::uint64_t getLastBegunMillisecondsAgo() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BackendStats::Builder {
+public:
+  typedef BackendStats Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBegun();
+  inline void setBegun( ::uint64_t value);
+
+  inline  ::uint64_t getShed();
+  inline void setShed( ::uint64_t value);
+
+  inline  ::uint64_t getCancelled();
+  inline void setCancelled( ::uint64_t value);
+
+  inline  ::uint32_t getInFlight();
+  inline void setInFlight( ::uint32_t value);
+
+  inline  ::uint64_t getLastBegunMillisecondsAgo();
+  inline void setLastBegunMillisecondsAgo( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BackendStats::Pipeline {
+public:
+  typedef BackendStats Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Echo::Reader {
 public:
   typedef Echo Reads;
@@ -867,6 +979,76 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t BackendStats::Reader::getBegun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BackendStats::Builder::getBegun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackendStats::Builder::setBegun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BackendStats::Reader::getShed() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BackendStats::Builder::getShed() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BackendStats::Builder::setShed( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BackendStats::Reader::getCancelled() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BackendStats::Builder::getCancelled() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void BackendStats::Builder::setCancelled( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BackendStats::Reader::getInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendStats::Builder::getInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void BackendStats::Builder::setInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BackendStats::Reader::getLastBegunMillisecondsAgo() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BackendStats::Builder::getLastBegunMillisecondsAgo() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BackendStats::Builder::setLastBegunMillisecondsAgo( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Echo::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibFakeBackend/fake_backend.cc
+++ b/Libraries/LibFakeBackend/fake_backend.cc
@@ -63,6 +63,9 @@
       executions;  // Begun runs of non-idempotent requests, by key.
   std::map<std::string, std::uint64_t> uploads;  // Bytes received, by upload.
   std::uint64_t requests_begun = 0;
+  std::uint64_t requests_shed = 0;
+  std::uint64_t requests_cancelled = 0;
+  TimePoint last_begun_at{};
   std::uint32_t slow_factor = 1;
   Duration report_lag{};
   std::vector<std::pair<TimePoint, std::uint32_t>> load_history;
@@ -87,6 +90,7 @@
   void RecordLoad();
   HttpResponse Report();
   HttpResponse ListExecutions();
+  HttpResponse Stats() const;
   HttpResponse TakePart(const HttpRequest& request);
   HttpResponse EchoOf(const HttpRequest& request);
   Duration ServiceTime(const HttpRequest& request);
@@ -100,7 +104,7 @@
       },
       [this](std::uint64_t id) {
         // The entry VM cancelled the request; its slot is free again.
-        running.erase(id);
+        requests_cancelled += running.erase(id);
         RecordLoad();
         server->Respond(id, {.status = 499});
       });
@@ -114,12 +118,16 @@
     return server->Respond(id, Report());
   if (request.path == "/executions")
     return server->Respond(id, ListExecutions());
+  if (request.path == "/stats")
+    return server->Respond(id, Stats());
   if (request.path == "/control")
     return Control(id, request);
-  if (running.size() >= options.server.slots)
+  if (running.size() >= options.server.slots) {
+    ++requests_shed;
     return server->Respond(id, {.status = 503,
                                 .headers = {{"Cicadadrum-Shed", "1"}},
                                 .body = "no free slot\n"});
+  }
   Begin(id, std::move(request));
 }
 
@@ -137,6 +145,7 @@
 
 void FakeBackend::Impl::Begin(std::uint64_t id, HttpRequest request) {
   ++requests_begun;
+  last_begun_at = loop.Now();
   const std::string key(FindField(request.headers, "Cicadadrum-Request-Key"));
   if (!key.empty())
     ++executions[key];
@@ -224,6 +233,18 @@
               EncodeJson(message.getRoot<schema::Executions>().asReader()));
 }
 
+HttpResponse FakeBackend::Impl::Stats() const {
+  capnp::MallocMessageBuilder message;
+  auto stats = message.initRoot<schema::BackendStats>();
+  stats.setBegun(requests_begun);
+  stats.setShed(requests_shed);
+  stats.setCancelled(requests_cancelled);
+  stats.setInFlight(static_cast<std::uint32_t>(running.size()));
+  stats.setLastBegunMillisecondsAgo(static_cast<std::uint64_t>(
+      (loop.Now() - last_begun_at) / Milliseconds(1)));
+  return Json(200, EncodeJson(stats.asReader()));
+}
+
 void FakeBackend::Impl::Crash(Duration duration) {
   down_time = duration;
   crash.Schedule(loop.Now());
--- a/Schemas/backend.capnp
+++ b/Schemas/backend.capnp
@@ -33,6 +33,15 @@
   executions @0 :List(Execution);
 }
 
+# Answer to GET /stats.
+struct BackendStats {
+  begun @0 :UInt64;  # Requests that got a slot.
+  shed @1 :UInt64;
+  cancelled @2 :UInt64;  # Requests whose connection was closed while they ran.
+  inFlight @3 :UInt32;
+  lastBegunMillisecondsAgo @4 :UInt64;
+}
+
 # Answer to a service request.
 struct Echo {
   server @0 :Text;
--- /dev/null
+++ b/Schemas/demonstration.capnp
@@ -0,0 +1,23 @@
+@0xd1b24b0ce1d8e3cd;
+# Settings of the demonstration run: the mix of work that it sends.
+
+using Cxx = import "/capnp/c++.capnp";
+using Configuration = import "configuration.capnp";
+$Cxx.namespace("cicadadrum::schema");
+
+struct Stream {
+  customer @0 :Text;
+  region @1 :Text;  # Of the callers.
+  service @2 :Text;
+  requestClass @3 :Configuration.RequestClass;
+  requestsPerSecond @4 :Float64;  # For uploads: uploads a second.
+  bodyBytes @5 :UInt32;
+  deadlineMilliseconds @6 :UInt32 = 5000;
+}
+
+struct Mix {
+  deploymentFile @0 :Text;  # Relative to this file.
+  vmsFile @1 :Text;  # Relative to this file; lists the backend servers.
+  leavingServer @2 :Text;  # Marked as leaving after a third of the run.
+  streams @3 :List(Stream);
+}
--- /dev/null
+++ b/Utilities/Control/lists.cc
@@ -0,0 +1,193 @@
+// The operator's work on the two lists.
+//
+// An edit is accepted when the compare-and-set of the row configuration/current
+// takes effect. The body is stored first under its hash, so an accepted row
+// never names a body that is missing.
+
+#include "lists.h"
+
+#include <capnp/message.h>
+
+#include <array>
+#include <cstdio>
+
+#include "cicadadrum/base/error.h"
+#include "cicadadrum/base/hash.h"
+#include "cicadadrum/configuration/json.h"
+#include "cicadadrum/configuration/settings.h"
+#include "cicadadrum/loop/http_fetch.h"
+#include "schemas/configuration.capnp.h"
+#include "schemas/store.capnp.h"
+
+namespace cicadadrum {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr Duration kTimeout = Seconds(5);
+constexpr char kPointerKey[] = "configuration/current";
+
+struct Pointer {
+  std::uint64_t row_version = 0;
+  std::uint64_t version = 0;
+  std::string body_hash;
+};
+
+std::string HexHash(std::string_view bytes) {
+  std::array<char, 17> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016llx",
+                static_cast<unsigned long long>(HashBytes(bytes)));
+  return digits.data();
+}
+
+leaf::error_id Unavailable(const std::string& what) {
+  return leaf::new_error(
+      Error{ErrorCode::kUnavailable, "the platform did not answer: " + what});
+}
+
+bool Succeeded(const HttpCall& call) {
+  return call.outcome == HttpOutcome::kAnswered && call.response.status == 200;
+}
+
+leaf::result<Pointer> ParsePointer(schema::Row::Reader row) {
+  Pointer pointer{.row_version = row.getVersion()};
+  if (pointer.row_version == 0)
+    return pointer;
+  capnp::MallocMessageBuilder message;
+  BOOST_LEAF_AUTO(value, DecodeJsonAs<schema::ConfigurationPointer>(
+                             row.getValue(), kPointerKey,
+                             ErrorCode::kInvalidMessage, message));
+  pointer.version = value.getVersion();
+  pointer.body_hash = value.getBodyHash();
+  return pointer;
+}
+
+leaf::result<Pointer> ReadPointer(EventLoop& loop,
+                                  const Deployment& deployment) {
+  const HttpCall call = Fetch(
+      loop,
+      {.address = deployment.platform_address,
+       .request = {.target = std::string("/table/row?key=") + kPointerKey}},
+      kTimeout);
+  if (!Succeeded(call))
+    return Unavailable("the version row can't be read");
+  capnp::MallocMessageBuilder message;
+  BOOST_LEAF_AUTO(
+      row, DecodeJsonAs<schema::Row>(call.response.body, kPointerKey,
+                                     ErrorCode::kInvalidMessage, message));
+  return ParsePointer(row);
+}
+
+std::string EncodePointer(const Pointer& pointer, const std::string& author) {
+  capnp::MallocMessageBuilder message;
+  auto value = message.initRoot<schema::ConfigurationPointer>();
+  value.setVersion(pointer.version);
+  value.setBodyHash(pointer.body_hash);
+  value.setAuthor(author);
+  return EncodeJson(value.asReader());
+}
+
+leaf::error_id Conflict(std::uint64_t base, std::uint64_t current) {
+  return leaf::new_error(
+      Error{ErrorCode::kConflict, "the edit is based on version " +
+                                      std::to_string(base) + ", but version " +
+                                      std::to_string(current) +
+                                      " is current; nothing was changed"});
+}
+
+std::string EncodeTransaction(const Pointer& current,
+                              const Pointer& next,
+                              const std::string& author) {
+  capnp::MallocMessageBuilder message;
+  auto transaction = message.initRoot<schema::Transaction>();
+  transaction.setToken("configuration-" + std::to_string(next.version) + "-" +
+                       next.body_hash + "-" + author);
+  auto check = transaction.initChecks(1)[0];
+  check.setKey(kPointerKey);
+  check.setVersion(current.row_version);
+  auto write = transaction.initWrites(1)[0];
+  write.setKey(kPointerKey);
+  write.setValue(EncodePointer(next, author));
+  return EncodeJson(transaction.asReader());
+}
+
+// Writes the version row and returns whether it took effect.
+leaf::result<bool> WritePointer(EventLoop& loop,
+                                const Deployment& deployment,
+                                const Pointer& current,
+                                const Pointer& next,
+                                const std::string& author) {
+  const HttpCall call =
+      Fetch(loop,
+            {.address = deployment.platform_address,
+             .request = {.method = HttpMethod::kPost,
+                         .target = "/table/transact",
+                         .body = EncodeTransaction(current, next, author)}},
+            kTimeout);
+  if (call.outcome == HttpOutcome::kNotConnected ||
+      call.outcome == HttpOutcome::kNoConnection)
+    return Unavailable("nothing was changed");
+  if (!Succeeded(call)) {
+    return leaf::new_error(Error{ErrorCode::kUncertain,
+                                 "the platform's answer was lost; submit the "
+                                 "same file on the same base again to "
+                                 "learn whether the edit was accepted"});
+  }
+  capnp::MallocMessageBuilder message;
+  BOOST_LEAF_AUTO(answer, DecodeJsonAs<schema::TransactionAnswer>(
+                              call.response.body, "transaction",
+                              ErrorCode::kInvalidMessage, message));
+  return answer.getCommitted();
+}
+
+}  // namespace
+
+leaf::result<Configuration> ReadLists(EventLoop& loop,
+                                      const Deployment& deployment) {
+  BOOST_LEAF_AUTO(pointer, ReadPointer(loop, deployment));
+  if (pointer.version == 0)
+    return Configuration{};
+  const HttpCall call = Fetch(
+      loop,
+      {.address = deployment.platform_address,
+       .request = {.target = "/objects/configuration-" + pointer.body_hash}},
+      kTimeout);
+  if (!Succeeded(call))
+    return Unavailable("the lists can't be read");
+  BOOST_LEAF_AUTO(lists, ParseConfiguration(call.response.body,
+                                            "accepted lists", deployment));
+  lists.version = pointer.version;
+  return lists;
+}
+
+leaf::result<std::uint64_t> SubmitLists(EventLoop& loop,
+                                        const Deployment& deployment,
+                                        const Configuration& lists,
+                                        std::uint64_t base,
+                                        const std::string& author) {
+  const std::string body = FormatConfiguration(lists);
+  const Pointer next{.version = base + 1, .body_hash = HexHash(body)};
+  BOOST_LEAF_AUTO(current, ReadPointer(loop, deployment));
+  if (current.version == next.version && current.body_hash == next.body_hash)
+    return next.version;
+  if (current.version != base)
+    return Conflict(base, current.version);
+  const HttpCall stored =
+      Fetch(loop,
+            {.address = deployment.platform_address,
+             .request = {.method = HttpMethod::kPut,
+                         .target = "/objects/configuration-" + next.body_hash,
+                         .body = body}},
+            kTimeout);
+  if (!Succeeded(stored))
+    return Unavailable("the lists can't be stored; nothing was changed");
+  BOOST_LEAF_AUTO(committed,
+                  WritePointer(loop, deployment, current, next, author));
+  if (committed)
+    return next.version;
+  BOOST_LEAF_AUTO(newer, ReadPointer(loop, deployment));
+  return Conflict(base, newer.version);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Utilities/Demonstration/main.cc
@@ -0,0 +1,80 @@
+// cicadadrum-demonstration: sends a mix of work through a running deployment,
+// marks a backend server as leaving, and checks the promises.
+
+#include <csignal>
+
+#include "cicadadrum/loop/event_loop.h"
+#include "cicadadrum/program/program.h"
+#include "load.h"
+#include "mix.h"
+#include "observe.h"
+#include "report.h"
+
+namespace cicadadrum {
+
+namespace {
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+
+// The longest upload deadline, so that every request has ended.
+constexpr Duration kMaxWait = Seconds(30);
+constexpr Duration kWaitStep = Milliseconds(100);
+
+void RunFor(EventLoop& loop, Duration duration) {
+  Timer timer(loop, [&loop] { loop.Stop(); });
+  timer.Schedule(loop.Now() + duration);
+  loop.Run();
+}
+
+leaf::result<ExitCode> Run(const po::variables_map& values) {
+  BOOST_LEAF_AUTO(mix, LoadMix(values["settings"].as<std::string>()));
+  const Duration length = Seconds(values["seconds"].as<int>());
+  std::signal(SIGPIPE, SIG_IGN);
+  EventLoop loop;
+  Load load(loop, mix);
+  load.Start();
+  RunFor(loop, length / 3);
+  const TimePoint marked_at = loop.Now();
+  if (!MarkLeaving(loop, mix.deployment.entries, mix.leaving_server))
+    return leaf::new_error(Error{ErrorCode::kUnavailable,
+                                 "no entry VM accepted the leaving mark"});
+  RunFor(loop, length - length / 3);
+  load.Stop();
+  const TimePoint wait_end = loop.Now() + kMaxWait;
+  while (load.in_progress() > 0 && loop.Now() < wait_end)
+    RunFor(loop, kWaitStep);
+  RunRecord record{.load = load.result(), .leaving_server = mix.leaving_server};
+  record.servers = ObserveServers(loop, mix.servers);
+  record.mark_to_end = loop.Now() - marked_at;
+  record.entries = ObserveEntries(loop, mix.deployment.entries);
+  const std::vector<Promise> promises = CheckPromises(record);
+  PrintReport(mix.deployment.name, record, promises);
+  const bool held =
+      std::all_of(promises.begin(), promises.end(),
+                  [](const Promise& promise) { return promise.held; });
+  return held && load.in_progress() == 0 ? ExitCode::kSuccess
+                                         : ExitCode::kFailure;
+}
+
+}  // namespace
+
+}  // namespace cicadadrum
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  const cicadadrum::ProgramInfo info{
+      "cicadadrum-demonstration",
+      "sends a mix of work and checks the promises"};
+  po::options_description options("Options");
+  options.add_options()("settings", po::value<std::string>()->required(),
+                        "mix file, JSON with comments");
+  options.add_options()("seconds", po::value<int>()->default_value(12),
+                        "length of the run");
+  const auto parsed =
+      cicadadrum::ParseCommandLine(info, options, {}, argc, argv);
+  if (parsed.exit)
+    return static_cast<int>(*parsed.exit);
+  return cicadadrum::RunProgram(info,
+                                [&] { return cicadadrum::Run(parsed.values); });
+}
