--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -79,12 +79,21 @@
   PULL,
 };
 CAPNP_DECLARE_ENUM(ExchangeKind, b17fa006a8a270f9);
+CAPNP_DECLARE_SCHEMA(c487fe1784bff3c5);
+enum class CallRefusal_c487fe1784bff3c5: uint16_t {
+  NONE,
+  OTHER_PROTOCOL_VERSION,
+  STOPPING,
+};
+CAPNP_DECLARE_ENUM(CallRefusal, c487fe1784bff3c5);
+CAPNP_DECLARE_SCHEMA(85cb5b0db7ae6a54);
 CAPNP_DECLARE_SCHEMA(c1649fba5426182b);
 CAPNP_DECLARE_SCHEMA(ac647b17f316841e);
 CAPNP_DECLARE_SCHEMA(e5177cb69ae5ba9e);
 CAPNP_DECLARE_SCHEMA(90a91cfecfc09e96);
 CAPNP_DECLARE_SCHEMA(8f0d39284d9392a5);
 CAPNP_DECLARE_SCHEMA(a88a6fca77c4e030);
+CAPNP_DECLARE_SCHEMA(edd488a36ece012c);
 CAPNP_DECLARE_SCHEMA(f9de7faf8e49a9f1);
 CAPNP_DECLARE_SCHEMA(e7d1a1e57a926e00);
 CAPNP_DECLARE_SCHEMA(891cfc27c6698aec);
@@ -101,6 +110,8 @@
 CAPNP_DECLARE_SCHEMA(867538e617b84fff);
 CAPNP_DECLARE_SCHEMA(a3881c56934aa2a5);
 CAPNP_DECLARE_SCHEMA(b8a8ea481fed1681);
+CAPNP_DECLARE_SCHEMA(985b446f8527a2c0);
+CAPNP_DECLARE_SCHEMA(8fdaeb9fe72d233a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -119,6 +130,23 @@
 
 typedef ::capnp::schemas::ExchangeKind_b17fa006a8a270f9 ExchangeKind;
 
+typedef ::capnp::schemas::CallRefusal_c487fe1784bff3c5 CallRefusal;
+
+struct Incarnation {
+  Incarnation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(85cb5b0db7ae6a54, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct PeerHeader {
   PeerHeader() = delete;
 
@@ -127,7 +155,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c1649fba5426182b, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c1649fba5426182b, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -208,7 +236,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a88a6fca77c4e030, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a88a6fca77c4e030, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotCancel {
+  SlotCancel() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(edd488a36ece012c, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -253,7 +296,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(891cfc27c6698aec, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(891cfc27c6698aec, 1, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -308,6 +351,8 @@
   struct ExchangeResults;
   struct FetchItemParams;
   struct FetchItemResults;
+  struct CancelSlotParams;
+  struct CancelSlotResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -467,8 +512,119 @@
   };
 };
 
+struct EntryPeer::CancelSlotParams {
+  CancelSlotParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(985b446f8527a2c0, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::CancelSlotResults {
+  CancelSlotResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8fdaeb9fe72d233a, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
+class Incarnation::Reader {
+public:
+  typedef Incarnation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh() const;
+
+  inline  ::uint64_t getLow() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Incarnation::Builder {
+public:
+  typedef Incarnation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getHigh();
+  inline void setHigh( ::uint64_t value);
+
+  inline  ::uint64_t getLow();
+  inline void setLow( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Incarnation::Pipeline {
+public:
+  typedef Incarnation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class PeerHeader::Reader {
 public:
   typedef PeerHeader Reads;
@@ -491,10 +647,13 @@
   inline bool hasSender() const;
   inline  ::capnp::Text::Reader getSender() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasIncarnation() const;
+  inline  ::cicadadrum::schema::Incarnation::Reader getIncarnation() const;
 
   inline  ::uint64_t getConfigurationVersion() const;
 
+  inline  ::cicadadrum::schema::CallRefusal getRefusal() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -533,12 +692,19 @@
   inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSender();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasIncarnation();
+  inline  ::cicadadrum::schema::Incarnation::Builder getIncarnation();
+  inline void setIncarnation( ::cicadadrum::schema::Incarnation::Reader value);
+  inline  ::cicadadrum::schema::Incarnation::Builder initIncarnation();
+  inline void adoptIncarnation(::capnp::Orphan< ::cicadadrum::schema::Incarnation>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::Incarnation> disownIncarnation();
 
   inline  ::uint64_t getConfigurationVersion();
   inline void setConfigurationVersion( ::uint64_t value);
 
+  inline  ::cicadadrum::schema::CallRefusal getRefusal();
+  inline void setRefusal( ::cicadadrum::schema::CallRefusal value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -557,6 +723,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cicadadrum::schema::Incarnation::Pipeline getIncarnation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -993,6 +1160,12 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
   inline  ::uint64_t getLease() const;
 
   inline  ::cicadadrum::schema::AttemptOutcome getOutcome() const;
@@ -1027,6 +1200,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
   inline  ::uint64_t getLease();
   inline void setLease( ::uint64_t value);
 
@@ -1062,6 +1249,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class SlotCancel::Reader {
+public:
+  typedef SlotCancel Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint64_t getId() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SlotCancel::Builder {
+public:
+  typedef SlotCancel Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotCancel::Pipeline {
+public:
+  typedef SlotCancel Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ForwardedRequest::Reader {
 public:
   typedef ForwardedRequest Reads;
@@ -1240,6 +1523,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool getTruncated() const;
+
   inline  ::cicadadrum::schema::RefusalReason getReason() const;
 
 private:
@@ -1290,6 +1575,9 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool getTruncated();
+  inline void setTruncated(bool value);
+
   inline  ::cicadadrum::schema::RefusalReason getReason();
   inline void setReason( ::cicadadrum::schema::RefusalReason value);
 
@@ -1351,7 +1639,8 @@
   inline bool hasPeerAddress() const;
   inline  ::capnp::Text::Reader getPeerAddress() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline bool hasIncarnation() const;
+  inline  ::cicadadrum::schema::Incarnation::Reader getIncarnation() const;
 
   inline  ::uint32_t getSequence() const;
 
@@ -1420,8 +1709,12 @@
   inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline bool hasIncarnation();
+  inline  ::cicadadrum::schema::Incarnation::Builder getIncarnation();
+  inline void setIncarnation( ::cicadadrum::schema::Incarnation::Reader value);
+  inline  ::cicadadrum::schema::Incarnation::Builder initIncarnation();
+  inline void adoptIncarnation(::capnp::Orphan< ::cicadadrum::schema::Incarnation>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::Incarnation> disownIncarnation();
 
   inline  ::uint32_t getSequence();
   inline void setSequence( ::uint32_t value);
@@ -1447,6 +1740,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::cicadadrum::schema::Incarnation::Pipeline getIncarnation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1696,6 +1990,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::cicadadrum::schema::EntryPeer::FetchItemParams,  ::cicadadrum::schema::EntryPeer::FetchItemResults> fetchItemRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::CancelSlotParams,  ::cicadadrum::schema::EntryPeer::CancelSlotResults> cancelSlotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -1732,6 +2028,10 @@
   typedef  ::cicadadrum::schema::EntryPeer::FetchItemResults FetchItemResults;
   typedef ::capnp::CallContext<FetchItemParams, FetchItemResults> FetchItemContext;
   virtual ::kj::Promise<void> fetchItem(FetchItemContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::CancelSlotParams CancelSlotParams;
+  typedef  ::cicadadrum::schema::EntryPeer::CancelSlotResults CancelSlotResults;
+  typedef ::capnp::CallContext<CancelSlotParams, CancelSlotResults> CancelSlotContext;
+  virtual ::kj::Promise<void> cancelSlot(CancelSlotContext context);
 
   inline  ::cicadadrum::schema::EntryPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -2661,23 +2961,226 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class EntryPeer::CancelSlotParams::Reader {
+public:
+  typedef CancelSlotParams Reads;
 
-inline  ::uint32_t PeerHeader::Reader::getProtocolVersion() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline  ::uint32_t PeerHeader::Builder::getProtocolVersion() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void PeerHeader::Builder::setProtocolVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool PeerHeader::Reader::hasSender() const {
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+  inline bool hasCancel() const;
+  inline  ::cicadadrum::schema::SlotCancel::Reader getCancel() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::CancelSlotParams::Builder {
+public:
+  typedef CancelSlotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+  inline bool hasCancel();
+  inline  ::cicadadrum::schema::SlotCancel::Builder getCancel();
+  inline void setCancel( ::cicadadrum::schema::SlotCancel::Reader value);
+  inline  ::cicadadrum::schema::SlotCancel::Builder initCancel();
+  inline void adoptCancel(::capnp::Orphan< ::cicadadrum::schema::SlotCancel>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::SlotCancel> disownCancel();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::CancelSlotParams::Pipeline {
+public:
+  typedef CancelSlotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+  inline  ::cicadadrum::schema::SlotCancel::Pipeline getCancel();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::CancelSlotResults::Reader {
+public:
+  typedef CancelSlotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::CancelSlotResults::Builder {
+public:
+  typedef CancelSlotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::CancelSlotResults::Pipeline {
+public:
+  typedef CancelSlotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline  ::uint64_t Incarnation::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Incarnation::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Incarnation::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Incarnation::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Incarnation::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Incarnation::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PeerHeader::Reader::getProtocolVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PeerHeader::Builder::getProtocolVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerHeader::Builder::setProtocolVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerHeader::Reader::hasSender() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -2711,31 +3214,70 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t PeerHeader::Reader::getIncarnation() const {
+inline bool PeerHeader::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerHeader::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::Incarnation::Reader PeerHeader::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::Incarnation::Builder PeerHeader::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::Incarnation::Pipeline PeerHeader::Pipeline::getIncarnation() {
+  return  ::cicadadrum::schema::Incarnation::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void PeerHeader::Builder::setIncarnation( ::cicadadrum::schema::Incarnation::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::Incarnation::Builder PeerHeader::Builder::initIncarnation() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerHeader::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::cicadadrum::schema::Incarnation>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::Incarnation> PeerHeader::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerHeader::Reader::getConfigurationVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerHeader::Builder::getIncarnation() {
+inline  ::uint64_t PeerHeader::Builder::getConfigurationVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PeerHeader::Builder::setIncarnation( ::uint64_t value) {
+inline void PeerHeader::Builder::setConfigurationVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t PeerHeader::Reader::getConfigurationVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::cicadadrum::schema::CallRefusal PeerHeader::Reader::getRefusal() const {
+  return _reader.getDataField< ::cicadadrum::schema::CallRefusal>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t PeerHeader::Builder::getConfigurationVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::cicadadrum::schema::CallRefusal PeerHeader::Builder::getRefusal() {
+  return _builder.getDataField< ::cicadadrum::schema::CallRefusal>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void PeerHeader::Builder::setConfigurationVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void PeerHeader::Builder::setRefusal( ::cicadadrum::schema::CallRefusal value) {
+  _builder.setDataField< ::cicadadrum::schema::CallRefusal>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
@@ -3149,6 +3691,74 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotReturn::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReturn::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotReturn::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotReturn::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotReturn::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotReturn::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotReturn::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotReturn::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotReturn::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReturn::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotReturn::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotReturn::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotReturn::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotReturn::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotReturn::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotReturn::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SlotReturn::Reader::getLease() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3191,6 +3801,88 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotCancel::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotCancel::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotCancel::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotCancel::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotCancel::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotCancel::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotCancel::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotCancel::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotCancel::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotCancel::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotCancel::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotCancel::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotCancel::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotCancel::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotCancel::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotCancel::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SlotCancel::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotCancel::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotCancel::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ForwardedRequest::Reader::hasCustomer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3553,18 +4245,32 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool ForwardedAnswer::Reader::getTruncated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool ForwardedAnswer::Builder::getTruncated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedAnswer::Builder::setTruncated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cicadadrum::schema::RefusalReason ForwardedAnswer::Reader::getReason() const {
   return _reader.getDataField< ::cicadadrum::schema::RefusalReason>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
 inline  ::cicadadrum::schema::RefusalReason ForwardedAnswer::Builder::getReason() {
   return _builder.getDataField< ::cicadadrum::schema::RefusalReason>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 inline void ForwardedAnswer::Builder::setReason( ::cicadadrum::schema::RefusalReason value) {
   _builder.setDataField< ::cicadadrum::schema::RefusalReason>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberUpdate::Reader::hasName() const {
@@ -3737,46 +4443,71 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberUpdate::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MemberUpdate::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t MemberUpdate::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MemberUpdate::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline void MemberUpdate::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::cicadadrum::schema::Incarnation::Reader MemberUpdate::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::Incarnation::Builder MemberUpdate::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::Incarnation::Pipeline MemberUpdate::Pipeline::getIncarnation() {
+  return  ::cicadadrum::schema::Incarnation::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void MemberUpdate::Builder::setIncarnation( ::cicadadrum::schema::Incarnation::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::Incarnation::Builder MemberUpdate::Builder::initIncarnation() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void MemberUpdate::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::cicadadrum::schema::Incarnation>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::Incarnation> MemberUpdate::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::Incarnation>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline  ::uint32_t MemberUpdate::Reader::getSequence() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint32_t MemberUpdate::Builder::getSequence() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void MemberUpdate::Builder::setSequence( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::cicadadrum::schema::MemberState MemberUpdate::Reader::getState() const {
   return _reader.getDataField< ::cicadadrum::schema::MemberState>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::cicadadrum::schema::MemberState MemberUpdate::Builder::getState() {
   return _builder.getDataField< ::cicadadrum::schema::MemberState>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void MemberUpdate::Builder::setState( ::cicadadrum::schema::MemberState value) {
   _builder.setDataField< ::cicadadrum::schema::MemberState>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ItemVersion::Reader::hasKey() const {
@@ -4754,6 +5485,123 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool EntryPeer::CancelSlotParams::Reader::hasHeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::CancelSlotParams::Builder::hasHeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PeerHeader::Reader EntryPeer::CancelSlotParams::Reader::getHeader() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::CancelSlotParams::Builder::getHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PeerHeader::Pipeline EntryPeer::CancelSlotParams::Pipeline::getHeader() {
+  return  ::cicadadrum::schema::PeerHeader::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::CancelSlotParams::Builder::setHeader( ::cicadadrum::schema::PeerHeader::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::CancelSlotParams::Builder::initHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::CancelSlotParams::Builder::adoptHeader(
+    ::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> EntryPeer::CancelSlotParams::Builder::disownHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::CancelSlotParams::Reader::hasCancel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::CancelSlotParams::Builder::hasCancel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::SlotCancel::Reader EntryPeer::CancelSlotParams::Reader::getCancel() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::SlotCancel>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::SlotCancel::Builder EntryPeer::CancelSlotParams::Builder::getCancel() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::SlotCancel>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::SlotCancel::Pipeline EntryPeer::CancelSlotParams::Pipeline::getCancel() {
+  return  ::cicadadrum::schema::SlotCancel::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::CancelSlotParams::Builder::setCancel( ::cicadadrum::schema::SlotCancel::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::SlotCancel>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::SlotCancel::Builder EntryPeer::CancelSlotParams::Builder::initCancel() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::SlotCancel>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::CancelSlotParams::Builder::adoptCancel(
+    ::capnp::Orphan< ::cicadadrum::schema::SlotCancel>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::SlotCancel>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::SlotCancel> EntryPeer::CancelSlotParams::Builder::disownCancel() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::SlotCancel>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::CancelSlotResults::Reader::hasHeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::CancelSlotResults::Builder::hasHeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PeerHeader::Reader EntryPeer::CancelSlotResults::Reader::getHeader() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::CancelSlotResults::Builder::getHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PeerHeader::Pipeline EntryPeer::CancelSlotResults::Pipeline::getHeader() {
+  return  ::cicadadrum::schema::PeerHeader::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::CancelSlotResults::Builder::setHeader( ::cicadadrum::schema::PeerHeader::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::CancelSlotResults::Builder::initHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::CancelSlotResults::Builder::adoptHeader(
+    ::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> EntryPeer::CancelSlotResults::Builder::disownHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/Libraries/LibPeer/client_impl.h
@@ -0,0 +1,166 @@
+// Private parts of PeerClient.
+
+#ifndef LIBRARIES_LIBPEER_CLIENT_IMPL_H_
+#define LIBRARIES_LIBPEER_CLIENT_IMPL_H_
+
+#include <kj/async.h>
+#include <schemas/peer.capnp.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "cicadadrum/base/random.h"
+#include "cicadadrum/peer/peer_client.h"
+#include "codec.h"
+#include "connection.h"
+#include "event_free.h"
+#include "fault_log.h"
+
+namespace cicadadrum {
+
+enum class CallPhase : std::uint8_t {
+  kRefused,  // Ends in a later turn of the loop.
+  kWaiting,  // For the connection.
+  kSent,
+  kAbandoned,  // A slot request that has ended here and not yet at the owner.
+};
+
+struct ClientCall {
+  CallPhase phase = CallPhase::kWaiting;
+  CallId id = 0;
+  PeerClient::Impl* client = nullptr;
+  std::string address;
+  std::size_t bytes = 0;  // Estimate of the message.
+  // Sends the call; run once, when connected.
+  std::function<kj::Promise<void>(schema::EntryPeer::Client&, CallId)> send;
+  // Calls `done` without an answer.
+  std::function<void(CallOutcome, CallFault)> fail;
+  // Set for a slot request. Its end is told to the owner of the pool by
+  // cancelSlot; other calls end there when the promise of the answer is
+  // dropped.
+  std::optional<SlotName> slot;
+  EventPtr timer;  // Refers to this struct; null if there is no deadline.
+  kj::Maybe<kj::Promise<void>> answer;  // Set once sent.
+};
+
+enum class LinkPhase : std::uint8_t { kClosed, kConnecting, kConnected };
+
+// The connection to one peer address.
+struct PeerLink {
+  LinkPhase phase = LinkPhase::kClosed;
+  std::uint64_t generation = 0;  // Number of the latest connection.
+  kj::Maybe<kj::Promise<void>> connecting;
+  std::unique_ptr<PeerConnection> connection;  // Set in kConnected.
+  kj::Maybe<schema::EntryPeer::Client> peer;   // Set in kConnected.
+  bool answered = false;       // Any call on the present connection.
+  std::uint32_t failures = 0;  // Connections in a row without an answer.
+  TimePoint next_attempt = TimePoint::min();
+  std::size_t waiting_bytes = 0;  // Of calls in kWaiting.
+  std::size_t open_calls = 0;
+};
+
+// What the header of an answer says about its call.
+struct AnswerCheck {
+  CallOutcome outcome = CallOutcome::kAnswered;
+  CallFault fault = CallFault::kNone;
+  PeerInfo peer;  // Set for kAnswered.
+};
+
+class PeerClient::Impl final : private kj::TaskSet::ErrorHandler {
+ public:
+  Impl(KjLoop& loop, PeerSettings settings);
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  // Registers a call and sends it as soon as there is a connection. An `urgent`
+  // call is not subject to the bounds of the queue.
+  CallId Start(ClientCall call, TimePoint deadline, bool urgent = false);
+
+  // Removes a call; its promise is dropped in a later turn. Returns nothing if
+  // there is none.
+  std::optional<ClientCall> Take(CallId id);
+
+  // Removes a call and tells `done` that it has no answer.
+  void FailCall(CallId id, CallOutcome outcome, CallFault fault);
+
+  bool Cancel(CallId id);
+  void Disconnect(const std::string& address);
+
+  AnswerCheck CheckAnswer(const std::string& address,
+                          schema::PeerHeader::Reader header);
+  // Counts a malformed answer and closes the connection.
+  void CloseMalformed(const std::string& address, std::string_view detail);
+
+  // Tells the owner that a slot request has ended.
+  void CancelAtPeer(const std::string& address, const SlotName& slot);
+
+  // Returns a slot that was granted to a request that had ended.
+  void ReturnLateGrant(const std::string& address,
+                       const PoolKey& pool,
+                       const SlotAnswer& answer);
+
+  CallId StartReturn(const std::string& address,
+                     const SlotReturn& slot_return,
+                     TimePoint deadline,
+                     const CallDone<Acknowledged>& done,
+                     bool urgent);
+
+  // Runs a function of the embedder; an exception is counted and logged.
+  void RunDone(const std::function<void()>& done);
+
+  KjLoop& loop;
+  PeerSettings settings;
+  FaultLog faults;
+  std::map<std::string, PeerLink> links;
+  std::map<CallId, ClientCall> calls;
+
+ private:
+  static void OnTimer(evutil_socket_t socket, short what, void* context);
+
+  // Calls.
+  CallFault CheckStart(const ClientCall& call, TimePoint deadline, bool urgent);
+  CallFault CheckQueue(const PeerLink& link, std::size_t bytes) const;
+  void StartTimer(ClientCall& call, TimePoint deadline);
+  void Expire(CallId id);
+  void Abandon(ClientCall& call);
+  std::vector<CallId> CallsOf(const std::string& address) const;
+
+  // Connections.
+  void Connect(const std::string& address, PeerLink& link);
+  void FinishConnect(const std::string& address,
+                     std::uint64_t generation,
+                     kj::Own<BuffereventStream> stream);
+  void FailConnect(const std::string& address,
+                   std::uint64_t generation,
+                   const kj::Exception& exception);
+  void LoseConnection(const std::string& address, std::uint64_t generation);
+  void CloseLink(PeerLink& link);
+  void BackOff(PeerLink& link);
+  void Send(ClientCall& call, PeerLink& link);
+
+  void Retire(kj::Maybe<kj::Promise<void>>& promise);
+  void RetireSoon();
+  void taskFailed(kj::Exception&& exception) override;
+
+  Random random_;
+  CallId next_call_ = 1;
+  // Promises and connections are not destroyed from their own continuations;
+  // they are kept here until a later turn.
+  std::vector<kj::Promise<void>> retired_promises_;
+  std::vector<std::unique_ptr<PeerConnection>> retired_connections_;
+  bool retiring_ = false;
+  kj::TaskSet tasks_;
+};
+
+}  // namespace cicadadrum
+
+#endif  // LIBRARIES_LIBPEER_CLIENT_IMPL_H_
--- /dev/null
+++ b/Libraries/LibPeer/client_links.cc
@@ -0,0 +1,199 @@
+// Connections of PeerClient: opening, loss, backoff.
+
+#include <event2/util.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "client_impl.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A connection that is not open by then counts as failed; the longest round
+// trip between regions is far below.
+constexpr Duration kConnectTimeout = Seconds(2);
+
+// The wait after a failed connection doubles up to the bound. Each wait is
+// drawn from the upper half of its range, so that clients of a restarted peer
+// don't come back together.
+constexpr Duration kShortestBackoff = Milliseconds(50);
+constexpr Duration kLongestBackoff = Seconds(2);
+
+Duration BackoffAfter(std::uint32_t failures, Random& random) {
+  const std::uint32_t doublings = std::min<std::uint32_t>(failures - 1, 6);
+  const std::int64_t longest =
+      std::min(kShortestBackoff.count() << doublings, kLongestBackoff.count());
+  const double part = 0.5 + 0.5 * RandomUnit(random);
+  return Microseconds(
+      static_cast<std::int64_t>(static_cast<double>(longest) * part));
+}
+
+}  // namespace
+
+void PeerClient::Impl::Connect(const std::string& address, PeerLink& link) {
+  sockaddr_storage parsed{};
+  int length = sizeof(parsed);
+  auto* socket_address = reinterpret_cast<sockaddr*>(&parsed);
+  evutil_parse_sockaddr_port(address.c_str(), socket_address, &length);
+  link.phase = LinkPhase::kConnecting;
+  const std::uint64_t generation = ++link.generation;
+  Retire(link.connecting);
+  link.connecting =
+      BuffereventStream::Connect(loop.base(), socket_address,
+                                 static_cast<socklen_t>(length),
+                                 {.connect_timeout = kConnectTimeout})
+          .then(
+              [this, address, generation](kj::Own<BuffereventStream>&& stream) {
+                FinishConnect(address, generation, kj::mv(stream));
+              },
+              [this, address, generation](kj::Exception&& exception) {
+                FailConnect(address, generation, exception);
+              })
+          .eagerlyEvaluate(
+              [this](kj::Exception&& e) { taskFailed(kj::mv(e)); });
+}
+
+void PeerClient::Impl::FinishConnect(const std::string& address,
+                                     std::uint64_t generation,
+                                     kj::Own<BuffereventStream> stream) {
+  const auto found = links.find(address);
+  if (found == links.end() || found->second.generation != generation)
+    return;
+  PeerLink& link = found->second;
+  auto on_fault = [this, address](PeerFault fault, std::string_view detail) {
+    ReportFault(faults, fault, address, detail, settings.now());
+  };
+  link.connection = std::make_unique<PeerConnection>(
+      kj::mv(stream), capnp::rpc::twoparty::Side::CLIENT, nullptr,
+      std::move(on_fault));
+  link.peer = link.connection->Bootstrap().castAs<schema::EntryPeer>();
+  link.phase = LinkPhase::kConnected;
+  link.answered = false;
+  ++faults.counters.connections_opened;
+  tasks_.add(link.connection->OnDisconnect().then(
+      [this, address, generation] { LoseConnection(address, generation); }));
+  for (const CallId id : CallsOf(address)) {
+    ClientCall& call = calls.at(id);
+    if (call.phase == CallPhase::kWaiting)
+      Send(call, link);
+  }
+}
+
+void PeerClient::Impl::Send(ClientCall& call, PeerLink& link) {
+  call.phase = CallPhase::kSent;
+  link.waiting_bytes -= call.bytes;
+  KJ_IF_MAYBE (peer, link.peer) {
+    call.answer =
+        call.send(*peer, call.id).eagerlyEvaluate([this](kj::Exception&& e) {
+          taskFailed(kj::mv(e));
+        });
+  }
+  call.send = nullptr;  // Frees its copy of the message.
+}
+
+void PeerClient::Impl::FailConnect(const std::string& address,
+                                   std::uint64_t generation,
+                                   const kj::Exception& exception) {
+  const auto found = links.find(address);
+  if (found == links.end() || found->second.generation != generation)
+    return;
+  PeerLink& link = found->second;
+  CloseLink(link);
+  BackOff(link);
+  ReportFault(faults, PeerFault::kConnectFailed, address,
+              exception.getDescription().cStr(), settings.now());
+  for (const CallId id : CallsOf(address))
+    FailCall(id, CallOutcome::kNotSent, CallFault::kConnectFailed);
+}
+
+void PeerClient::Impl::LoseConnection(const std::string& address,
+                                      std::uint64_t generation) {
+  const auto found = links.find(address);
+  if (found == links.end() || found->second.generation != generation)
+    return;
+  PeerLink& link = found->second;
+  // A peer that accepts connections and answers nothing is not called in a
+  // loop.
+  if (!link.answered)
+    BackOff(link);
+  CloseLink(link);
+  ReportFault(faults, PeerFault::kConnectionLost, address, "closed by the peer",
+              settings.now());
+  for (const CallId id : CallsOf(address))
+    FailCall(id, CallOutcome::kMayHaveBeenReceived, CallFault::kConnectionLost);
+}
+
+void PeerClient::Impl::CloseLink(PeerLink& link) {
+  link.phase = LinkPhase::kClosed;
+  ++link.generation;
+  link.peer = nullptr;
+  Retire(link.connecting);
+  if (link.connection != nullptr) {
+    retired_connections_.push_back(std::move(link.connection));
+    RetireSoon();
+  }
+}
+
+void PeerClient::Impl::BackOff(PeerLink& link) {
+  ++link.failures;
+  link.next_attempt = settings.now() + BackoffAfter(link.failures, random_);
+}
+
+void PeerClient::Impl::Disconnect(const std::string& address) {
+  const auto found = links.find(address);
+  if (found == links.end())
+    return;
+  const bool connected = found->second.phase == LinkPhase::kConnected;
+  CloseLink(found->second);
+  const auto outcome =
+      connected ? CallOutcome::kMayHaveBeenReceived : CallOutcome::kNotSent;
+  const auto fault =
+      connected ? CallFault::kConnectionLost : CallFault::kConnectFailed;
+  for (const CallId id : CallsOf(address)) {
+    tasks_.add(kj::evalLater(
+        [this, id, outcome, fault] { FailCall(id, outcome, fault); }));
+  }
+}
+
+AnswerCheck PeerClient::Impl::CheckAnswer(const std::string& address,
+                                          schema::PeerHeader::Reader from) {
+  const auto header =
+      Decode([&] { return ReadHeader(from, settings.protocol_version); });
+  if (!header) {
+    CloseMalformed(address, "header of an answer");
+    return {CallOutcome::kMayHaveBeenReceived, CallFault::kInvalidAnswer, {}};
+  }
+  if (header->protocol_version != settings.protocol_version) {
+    ReportFault(faults, PeerFault::kOtherProtocolVersion, address,
+                "version " + std::to_string(header->protocol_version),
+                settings.now());
+    const bool refused =
+        header->refusal == schema::CallRefusal::OTHER_PROTOCOL_VERSION;
+    return {refused ? CallOutcome::kNotSent : CallOutcome::kMayHaveBeenReceived,
+            CallFault::kOtherProtocolVersion,
+            {}};
+  }
+  PeerLink& link = links[address];
+  link.answered = true;
+  link.failures = 0;
+  if (header->refusal == schema::CallRefusal::STOPPING)
+    return {CallOutcome::kNotSent, CallFault::kPeerStopping, {}};
+  if (header->refusal != schema::CallRefusal::NONE)
+    return {CallOutcome::kNotSent, CallFault::kOtherProtocolVersion, {}};
+  return {CallOutcome::kAnswered, CallFault::kNone, header->sender};
+}
+
+void PeerClient::Impl::CloseMalformed(const std::string& address,
+                                      std::string_view detail) {
+  const auto found = links.find(address);
+  if (found == links.end() || found->second.connection == nullptr)
+    return;
+  found->second.connection->messages().Report(PeerFault::kMalformedMessage,
+                                              detail);
+  BackOff(found->second);
+  Disconnect(address);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibPeer/codec.cc
@@ -0,0 +1,235 @@
+// Messages about slots and forwarded requests.
+
+#include "codec.h"
+
+#include <variant>
+
+#include "codec_values.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Fixed part of a message: RPC envelope, header and pointers.
+constexpr std::size_t kEnvelopeBytes = 512;
+
+}  // namespace
+
+void WriteHeader(const PeerSettings& self,
+                 schema::CallRefusal refusal,
+                 schema::PeerHeader::Builder to) {
+  to.setProtocolVersion(self.protocol_version);
+  to.setSender(TextToWire(self.name));
+  WriteIncarnation(self.incarnation, to.initIncarnation());
+  to.setConfigurationVersion(self.configuration_version());
+  to.setRefusal(refusal);
+}
+
+std::optional<ReceivedHeader> ReadHeader(schema::PeerHeader::Reader from,
+                                         std::uint32_t expected_version) {
+  ReceivedHeader header;
+  header.protocol_version = from.getProtocolVersion();
+  header.refusal = from.getRefusal();
+  if (header.protocol_version != expected_version)
+    return header;
+  if (header.refusal > schema::CallRefusal::STOPPING)
+    return std::nullopt;
+  header.sender.name = TextFromWire(from.getSender());
+  header.sender.incarnation = ReadIncarnation(from.getIncarnation());
+  header.sender.configuration_version = from.getConfigurationVersion();
+  if (header.sender.name.empty())
+    return std::nullopt;
+  return header;
+}
+
+void WriteSlotRequest(const PoolKey& pool,
+                      const SlotAsk& ask,
+                      TimePoint now,
+                      schema::SlotRequest::Builder to) {
+  to.setId(ask.id);
+  to.setRegion(TextToWire(pool.region));
+  to.setService(TextToWire(pool.service));
+  to.setCustomer(TextToWire(ask.customer));
+  to.setRequestClass(EnumToWire<schema::RequestClass>(ask.request_class));
+  to.setRemainingMicroseconds(DeadlineToWire(ask.deadline, now));
+  auto avoid = to.initAvoid(static_cast<unsigned>(ask.avoid.size()));
+  for (unsigned i = 0; i < avoid.size(); ++i)
+    avoid.set(i, TextToWire(ask.avoid[i]));
+  to.setPreferred(TextToWire(ask.preferred));
+  to.setFingerprint(ask.fingerprint);
+  to.setBodyBytes(ask.body_bytes);
+}
+
+std::optional<ReceivedSlotRequest> ReadSlotRequest(
+    schema::SlotRequest::Reader from,
+    TimePoint now) {
+  const auto request_class = EnumFromWire<RequestClass>(from.getRequestClass());
+  const auto deadline = DeadlineFromWire(from.getRemainingMicroseconds(), now);
+  if (!request_class || !deadline)
+    return std::nullopt;
+  ReceivedSlotRequest request;
+  request.pool.region = TextFromWire(from.getRegion());
+  request.pool.service = TextFromWire(from.getService());
+  request.ask.id = from.getId();
+  request.ask.customer = TextFromWire(from.getCustomer());
+  request.ask.request_class = *request_class;
+  request.ask.deadline = *deadline;
+  for (const auto server : from.getAvoid())
+    request.ask.avoid.push_back(TextFromWire(server));
+  request.ask.preferred = TextFromWire(from.getPreferred());
+  request.ask.fingerprint = from.getFingerprint();
+  request.ask.body_bytes = from.getBodyBytes();
+  return request;
+}
+
+void WriteSlotAnswer(const SlotAnswer& answer, schema::SlotAnswer::Builder to) {
+  if (const auto* grant = std::get_if<SlotGrant>(&answer)) {
+    auto granted = to.initGranted();
+    granted.setLease(grant->lease);
+    granted.setServer(TextToWire(grant->server));
+    granted.setAddress(TextToWire(grant->address));
+    return;
+  }
+  const auto& refusal = std::get<SlotRefusal>(answer);
+  auto refused = to.initRefused();
+  refused.setReason(EnumToWire<schema::RefusalReason>(refusal.reason));
+  refused.setRetryAfterMicroseconds(DurationToWire(refusal.retry_after));
+}
+
+std::optional<SlotAnswer> ReadSlotAnswer(schema::SlotAnswer::Reader from,
+                                         const std::string& entry,
+                                         std::uint64_t id) {
+  if (from.isGranted()) {
+    const auto granted = from.getGranted();
+    SlotGrant grant{entry, id, granted.getLease(),
+                    TextFromWire(granted.getServer()),
+                    TextFromWire(granted.getAddress())};
+    // An answer that was never filled in reads as a grant of nothing.
+    if (grant.lease == 0 || grant.server.empty() || grant.address.empty())
+      return std::nullopt;
+    return grant;
+  }
+  if (!from.isRefused())
+    return std::nullopt;
+  const auto refused = from.getRefused();
+  const auto reason = EnumFromWire<RefusalReason>(refused.getReason());
+  const auto retry_after =
+      DurationFromWire(refused.getRetryAfterMicroseconds());
+  if (!reason || !retry_after)
+    return std::nullopt;
+  return SlotRefusal{entry, id, *reason, *retry_after};
+}
+
+void WriteSlotReturn(const SlotReturn& slot_return,
+                     schema::SlotReturn::Builder to) {
+  to.setRegion(TextToWire(slot_return.pool.region));
+  to.setService(TextToWire(slot_return.pool.service));
+  to.setLease(slot_return.lease);
+  to.setOutcome(EnumToWire<schema::AttemptOutcome>(slot_return.outcome));
+  to.setLatencyMicroseconds(DurationToWire(slot_return.latency));
+}
+
+std::optional<SlotReturn> ReadSlotReturn(schema::SlotReturn::Reader from) {
+  const auto outcome = EnumFromWire<AttemptOutcome>(from.getOutcome());
+  const auto latency = DurationFromWire(from.getLatencyMicroseconds());
+  if (!outcome || !latency)
+    return std::nullopt;
+  return SlotReturn{
+      {TextFromWire(from.getRegion()), TextFromWire(from.getService())},
+      from.getLease(),
+      *outcome,
+      *latency};
+}
+
+void WriteSlotCancel(const SlotName& slot, schema::SlotCancel::Builder to) {
+  to.setRegion(TextToWire(slot.pool.region));
+  to.setService(TextToWire(slot.pool.service));
+  to.setId(slot.id);
+}
+
+std::optional<SlotName> ReadSlotCancel(schema::SlotCancel::Reader from) {
+  return SlotName{
+      {TextFromWire(from.getRegion()), TextFromWire(from.getService())},
+      from.getId()};
+}
+
+void WriteForwardedRequest(const ForwardedRequest& request,
+                           TimePoint now,
+                           schema::ForwardedRequest::Builder to) {
+  to.setCustomer(TextToWire(request.customer));
+  to.setService(TextToWire(request.service));
+  to.setRequestClass(EnumToWire<schema::RequestClass>(request.request_class));
+  to.setKey(TextToWire(request.key));
+  to.setMethod(TextToWire(request.method));
+  to.setPath(TextToWire(request.path));
+  to.setBody(DataToWire(request.body));
+  to.setRemainingMicroseconds(DeadlineToWire(request.deadline, now));
+  to.setTraceparent(TextToWire(request.traceparent));
+}
+
+std::optional<ForwardedRequest> ReadForwardedRequest(
+    schema::ForwardedRequest::Reader from,
+    TimePoint now) {
+  const auto request_class = EnumFromWire<RequestClass>(from.getRequestClass());
+  const auto deadline = DeadlineFromWire(from.getRemainingMicroseconds(), now);
+  if (!request_class || !deadline)
+    return std::nullopt;
+  ForwardedRequest request;
+  request.customer = TextFromWire(from.getCustomer());
+  request.service = TextFromWire(from.getService());
+  request.request_class = *request_class;
+  request.key = TextFromWire(from.getKey());
+  request.method = TextFromWire(from.getMethod());
+  request.path = TextFromWire(from.getPath());
+  request.body = DataFromWire(from.getBody());
+  request.deadline = *deadline;
+  request.traceparent = TextFromWire(from.getTraceparent());
+  return request;
+}
+
+void WriteForwardedAnswer(const ForwardedAnswer& answer,
+                          schema::ForwardedAnswer::Builder to) {
+  to.setVerdict(EnumToWire<schema::Verdict>(answer.verdict));
+  to.setStatus(answer.answer.status);
+  to.setContentType(TextToWire(answer.answer.content_type));
+  to.setBody(DataToWire(answer.answer.body));
+  to.setTruncated(answer.answer.truncated);
+  to.setReason(EnumToWire<schema::RefusalReason>(answer.reason));
+}
+
+std::optional<ForwardedAnswer> ReadForwardedAnswer(
+    schema::ForwardedAnswer::Reader from) {
+  const auto verdict = EnumFromWire<Verdict>(from.getVerdict());
+  const auto reason = EnumFromWire<RefusalReason>(from.getReason());
+  if (!verdict || !reason)
+    return std::nullopt;
+  ForwardedAnswer answer;
+  answer.verdict = *verdict;
+  answer.reason = *reason;
+  answer.answer.status = from.getStatus();
+  answer.answer.content_type = TextFromWire(from.getContentType());
+  answer.answer.body = DataFromWire(from.getBody());
+  answer.answer.truncated = from.getTruncated();
+  return answer;
+}
+
+std::size_t EstimateBytes(const SlotAsk& ask) {
+  std::size_t bytes =
+      kEnvelopeBytes + ask.customer.size() + ask.preferred.size();
+  for (const std::string& server : ask.avoid)
+    bytes += server.size() + 16;
+  return bytes;
+}
+
+std::size_t EstimateBytes(const ForwardedRequest& request) {
+  return kEnvelopeBytes + request.customer.size() + request.service.size() +
+         request.key.size() + request.method.size() + request.path.size() +
+         request.body.size() + request.traceparent.size();
+}
+
+std::size_t EstimateBytes(const ForwardedAnswer& answer) {
+  return kEnvelopeBytes + answer.answer.content_type.size() +
+         answer.answer.body.size();
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibPeer/codec.h
@@ -0,0 +1,107 @@
+// Maps the messages of Schemas/peer.capnp to and from plain structs.
+//
+// The readers come from another process. A Read function returns nothing for a
+// value that no entry VM of this protocol version sends: an unknown enumerator,
+// a negative duration, an empty name. Cap'n Proto itself throws for a message
+// that is malformed below that level, so Read functions are called by Decode().
+
+#ifndef LIBRARIES_LIBPEER_CODEC_H_
+#define LIBRARIES_LIBPEER_CODEC_H_
+
+#include <kj/exception.h>
+#include <schemas/peer.capnp.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "cicadadrum/peer/messages.h"
+#include "cicadadrum/peer/peer_settings.h"
+
+namespace cicadadrum {
+
+// Returns what `read` returns, or nothing if Cap'n Proto finds the message
+// malformed.
+template <typename Read>
+auto Decode(Read&& read) -> decltype(read()) {
+  decltype(read()) result;
+  const auto thrown = kj::runCatchingExceptions([&] { result = read(); });
+  if (thrown != nullptr)
+    return std::nullopt;
+  return result;
+}
+
+struct ReceivedHeader {
+  std::uint32_t protocol_version = 0;
+  schema::CallRefusal refusal = schema::CallRefusal::NONE;
+  PeerInfo sender;  // Set only if the protocol version is the expected one.
+};
+
+void WriteHeader(const PeerSettings& self,
+                 schema::CallRefusal refusal,
+                 schema::PeerHeader::Builder to);
+// Reads only the protocol version of a header of another version.
+std::optional<ReceivedHeader> ReadHeader(schema::PeerHeader::Reader from,
+                                         std::uint32_t expected_version);
+
+void WriteSlotRequest(const PoolKey& pool,
+                      const SlotAsk& ask,
+                      TimePoint now,
+                      schema::SlotRequest::Builder to);
+struct ReceivedSlotRequest {
+  PoolKey pool;
+  SlotAsk ask;  // `entry` and `limits` are left to the receiver.
+};
+std::optional<ReceivedSlotRequest> ReadSlotRequest(
+    schema::SlotRequest::Reader from,
+    TimePoint now);
+
+void WriteSlotAnswer(const SlotAnswer& answer, schema::SlotAnswer::Builder to);
+// `entry` and `id` identify the request that is answered.
+std::optional<SlotAnswer> ReadSlotAnswer(schema::SlotAnswer::Reader from,
+                                         const std::string& entry,
+                                         std::uint64_t id);
+
+void WriteSlotReturn(const SlotReturn& slot_return,
+                     schema::SlotReturn::Builder to);
+std::optional<SlotReturn> ReadSlotReturn(schema::SlotReturn::Reader from);
+
+struct SlotName {
+  PoolKey pool;
+  std::uint64_t id = 0;
+};
+void WriteSlotCancel(const SlotName& slot, schema::SlotCancel::Builder to);
+std::optional<SlotName> ReadSlotCancel(schema::SlotCancel::Reader from);
+
+void WriteForwardedRequest(const ForwardedRequest& request,
+                           TimePoint now,
+                           schema::ForwardedRequest::Builder to);
+std::optional<ForwardedRequest> ReadForwardedRequest(
+    schema::ForwardedRequest::Reader from,
+    TimePoint now);
+
+void WriteForwardedAnswer(const ForwardedAnswer& answer,
+                          schema::ForwardedAnswer::Builder to);
+std::optional<ForwardedAnswer> ReadForwardedAnswer(
+    schema::ForwardedAnswer::Reader from);
+
+void WriteItem(const PeerItem& item, schema::ItemVersion::Builder to);
+std::optional<PeerItem> ReadItem(schema::ItemVersion::Reader from);
+
+void WriteExchange(const PeerExchange& message,
+                   schema::ExchangeMessage::Builder to);
+std::optional<PeerExchange> ReadExchange(schema::ExchangeMessage::Reader from);
+
+// Bytes of the message on the wire, within a few percent for messages above a
+// kilobyte.
+std::size_t EstimateBytes(const SlotAsk& ask);
+std::size_t EstimateBytes(const ForwardedRequest& request);
+std::size_t EstimateBytes(const ForwardedAnswer& answer);
+std::size_t EstimateBytes(const PeerExchange& message);
+std::size_t EstimateBytes(const PeerItem& item);
+
+}  // namespace cicadadrum
+
+#endif  // LIBRARIES_LIBPEER_CODEC_H_
--- /dev/null
+++ b/Libraries/LibPeer/codec_exchange.cc
@@ -0,0 +1,117 @@
+// Messages of the exchange of members and items.
+
+#include <utility>
+
+#include "codec.h"
+#include "codec_values.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Fixed parts on the wire: RPC envelope and header; one member; one item.
+constexpr std::size_t kEnvelopeBytes = 512;
+constexpr std::size_t kMemberBytes = 112;
+constexpr std::size_t kItemBytes = 40;
+
+void WriteMember(const PeerMember& member, schema::MemberUpdate::Builder to) {
+  to.setName(TextToWire(member.entry.name));
+  to.setRegion(TextToWire(member.entry.region));
+  to.setFailureDomain(TextToWire(member.entry.failure_domain));
+  to.setCallerAddress(TextToWire(member.entry.caller_address));
+  to.setPeerAddress(TextToWire(member.entry.peer_address));
+  WriteIncarnation(member.incarnation, to.initIncarnation());
+  to.setSequence(member.sequence);
+  to.setState(EnumToWire<schema::MemberState>(member.state));
+}
+
+std::optional<PeerMember> ReadMember(schema::MemberUpdate::Reader from) {
+  const auto state = EnumFromWire<PeerMemberState>(from.getState());
+  if (!state)
+    return std::nullopt;
+  PeerMember member;
+  member.entry.name = TextFromWire(from.getName());
+  member.entry.region = TextFromWire(from.getRegion());
+  member.entry.failure_domain = TextFromWire(from.getFailureDomain());
+  member.entry.caller_address = TextFromWire(from.getCallerAddress());
+  member.entry.peer_address = TextFromWire(from.getPeerAddress());
+  member.incarnation = ReadIncarnation(from.getIncarnation());
+  member.sequence = from.getSequence();
+  member.state = *state;
+  if (member.entry.name.empty())
+    return std::nullopt;
+  return member;
+}
+
+}  // namespace
+
+void WriteItem(const PeerItem& item, schema::ItemVersion::Builder to) {
+  to.setKey(TextToWire(item.key));
+  to.setVersion(item.version);
+  to.setValue(TextToWire(item.value));
+}
+
+std::optional<PeerItem> ReadItem(schema::ItemVersion::Reader from) {
+  PeerItem item{TextFromWire(from.getKey()), from.getVersion(),
+                TextFromWire(from.getValue())};
+  if (item.key.empty())
+    return std::nullopt;
+  return item;
+}
+
+void WriteExchange(const PeerExchange& message,
+                   schema::ExchangeMessage::Builder to) {
+  to.setKind(EnumToWire<schema::ExchangeKind>(message.kind));
+  to.setSequence(message.sequence);
+  to.setTarget(TextToWire(message.target));
+  to.setDigest(message.digest);
+  auto members = to.initMembers(static_cast<unsigned>(message.members.size()));
+  for (unsigned i = 0; i < members.size(); ++i)
+    WriteMember(message.members[i], members[i]);
+  auto items = to.initItems(static_cast<unsigned>(message.items.size()));
+  for (unsigned i = 0; i < items.size(); ++i)
+    WriteItem(message.items[i], items[i]);
+}
+
+std::optional<PeerExchange> ReadExchange(schema::ExchangeMessage::Reader from) {
+  const auto kind = EnumFromWire<PeerExchangeKind>(from.getKind());
+  if (!kind)
+    return std::nullopt;
+  PeerExchange message;
+  message.kind = *kind;
+  message.sequence = from.getSequence();
+  message.target = TextFromWire(from.getTarget());
+  message.digest = from.getDigest();
+  for (const auto reader : from.getMembers()) {
+    auto member = ReadMember(reader);
+    if (!member)
+      return std::nullopt;
+    message.members.push_back(*std::move(member));
+  }
+  for (const auto reader : from.getItems()) {
+    auto item = ReadItem(reader);
+    if (!item)
+      return std::nullopt;
+    message.items.push_back(*std::move(item));
+  }
+  return message;
+}
+
+std::size_t EstimateBytes(const PeerExchange& message) {
+  std::size_t bytes = kEnvelopeBytes + message.target.size();
+  for (const PeerMember& member : message.members) {
+    bytes += kMemberBytes + member.entry.name.size() +
+             member.entry.region.size() + member.entry.failure_domain.size() +
+             member.entry.caller_address.size() +
+             member.entry.peer_address.size();
+  }
+  for (const PeerItem& item : message.items)
+    bytes += kItemBytes + item.key.size() + item.value.size();
+  return bytes;
+}
+
+std::size_t EstimateBytes(const PeerItem& item) {
+  return kEnvelopeBytes + kItemBytes + item.key.size() + item.value.size();
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibPeer/entry_peer.cc
@@ -0,0 +1,217 @@
+// Serves the calls of one connection: decodes, calls the handlers, encodes.
+
+#include <kj/debug.h>
+
+#include <utility>
+
+#include "server_impl.h"
+
+namespace cicadadrum {
+
+namespace {
+
+constexpr std::uint16_t kMethodCount = 6;
+
+class EntryPeerServer final : public schema::EntryPeer::Server {
+ public:
+  EntryPeerServer(std::shared_ptr<ServerLink> link, std::uint64_t connection)
+      : link_(std::move(link)), connection_(connection) {}
+
+  DispatchCallResult dispatchCall(
+      std::uint64_t interface_id,
+      std::uint16_t method_id,
+      capnp::CallContext<capnp::AnyPointer, capnp::AnyPointer> context)
+      override {
+    if (link_->server == nullptr)
+      return {Stopped(), false};
+    if (interface_id != capnp::typeId<schema::EntryPeer>() ||
+        method_id >= kMethodCount)
+      return {Malformed("unknown method"), false};
+    return schema::EntryPeer::Server::dispatchCall(interface_id, method_id,
+                                                   context);
+  }
+
+  kj::Promise<void> requestSlot(RequestSlotContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer, true); end != nullptr)
+      return TakePromise(end);
+    const auto request = Decode([&] {
+      return ReadSlotRequest(context.getParams().getRequest(),
+                             server().settings.now());
+    });
+    if (!request)
+      return Malformed("slot request");
+    context.releaseParams();
+    context.allowCancellation();
+    return server()
+        .AskSlot(connection_, peer, *request)
+        .then([this, context](
+                  kj::Own<SlotAnswer>&& answer) mutable -> kj::Promise<void> {
+          if (link_->server == nullptr)
+            return Stopped();
+          auto results = context.getResults();
+          WriteOwnHeader(results.initHeader());
+          WriteSlotAnswer(*answer, results.initAnswer());
+          return kj::READY_NOW;
+        });
+  }
+
+  kj::Promise<void> returnSlot(ReturnSlotContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer); end != nullptr)
+      return TakePromise(end);
+    const auto slot_return = Decode(
+        [&] { return ReadSlotReturn(context.getParams().getSlotReturn()); });
+    if (!slot_return)
+      return Malformed("slot return");
+    WriteOwnHeader(context.getResults().initHeader());
+    return Run([&] { server().handlers.return_slot(peer, *slot_return); });
+  }
+
+  kj::Promise<void> execute(ExecuteContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer, true); end != nullptr)
+      return TakePromise(end);
+    const auto request = Decode([&] {
+      return ReadForwardedRequest(context.getParams().getRequest(),
+                                  server().settings.now());
+    });
+    if (!request)
+      return Malformed("forwarded request");
+    context.releaseParams();
+    context.allowCancellation();
+    return server()
+        .AskExecute(peer, *request)
+        .then([this, context](kj::Own<ForwardedAnswer>&& answer) mutable
+              -> kj::Promise<void> {
+          if (link_->server == nullptr)
+            return Stopped();
+          // The caller of the request gets the status without the body.
+          if (EstimateBytes(*answer) > kMaxPeerMessageBytes) {
+            answer->answer.body.clear();
+            answer->answer.truncated = true;
+          }
+          auto results = context.getResults();
+          WriteOwnHeader(results.initHeader());
+          WriteForwardedAnswer(*answer, results.initAnswer());
+          return kj::READY_NOW;
+        });
+  }
+
+  kj::Promise<void> exchange(ExchangeContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer); end != nullptr)
+      return TakePromise(end);
+    const auto message =
+        Decode([&] { return ReadExchange(context.getParams().getMessage()); });
+    if (!message)
+      return Malformed("exchange message");
+    WriteOwnHeader(context.getResults().initHeader());
+    return Run([&] { server().handlers.exchange(peer, *message); });
+  }
+
+  kj::Promise<void> fetchItem(FetchItemContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer); end != nullptr)
+      return TakePromise(end);
+    const auto params = context.getParams();
+    const auto key = Decode([&] {
+      const auto text = params.getKey();
+      return std::optional(std::string(text.begin(), text.size()));
+    });
+    if (!key || key->empty())
+      return Malformed("item key");
+    std::optional<PeerItem> item;
+    auto done = Run([&] {
+      item = server().handlers.fetch_item(peer, *key, params.getVersion());
+    });
+    if (item && EstimateBytes(*item) > kMaxPeerMessageBytes) {
+      server().ReportHandlerFailure("an item exceeds the size of a message");
+      item.reset();
+    }
+    auto results = context.getResults();
+    WriteOwnHeader(results.initHeader());
+    results.setFound(item.has_value());
+    if (item)
+      WriteItem(*item, results.initItem());
+    return done;
+  }
+
+  kj::Promise<void> cancelSlot(CancelSlotContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer); end != nullptr)
+      return TakePromise(end);
+    const auto slot =
+        Decode([&] { return ReadSlotCancel(context.getParams().getCancel()); });
+    if (!slot)
+      return Malformed("slot cancellation");
+    WriteOwnHeader(context.getResults().initHeader());
+    server().CancelSlot({slot->pool, peer.name, slot->id});
+    return kj::READY_NOW;
+  }
+
+ private:
+  // Not null in a call, which dispatchCall() checks.
+  PeerServer::Impl& server() const { return *link_->server; }
+
+  static kj::Promise<void> Stopped() {
+    return KJ_EXCEPTION(DISCONNECTED, "the server has stopped");
+  }
+
+  static kj::Promise<void> TakePromise(kj::Maybe<kj::Promise<void>>& end) {
+    return kj::mv(KJ_ASSERT_NONNULL(end));
+  }
+
+  // Returns nothing if the call is accepted, and sets `peer`; otherwise the
+  // promise with which the call ends.
+  template <typename Context>
+  kj::Maybe<kj::Promise<void>> CheckHeader(Context& context,
+                                           PeerInfo& peer,
+                                           bool new_work = false) {
+    auto header = Decode([&] {
+      return ReadHeader(context.getParams().getHeader(),
+                        server().settings.protocol_version);
+    });
+    schema::CallRefusal refusal = schema::CallRefusal::NONE;
+    switch (server().CheckHeader(connection_, header, new_work, refusal)) {
+      case HeaderCheck::kAccepted:
+        peer = std::move(header->sender);
+        return nullptr;
+      case HeaderCheck::kRefused:
+        WriteHeader(server().settings, refusal,
+                    context.getResults().initHeader());
+        return kj::Promise<void>(kj::READY_NOW);
+      case HeaderCheck::kMalformed:
+        break;
+    }
+    return Malformed("header");
+  }
+
+  void WriteOwnHeader(schema::PeerHeader::Builder to) {
+    WriteHeader(server().settings, schema::CallRefusal::NONE, to);
+  }
+
+  kj::Promise<void> Malformed(std::string_view what) {
+    server().CloseMalformed(connection_, what);
+    return KJ_EXCEPTION(FAILED, "malformed message");
+  }
+
+  template <typename Handler>
+  kj::Promise<void> Run(Handler&& handler) {
+    if (server().RunHandler(handler))
+      return kj::READY_NOW;
+    return KJ_EXCEPTION(FAILED, "the handler failed");
+  }
+
+  std::shared_ptr<ServerLink> link_;
+  std::uint64_t connection_;
+};
+
+}  // namespace
+
+capnp::Capability::Client MakeEntryPeer(const std::shared_ptr<ServerLink>& link,
+                                        std::uint64_t connection) {
+  return kj::heap<EntryPeerServer>(link, connection);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibPeer/fault_log.cc
@@ -0,0 +1,55 @@
+// Counts and logs faults.
+
+#include "fault_log.h"
+
+#include <spdlog/spdlog.h>
+
+#include <cstddef>
+
+namespace cicadadrum {
+
+namespace {
+
+std::uint64_t* CounterOf(PeerCounters& counters, PeerFault fault) {
+  switch (fault) {
+    case PeerFault::kMalformedMessage:
+      return &counters.malformed_messages;
+    case PeerFault::kTruncatedMessage:
+      return &counters.truncated_messages;
+    case PeerFault::kOtherProtocolVersion:
+      return &counters.other_protocol_version;
+    case PeerFault::kTooManyConnections:
+      return &counters.connections_refused;
+    case PeerFault::kConnectFailed:
+      return &counters.connects_failed;
+    case PeerFault::kConnectionLost:
+      return &counters.connections_lost;
+    case PeerFault::kHandlerFailed:
+      return &counters.handler_failures;
+    case PeerFault::kAcceptFailed:
+      return &counters.connections_refused;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+void ReportFault(FaultLog& log,
+                 PeerFault fault,
+                 std::string_view remote,
+                 std::string_view detail,
+                 TimePoint now) {
+  if (std::uint64_t* counter = CounterOf(log.counters, fault))
+    ++*counter;
+  FaultLog::Limit& limit = log.limits.at(static_cast<std::size_t>(fault));
+  if (now < limit.next) {
+    ++limit.suppressed;
+    return;
+  }
+  spdlog::warn("[peer] {}: {} ({}); {} more since the last report",
+               NameOf(fault), remote, detail, limit.suppressed);
+  limit.next = now + kFaultLogInterval;
+  limit.suppressed = 0;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibPeer/fault_log.h
@@ -0,0 +1,64 @@
+// Counts and logs faults of connections to other entry VMs.
+
+#ifndef LIBRARIES_LIBPEER_FAULT_LOG_H_
+#define LIBRARIES_LIBPEER_FAULT_LOG_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "cicadadrum/base/enum_names.h"
+#include "cicadadrum/base/time.h"
+#include "cicadadrum/peer/messages.h"
+
+namespace cicadadrum {
+
+enum class PeerFault : std::uint8_t {
+  kMalformedMessage,
+  kTruncatedMessage,
+  kOtherProtocolVersion,
+  kTooManyConnections,
+  kConnectFailed,
+  kConnectionLost,
+  kHandlerFailed,
+  kAcceptFailed,
+};
+
+template <>
+struct EnumNames<PeerFault> {
+  static constexpr auto kTable = std::to_array<EnumName<PeerFault>>({
+      {PeerFault::kMalformedMessage, "malformed message"},
+      {PeerFault::kTruncatedMessage, "truncated message"},
+      {PeerFault::kOtherProtocolVersion, "other protocol version"},
+      {PeerFault::kTooManyConnections, "too many connections"},
+      {PeerFault::kConnectFailed, "connection can't be opened"},
+      {PeerFault::kConnectionLost, "connection lost"},
+      {PeerFault::kHandlerFailed, "handler failed"},
+      {PeerFault::kAcceptFailed, "connection can't be accepted"},
+  });
+};
+
+// At most one fault of a kind is logged in this time.
+constexpr Duration kFaultLogInterval = Seconds(1);
+
+struct FaultLog {
+  struct Limit {
+    TimePoint next = TimePoint::min();
+    std::uint64_t suppressed = 0;  // Since the last one that was logged.
+  };
+  PeerCounters counters;
+  std::array<Limit, EnumNames<PeerFault>::kTable.size()> limits;
+};
+
+// Counts the fault and logs it unless one of its kind was logged just before.
+// `detail` must not be text that another process chose.
+void ReportFault(FaultLog& log,
+                 PeerFault fault,
+                 std::string_view remote,
+                 std::string_view detail,
+                 TimePoint now);
+
+}  // namespace cicadadrum
+
+#endif  // LIBRARIES_LIBPEER_FAULT_LOG_H_
--- /dev/null
+++ b/Libraries/LibPeer/include/cicadadrum/peer/messages.h
@@ -0,0 +1,204 @@
+// What entry VMs tell each other, as plain structs. They mirror
+// Schemas/peer.capnp; slot requests use the types of LibSteering.
+
+#ifndef CICADADRUM_PEER_MESSAGES_H_
+#define CICADADRUM_PEER_MESSAGES_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cicadadrum/base/enum_names.h"
+#include "cicadadrum/base/time.h"
+#include "cicadadrum/base/verdict.h"
+#include "cicadadrum/claim/claim.h"
+#include "cicadadrum/model/deployment.h"
+#include "cicadadrum/model/request.h"
+#include "cicadadrum/steering/pool.h"
+
+namespace cicadadrum {
+
+// What the header of a call or an answer tells about its sender.
+struct PeerInfo {
+  std::string name;
+  Incarnation incarnation;
+  std::uint64_t configuration_version = 0;
+  bool operator==(const PeerInfo&) const = default;
+};
+
+// The owner's answer to a slot request.
+using SlotAnswer = std::variant<SlotGrant, SlotRefusal>;
+
+// A slot given back to the owner of its pool.
+struct SlotReturn {
+  PoolKey pool;
+  std::uint64_t lease = 0;
+  AttemptOutcome outcome = AttemptOutcome::kAnswered;
+  Duration latency{};  // Not negative.
+};
+
+// A request passed to the home of its key.
+struct ForwardedRequest {
+  std::string customer;
+  std::string service;
+  RequestClass request_class = RequestClass::kWrite;
+  std::string key;
+  std::string method;
+  std::string path;
+  std::string body;
+  TimePoint deadline = kNever;
+  std::string traceparent;
+};
+
+struct ForwardedAnswer {
+  Verdict verdict = Verdict::kNotRun;
+  StoredAnswer answer;                          // Set for kRan.
+  RefusalReason reason = RefusalReason::kNone;  // Set for kNotRun.
+  bool operator==(const ForwardedAnswer&) const = default;
+};
+
+enum class PeerMemberState : std::uint8_t { kAlive, kSuspect, kDead, kLeft };
+
+template <>
+struct EnumNames<PeerMemberState> {
+  static constexpr auto kTable = std::to_array<EnumName<PeerMemberState>>({
+      {PeerMemberState::kAlive, "alive"},
+      {PeerMemberState::kSuspect, "suspect"},
+      {PeerMemberState::kDead, "dead"},
+      {PeerMemberState::kLeft, "left"},
+  });
+};
+
+enum class PeerExchangeKind : std::uint8_t {
+  kPing,
+  kAck,
+  kPingRequest,
+  kPush,
+  kPull,
+};
+
+template <>
+struct EnumNames<PeerExchangeKind> {
+  static constexpr auto kTable = std::to_array<EnumName<PeerExchangeKind>>({
+      {PeerExchangeKind::kPing, "ping"},
+      {PeerExchangeKind::kAck, "ack"},
+      {PeerExchangeKind::kPingRequest, "ping-request"},
+      {PeerExchangeKind::kPush, "push"},
+      {PeerExchangeKind::kPull, "pull"},
+  });
+};
+
+// What the sender knows about one member.
+struct PeerMember {
+  EntryVm entry;
+  Incarnation incarnation;
+  std::uint32_t sequence = 0;
+  PeerMemberState state = PeerMemberState::kAlive;
+  bool operator==(const PeerMember&) const = default;
+};
+
+// One item of versioned state. `value` is empty if only the version is told.
+struct PeerItem {
+  std::string key;
+  std::uint64_t version = 0;
+  std::string value;
+  bool operator==(const PeerItem&) const = default;
+};
+
+struct PeerExchange {
+  PeerExchangeKind kind = PeerExchangeKind::kPing;
+  std::uint64_t sequence = 0;
+  std::string target;  // Member that a kPingRequest asks to probe.
+  std::vector<PeerMember> members;
+  std::vector<PeerItem> items;
+  std::uint64_t digest = 0;  // Of all item versions held.
+  bool operator==(const PeerExchange&) const = default;
+};
+
+// What is known about a call that has ended.
+enum class CallOutcome : std::uint8_t {
+  kAnswered,
+  kNotSent,  // The peer did not handle the call and will not.
+  kMayHaveBeenReceived,
+};
+
+template <>
+struct EnumNames<CallOutcome> {
+  static constexpr auto kTable = std::to_array<EnumName<CallOutcome>>({
+      {CallOutcome::kAnswered, "answered"},
+      {CallOutcome::kNotSent, "not-sent"},
+      {CallOutcome::kMayHaveBeenReceived, "may-have-been-received"},
+  });
+};
+
+// Why a call was not answered.
+enum class CallFault : std::uint8_t {
+  kNone,
+  kAddressInvalid,
+  kConnectFailed,         // No connection could be opened.
+  kBackingOff,            // A connection failed recently; none is tried yet.
+  kQueueFull,             // Too many bytes wait to be sent to this peer.
+  kTooLarge,              // The message exceeds kMaxPeerMessageBytes.
+  kDeadline,              // No answer, or no connection, before the deadline.
+  kConnectionLost,        // The connection ended after the call was sent.
+  kInvalidAnswer,         // The answer was malformed.
+  kOtherProtocolVersion,  // The peer speaks another protocol version.
+  kPeerStopping,
+  kPeerFailed,  // The peer's handler failed.
+};
+
+template <>
+struct EnumNames<CallFault> {
+  static constexpr auto kTable = std::to_array<EnumName<CallFault>>({
+      {CallFault::kNone, "none"},
+      {CallFault::kAddressInvalid, "address-invalid"},
+      {CallFault::kConnectFailed, "connect-failed"},
+      {CallFault::kBackingOff, "backing-off"},
+      {CallFault::kQueueFull, "queue-full"},
+      {CallFault::kTooLarge, "too-large"},
+      {CallFault::kDeadline, "deadline"},
+      {CallFault::kConnectionLost, "connection-lost"},
+      {CallFault::kInvalidAnswer, "invalid-answer"},
+      {CallFault::kOtherProtocolVersion, "other-protocol-version"},
+      {CallFault::kPeerStopping, "peer-stopping"},
+      {CallFault::kPeerFailed, "peer-failed"},
+  });
+};
+
+// How a call ended. `peer` and `value` are set for kAnswered.
+template <typename Value>
+struct CallResult {
+  CallOutcome outcome = CallOutcome::kNotSent;
+  CallFault fault = CallFault::kNone;
+  PeerInfo peer;
+  Value value{};
+};
+
+// Value of a call that is only acknowledged.
+struct Acknowledged {};
+
+// A larger message is not sent, and closes the connection when received. The
+// largest messages are a body of 256 KiB, an exchange with 1,600 members (about
+// 300 KiB) and a configuration body.
+constexpr std::size_t kMaxPeerMessageBytes = std::size_t{4} * 1024 * 1024;
+
+// Counters since the start. Faults are logged too.
+struct PeerCounters {
+  std::uint64_t connections_opened = 0;
+  std::uint64_t connections_refused = 0;  // At the limit of connections.
+  std::uint64_t connections_lost = 0;
+  std::uint64_t connects_failed = 0;
+  std::uint64_t calls = 0;
+  std::uint64_t calls_cancelled = 0;
+  std::uint64_t other_protocol_version = 0;
+  std::uint64_t malformed_messages = 0;
+  std::uint64_t truncated_messages = 0;
+  std::uint64_t handler_failures = 0;
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_PEER_MESSAGES_H_
--- /dev/null
+++ b/Libraries/LibPeer/message_stream.h
@@ -0,0 +1,73 @@
+// Checks the messages of one connection between entry VMs.
+
+#ifndef LIBRARIES_LIBPEER_MESSAGE_STREAM_H_
+#define LIBRARIES_LIBPEER_MESSAGE_STREAM_H_
+
+#include <capnp/rpc-twoparty.h>
+#include <capnp/serialize-async.h>
+
+#include <cstdint>
+#include <functional>
+#include <string_view>
+
+#include "cicadadrum/loop/bufferevent_stream.h"
+#include "fault_log.h"
+
+namespace cicadadrum {
+
+// Calls of one connection that the server keeps open. Clients keep to half of
+// it, because the end of a call reaches the server later than the client.
+constexpr std::uint32_t kMaxOpenCalls = 16'384;
+
+// Reads and writes RPC messages and tells when the connection ends because of a
+// bad one. Cap'n Proto closes the connection itself; this class finds out why,
+// and refuses messages that no entry VM sends.
+class CheckedMessageStream final : public capnp::MessageStream {
+ public:
+  using FaultHandler = std::function<void(PeerFault, std::string_view detail)>;
+
+  // `side` is the side of this process.
+  CheckedMessageStream(BuffereventStream& stream,
+                       capnp::rpc::twoparty::Side side,
+                       FaultHandler on_fault);
+
+  // No fault is reported from now on: this process closes the connection.
+  void IgnoreFaults();
+
+  // Reports a fault of the connection. Only the first is reported.
+  void Report(PeerFault fault, std::string_view detail);
+
+  kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(
+      kj::ArrayPtr<kj::AutoCloseFd> fd_space,
+      capnp::ReaderOptions options,
+      kj::ArrayPtr<capnp::word> scratch_space) override;
+  kj::Promise<void> writeMessage(
+      kj::ArrayPtr<const int> fds,
+      kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments) override;
+  kj::Promise<void> writeMessages(
+      kj::ArrayPtr<kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>>>
+          messages) override;
+  kj::Maybe<int> getSendBufferSize() override;
+  kj::Promise<void> end() override;
+
+ private:
+  void CheckIncoming(capnp::MessageReader& message);
+  void CheckIncomingOfServer(std::uint16_t which);
+  void CheckIncomingOfClient(std::uint16_t which);
+  void CheckOutgoing(
+      kj::ArrayPtr<const kj::ArrayPtr<const capnp::word>> segments);
+  void ReportEndInMessage(std::uint64_t start);
+
+  BuffereventStream& stream_;
+  capnp::AsyncIoMessageStream messages_;
+  capnp::rpc::twoparty::Side side_;
+  FaultHandler on_fault_;
+  bool reported_ = false;
+  bool bootstrapped_ = false;
+  std::uint32_t open_calls_ =
+      0;  // Of a server: calls not finished by the peer.
+};
+
+}  // namespace cicadadrum
+
+#endif  // LIBRARIES_LIBPEER_MESSAGE_STREAM_H_
--- /dev/null
+++ b/Libraries/LibPeer/open_calls.h
@@ -0,0 +1,45 @@
+// Calls of peers that wait for their answer at the server.
+
+#ifndef LIBRARIES_LIBPEER_OPEN_CALLS_H_
+#define LIBRARIES_LIBPEER_OPEN_CALLS_H_
+
+#include <kj/async.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "cicadadrum/peer/messages.h"
+
+namespace cicadadrum {
+
+// Identifies a slot request at the owner of the pool.
+struct SlotRequestKey {
+  PoolKey pool;
+  std::string entry;
+  std::uint64_t id = 0;
+  auto operator<=>(const SlotRequestKey&) const = default;
+};
+
+// Answers are passed by pointer, because GCC 12 reports false
+// -Wmaybe-uninitialized warnings for kj::Maybe of a string or a variant.
+struct OpenSlotRequest {
+  std::uint64_t call = 0;  // Tells a repeat of the same key apart.
+  std::uint64_t connection = 0;
+  kj::Own<kj::PromiseFulfiller<kj::Own<SlotAnswer>>> fulfiller;
+};
+
+struct OpenExecute {
+  kj::Own<kj::PromiseFulfiller<kj::Own<ForwardedAnswer>>> fulfiller;
+};
+
+struct OpenCalls {
+  std::uint64_t next_call = 1;
+  std::map<SlotRequestKey, OpenSlotRequest> slots;
+  std::map<std::uint64_t, OpenExecute> executes;
+};
+
+}  // namespace cicadadrum
+
+#endif  // LIBRARIES_LIBPEER_OPEN_CALLS_H_
--- /dev/null
+++ b/Libraries/LibPeer/peer_client.cc
@@ -0,0 +1,289 @@
+// The calls of PeerClient: what each sends and how its answer is read.
+
+#include "cicadadrum/peer/peer_client.h"
+
+#include <optional>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "client_impl.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Time for the peer to take a slot back.
+constexpr Duration kReturnTimeout = Seconds(5);
+
+CallFault FaultOf(const kj::Exception& exception) {
+  return exception.getType() == kj::Exception::Type::DISCONNECTED
+             ? CallFault::kConnectionLost
+             : CallFault::kPeerFailed;
+}
+
+// Ends a call by what the peer answered. `read` returns the value of an answer,
+// or nothing if it is malformed.
+template <typename Value, typename Response, typename Read>
+void FinishCall(PeerClient::Impl& client,
+                CallId id,
+                const CallDone<Value>& done,
+                const Response& response,
+                Read read) {
+  const auto call = client.Take(id);
+  if (!call)
+    return;
+  CallResult<Value> result;
+  const AnswerCheck check =
+      client.CheckAnswer(call->address, response.getHeader());
+  result.outcome = check.outcome;
+  result.fault = check.fault;
+  if (check.outcome == CallOutcome::kAnswered) {
+    auto value = Decode([&] { return read(response); });
+    if (value) {
+      result.peer = check.peer;
+      result.value = *std::move(value);
+    } else {
+      client.CloseMalformed(call->address, "answer");
+      result.outcome = CallOutcome::kMayHaveBeenReceived;
+      result.fault = CallFault::kInvalidAnswer;
+    }
+  }
+  if (call->phase != CallPhase::kAbandoned) {
+    client.RunDone([&] { done(result); });
+    return;
+  }
+  if constexpr (std::is_same_v<Value, SlotAnswer>) {
+    if (result.outcome == CallOutcome::kAnswered)
+      client.ReturnLateGrant(call->address, call->slot->pool, result.value);
+  }
+}
+
+// Sends a request that has been filled in, and ends the call with its answer.
+template <typename Value, typename Request, typename Read>
+kj::Promise<void> SendCall(PeerClient::Impl& client,
+                           CallId id,
+                           CallDone<Value> done,
+                           Request&& request,
+                           Read read) {
+  return request.send().then(
+      [&client, id, done = std::move(done), read](auto&& response) {
+        FinishCall<Value>(client, id, done, response, read);
+      },
+      [&client, id](kj::Exception&& exception) {
+        client.FailCall(id, CallOutcome::kMayHaveBeenReceived,
+                        FaultOf(exception));
+      });
+}
+
+template <typename Value>
+std::function<void(CallOutcome, CallFault)> FailWith(CallDone<Value> done) {
+  return [done = std::move(done)](CallOutcome outcome, CallFault fault) {
+    CallResult<Value> result;
+    result.outcome = outcome;
+    result.fault = fault;
+    done(result);
+  };
+}
+
+// Fills in what all calls have in common.
+template <typename Value>
+ClientCall MakeCall(const std::string& address,
+                    std::size_t bytes,
+                    const CallDone<Value>& done) {
+  ClientCall call;
+  call.address = address;
+  call.bytes = bytes;
+  call.fail = FailWith<Value>(done);
+  return call;
+}
+
+// Returns nothing if the answer is malformed, and an empty value if the peer
+// does not hold the item.
+std::optional<std::optional<PeerItem>> ReadFoundItem(
+    bool found,
+    schema::ItemVersion::Reader from) {
+  if (!found)
+    return std::optional<PeerItem>();
+  auto item = ReadItem(from);
+  if (!item)
+    return std::nullopt;
+  return item;
+}
+
+std::optional<Acknowledged> ReadNothing(const auto&) {
+  return Acknowledged{};
+}
+
+void IgnoreResult(const CallResult<Acknowledged>&) {}
+
+template <typename Builder>
+void WriteOwnHeader(const PeerClient::Impl& client, Builder& request) {
+  WriteHeader(client.settings, schema::CallRefusal::NONE, request.initHeader());
+}
+
+}  // namespace
+
+void PeerClient::Impl::CancelAtPeer(const std::string& address,
+                                    const SlotName& slot) {
+  const std::size_t bytes = EstimateBytes(SlotAsk{});
+  auto call = MakeCall<Acknowledged>(address, bytes, IgnoreResult);
+  call.send = [this, slot](schema::EntryPeer::Client& peer, CallId id) {
+    auto request = peer.cancelSlotRequest();
+    WriteOwnHeader(*this, request);
+    WriteSlotCancel(slot, request.initCancel());
+    return SendCall<Acknowledged>(
+        *this, id, IgnoreResult, request,
+        [](const auto& response) { return ReadNothing(response); });
+  };
+  Start(std::move(call), settings.now() + kReturnTimeout, true);
+}
+
+void PeerClient::Impl::ReturnLateGrant(const std::string& address,
+                                       const PoolKey& pool,
+                                       const SlotAnswer& answer) {
+  const auto* grant = std::get_if<SlotGrant>(&answer);
+  if (grant == nullptr)
+    return;
+  StartReturn(address, {pool, grant->lease, AttemptOutcome::kNotSent, {}},
+              settings.now() + kReturnTimeout, IgnoreResult, true);
+}
+
+CallId PeerClient::Impl::StartReturn(const std::string& address,
+                                     const SlotReturn& slot_return,
+                                     TimePoint deadline,
+                                     const CallDone<Acknowledged>& done,
+                                     bool urgent) {
+  auto call = MakeCall<Acknowledged>(address, EstimateBytes(SlotAsk{}), done);
+  call.send = [this, slot_return, done](schema::EntryPeer::Client& peer,
+                                        CallId id) {
+    auto request = peer.returnSlotRequest();
+    WriteOwnHeader(*this, request);
+    WriteSlotReturn(slot_return, request.initSlotReturn());
+    return SendCall<Acknowledged>(
+        *this, id, done, request,
+        [](const auto& response) { return ReadNothing(response); });
+  };
+  return Start(std::move(call), deadline, urgent);
+}
+
+PeerClient::PeerClient(KjLoop& loop, PeerSettings settings)
+    : impl_(std::make_unique<Impl>(loop, std::move(settings))) {}
+
+PeerClient::~PeerClient() = default;
+
+CallId PeerClient::RequestSlot(const std::string& address,
+                               const PoolKey& pool,
+                               const SlotAsk& ask,
+                               CallDone<SlotAnswer> done) {
+  Impl& impl = *impl_;
+  auto call = MakeCall<SlotAnswer>(address, EstimateBytes(ask), done);
+  call.slot = SlotName{pool, ask.id};
+  call.send = [&impl, pool, ask, done = std::move(done)](
+                  schema::EntryPeer::Client& peer, CallId id) {
+    auto request = peer.requestSlotRequest();
+    WriteOwnHeader(impl, request);
+    WriteSlotRequest(pool, ask, impl.settings.now(), request.initRequest());
+    return SendCall<SlotAnswer>(
+        impl, id, done, request,
+        [entry = impl.settings.name, ask_id = ask.id](const auto& response) {
+          return ReadSlotAnswer(response.getAnswer(), entry, ask_id);
+        });
+  };
+  return impl.Start(std::move(call), ask.deadline);
+}
+
+CallId PeerClient::ReturnSlot(const std::string& address,
+                              const SlotReturn& slot_return,
+                              TimePoint deadline,
+                              const CallDone<Acknowledged>& done) {
+  return impl_->StartReturn(address, slot_return, deadline, done, false);
+}
+
+CallId PeerClient::Execute(const std::string& address,
+                           const ForwardedRequest& forwarded,
+                           CallDone<ForwardedAnswer> done) {
+  Impl& impl = *impl_;
+  auto call =
+      MakeCall<ForwardedAnswer>(address, EstimateBytes(forwarded), done);
+  call.send = [&impl, forwarded, done = std::move(done)](
+                  schema::EntryPeer::Client& peer, CallId id) {
+    auto request = peer.executeRequest();
+    WriteOwnHeader(impl, request);
+    WriteForwardedRequest(forwarded, impl.settings.now(),
+                          request.initRequest());
+    return SendCall<ForwardedAnswer>(
+        impl, id, done, request, [](const auto& response) {
+          return ReadForwardedAnswer(response.getAnswer());
+        });
+  };
+  return impl.Start(std::move(call), forwarded.deadline);
+}
+
+CallId PeerClient::Exchange(const std::string& address,
+                            const PeerExchange& message,
+                            TimePoint deadline,
+                            CallDone<Acknowledged> done) {
+  Impl& impl = *impl_;
+  auto call = MakeCall<Acknowledged>(address, EstimateBytes(message), done);
+  call.send = [&impl, message, done = std::move(done)](
+                  schema::EntryPeer::Client& peer, CallId id) {
+    auto request = peer.exchangeRequest();
+    WriteOwnHeader(impl, request);
+    WriteExchange(message, request.initMessage());
+    return SendCall<Acknowledged>(
+        impl, id, done, request,
+        [](const auto& response) { return ReadNothing(response); });
+  };
+  return impl.Start(std::move(call), deadline);
+}
+
+CallId PeerClient::FetchItem(const std::string& address,
+                             const std::string& key,
+                             std::uint64_t version,
+                             TimePoint deadline,
+                             CallDone<std::optional<PeerItem>> done) {
+  Impl& impl = *impl_;
+  auto call = MakeCall<std::optional<PeerItem>>(
+      address, EstimateBytes(PeerItem{key, version, {}}), done);
+  call.send = [&impl, key, version, done = std::move(done)](
+                  schema::EntryPeer::Client& peer, CallId id) {
+    auto request = peer.fetchItemRequest();
+    WriteOwnHeader(impl, request);
+    request.setKey({key.c_str(), key.size()});
+    request.setVersion(version);
+    return SendCall<std::optional<PeerItem>>(
+        impl, id, done, request, [](const auto& response) {
+          return ReadFoundItem(response.getFound(), response.getItem());
+        });
+  };
+  return impl.Start(std::move(call), deadline);
+}
+
+bool PeerClient::Cancel(CallId call) {
+  return impl_->Cancel(call);
+}
+
+void PeerClient::Disconnect(const std::string& address) {
+  impl_->Disconnect(address);
+}
+
+std::size_t PeerClient::queued_bytes(const std::string& address) const {
+  const auto found = impl_->links.find(address);
+  if (found == impl_->links.end())
+    return 0;
+  return found->second.waiting_bytes +
+         (found->second.connection == nullptr
+              ? 0
+              : found->second.connection->QueuedBytes());
+}
+
+std::size_t PeerClient::open_call_count() const {
+  return impl_->calls.size();
+}
+
+const PeerCounters& PeerClient::counters() const {
+  return impl_->faults.counters;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibPeer/peer_server.cc
@@ -0,0 +1,318 @@
+// Accepts connections of other entry VMs and keeps the calls that wait for
+// their answer.
+
+#include "cicadadrum/peer/peer_server.h"
+
+#include <event2/util.h>
+#include <kj/debug.h>
+#include <netinet/in.h>
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+#include "cicadadrum/base/error.h"
+#include "server_impl.h"
+
+namespace cicadadrum {
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr int kBacklog = 128;
+
+// After accept() failed (no free file descriptor, say) nothing is accepted for
+// this time; otherwise the listener would be ready at once, again and again.
+constexpr timeval kAcceptPause{1, 0};
+
+// evutil_parse_sockaddr_port() refuses port 0, and sets it for an address
+// without a port.
+std::string WithoutPortZero(std::string_view address) {
+  constexpr std::string_view kPortZero = ":0";
+  if (address.ends_with(kPortZero))
+    address.remove_suffix(kPortZero.size());
+  return std::string(address);
+}
+
+std::uint16_t BoundPort(evutil_socket_t socket) {
+  sockaddr_storage address{};
+  socklen_t length = sizeof(address);
+  if (::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length) !=
+      0)
+    return 0;
+  if (address.ss_family == AF_INET6)
+    return ntohs(reinterpret_cast<const sockaddr_in6*>(&address)->sin6_port);
+  return ntohs(reinterpret_cast<const sockaddr_in*>(&address)->sin_port);
+}
+
+}  // namespace
+
+PeerServer::Impl::Impl(KjLoop& kj_loop,
+                       PeerSettings peer_settings,
+                       PeerHandlers peer_handlers)
+    : loop(kj_loop),
+      settings(std::move(peer_settings)),
+      handlers(std::move(peer_handlers)),
+      link(std::make_shared<ServerLink>()),
+      accept_again_(event_new(loop.base(), -1, 0, &OnAcceptAgain, this)),
+      tasks_(*this) {
+  link->server = this;
+}
+
+PeerServer::Impl::~Impl() {
+  link->server = nullptr;
+}
+
+leaf::result<void> PeerServer::Impl::Bind(const std::string& address) {
+  sockaddr_storage parsed{};
+  int length = sizeof(parsed);
+  auto* socket_address = reinterpret_cast<sockaddr*>(&parsed);
+  if (evutil_parse_sockaddr_port(WithoutPortZero(address).c_str(),
+                                 socket_address, &length) != 0)
+    return leaf::new_error(
+        Error{ErrorCode::kAddressInvalid, "'" + address + "' is not IP:port"});
+  listener_.reset(evconnlistener_new_bind(
+      loop.base(), &OnAccept, this,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      kBacklog, socket_address, length));
+  if (listener_ == nullptr)
+    return leaf::new_error(
+        Error{ErrorCode::kBindFailed,
+              "can't listen on " + address + ": " +
+                  evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())});
+  evconnlistener_set_error_cb(listener_.get(), &OnAcceptError);
+  port = BoundPort(evconnlistener_get_fd(listener_.get()));
+  return {};
+}
+
+void PeerServer::Impl::OnAccept(evconnlistener*,
+                                evutil_socket_t socket,
+                                sockaddr* address,
+                                int,
+                                void* context) {
+  Impl& self = *static_cast<Impl*>(context);
+  const auto thrown =
+      kj::runCatchingExceptions([&] { self.Accept(socket, address); });
+  KJ_IF_MAYBE (exception, thrown) {
+    ReportFault(self.faults, PeerFault::kAcceptFailed, "listener",
+                exception->getDescription().cStr(), self.settings.now());
+  }
+}
+
+void PeerServer::Impl::OnAcceptError(evconnlistener* listener, void* context) {
+  Impl& self = *static_cast<Impl*>(context);
+  ReportFault(self.faults, PeerFault::kAcceptFailed, "listener",
+              evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()),
+              self.settings.now());
+  evconnlistener_disable(listener);
+  event_add(self.accept_again_.get(), &kAcceptPause);
+}
+
+void PeerServer::Impl::OnAcceptAgain(evutil_socket_t, short, void* context) {
+  evconnlistener_enable(static_cast<Impl*>(context)->listener_.get());
+}
+
+void PeerServer::Impl::Accept(evutil_socket_t socket, const sockaddr* address) {
+  const std::string remote = FormatAddress(address);
+  if (connections.size() >= settings.max_connections) {
+    evutil_closesocket(socket);
+    ReportFault(faults, PeerFault::kTooManyConnections, remote,
+                "limit " + std::to_string(settings.max_connections),
+                settings.now());
+    return;
+  }
+  OpenConnection(socket, remote);
+}
+
+void PeerServer::Impl::OpenConnection(evutil_socket_t socket,
+                                      const std::string& remote) {
+  const std::uint64_t id = next_connection_++;
+  auto on_fault = [this, remote](PeerFault fault, std::string_view detail) {
+    ReportFault(faults, fault, remote, detail, settings.now());
+  };
+  auto rpc = std::make_unique<PeerConnection>(
+      BuffereventStream::Adopt(loop.base(), socket),
+      capnp::rpc::twoparty::Side::SERVER, MakeEntryPeer(link, id),
+      std::move(on_fault));
+  tasks_.add(rpc->OnDisconnect().then([this, id] { CloseSoon(id); }));
+  connections.emplace(id, ServerConnection{remote, std::move(rpc)});
+  ++faults.counters.connections_opened;
+}
+
+void PeerServer::Impl::CloseSoon(std::uint64_t connection) {
+  tasks_.add(
+      kj::evalLater([this, connection] { connections.erase(connection); }));
+}
+
+void PeerServer::Impl::CloseMalformed(std::uint64_t connection,
+                                      std::string_view detail) {
+  const auto found = connections.find(connection);
+  if (found == connections.end())
+    return;
+  found->second.rpc->messages().Report(PeerFault::kMalformedMessage, detail);
+  CloseSoon(connection);
+}
+
+HeaderCheck PeerServer::Impl::CheckHeader(
+    std::uint64_t connection,
+    const std::optional<ReceivedHeader>& header,
+    bool new_work,
+    schema::CallRefusal& refusal) {
+  if (!header)
+    return HeaderCheck::kMalformed;
+  ++faults.counters.calls;
+  if (header->protocol_version != settings.protocol_version) {
+    const auto found = connections.find(connection);
+    ReportFault(faults, PeerFault::kOtherProtocolVersion,
+                found == connections.end() ? "unknown" : found->second.remote,
+                "version " + std::to_string(header->protocol_version),
+                settings.now());
+    refusal = schema::CallRefusal::OTHER_PROTOCOL_VERSION;
+    return HeaderCheck::kRefused;
+  }
+  if (refuses_calls && new_work) {
+    refusal = schema::CallRefusal::STOPPING;
+    return HeaderCheck::kRefused;
+  }
+  return HeaderCheck::kAccepted;
+}
+
+kj::Promise<kj::Own<SlotAnswer>> PeerServer::Impl::AskSlot(
+    std::uint64_t connection,
+    const PeerInfo& peer,
+    const ReceivedSlotRequest& request) {
+  const SlotRequestKey key{request.pool, peer.name, request.ask.id};
+  // The sender asks again, over a new connection, before the loss of the old
+  // one was noticed.
+  CancelSlot(key);
+  const std::uint64_t call = open.next_call++;
+  auto paf = kj::newPromiseAndFulfiller<kj::Own<SlotAnswer>>();
+  open.slots.emplace(key,
+                     OpenSlotRequest{call, connection, kj::mv(paf.fulfiller)});
+  SlotAsk ask = request.ask;
+  ask.entry = peer.name;
+  const bool handled =
+      RunHandler([&] { handlers.request_slot(peer, request.pool, ask); });
+  if (!handled) {
+    open.slots.erase(key);
+    return KJ_EXCEPTION(FAILED, "the handler failed");
+  }
+  return paf.promise.attach(kj::defer([shared = link, key, call] {
+    if (shared->server != nullptr)
+      shared->server->DropSlot(key, call);
+  }));
+}
+
+void PeerServer::Impl::DropSlot(const SlotRequestKey& key, std::uint64_t call) {
+  const auto found = open.slots.find(key);
+  if (found == open.slots.end() || found->second.call != call)
+    return;
+  open.slots.erase(found);
+  ++faults.counters.calls_cancelled;
+  RunHandler([&] { handlers.cancel_slot(key.pool, key.entry, key.id); });
+}
+
+void PeerServer::Impl::CancelSlot(const SlotRequestKey& key) {
+  const auto found = open.slots.find(key);
+  if (found == open.slots.end())
+    return;
+  found->second.fulfiller->fulfill(kj::heap<SlotAnswer>(
+      SlotRefusal{key.entry, key.id, RefusalReason::kCallerGone, {}}));
+  DropSlot(key, found->second.call);
+}
+
+kj::Promise<kj::Own<ForwardedAnswer>> PeerServer::Impl::AskExecute(
+    const PeerInfo& peer,
+    const ForwardedRequest& request) {
+  const std::uint64_t call = open.next_call++;
+  auto paf = kj::newPromiseAndFulfiller<kj::Own<ForwardedAnswer>>();
+  open.executes.emplace(call, OpenExecute{kj::mv(paf.fulfiller)});
+  const bool handled =
+      RunHandler([&] { handlers.execute(call, peer, request); });
+  if (!handled) {
+    open.executes.erase(call);
+    return KJ_EXCEPTION(FAILED, "the handler failed");
+  }
+  return paf.promise.attach(kj::defer([shared = link, call] {
+    if (shared->server != nullptr)
+      shared->server->DropExecute(call);
+  }));
+}
+
+void PeerServer::Impl::DropExecute(std::uint64_t call) {
+  if (open.executes.erase(call) == 0)
+    return;
+  ++faults.counters.calls_cancelled;
+  RunHandler([&] { handlers.cancel_execute(call); });
+}
+
+void PeerServer::Impl::ReportHandlerFailure(std::string_view detail) {
+  ReportFault(faults, PeerFault::kHandlerFailed, "handler", detail,
+              settings.now());
+}
+
+void PeerServer::Impl::taskFailed(kj::Exception&& exception) {
+  spdlog::error("[peer] exception in a task of the server: {}",
+                exception.getDescription().cStr());
+}
+
+PeerServer::PeerServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+
+PeerServer::~PeerServer() = default;
+
+leaf::result<std::unique_ptr<PeerServer>> PeerServer::Listen(
+    KjLoop& loop,
+    const std::string& address,
+    PeerSettings settings,
+    PeerHandlers handlers) {
+  auto impl =
+      std::make_unique<Impl>(loop, std::move(settings), std::move(handlers));
+  BOOST_LEAF_CHECK(impl->Bind(address));
+  return std::unique_ptr<PeerServer>(new PeerServer(std::move(impl)));
+}
+
+std::uint16_t PeerServer::port() const {
+  return impl_->port;
+}
+
+bool PeerServer::AnswerSlot(const PoolKey& pool, const SlotAnswer& answer) {
+  const SlotRequestKey key = std::visit(
+      [&](const auto& value) {
+        return SlotRequestKey{pool, value.entry, value.id};
+      },
+      answer);
+  const auto found = impl_->open.slots.find(key);
+  if (found == impl_->open.slots.end())
+    return false;
+  found->second.fulfiller->fulfill(kj::heap(kj::cp(answer)));
+  impl_->open.slots.erase(found);
+  return true;
+}
+
+bool PeerServer::AnswerExecute(std::uint64_t call,
+                               const ForwardedAnswer& answer) {
+  const auto found = impl_->open.executes.find(call);
+  if (found == impl_->open.executes.end())
+    return false;
+  found->second.fulfiller->fulfill(kj::heap(kj::cp(answer)));
+  impl_->open.executes.erase(found);
+  return true;
+}
+
+void PeerServer::StopAccepting() {
+  impl_->refuses_calls = true;
+}
+
+std::size_t PeerServer::connection_count() const {
+  return impl_->connections.size();
+}
+
+std::size_t PeerServer::open_call_count() const {
+  return impl_->open.slots.size() + impl_->open.executes.size();
+}
+
+const PeerCounters& PeerServer::counters() const {
+  return impl_->faults.counters;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibPeer/server_impl.h
@@ -0,0 +1,139 @@
+// Private parts of PeerServer.
+
+#ifndef LIBRARIES_LIBPEER_SERVER_IMPL_H_
+#define LIBRARIES_LIBPEER_SERVER_IMPL_H_
+
+#include <event2/listener.h>
+#include <kj/async.h>
+
+#include <cstdint>
+#include <exception>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cicadadrum/peer/peer_server.h"
+#include "codec.h"
+#include "connection.h"
+#include "event_free.h"
+#include "fault_log.h"
+#include "open_calls.h"
+
+namespace cicadadrum {
+
+struct ListenerFree {
+  void operator()(evconnlistener* listener) const {
+    evconnlistener_free(listener);
+  }
+};
+
+// Calls may outlive the server for some turns of the loop, because Cap'n Proto
+// cancels them from its own events. The pointer is null by then.
+struct ServerLink {
+  PeerServer::Impl* server = nullptr;
+};
+
+struct ServerConnection {
+  std::string remote;  // IP:port.
+  std::unique_ptr<PeerConnection> rpc;
+};
+
+// What the server makes of the header of a call.
+enum class HeaderCheck : std::uint8_t { kAccepted, kRefused, kMalformed };
+
+class PeerServer::Impl final : private kj::TaskSet::ErrorHandler {
+ public:
+  Impl(KjLoop& loop, PeerSettings settings, PeerHandlers handlers);
+  ~Impl();
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  boost::leaf::result<void> Bind(const std::string& address);
+
+  // --- Used by the objects that serve connections ---
+
+  // Checks a header. For kRefused, `refusal` is set. While the server stops,
+  // calls that start new work are refused.
+  HeaderCheck CheckHeader(std::uint64_t connection,
+                          const std::optional<ReceivedHeader>& header,
+                          bool new_work,
+                          schema::CallRefusal& refusal);
+
+  // Counts a bad message, and closes the connection soon.
+  void CloseMalformed(std::uint64_t connection, std::string_view detail);
+
+  // Both return the promise of the answer. Dropping it tells the handler.
+  kj::Promise<kj::Own<SlotAnswer>> AskSlot(std::uint64_t connection,
+                                           const PeerInfo& peer,
+                                           const ReceivedSlotRequest& request);
+  kj::Promise<kj::Own<ForwardedAnswer>> AskExecute(
+      const PeerInfo& peer,
+      const ForwardedRequest& request);
+
+  // Ends a slot request that its sender cancelled.
+  void CancelSlot(const SlotRequestKey& key);
+
+  // Runs a handler of the embedder. Returns false if it failed; the failure is
+  // counted and logged.
+  template <typename Handler>
+  bool RunHandler(Handler&& handler);
+
+  void ReportHandlerFailure(std::string_view detail);
+
+  KjLoop& loop;
+  PeerSettings settings;
+  PeerHandlers handlers;
+  FaultLog faults;
+  OpenCalls open;
+  std::map<std::uint64_t, ServerConnection> connections;
+  std::uint16_t port = 0;
+  bool refuses_calls = false;
+  std::shared_ptr<ServerLink> link;
+
+ private:
+  static void OnAccept(evconnlistener* listener,
+                       evutil_socket_t socket,
+                       sockaddr* address,
+                       int length,
+                       void* context);
+  static void OnAcceptError(evconnlistener* listener, void* context);
+  static void OnAcceptAgain(evutil_socket_t socket, short what, void* context);
+
+  void Accept(evutil_socket_t socket, const sockaddr* address);
+  void OpenConnection(evutil_socket_t socket, const std::string& remote);
+  // Destroys the connection in a later turn, because the caller may be called
+  // by it.
+  void CloseSoon(std::uint64_t connection);
+  void DropSlot(const SlotRequestKey& key, std::uint64_t call);
+  void DropExecute(std::uint64_t call);
+  void taskFailed(kj::Exception&& exception) override;
+
+  std::unique_ptr<evconnlistener, ListenerFree> listener_;
+  EventPtr accept_again_;
+  std::uint64_t next_connection_ = 1;
+  kj::TaskSet tasks_;
+};
+
+template <typename Handler>
+bool PeerServer::Impl::RunHandler(Handler&& handler) {
+  try {
+    handler();
+    return true;
+  } catch (const std::exception& exception) {
+    ReportHandlerFailure(exception.what());
+  } catch (...) {
+    ReportHandlerFailure("unknown exception");
+  }
+  return false;
+}
+
+// Returns the object that serves the calls of one connection.
+capnp::Capability::Client MakeEntryPeer(const std::shared_ptr<ServerLink>& link,
+                                        std::uint64_t connection);
+
+}  // namespace cicadadrum
+
+#endif  // LIBRARIES_LIBPEER_SERVER_IMPL_H_
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -60,12 +60,26 @@
   pull @4;
 }
 
-# First member of every call.
+# Why a peer did not handle a call. The call had no effect unless the value is `none`.
+enum CallRefusal {
+  none @0;
+  otherProtocolVersion @1;
+  stopping @2;
+}
+
+# One run of an entry VM's process: 128 random bits.
+struct Incarnation {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+# First member of every call and of every answer.
 struct PeerHeader {
   protocolVersion @0 :UInt32;
   sender @1 :Text;
-  incarnation @2 :UInt64;
+  incarnation @2 :Incarnation;
   configurationVersion @3 :UInt64;
+  refusal @4 :CallRefusal;  # Set in answers only.
 }
 
 struct SlotRequest {
@@ -95,10 +109,20 @@
   }
 }
 
+# Lease numbers are unique within a pool, so the pool is named too.
 struct SlotReturn {
-  lease @0 :UInt64;
-  outcome @1 :AttemptOutcome;
-  latencyMicroseconds @2 :Int64;
+  region @0 :Text;
+  service @1 :Text;
+  lease @2 :UInt64;
+  outcome @3 :AttemptOutcome;
+  latencyMicroseconds @4 :Int64;
+}
+
+# Names a slot request of the sender.
+struct SlotCancel {
+  region @0 :Text;
+  service @1 :Text;
+  id @2 :UInt64;
 }
 
 # A request passed to the home of its key.
@@ -119,7 +143,8 @@
   status @1 :UInt16;
   contentType @2 :Text;
   body @3 :Data;
-  reason @4 :RefusalReason;
+  truncated @4 :Bool;  # The response was too large to keep; the body is empty.
+  reason @5 :RefusalReason;
 }
 
 struct MemberUpdate {
@@ -128,8 +153,8 @@
   failureDomain @2 :Text;
   callerAddress @3 :Text;
   peerAddress @4 :Text;
-  incarnation @5 :UInt64;
-  sequence @6 :UInt32;
+  incarnation @5 :Incarnation;
+  sequence @6 :UInt32;  # Grows when the member contradicts a report about itself.
   state @7 :MemberState;
 }
 
@@ -149,11 +174,16 @@
   digest @5 :UInt64;  # Of all item versions held.
 }
 
+# An answer whose header carries a refusal has no other member set.
 interface EntryPeer {
-  # Answered when a slot is granted or refused; dropping the call cancels the request.
+  # Answered when a slot is granted or refused. The request ends at the owner when the connection is lost or
+  # the call is dropped.
   requestSlot @0 (header :PeerHeader, request :SlotRequest) -> (header :PeerHeader, answer :SlotAnswer);
   returnSlot @1 (header :PeerHeader, slotReturn :SlotReturn) -> (header :PeerHeader);
   execute @2 (header :PeerHeader, request :ForwardedRequest) -> (header :PeerHeader, answer :ForwardedAnswer);
   exchange @3 (header :PeerHeader, message :ExchangeMessage) -> (header :PeerHeader);
   fetchItem @4 (header :PeerHeader, key :Text, version :UInt64) -> (header :PeerHeader, found :Bool, item :ItemVersion);
+  # Ends a slot request. The requestSlot call is then answered: refused, or granted if the grant was sent
+  # first. The sender waits for that answer and returns the granted slot, so that no grant is lost.
+  cancelSlot @5 (header :PeerHeader, cancel :SlotCancel) -> (header :PeerHeader);
 }
--- /dev/null
+++ b/Tests/LibPeer/peer_fixture.h
@@ -0,0 +1,152 @@
+// Two entry VMs on one loop: a client and a server whose handlers record what
+// they are asked.
+
+#ifndef TESTS_LIBPEER_PEER_FIXTURE_H_
+#define TESTS_LIBPEER_PEER_FIXTURE_H_
+
+#include <doctest/doctest.h>
+#include <event2/event.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cicadadrum/peer/peer_client.h"
+#include "cicadadrum/peer/peer_server.h"
+
+namespace cicadadrum {
+
+inline TimePoint SteadyNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+inline PeerSettings SettingsOf(const std::string& name) {
+  return {.name = name,
+          .incarnation = {7, 8},
+          .configuration_version = [] { return std::uint64_t{42}; },
+          .now = &SteadyNow};
+}
+
+struct BaseFree {
+  void operator()(event_base* base) const { event_base_free(base); }
+};
+
+struct AskedSlot {
+  PeerInfo peer;
+  PoolKey pool;
+  SlotAsk ask;
+};
+
+struct AskedExecute {
+  std::uint64_t call = 0;
+  ForwardedRequest request;
+};
+
+// What the handlers of a server were called with.
+struct Record {
+  std::vector<AskedSlot> slots;
+  std::vector<std::uint64_t> cancelled_slots;
+  std::vector<SlotReturn> returns;
+  std::vector<AskedExecute> executes;
+  std::vector<std::uint64_t> cancelled_executes;
+  std::vector<PeerExchange> exchanges;
+};
+
+inline PeerHandlers RecordingHandlers(Record& record) {
+  PeerHandlers handlers;
+  handlers.request_slot = [&record](const PeerInfo& peer, const PoolKey& pool,
+                                    const SlotAsk& ask) {
+    record.slots.push_back({peer, pool, ask});
+  };
+  handlers.cancel_slot = [&record](const PoolKey&, const std::string&,
+                                   std::uint64_t id) {
+    record.cancelled_slots.push_back(id);
+  };
+  handlers.return_slot = [&record](const PeerInfo&,
+                                   const SlotReturn& returned) {
+    record.returns.push_back(returned);
+  };
+  handlers.execute = [&record](std::uint64_t call, const PeerInfo&,
+                               const ForwardedRequest& request) {
+    record.executes.push_back({call, request});
+  };
+  handlers.cancel_execute = [&record](std::uint64_t call) {
+    record.cancelled_executes.push_back(call);
+  };
+  handlers.exchange = [&record](const PeerInfo&, const PeerExchange& message) {
+    record.exchanges.push_back(message);
+  };
+  handlers.fetch_item = [](const PeerInfo&, const std::string& key,
+                           std::uint64_t version) -> std::optional<PeerItem> {
+    if (key != "configuration/current")
+      return std::nullopt;
+    return PeerItem{key, version, std::string("a\0b", 3)};
+  };
+  return handlers;
+}
+
+struct PeerFixture {
+  // Declared in the order in which they depend on each other.
+  std::unique_ptr<event_base, BaseFree> base{event_base_new()};
+  KjLoop loop{base.get()};
+  Record record;
+  std::unique_ptr<PeerServer> server = Listen(SettingsOf("owner"));
+  std::string address = "127.0.0.1:" + std::to_string(server->port());
+  std::unique_ptr<PeerClient> client =
+      std::make_unique<PeerClient>(loop, SettingsOf("entry-1"));
+  PoolKey pool{"cusco", "status-board"};
+
+  std::unique_ptr<PeerServer> Listen(PeerSettings settings,
+                                     const std::string& at = "127.0.0.1:0") {
+    auto listening = PeerServer::Listen(loop, at, std::move(settings),
+                                        RecordingHandlers(record));
+    REQUIRE(listening);
+    return std::move(*listening);
+  }
+
+  // Runs the loop until `condition` holds; the time limit of the test program
+  // ends a test that waits in vain.
+  template <typename Condition>
+  void RunUntil(Condition&& condition) {
+    while (!condition())
+      event_base_loop(base.get(), EVLOOP_ONCE);
+  }
+
+  // Handles what is ready without waiting.
+  void RunReady() { loop.wait_scope().poll(); }
+
+  // Asks for a slot. The result is set when the call has ended.
+  std::shared_ptr<std::optional<CallResult<SlotAnswer>>> Ask(
+      std::uint64_t id,
+      CallId* call = nullptr,
+      Duration timeout = Seconds(60)) {
+    auto result = std::make_shared<std::optional<CallResult<SlotAnswer>>>();
+    SlotAsk ask{.entry = "entry-1",
+                .id = id,
+                .customer = "roads",
+                .request_class = RequestClass::kUrgent,
+                .deadline = SteadyNow() + timeout,
+                .avoid = {"sb-1", "sb-2"},
+                .preferred = "sb-3",
+                .fingerprint = 11,
+                .body_bytes = 12};
+    const CallId started = client->RequestSlot(
+        address, pool, ask,
+        [result](const CallResult<SlotAnswer>& ended) { *result = ended; });
+    if (call != nullptr)
+      *call = started;
+    return result;
+  }
+
+  bool Grant(std::uint64_t id, std::uint64_t lease) {
+    return server->AnswerSlot(
+        pool, SlotGrant{"entry-1", id, lease, "sb-3", "127.0.0.1:9"});
+  }
+};
+
+}  // namespace cicadadrum
+
+#endif  // TESTS_LIBPEER_PEER_FIXTURE_H_
