LibMembership: Add failure detection and dissemination of versioned items

The entry VMs need one list of live members, one configuration version in force and the leaving marks, at a cost per node that does not grow with the fleet.

--- /dev/null
+++ b/Libraries/LibMembership/exchange.cc
@@ -0,0 +1,248 @@
+// Messages to peers, and the repair of differences by bucket digests.
+//
+// A probe message carries one digest. Only when it differs does a node send a
+// pull with a digest per bucket; the answer holds the records and items of the
+// buckets that differ, in pages.
+
+#include "exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <numeric>
+#include <span>
+#include <utility>
+
+#include "cicadadrum/base/hash.h"
+#include "items.h"
+#include "member_table.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Keys of the bucket digests in a pull. No item key begins with '#'.
+constexpr std::string_view kMemberDigests = "#members";
+constexpr std::string_view kItemDigests = "#items";
+
+constexpr std::size_t kMembersPerPage = 64;  // About 9 KB.
+constexpr std::size_t kItemsPerPage = 32;
+
+// A new process tells its own record on every message for this long, so that
+// no receiver meets a sender it cannot answer.
+constexpr Duration kIntroduction = Seconds(30);
+
+// Member updates usually reach all nodes within this time; a difference that
+// lasts longer needs a pull.
+constexpr Duration kMemberRepairDelay = Seconds(5);
+constexpr Duration kMemberPullPeriod = Seconds(10);
+constexpr Duration kItemPullPeriod = Milliseconds(400);
+
+std::string FormatBuckets(std::span<const std::uint32_t> buckets) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const std::uint32_t bucket : buckets) {
+    for (int shift = 28; shift >= 0; shift -= 4)
+      text.push_back(kDigits[(bucket >> shift) & 15U]);
+  }
+  return text;
+}
+
+// Returns bucket `i` of the text, 0 if it is malformed: a wrong digest only
+// costs a longer answer.
+std::uint32_t ParseBucket(std::string_view text, std::size_t i) {
+  std::uint32_t value = 0;
+  if (text.size() >= 8 * (i + 1))
+    std::from_chars(text.data() + 8 * i, text.data() + 8 * (i + 1), value, 16);
+  return value;
+}
+
+template <std::size_t kCount>
+std::array<bool, kCount> Differing(
+    const std::array<std::uint32_t, kCount>& buckets,
+    std::string_view other) {
+  std::array<bool, kCount> differing{};
+  for (std::size_t i = 0; i < kCount; ++i)
+    differing[i] = buckets[i] != ParseBucket(other, i);
+  return differing;
+}
+
+std::uint64_t Digest(const MembershipState& state) {
+  const auto fold = [](const auto& buckets) {
+    return std::accumulate(
+        buckets.begin(), buckets.end(), std::uint32_t{0},
+        [](std::uint32_t a, std::uint32_t b) { return a ^ b; });
+  };
+  return (std::uint64_t{fold(state.item_buckets)} << 32) |
+         fold(state.member_buckets);
+}
+
+void AddMembersPage(StepContext& context,
+                    std::string_view digests,
+                    ExchangeMessage& answer) {
+  MembershipState& state = context.state;
+  const auto differing = Differing(state.member_buckets, digests);
+  const std::size_t size = state.members.size();
+  // A random start lets repeated pulls see all of a long list.
+  const std::size_t start = RandomBelow(state.random, size);
+  for (std::size_t k = 0; k < size; ++k) {
+    const Member& member = state.members[(start + k) % size];
+    if (!differing[MemberBucket(member.record.vm.name)])
+      continue;
+    answer.members.push_back(WireRecord(member));
+    if (answer.members.size() >= kMembersPerPage)
+      return;
+  }
+}
+
+void AddItemsPage(StepContext& context,
+                  std::string_view digests,
+                  ExchangeMessage& answer) {
+  MembershipState& state = context.state;
+  const auto differing = Differing(state.item_buckets, digests);
+  if (state.items.empty())
+    return;
+  const std::size_t start = RandomBelow(state.random, state.items.size());
+  auto item =
+      std::next(state.items.begin(), static_cast<std::ptrdiff_t>(start));
+  for (std::size_t k = 0; k < state.items.size(); ++k) {
+    if (item == state.items.end())
+      item = state.items.begin();
+    if (differing[ItemBucket(item->first)])
+      answer.items.push_back(
+          {item->first, item->second.version, item->second.value});
+    if (answer.items.size() >= kItemsPerPage)
+      return;
+    ++item;
+  }
+}
+
+void CompareMembers(StepContext& context, std::size_t sender, bool equal) {
+  MembershipState& state = context.state;
+  if (equal || state.joining) {
+    state.members_differ_since = kNever;
+    return;
+  }
+  if (state.members_differ_since == kNever)
+    state.members_differ_since = context.now;
+  if (context.now - state.members_differ_since < kMemberRepairDelay ||
+      context.now < state.next_member_pull_at)
+    return;
+  state.next_member_pull_at = context.now + kMemberPullPeriod;
+  SendPull(context, state.members[sender].record.vm, true, false);
+}
+
+void CompareItems(StepContext& context, std::size_t sender, bool equal) {
+  MembershipState& state = context.state;
+  if (equal) {
+    // Two nodes that both know nothing confirm nothing.
+    if (InForceVersion(state) > 0)
+      state.marks_confirmed_at = context.now;
+    return;
+  }
+  if (context.now < state.next_item_pull_at)
+    return;
+  state.next_item_pull_at = context.now + kItemPullPeriod;
+  SendPull(context, state.members[sender].record.vm, false, true);
+}
+
+const EntryVm* JoinTarget(MembershipState& state) {
+  if (const std::optional<std::size_t> index = RandomLive(state);
+      index && state.next_sequence % 2 == 0)
+    return &state.members[*index].record.vm;
+  const std::vector<EntryVm>& seeds =
+      state.seeds.empty() ? state.platform_entries : state.seeds;
+  if (seeds.empty())
+    return nullptr;
+  const EntryVm& seed = seeds[RandomBelow(state.random, seeds.size())];
+  return seed.name == state.members[0].record.vm.name ? nullptr : &seed;
+}
+
+}  // namespace
+
+ExchangeMessage MakeMessage(StepContext& context, ExchangeKind kind) {
+  MembershipState& state = context.state;
+  const MemberUpdate& self = state.members[0].record;
+  ExchangeMessage message{.sender = self.vm.name,
+                          .incarnation = self.incarnation,
+                          .configuration_version = InForceVersion(state),
+                          .kind = kind,
+                          .digest = Digest(state)};
+  message.members = TakeUpdates(state, state.options.max_updates);
+  const bool named = std::any_of(
+      message.members.begin(), message.members.end(),
+      [&](const MemberUpdate& u) { return u.vm.name == self.vm.name; });
+  if (!named && context.now - state.started_at < kIntroduction)
+    message.members.push_back(WireRecord(state.members[0]));
+  return message;
+}
+
+void SendToMember(StepContext& context,
+                  std::size_t index,
+                  ExchangeMessage message) {
+  const EntryVm& vm = context.state.members[index].record.vm;
+  context.actions.emplace_back(SendMessage{.to = vm.name,
+                                           .address = vm.peer_address,
+                                           .message = std::move(message)});
+}
+
+std::uint64_t SendPull(StepContext& context,
+                       const EntryVm& to,
+                       bool members,
+                       bool items) {
+  MembershipState& state = context.state;
+  ExchangeMessage pull = MakeMessage(context, ExchangeKind::kPull);
+  pull.sequence = state.next_sequence++;
+  pull.members = {WireRecord(state.members[0])};
+  if (members)
+    pull.items.push_back(
+        {std::string(kMemberDigests), 0, FormatBuckets(state.member_buckets)});
+  if (items)
+    pull.items.push_back(
+        {std::string(kItemDigests), 0, FormatBuckets(state.item_buckets)});
+  const std::uint64_t sequence = pull.sequence;
+  context.actions.emplace_back(SendMessage{
+      .to = to.name, .address = to.peer_address, .message = std::move(pull)});
+  return sequence;
+}
+
+void AnswerPull(StepContext& context,
+                std::size_t sender,
+                const ExchangeMessage& pull) {
+  ExchangeMessage answer = MakeMessage(context, ExchangeKind::kPush);
+  answer.sequence = pull.sequence;
+  for (const ItemVersion& digests : pull.items) {
+    if (digests.key == kMemberDigests)
+      AddMembersPage(context, digests.value, answer);
+    else if (digests.key == kItemDigests)
+      AddItemsPage(context, digests.value, answer);
+  }
+  SendToMember(context, sender, std::move(answer));
+}
+
+bool IsFullPage(const ExchangeMessage& message) {
+  return message.members.size() >= kMembersPerPage;
+}
+
+void CompareDigests(StepContext& context,
+                    std::size_t sender,
+                    const ExchangeMessage& message) {
+  const std::uint64_t difference = Digest(context.state) ^ message.digest;
+  CompareItems(context, sender, (difference >> 32) == 0);
+  CompareMembers(context, sender, (difference & 0xffffffffULL) == 0);
+}
+
+void RunJoin(StepContext& context) {
+  MembershipState& state = context.state;
+  if (!state.joining || context.now < state.next_join_at)
+    return;
+  // Slower after 5 s without an answer: the seeds may be down for long.
+  const bool early = context.now - state.started_at < Seconds(5);
+  state.next_join_at = context.now + (early ? Milliseconds(300) : Seconds(1)) +
+                       Microseconds(static_cast<std::int64_t>(
+                           RandomBelow(state.random, 200'000)));
+  if (const EntryVm* target = JoinTarget(state))
+    state.join_sequence = SendPull(context, *target, true, true);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibMembership/exchange.h
@@ -0,0 +1,45 @@
+// Messages to peers, and the repair of differences by bucket digests.
+
+#ifndef CICADADRUM_MEMBERSHIP_EXCHANGE_H_
+#define CICADADRUM_MEMBERSHIP_EXCHANGE_H_
+
+#include <cstddef>
+
+#include "context.h"
+
+namespace cicadadrum {
+
+// Returns a message with this node's header, digest and pending updates.
+ExchangeMessage MakeMessage(StepContext& context, ExchangeKind kind);
+
+// Sends to a member of the table.
+void SendToMember(StepContext& context,
+                  std::size_t index,
+                  ExchangeMessage message);
+
+// Sends a pull with this node's bucket digests and its own record; returns the
+// sequence that the answer repeats.
+std::uint64_t SendPull(StepContext& context,
+                       const EntryVm& to,
+                       bool members,
+                       bool items);
+
+// Answers a pull with what the sender lacks or holds differently.
+void AnswerPull(StepContext& context,
+                std::size_t sender,
+                const ExchangeMessage& pull);
+
+// Whether `message` answers a pull and could not hold everything that differs.
+bool IsFullPage(const ExchangeMessage& message);
+
+// Compares the digests of a peer with this node's and pulls what differs.
+void CompareDigests(StepContext& context,
+                    std::size_t sender,
+                    const ExchangeMessage& message);
+
+// Asks a seed or a member for the table until the table is whole.
+void RunJoin(StepContext& context);
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_MEMBERSHIP_EXCHANGE_H_
--- /dev/null
+++ b/Libraries/LibMembership/items.cc
@@ -0,0 +1,254 @@
+// Versioned items: merging, spreading, and fetching of configuration bodies.
+
+#include "items.h"
+
+#include <algorithm>
+
+#include "cicadadrum/base/hash.h"
+#include "exchange.h"
+#include "member_table.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A fetch without an answer is repeated elsewhere after this time: several
+// round trips between regions, and well below the 6 s bound on a change.
+constexpr Duration kFetchTimeout = Milliseconds(1000);
+constexpr Duration kStoreFetchTimeout = Seconds(2);
+
+// Peers asked for a body before the store. A node that read the version from
+// the store is among the first to know it and asks one.
+constexpr std::uint32_t kPeerAttempts = 3;
+
+constexpr Duration kMarkRetry = Seconds(5);
+constexpr Duration kFloorPullPeriod = Milliseconds(500);
+
+// Peers get this long to deliver a version heard of before the store is asked.
+constexpr Duration kFloorPatience = Milliseconds(1500);
+
+std::uint32_t ItemHash(const std::string& key, const HeldItem& item) {
+  return static_cast<std::uint32_t>(
+      HashBytes(item.value, HashBytes(key, item.version)));
+}
+
+void PushItem(StepContext& context, const ItemVersion& item) {
+  MembershipState& state = context.state;
+  for (const std::size_t peer :
+       RandomLiveSample(state, state.options.push_fanout)) {
+    ExchangeMessage push = MakeMessage(context, ExchangeKind::kPush);
+    push.items.push_back(item);
+    SendToMember(context, peer, std::move(push));
+  }
+}
+
+// Notes whether the table still has to be told of a mark. Nodes other than the
+// one that accepted it wait, and write it only as readers, in case that one
+// died.
+void TrackMark(StepContext& context, const ItemVersion& item, bool accepted) {
+  MembershipState& state = context.state;
+  if (!item.key.starts_with(kLeavingPrefix))
+    return;
+  if (item.value != NameOf(MarkValue::kLeaving)) {
+    state.unrecorded.erase(item.key);
+    state.accepted_marks.erase(item.key);
+    return;
+  }
+  state.unrecorded[item.key] =
+      accepted ? context.now : context.now + kMarkRetry;
+  if (accepted)
+    state.accepted_marks.insert(item.key);
+}
+
+void Adopt(StepContext& context,
+           const ItemVersion& item,
+           const std::string& body,
+           bool accepted) {
+  MembershipState& state = context.state;
+  const auto [found, inserted] = state.items.try_emplace(item.key);
+  HeldItem& held = found->second;
+  if (!inserted &&
+      !IsNewerItem(item.version, item.value, held.version, held.value))
+    return;
+  std::uint32_t& bucket = state.item_buckets[ItemBucket(item.key)];
+  if (!inserted)
+    bucket ^= ItemHash(item.key, held);
+  held = {.version = item.version, .value = item.value, .body = body};
+  bucket ^= ItemHash(item.key, held);
+  TrackMark(context, item, accepted);
+  context.actions.emplace_back(ItemAdopted{.item = item, .body = body});
+  PushItem(context, item);
+}
+
+void FetchFromPeer(StepContext& context, PendingConfiguration& pending) {
+  MembershipState& state = context.state;
+  std::optional<std::size_t> peer = FindIndex(state, pending.source);
+  // Only the first attempt goes to the peer that named the version.
+  if (!peer || pending.attempts > 1)
+    peer = RandomLive(state);
+  if (!peer)
+    return;
+  const EntryVm& vm = state.members[*peer].record.vm;
+  context.actions.emplace_back(FetchItem{.source = FetchSource::kPeer,
+                                         .peer = vm.name,
+                                         .address = vm.peer_address,
+                                         .key = pending.item.key,
+                                         .version = pending.item.version,
+                                         .hash = pending.item.value});
+}
+
+void FetchBody(StepContext& context) {
+  PendingConfiguration& pending = *context.state.pending;
+  const std::uint32_t peers = pending.source.empty() ? 1 : kPeerAttempts;
+  ++pending.attempts;
+  if (pending.attempts <= peers) {
+    pending.retry_at = context.now + kFetchTimeout;
+    FetchFromPeer(context, pending);
+    return;
+  }
+  pending.attempts = 0;
+  pending.retry_at = context.now + kStoreFetchTimeout;
+  context.actions.emplace_back(FetchItem{.source = FetchSource::kStore,
+                                         .key = pending.item.key,
+                                         .version = pending.item.version,
+                                         .hash = pending.item.value});
+}
+
+void RunMarks(StepContext& context) {
+  MembershipState& state = context.state;
+  for (auto& [key, next_at] : state.unrecorded) {
+    if (next_at > context.now)
+      continue;
+    next_at = context.now + kMarkRetry;
+    const HeldItem& held = state.items.at(key);
+    if (!state.is_reader && !state.accepted_marks.contains(key))
+      continue;
+    context.actions.emplace_back(
+        WriteMark{.item = {key, held.version, held.value}});
+  }
+}
+
+void RunFloor(StepContext& context) {
+  MembershipState& state = context.state;
+  if (IsReady(state) || state.configuration_floor == 0 ||
+      context.now < state.next_floor_pull_at)
+    return;
+  state.next_floor_pull_at = context.now + kFloorPullPeriod;
+  if (const std::optional<std::size_t> peer = RandomLive(state))
+    SendPull(context, state.members[*peer].record.vm, false, true);
+}
+
+}  // namespace
+
+std::string BodyHash(std::string_view body) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const std::uint64_t hash = HashBytes(body);
+  std::string text;
+  for (int shift = 60; shift >= 0; shift -= 4)
+    text.push_back(kDigits[(hash >> shift) & 15U]);
+  return text;
+}
+
+std::size_t ItemBucket(std::string_view key) {
+  return HashBytes(key) % kItemBuckets;
+}
+
+void ApplyItem(StepContext& context,
+               const ItemVersion& item,
+               const std::string& source) {
+  MembershipState& state = context.state;
+  if (item.key.empty() || item.key.starts_with('#'))
+    return;
+  if (item.key != kConfigurationKey) {
+    AdoptItem(context, item, {});
+    return;
+  }
+  RaiseFloor(context, item.version);
+  const HeldItem* held = FindItem(state, item.key);
+  if (held != nullptr &&
+      !IsNewerItem(item.version, item.value, held->version, held->value))
+    return;
+  if (state.pending &&
+      !IsNewerItem(item.version, item.value, state.pending->item.version,
+                   state.pending->item.value))
+    return;
+  state.pending = {.item = item, .source = source};
+  FetchBody(context);
+}
+
+void AdoptItem(StepContext& context,
+               const ItemVersion& item,
+               const std::string& body) {
+  Adopt(context, item, body, false);
+}
+
+void OnLocalChange(StepContext& context, const LocalChange& event) {
+  if (event.item.key == kConfigurationKey) {
+    RaiseFloor(context, event.item.version);
+    if (BodyHash(event.body) != event.item.value)
+      return;
+  }
+  Adopt(context, event.item, event.body, true);
+}
+
+void OnItemFetched(StepContext& context, const ItemFetched& event) {
+  MembershipState& state = context.state;
+  if (!state.pending || state.pending->item.key != event.key ||
+      state.pending->item.version != event.version)
+    return;
+  // A body that does not match its hash is as good as none.
+  if (!event.found || BodyHash(event.body) != state.pending->item.value) {
+    const bool store_asked = state.pending->attempts == 0;
+    if (!store_asked)
+      FetchBody(context);
+    return;
+  }
+  const ItemVersion item = state.pending->item;
+  state.pending.reset();
+  AdoptItem(context, item, event.body);
+}
+
+void OnMarkWritten(StepContext& context, const MarkWritten& event) {
+  if (!event.recorded)
+    return;
+  ItemVersion recorded = event.item;
+  recorded.value = NameOf(MarkValue::kLeavingRecorded);
+  AdoptItem(context, recorded, {});
+}
+
+void RaiseFloor(StepContext& context, std::uint64_t version) {
+  MembershipState& state = context.state;
+  if (version <= state.configuration_floor)
+    return;
+  state.configuration_floor = version;
+  state.floor_raised_at = context.now;
+  // The peer that names a version mostly delivers it with the same message.
+  state.next_floor_pull_at =
+      std::max(state.next_floor_pull_at, context.now + kFloorPullPeriod);
+}
+
+bool IsFloorOverdue(const StepContext& context) {
+  const MembershipState& state = context.state;
+  return state.configuration_floor > InForceVersion(state) &&
+         context.now - state.floor_raised_at >= kFloorPatience;
+}
+
+void RunItems(StepContext& context) {
+  if (context.state.pending && context.state.pending->retry_at <= context.now)
+    FetchBody(context);
+  RunMarks(context);
+  RunFloor(context);
+}
+
+TimePoint NextItemsTime(const MembershipState& state) {
+  TimePoint next = kNever;
+  if (state.pending)
+    next = state.pending->retry_at;
+  for (const auto& [key, next_at] : state.unrecorded)
+    next = std::min(next, next_at);
+  if (!IsReady(state) && state.configuration_floor > 0)
+    next = std::min(next, state.next_floor_pull_at);
+  return next;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibMembership/member_table.cc
@@ -0,0 +1,227 @@
+// Merging of member records, digests of the table and the updates to send.
+
+#include "member_table.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+#include "cicadadrum/base/hash.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Longer than regions lose contact with each other (minutes), so that both
+// sides still try each other when the cut ends.
+constexpr Duration kForgetAfter = Seconds(3600);
+
+// A node that heard of a suspicion from another waits longer than the one that
+// raised it, so that a refutation that follows the suspicion arrives in time.
+constexpr int kRelayedSuspicionFactor = 3;
+
+std::uint32_t RecordHash(const MemberUpdate& record) {
+  const std::uint64_t seed =
+      record.incarnation * 0x9e3779b97f4a7c15ULL + record.sequence;
+  return static_cast<std::uint32_t>(HashBytes(record.vm.name, seed));
+}
+
+void ToggleInDigest(MembershipState& state, const MemberUpdate& record) {
+  if (IsLive(record.state))
+    state.member_buckets[MemberBucket(record.vm.name)] ^= RecordHash(record);
+}
+
+void QueueUpdate(MembershipState& state, std::size_t index) {
+  const auto found = std::find_if(
+      state.updates.begin(), state.updates.end(),
+      [index](const PendingUpdate& u) { return u.member == index; });
+  if (found != state.updates.end())
+    found->sent = 0;
+  else
+    state.updates.push_back({.member = index, .sent = 0});
+}
+
+void UpdateSuspicion(StepContext& context, std::size_t index, bool own) {
+  MembershipState& state = context.state;
+  if (state.members[index].record.state != MemberState::kSuspect) {
+    state.suspicions.erase(index);
+    return;
+  }
+  const Duration timeout = state.options.suspicion_timeout;
+  state.suspicions[index] = {
+      .own = own,
+      .dead_at =
+          context.now + (own ? timeout : timeout * kRelayedSuspicionFactor),
+      .ping_at = own ? context.now : kNever};
+}
+
+void Refute(StepContext& context, const MemberUpdate& update) {
+  MembershipState& state = context.state;
+  if (state.leaving)
+    return;
+  MemberUpdate mine = state.members[0].record;
+  if (update.incarnation > mine.incarnation) {
+    mine.incarnation = update.incarnation + 1;
+    mine.sequence = 0;
+  } else if (IsNewer(update, mine)) {
+    mine.sequence = update.sequence + 1;
+  } else {
+    return;
+  }
+  SetRecord(context, 0, mine);
+}
+
+std::uint32_t SendLimit(const MembershipState& state) {
+  // An epidemic reaches all n nodes in about log2(n) rounds; 4 more cover loss.
+  return static_cast<std::uint32_t>(std::bit_width(state.members.size())) + 4;
+}
+
+bool IsForgettable(const StepContext& context, const Member& member) {
+  return !IsLive(member.record.state) &&
+         context.now - member.changed_at > kForgetAfter;
+}
+
+}  // namespace
+
+std::optional<std::size_t> FindIndex(const MembershipState& state,
+                                     std::string_view name) {
+  const auto found = state.index_of.find(std::string(name));
+  if (found == state.index_of.end())
+    return std::nullopt;
+  return found->second;
+}
+
+std::size_t MemberBucket(std::string_view name) {
+  return HashBytes(name) % kMemberBuckets;
+}
+
+std::size_t AddMember(StepContext& context, const MemberUpdate& record) {
+  MembershipState& state = context.state;
+  const std::size_t index = state.members.size();
+  state.members.push_back({.record = record, .changed_at = context.now});
+  state.index_of[record.vm.name] = index;
+  ToggleInDigest(state, record);
+  QueueUpdate(state, index);
+  UpdateSuspicion(context, index, false);
+  state.reader_known = false;
+  context.actions.emplace_back(MemberChanged{.record = record});
+  return index;
+}
+
+void SetRecord(StepContext& context,
+               std::size_t index,
+               const MemberUpdate& record,
+               bool own_suspicion) {
+  MembershipState& state = context.state;
+  Member& member = state.members[index];
+  const MemberUpdate old = std::exchange(member.record, record);
+  if (record.vm.peer_address.empty())
+    member.record.vm = old.vm;
+  member.changed_at = context.now;
+  ToggleInDigest(state, old);
+  ToggleInDigest(state, member.record);
+  QueueUpdate(state, index);
+  UpdateSuspicion(context, index, own_suspicion);
+  if (IsLive(old.state) != IsLive(record.state))
+    state.reader_known = false;
+  const bool restarted = old.incarnation != record.incarnation;
+  if (old.state != record.state || restarted)
+    context.actions.emplace_back(
+        MemberChanged{.record = member.record, .restarted = restarted});
+}
+
+void ApplyUpdate(StepContext& context, const MemberUpdate& update) {
+  MembershipState& state = context.state;
+  const std::optional<std::size_t> index = FindIndex(state, update.vm.name);
+  if (!index) {
+    if (!update.vm.peer_address.empty())
+      AddMember(context, update);
+    return;
+  }
+  if (*index == 0)
+    Refute(context, update);
+  else if (IsNewer(update, state.members[*index].record))
+    SetRecord(context, *index, update);
+}
+
+std::vector<MemberUpdate> TakeUpdates(MembershipState& state,
+                                      std::size_t count) {
+  std::vector<PendingUpdate>& updates = state.updates;
+  count = std::min(count, updates.size());
+  std::partial_sort(
+      updates.begin(), updates.begin() + static_cast<std::ptrdiff_t>(count),
+      updates.end(), [](const PendingUpdate& a, const PendingUpdate& b) {
+        return std::tie(a.sent, a.member) < std::tie(b.sent, b.member);
+      });
+  std::vector<MemberUpdate> taken;
+  for (std::size_t i = 0; i < count; ++i) {
+    taken.push_back(WireRecord(state.members[updates[i].member]));
+    ++updates[i].sent;
+  }
+  std::erase_if(updates, [limit = SendLimit(state)](const PendingUpdate& u) {
+    return u.sent >= limit;
+  });
+  return taken;
+}
+
+MemberUpdate WireRecord(const Member& member) {
+  if (member.record.state == MemberState::kAlive)
+    return member.record;
+  return {.vm = {.name = member.record.vm.name},
+          .incarnation = member.record.incarnation,
+          .sequence = member.record.sequence,
+          .state = member.record.state};
+}
+
+std::optional<std::size_t> RandomLive(MembershipState& state) {
+  const std::vector<std::size_t> sample = RandomLiveSample(state, 1);
+  if (sample.empty())
+    return std::nullopt;
+  return sample.front();
+}
+
+std::vector<std::size_t> RandomLiveSample(MembershipState& state,
+                                          std::size_t count,
+                                          std::size_t except) {
+  std::vector<std::size_t> sample;
+  const std::size_t size = state.members.size();
+  const auto usable = [&](std::size_t i) {
+    return i != 0 && i != except && IsLive(state.members[i].record.state) &&
+           std::find(sample.begin(), sample.end(), i) == sample.end();
+  };
+  // Random tries succeed quickly while most members are live.
+  for (int tries = 0; tries < 16 && sample.size() < count; ++tries) {
+    const std::size_t i = RandomBelow(state.random, size);
+    if (usable(i))
+      sample.push_back(i);
+  }
+  const std::size_t start = RandomBelow(state.random, size);
+  for (std::size_t k = 0; k < size && sample.size() < count; ++k) {
+    const std::size_t i = (start + k) % size;
+    if (usable(i))
+      sample.push_back(i);
+  }
+  return sample;
+}
+
+void ForgetMembers(StepContext& context) {
+  MembershipState& state = context.state;
+  const auto forgettable = [&](const Member& member) {
+    return IsForgettable(context, member);
+  };
+  if (std::none_of(state.members.begin(), state.members.end(), forgettable))
+    return;
+  std::erase_if(state.members, forgettable);
+  state.index_of.clear();
+  for (std::size_t i = 0; i < state.members.size(); ++i)
+    state.index_of[state.members[i].record.vm.name] = i;
+  // Everything that names members by index starts afresh.
+  state.updates.clear();
+  state.probe_order.clear();
+  state.probes.clear();
+  state.suspicions.clear();
+  for (std::size_t i = 0; i < state.members.size(); ++i)
+    UpdateSuspicion(context, i, false);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibMembership/probing.cc
@@ -0,0 +1,283 @@
+// Failure detection: probes, suspicions, reconnection, isolation.
+
+#include "probing.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "exchange.h"
+#include "member_table.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A node whose last ack is older than this many periods blames itself: its
+// messages or the acks are lost, and it must not accuse others.
+constexpr int kSelfBlamePeriods = 5;
+constexpr Duration kIsolatedAfter = Seconds(5);
+constexpr Duration kReconnectPeriod = Seconds(5);
+constexpr Duration kSuspectPingPeriod = Milliseconds(400);
+constexpr Duration kRelayLifetime = Seconds(1);
+
+bool BlamesItself(const StepContext& context) {
+  const MembershipState& state = context.state;
+  return context.now - state.last_ack_at >
+         state.options.probe_period * kSelfBlamePeriods;
+}
+
+void FailProbe(StepContext& context, std::size_t index) {
+  MembershipState& state = context.state;
+  MemberUpdate record = state.members[index].record;
+  if (!IsLive(record.state) || BlamesItself(context))
+    return;
+  if (record.state == MemberState::kAlive) {
+    record.state = MemberState::kSuspect;
+    SetRecord(context, index, record, true);
+    return;
+  }
+  // Two nodes found the member silent, so the shorter wait applies.
+  Suspicion& suspicion = state.suspicions[index];
+  suspicion.own = true;
+  suspicion.dead_at = std::min(suspicion.dead_at,
+                               context.now + state.options.suspicion_timeout);
+  suspicion.ping_at = context.now;
+}
+
+void AskHelpers(StepContext& context, const Probe& probe) {
+  MembershipState& state = context.state;
+  const std::string target = state.members[probe.member].record.vm.name;
+  for (const std::size_t helper :
+       RandomLiveSample(state, state.options.helpers, probe.member)) {
+    ExchangeMessage request = MakeMessage(context, ExchangeKind::kPingRequest);
+    request.sequence = probe.sequence;
+    request.target = target;
+    SendToMember(context, helper, std::move(request));
+  }
+}
+
+void CheckProbes(StepContext& context) {
+  MembershipState& state = context.state;
+  std::vector<std::size_t> failed;
+  for (Probe& probe : state.probes) {
+    if (probe.indirect_at <= context.now) {
+      probe.indirect_at = kNever;
+      AskHelpers(context, probe);
+    }
+    if (probe.fail_at <= context.now)
+      failed.push_back(probe.member);
+  }
+  std::erase_if(state.probes, [&](const Probe& probe) {
+    return probe.fail_at <= context.now;
+  });
+  for (const std::size_t index : failed)
+    FailProbe(context, index);
+  std::erase_if(state.relayed, [&](const RelayedProbe& relayed) {
+    return relayed.expires_at <= context.now;
+  });
+}
+
+void RefillProbeOrder(MembershipState& state) {
+  for (std::size_t i = 1; i < state.members.size(); ++i) {
+    if (state.members[i].record.state == MemberState::kAlive)
+      state.probe_order.push_back(i);
+  }
+  for (std::size_t i = state.probe_order.size(); i > 1; --i)
+    std::swap(state.probe_order[i - 1],
+              state.probe_order[RandomBelow(state.random, i)]);
+}
+
+std::optional<std::size_t> NextProbed(MembershipState& state) {
+  for (int round = 0; round < 2; ++round) {
+    while (!state.probe_order.empty()) {
+      const std::size_t index = state.probe_order.back();
+      state.probe_order.pop_back();
+      if (state.members[index].record.state == MemberState::kAlive)
+        return index;
+    }
+    RefillProbeOrder(state);
+  }
+  return std::nullopt;
+}
+
+void StartProbe(StepContext& context) {
+  MembershipState& state = context.state;
+  if (context.now < state.next_probe_at)
+    return;
+  state.next_probe_at += state.options.probe_period;
+  if (state.next_probe_at <= context.now)
+    state.next_probe_at = context.now + state.options.probe_period;
+  const std::optional<std::size_t> index = NextProbed(state);
+  if (!index) {
+    state.last_ack_at = context.now;  // Nobody to hear from.
+    return;
+  }
+  ExchangeMessage ping = MakeMessage(context, ExchangeKind::kPing);
+  ping.sequence = state.next_sequence++;
+  state.probes.push_back(
+      {.sequence = ping.sequence,
+       .member = *index,
+       .indirect_at = context.now + state.options.direct_timeout,
+       .fail_at = context.now + state.options.probe_timeout});
+  SendToMember(context, *index, std::move(ping));
+}
+
+void CheckSuspicions(StepContext& context) {
+  MembershipState& state = context.state;
+  std::vector<std::size_t> dead;
+  for (auto& [index, suspicion] : state.suspicions) {
+    if (suspicion.dead_at <= context.now) {
+      dead.push_back(index);
+    } else if (suspicion.ping_at <= context.now) {
+      suspicion.ping_at = context.now + kSuspectPingPeriod;
+      PingWithRecord(context, index);
+    }
+  }
+  for (const std::size_t index : dead) {
+    MemberUpdate record = state.members[index].record;
+    record.state = MemberState::kDead;
+    SetRecord(context, index, record);
+  }
+}
+
+// Tries one address of a member held for dead, or of a seed or listed VM that
+// is not known: this is how two sides of a healed cut meet again.
+void Reconnect(StepContext& context) {
+  MembershipState& state = context.state;
+  if (context.now < state.next_reconnect_at)
+    return;
+  state.next_reconnect_at = context.now + kReconnectPeriod +
+                            Microseconds(static_cast<std::int64_t>(
+                                RandomBelow(state.random, 1'000'000)));
+  ForgetMembers(context);
+  std::vector<std::size_t> dead;
+  for (std::size_t i = 1; i < state.members.size(); ++i) {
+    if (state.members[i].record.state == MemberState::kDead)
+      dead.push_back(i);
+  }
+  std::vector<const EntryVm*> unknown;
+  for (const auto* list : {&state.seeds, &state.platform_entries}) {
+    for (const EntryVm& vm : *list) {
+      if (!FindIndex(state, vm.name))
+        unknown.push_back(&vm);
+    }
+  }
+  const std::size_t count = dead.size() + unknown.size();
+  if (count == 0)
+    return;
+  const std::size_t pick = RandomBelow(state.random, count);
+  if (pick < dead.size())
+    PingWithRecord(context, dead[pick]);
+  else
+    SendPull(context, *unknown[pick - dead.size()], true, true);
+}
+
+void CheckIsolation(StepContext& context) {
+  MembershipState& state = context.state;
+  const bool isolated = context.now - state.last_ack_at > kIsolatedAfter;
+  if (isolated == state.isolated)
+    return;
+  state.isolated = isolated;
+  context.actions.emplace_back(IsolationChanged{.isolated = isolated});
+}
+
+void NoteAck(StepContext& context) {
+  context.state.last_ack_at = context.now;
+  CheckIsolation(context);
+}
+
+}  // namespace
+
+void OnPing(StepContext& context,
+            std::size_t sender,
+            const ExchangeMessage& message) {
+  ExchangeMessage ack = MakeMessage(context, ExchangeKind::kAck);
+  ack.sequence = message.sequence;
+  // Lets the sender refute what this node holds against it.
+  const Member& member = context.state.members[sender];
+  if (member.record.state != MemberState::kAlive)
+    ack.members.push_back(WireRecord(member));
+  SendToMember(context, sender, std::move(ack));
+}
+
+void OnAck(StepContext& context, const ExchangeMessage& message) {
+  MembershipState& state = context.state;
+  const std::string& from =
+      message.target.empty() ? message.sender : message.target;
+  const std::optional<std::size_t> index = FindIndex(state, from);
+  const std::size_t removed =
+      std::erase_if(state.probes, [&](const Probe& probe) {
+        return probe.sequence == message.sequence && index == probe.member;
+      });
+  if (removed > 0)
+    NoteAck(context);
+  const auto relayed = std::find_if(
+      state.relayed.begin(), state.relayed.end(),
+      [&](const RelayedProbe& r) { return r.sequence == message.sequence; });
+  if (relayed == state.relayed.end())
+    return;
+  if (const std::optional<std::size_t> origin =
+          FindIndex(state, relayed->origin)) {
+    ExchangeMessage ack = MakeMessage(context, ExchangeKind::kAck);
+    ack.sequence = relayed->origin_sequence;
+    ack.target = message.sender;
+    SendToMember(context, *origin, std::move(ack));
+  }
+  state.relayed.erase(relayed);
+}
+
+void OnPingRequest(StepContext& context,
+                   std::size_t sender,
+                   const ExchangeMessage& message) {
+  MembershipState& state = context.state;
+  const std::optional<std::size_t> target = FindIndex(state, message.target);
+  if (!target)
+    return;
+  ExchangeMessage ping = MakeMessage(context, ExchangeKind::kPing);
+  ping.sequence = state.next_sequence++;
+  state.relayed.push_back({.sequence = ping.sequence,
+                           .origin = state.members[sender].record.vm.name,
+                           .origin_sequence = message.sequence,
+                           .expires_at = context.now + kRelayLifetime});
+  SendToMember(context, *target, std::move(ping));
+}
+
+void PingWithRecord(StepContext& context, std::size_t index) {
+  ExchangeMessage ping = MakeMessage(context, ExchangeKind::kPing);
+  ping.sequence = context.state.next_sequence++;
+  ping.members.push_back(WireRecord(context.state.members[index]));
+  // The member may not know this node, and must be able to answer.
+  ping.members.push_back(WireRecord(context.state.members[0]));
+  SendToMember(context, index, std::move(ping));
+}
+
+void RunProbing(StepContext& context) {
+  CheckProbes(context);
+  CheckSuspicions(context);
+  CheckIsolation(context);
+  if (context.state.leaving)
+    return;
+  StartProbe(context);
+  Reconnect(context);
+}
+
+TimePoint NextProbingTime(const MembershipState& state) {
+  TimePoint next = kNever;
+  for (const Probe& probe : state.probes)
+    next = std::min({next, probe.indirect_at, probe.fail_at});
+  for (const auto& [index, suspicion] : state.suspicions)
+    next = std::min({next, suspicion.dead_at, suspicion.ping_at});
+  if (!state.leaving)
+    next = std::min({next, state.next_probe_at, state.next_reconnect_at});
+  return next;
+}
+
+void ExcusePause(StepContext& context, Duration lag) {
+  MembershipState& state = context.state;
+  state.probes.clear();
+  state.relayed.clear();
+  for (auto& [index, suspicion] : state.suspicions)
+    suspicion.dead_at += lag;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibMembership/store_reads.cc
@@ -0,0 +1,97 @@
+// Who reads the version row from the store, and when.
+
+#include "store_reads.h"
+
+#include <algorithm>
+
+#include "cicadadrum/base/hash.h"
+#include "items.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A node that hears from no peer for this long reads the row itself.
+constexpr Duration kSilence = Seconds(5);
+
+// An answer that never comes must not stop the reads.
+constexpr Duration kReadTimeout = Seconds(5);
+
+// Marks reach all nodes through peers; the table is read for marks at the
+// start, and rarely afterwards in case no peer kept one.
+constexpr std::uint64_t kReadsPerMarkRead = 60;
+
+// Reads by nodes that are not readers are spread over this much more time.
+constexpr std::uint64_t kSpreadMicroseconds = 2'000'000;
+
+bool IsAmongReaders(const MembershipState& state) {
+  const EntryVm& self = state.members[0].record.vm;
+  const std::string key = "reader/" + self.region;
+  const std::uint64_t own = RendezvousScore(key, self.name);
+  std::size_t before = 0;
+  for (std::size_t i = 1; i < state.members.size(); ++i) {
+    const MemberUpdate& record = state.members[i].record;
+    if (!IsLive(record.state) || record.vm.region != self.region)
+      continue;
+    const std::uint64_t score = RendezvousScore(key, record.vm.name);
+    if (score > own || (score == own && record.vm.name < self.name))
+      ++before;
+  }
+  return before < state.options.readers;
+}
+
+bool WantsRead(const StepContext& context) {
+  const MembershipState& state = context.state;
+  if (state.leaving)
+    return false;
+  if (state.is_reader && !state.joining)
+    return true;
+  return context.now - state.last_heard_at > kSilence ||
+         IsFloorOverdue(context);
+}
+
+}  // namespace
+
+void OnStoreRowRead(StepContext& context, const StoreRowRead& event) {
+  MembershipState& state = context.state;
+  state.read_in_flight = false;
+  ++state.reads;
+  for (const ItemVersion& item : event.items)
+    ApplyItem(context, item, {});
+  if (event.with_marks)
+    state.marks_confirmed_at = context.now;
+}
+
+void OnStoreReadFailed(StepContext& context) {
+  context.state.read_in_flight = false;
+}
+
+void RunReads(StepContext& context) {
+  MembershipState& state = context.state;
+  if (context.now < state.next_read_at)
+    return;
+  if (!state.reader_known) {
+    state.is_reader = IsAmongReaders(state);
+    state.reader_known = true;
+  }
+  Duration period = state.options.read_period;
+  if (!state.is_reader)
+    period += Microseconds(static_cast<std::int64_t>(
+        RandomBelow(state.random, kSpreadMicroseconds)));
+  state.next_read_at = context.now + period;
+  if (state.read_in_flight &&
+      context.now - state.read_started_at < kReadTimeout)
+    return;
+  if (!WantsRead(context))
+    return;
+  state.read_in_flight = true;
+  state.read_started_at = context.now;
+  context.actions.emplace_back(
+      ReadVersionRow{.with_marks = state.reads % kReadsPerMarkRead == 0});
+}
+
+TimePoint NextReadTime(const MembershipState& state) {
+  return state.next_read_at;
+}
+
+}  // namespace cicadadrum
