LibEntry: Connect entry VMs by membership, slot requests and forwarded requests

Cause: each entry VM owned all pools and read the configuration by itself. A stopping entry VM could end before its last response was written.

--- a/Generated/schemas/demonstration.capnp.h
+++ b/Generated/schemas/demonstration.capnp.h
@@ -202,8 +202,8 @@
   inline bool hasVmsFile() const;
   inline  ::capnp::Text::Reader getVmsFile() const;
 
-  inline bool hasLeavingServer() const;
-  inline  ::capnp::Text::Reader getLeavingServer() const;
+  inline bool hasLeavingService() const;
+  inline  ::capnp::Text::Reader getLeavingService() const;
 
   inline bool hasStreams() const;
   inline  ::capnp::List< ::cicadadrum::schema::Stream,  ::capnp::Kind::STRUCT>::Reader getStreams() const;
@@ -250,12 +250,12 @@
   inline void adoptVmsFile(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownVmsFile();
 
-  inline bool hasLeavingServer();
-  inline  ::capnp::Text::Builder getLeavingServer();
-  inline void setLeavingServer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initLeavingServer(unsigned int size);
-  inline void adoptLeavingServer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownLeavingServer();
+  inline bool hasLeavingService();
+  inline  ::capnp::Text::Builder getLeavingService();
+  inline void setLeavingService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeavingService(unsigned int size);
+  inline void adoptLeavingService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeavingService();
 
   inline bool hasStreams();
   inline  ::capnp::List< ::cicadadrum::schema::Stream,  ::capnp::Kind::STRUCT>::Builder getStreams();
@@ -518,36 +518,36 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Mix::Reader::hasLeavingServer() const {
+inline bool Mix::Reader::hasLeavingService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Mix::Builder::hasLeavingServer() {
+inline bool Mix::Builder::hasLeavingService() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Mix::Reader::getLeavingServer() const {
+inline  ::capnp::Text::Reader Mix::Reader::getLeavingService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Mix::Builder::getLeavingServer() {
+inline  ::capnp::Text::Builder Mix::Builder::getLeavingService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Mix::Builder::setLeavingServer( ::capnp::Text::Reader value) {
+inline void Mix::Builder::setLeavingService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Mix::Builder::initLeavingServer(unsigned int size) {
+inline  ::capnp::Text::Builder Mix::Builder::initLeavingService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Mix::Builder::adoptLeavingServer(
+inline void Mix::Builder::adoptLeavingService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Mix::Builder::disownLeavingServer() {
+inline ::capnp::Orphan< ::capnp::Text> Mix::Builder::disownLeavingService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
--- a/Libraries/LibEntry/caller_protocol.cc
+++ b/Libraries/LibEntry/caller_protocol.cc
@@ -102,6 +102,34 @@
   return arrived;
 }
 
+ForwardedRequest MakeForwarded(const HttpRequest& request,
+                               const RequestArrived& arrived,
+                               std::string traceparent) {
+  return {.customer = arrived.customer,
+          .service = arrived.service,
+          .request_class = arrived.request_class,
+          .key = arrived.key,
+          .method = std::string(NameOf(request.method)),
+          .path = request.target,
+          .body = request.body,
+          .deadline = arrived.deadline,
+          .traceparent = std::move(traceparent)};
+}
+
+HttpRequest RestoreForwarded(const ForwardedRequest& forwarded) {
+  HttpRequest request{
+      .method =
+          ParseName<HttpMethod>(forwarded.method).value_or(HttpMethod::kPost),
+      .target = forwarded.path,
+      .path = forwarded.path.substr(0, forwarded.path.find('?')),
+      .body = forwarded.body};
+  request.headers = {
+      {kCustomerField, forwarded.customer},
+      {kClassField, std::string(NameOf(forwarded.request_class))},
+      {kKeyField, forwarded.key}};
+  return request;
+}
+
 std::string BackendTarget(const HttpRequest& request) {
   const std::size_t begin = request.target.find(kServicePrefix);
   const std::size_t slash =
--- a/Libraries/LibEntry/caller_protocol.h
+++ b/Libraries/LibEntry/caller_protocol.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "cicadadrum/loop/http_message.h"
+#include "cicadadrum/peer/messages.h"
 #include "cicadadrum/steering/events.h"
 
 namespace cicadadrum {
@@ -33,6 +34,12 @@
                                                  TimePoint now,
                                                  std::string& problem);
 
+// Conversion of a request that is passed to its key's home, and back.
+ForwardedRequest MakeForwarded(const HttpRequest& request,
+                               const RequestArrived& arrived,
+                               std::string traceparent);
+HttpRequest RestoreForwarded(const ForwardedRequest& forwarded);
+
 // Returns the part of the target that the backend server gets.
 std::string BackendTarget(const HttpRequest& request);
 
--- a/Libraries/LibEntry/entry_core.cc
+++ b/Libraries/LibEntry/entry_core.cc
@@ -11,6 +11,11 @@
 
 namespace {
 
+// The platform's list lags anyway; leaving marks of operators arrive through
+// the peers.
+constexpr Duration kServersInterval = Seconds(5);
+constexpr Duration kServersRetry = Seconds(1);
+
 std::string ClassLabel(RequestClass request_class) {
   return "class=\"" + std::string(NameOf(request_class)) + "\"";
 }
@@ -48,14 +53,66 @@
                     Dispatch(TimerExpired{});
                   }),
       backends_(loop, settings.max_connections_per_server),
-      platform_(loop,
-                settings.deployment,
-                [this](const Event& event) { Dispatch(event); }),
+      platform_(loop, settings.deployment),
+      peers_(
+          loop,
+          settings,
+          incarnation,
+          [this] { return state_.configuration.version; },
+          [this](const std::string& entry) { return PeerAddress(entry); }),
+      fleet_(loop,
+             settings,
+             incarnation,
+             peers_.client(),
+             platform_,
+             [this](const Event& event) { Dispatch(event); }),
+      servers_timer_(loop, [this] { PollServers(); }),
       spans_(settings.trace_file),
-      random_{incarnation.high} {}
+      random_{incarnation.high ^ incarnation.low} {}
+
+boost::leaf::result<void> EntryCore::Start() {
+  PeerLinkHandlers handlers;
+  handlers.dispatch = [this](const Event& event) { Dispatch(event); };
+  handlers.exchange = [this](const PeerInfo& sender,
+                             const PeerExchange& exchange) {
+    fleet_.Receive(sender, exchange);
+  };
+  handlers.find_item = [this](const std::string& key, std::uint64_t version) {
+    return fleet_.FindPeerItem(key, version);
+  };
+  handlers.execute = [this](
+                         const ForwardedRequest& request,
+                         std::function<void(const ForwardedAnswer&)> respond) {
+    TakeForwarded(request, std::move(respond));
+  };
+  BOOST_LEAF_CHECK(peers_.Listen(std::move(handlers)));
+  fleet_.Start();
+  PollServers();
+  return {};
+}
+
+void EntryCore::Stop() {
+  fleet_.Leave();
+  peers_.StopAccepting();
+  Dispatch(StopRequested{});
+}
+
+void EntryCore::PollServers() {
+  platform_.ReadServers(
+      [this](const std::optional<std::vector<BackendServer>>& servers) {
+        if (servers)
+          fleet_.SetServers(*servers);
+        servers_timer_.Schedule(loop_.Now() +
+                                (servers ? kServersInterval : kServersRetry));
+      });
+}
 
-void EntryCore::Start() {
-  platform_.Start();
+std::string EntryCore::PeerAddress(const std::string& entry) const {
+  for (const EntryVm& candidate : state_.live) {
+    if (candidate.name == entry)
+      return candidate.peer_address;
+  }
+  return {};
 }
 
 void EntryCore::Dispatch(const Event& event) {
@@ -77,33 +134,79 @@
   if (buffered_bytes_ + request.body.size() > settings_.max_buffered_bytes)
     return respond(MakeRefusal(Verdict::kNotRun, RefusalReason::kQueueFull,
                                Seconds(1), "buffers are full"));
-  buffered_bytes_ += request.body.size();
-  metrics_.Count("cicadadrum_requests_total",
-                 ClassLabel(arrived->request_class));
-  HeldRequest& held = held_[id];
+  fleet_.HearFloor(arrived->configuration_floor);
+  HeldRequest held{.arrived = *arrived};
   held.parent = ParseTraceparent(FindField(request.headers, kTraceField));
-  held.context = ChildContext(held.parent, random_);
-  held.arrived = *arrived;
   held.request = std::move(request);
-  held.respond = std::move(respond);
-  held.started_at = now;
-  Dispatch(*arrived);
+  held.respond = [respond = std::move(respond)](
+                     const HttpResponse& response,
+                     const AnswerCaller& /*answer*/) { respond(response); };
+  Hold(id, std::move(held));
+}
+
+void EntryCore::TakeForwarded(
+    const ForwardedRequest& request,
+    std::function<void(const ForwardedAnswer&)> respond) {
+  const std::uint64_t id = NewRequestId();
+  HeldRequest held;
+  held.request = RestoreForwarded(request);
+  held.parent = ParseTraceparent(request.traceparent);
+  std::string problem;
+  const auto arrived =
+      ReadServiceRequest(held.request, id, loop_.Now(), problem);
+  if (!arrived ||
+      buffered_bytes_ + request.body.size() > settings_.max_buffered_bytes)
+    return respond({.verdict = Verdict::kNotRun,
+                    .answer = {},
+                    .reason = RefusalReason::kQueueFull});
+  held.arrived = *arrived;
+  held.arrived.forwarded = true;
+  held.arrived.deadline = request.deadline;
+  held.respond = [respond = std::move(respond)](const HttpResponse& response,
+                                                const AnswerCaller& answer) {
+    ForwardedAnswer forwarded{.verdict = answer.verdict,
+                              .answer = answer.stored,
+                              .reason = answer.reason};
+    if (answer.source == AnswerSource::kBackend)
+      forwarded.answer = KeepAnswer(response);
+    respond(forwarded);
+  };
+  Hold(id, std::move(held));
+}
+
+void EntryCore::Hold(std::uint64_t id, HeldRequest held) {
+  buffered_bytes_ += held.request.body.size();
+  held.context = ChildContext(held.parent, random_);
+  held.started_at = loop_.Now();
+  const RequestArrived arrived = held.arrived;
+  metrics_.Count("cicadadrum_requests_total",
+                 ClassLabel(arrived.request_class));
+  held_.emplace(id, std::move(held));
+  Dispatch(arrived);
 }
 
 void EntryCore::Perform(Action& action) {
   std::visit([this](const auto& present) { Perform(present); }, action);
 }
 
-// FIXME: Until LibPeer is connected every entry VM owns its pools, so no peer
-// is ever asked.
 void EntryCore::Perform(const AskPoolOwner& action) {
-  Dispatch(SlotRefused{
-      action.request, action.attempt, RefusalReason::kPeerUnreachable, {}});
+  peers_.AskForSlot(action, [this](const Event& event) { Dispatch(event); });
 }
 
-void EntryCore::Perform(const CancelAtPoolOwner& /*action*/) {}
-void EntryCore::Perform(const ReturnToPoolOwner& /*action*/) {}
-void EntryCore::Perform(const AnswerPeer& /*action*/) {}
+void EntryCore::Perform(const CancelAtPoolOwner& action) {
+  peers_.CancelSlot(action);
+}
+
+void EntryCore::Perform(const ReturnToPoolOwner& action) {
+  peers_.ReturnSlot(action);
+}
+
+void EntryCore::Perform(const AnswerPeer& action) {
+  const auto* grant = std::get_if<SlotGrant>(&action.answer);
+  if (!peers_.AnswerSlot(action) && grant != nullptr)
+    Dispatch(PeerReturnedSlot{
+        action.pool, grant->lease, AttemptOutcome::kNotSent, {}});
+}
 
 void EntryCore::Perform(const SendToBackend& action) {
   const auto found = held_.find(action.request);
@@ -165,6 +268,8 @@
   HttpResponse response = MakeResponse(held, action);
   response.headers.emplace_back(kVersionField,
                                 std::to_string(state_.configuration.version));
+  if (state_.stopping)
+    response.headers.emplace_back(kUseEntryField, NextEntryAddress());
   metrics_.Count("cicadadrum_answers_total",
                  "verdict=\"" + std::string(NameOf(action.verdict)) +
                      "\",reason=\"" + std::string(NameOf(action.reason)) +
@@ -173,7 +278,22 @@
                    ClassLabel(held.arrived.request_class),
                    loop_.Now() - held.started_at);
   EndSpan(held, action);
-  held.respond(response);
+  held.respond(response, action);
+}
+
+// Another entry VM for a caller of this one, which is stopping.
+std::string EntryCore::NextEntryAddress() const {
+  const EntryVm* next = nullptr;
+  for (const EntryVm& entry : state_.live) {
+    if (entry.name == state_.self.name)
+      continue;
+    const bool nearer =
+        next == nullptr || (entry.region == state_.self.region &&
+                            next->region != state_.self.region);
+    if (nearer)
+      next = &entry;
+  }
+  return next == nullptr ? "" : next->caller_address;
 }
 
 void EntryCore::EndSpan(const HeldRequest& held, const AnswerCaller& answer) {
@@ -191,7 +311,8 @@
 }
 
 void EntryCore::Perform(const WriteClaims& action) {
-  platform_.WriteClaimRows(action);
+  platform_.WriteClaimRows(
+      action, [this](const WriteAnswered& answered) { Dispatch(answered); });
 }
 
 void EntryCore::Perform(const StoreResult& action) {
@@ -199,8 +320,27 @@
 }
 
 void EntryCore::Perform(const AskHome& action) {
-  Dispatch(HomeAnswered{.request = action.request,
-                        .reason = RefusalReason::kPeerUnreachable});
+  const auto found = held_.find(action.request);
+  if (found == held_.end())
+    return;
+  const ForwardedRequest request =
+      MakeForwarded(found->second.request, found->second.arrived,
+                    FormatTraceparent(found->second.context));
+  peers_.Execute(action.home, request,
+                 [this, action](const CallResult<ForwardedAnswer>& result) {
+                   HomeAnswered answered{
+                       .request = action.request,
+                       .reason = RefusalReason::kPeerUnreachable};
+                   answered.reached = result.outcome == CallOutcome::kAnswered;
+                   answered.sent = result.outcome != CallOutcome::kNotSent;
+                   answered.home_dead = fleet_.IsDead(action.home);
+                   if (answered.reached) {
+                     answered.verdict = result.value.verdict;
+                     answered.answer = result.value.answer;
+                     answered.reason = result.value.reason;
+                   }
+                   Dispatch(answered);
+                 });
 }
 
 void EntryCore::Perform(const WakeAt& action) {
--- a/Libraries/LibEntry/entry_core.h
+++ b/Libraries/LibEntry/entry_core.h
@@ -17,6 +17,8 @@
 #include "cicadadrum/steering/entry_state.h"
 #include "cicadadrum/telemetry/metrics.h"
 #include "cicadadrum/telemetry/trace.h"
+#include "fleet_link.h"
+#include "peer_link.h"
 #include "platform_link.h"
 
 namespace cicadadrum {
@@ -26,7 +28,8 @@
   RequestArrived arrived;
   HttpRequest request;
   std::map<std::uint32_t, HttpResponse> responses;  // By attempt.
-  std::function<void(const HttpResponse&)> respond;
+  // Called once, with the response and the answer that it was made from.
+  std::function<void(const HttpResponse&, const AnswerCaller&)> respond;
   std::optional<TraceContext> parent;
   TraceContext context;
   TimePoint started_at;
@@ -39,7 +42,10 @@
             const EntrySettings& settings,
             const Incarnation& incarnation);
 
-  void Start();
+  // Errors: kAddressInvalid, kBindFailed.
+  boost::leaf::result<void> Start();
+  // Accepts no new requests and tells the peers; `on_stopped` follows.
+  void Stop();
   void Dispatch(const Event& event);
 
   // Takes a caller's request. `respond` is called once with its response.
@@ -47,8 +53,13 @@
                    HttpRequest request,
                    std::function<void(const HttpResponse&)> respond);
 
+  // Takes a request that a peer passed to this entry VM as its key's home.
+  void TakeForwarded(const ForwardedRequest& request,
+                     std::function<void(const ForwardedAnswer&)> respond);
+
   std::uint64_t NewRequestId() { return next_request_++; }
   EntryState& state() { return state_; }
+  FleetLink& fleet() { return fleet_; }
   Metrics& metrics() { return metrics_; }
   std::function<void()> on_stopped;
 
@@ -66,6 +77,10 @@
   void Perform(const AskHome& action);
   void Perform(const WakeAt& action);
   void Perform(const Stopped& action);
+  void Hold(std::uint64_t id, HeldRequest held);
+  void PollServers();
+  std::string PeerAddress(const std::string& entry) const;
+  std::string NextEntryAddress() const;
   void EndSpan(const HeldRequest& held, const AnswerCaller& answer);
   HttpResponse MakeResponse(HeldRequest& held, const AnswerCaller& answer);
 
@@ -80,6 +95,9 @@
   Timer wake_timer_;
   BackendLink backends_;
   PlatformLink platform_;
+  PeerLink peers_;
+  FleetLink fleet_;
+  Timer servers_timer_;
   Metrics metrics_;
   SpanWriter spans_;
   Random random_;
--- a/Libraries/LibEntry/entry_server.cc
+++ b/Libraries/LibEntry/entry_server.cc
@@ -68,6 +68,7 @@
   void HandleClose(std::uint64_t id);
   HttpResponse Lookup(const HttpRequest& request);
   HttpResponse Status();
+  void ChangeMark(std::uint64_t id, const HttpRequest& request);
 };
 
 void EntryServer::Impl::Handle(std::uint64_t id, HttpRequest request) {
@@ -82,6 +83,8 @@
   }
   if (request.path == "/v1/lookup")
     return server.Respond(id, Lookup(request));
+  if (request.path == "/v1/leaving" && request.method == HttpMethod::kPost)
+    return ChangeMark(id, request);
   if (request.path == "/v1/status")
     return server.Respond(id, Status());
   if (request.path == "/metrics")
@@ -130,6 +133,38 @@
   return MakeJson(200, EncodeJson(answer.asReader()));
 }
 
+void EntryServer::Impl::ChangeMark(std::uint64_t id,
+                                   const HttpRequest& request) {
+  capnp::MallocMessageBuilder message;
+  const auto mark = DecodeJsonAs<schema::MarkLeaving>(
+      request.body, "mark", ErrorCode::kInvalidMessage, message);
+  const std::string server_name =
+      mark ? std::string(mark->getServer()) : std::string();
+  const auto& servers = core.state().servers;
+  const bool known = std::any_of(servers.begin(), servers.end(),
+                                 [&](const BackendServer& candidate) {
+                                   return candidate.name == server_name;
+                                 });
+  if (!known)
+    return server.Respond(
+        id, {.status = 400, .body = "not the name of a backend server\n"});
+  core.fleet().ChangeMark(
+      server_name, mark->getLeaving(),
+      [this, id](std::uint64_t sequence, bool recorded) {
+        if (sequence == 0)
+          return server.Respond(
+              id,
+              {.status = 503,
+               .body =
+                   "removing a mark needs the table, which did not answer\n"});
+        capnp::MallocMessageBuilder answer_message;
+        auto answer = answer_message.initRoot<schema::MarkAnswer>();
+        answer.setSequence(sequence);
+        answer.setRecordedInTable(recorded);
+        server.Respond(id, MakeJson(200, EncodeJson(answer.asReader())));
+      });
+}
+
 HttpResponse EntryServer::Impl::Status() {
   const EntryState& state = core.state();
   capnp::MallocMessageBuilder message;
@@ -174,13 +209,15 @@
                   impl_->server.Listen(impl_->settings.self.caller_address));
   LoggerFor("entry")->info("{} listens on port {}", impl_->settings.self.name,
                            port);
-  impl_->core.Start();
-  return {};
+  return impl_->core.Start();
 }
 
 void EntryServer::RequestStop(std::function<void()> on_stopped) {
-  impl_->core.on_stopped = std::move(on_stopped);
-  impl_->core.Dispatch(StopRequested{});
+  impl_->core.on_stopped = [impl = impl_.get(),
+                            on_stopped = std::move(on_stopped)] {
+    impl->server.WhenFlushed(on_stopped);
+  };
+  impl_->core.Stop();
 }
 
 }  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibEntry/fleet_link.cc
@@ -0,0 +1,231 @@
+// Drives LibMembership.
+
+#include "fleet_link.h"
+
+#include "cicadadrum/base/error.h"
+#include "cicadadrum/telemetry/log.h"
+#include "peer_codec.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A lost message is repaired by the next probe, so its call need not live
+// longer.
+constexpr Duration kMessageDeadline = Seconds(1);
+constexpr Duration kFetchDeadline = Seconds(1);
+
+std::string MarkKey(const std::string& server) {
+  return std::string(kLeavingPrefix) + server;
+}
+
+bool IsMarkedLeaving(const HeldItem* item) {
+  return item != nullptr && item->value != NameOf(MarkValue::kCleared);
+}
+
+std::vector<EntryVm> OtherEntries(const EntrySettings& settings) {
+  std::vector<EntryVm> others = settings.deployment.entries;
+  std::erase_if(others, [&](const EntryVm& entry) {
+    return entry.name == settings.self.name;
+  });
+  return others;
+}
+
+}  // namespace
+
+FleetLink::FleetLink(EventLoop& loop,
+                     const EntrySettings& settings,
+                     const Incarnation& incarnation,
+                     PeerClient& peers,
+                     PlatformLink& platform,
+                     EventSink sink)
+    : loop_(loop),
+      settings_(settings),
+      peers_(peers),
+      platform_(platform),
+      sink_(std::move(sink)),
+      state_(MakeMembershipState(settings.self,
+                                 incarnation.high,
+                                 OtherEntries(settings),
+                                 incarnation.low,
+                                 loop.Now())),
+      timer_(loop, [this] { Run(Tick{}); }) {}
+
+void FleetLink::Start() {
+  Run(Tick{});
+}
+
+void FleetLink::Leave() {
+  Run(LeaveRequested{});
+}
+
+void FleetLink::Run(const MembershipEvent& event) {
+  MembershipActions actions;
+  StepMembership(state_, event, loop_.Now(), actions);
+  for (const MembershipAction& action : actions)
+    std::visit([this](const auto& present) { Perform(present); }, action);
+  if (state_.marks_confirmed_at)
+    sink_(MarksConfirmed{*state_.marks_confirmed_at});
+}
+
+void FleetLink::Receive(const PeerInfo& sender, const PeerExchange& exchange) {
+  Run(MessageReceived{FromPeerExchange(sender, exchange)});
+}
+
+std::optional<PeerItem> FleetLink::FindPeerItem(const std::string& key,
+                                                std::uint64_t version) const {
+  const HeldItem* held = FindItem(state_, key);
+  if (held == nullptr || held->version != version)
+    return std::nullopt;
+  return PeerItem{key, held->version, held->body};
+}
+
+void FleetLink::HearFloor(std::uint64_t version) {
+  if (version > InForceVersion(state_))
+    Run(FloorHeard{version});
+}
+
+bool FleetLink::IsDead(const std::string& entry) const {
+  const Member* member = FindMember(state_, entry);
+  return member != nullptr && !IsLive(member->record.state) && !state_.isolated;
+}
+
+void FleetLink::ChangeMark(
+    const std::string& server,
+    bool leaving,
+    std::function<void(std::uint64_t sequence, bool recorded)> done) {
+  const std::string key = MarkKey(server);
+  const HeldItem* held = FindItem(state_, key);
+  const std::uint64_t former = held == nullptr ? 0 : held->version;
+  if (IsMarkedLeaving(held) == leaving)
+    return done(former,
+                held == nullptr || held->value != NameOf(MarkValue::kLeaving));
+  const std::uint64_t sequence = former + 1;
+  // A mark only takes work away, so it holds here and at the peers before the
+  // table has recorded it.
+  if (leaving)
+    Run(LocalChange{
+        .item = {key, sequence, std::string(NameOf(MarkValue::kLeaving))}});
+  platform_.WriteLeavingMark(
+      server, sequence, leaving,
+      [this, key, sequence, leaving, done](bool recorded) {
+        const MarkValue value =
+            leaving ? MarkValue::kLeavingRecorded : MarkValue::kCleared;
+        if (recorded)
+          Run(LocalChange{.item = {key, sequence, std::string(NameOf(value))}});
+        done(leaving || recorded ? sequence : 0, recorded);
+      });
+}
+
+void FleetLink::SetServers(std::vector<BackendServer> servers) {
+  servers_ = std::move(servers);
+  servers_known_ = true;
+  PublishServers();
+}
+
+// A server is leaving if the platform or an operator says so.
+void FleetLink::PublishServers() {
+  if (!servers_known_)
+    return;
+  ServersChanged changed{servers_};
+  for (BackendServer& server : changed.servers) {
+    if (IsMarkedLeaving(FindItem(state_, MarkKey(server.name))))
+      server.leaving = true;
+  }
+  sink_(changed);
+}
+
+void FleetLink::PublishMembers() {
+  sink_(MembersChanged{LiveMembers(state_, loop_.Now())});
+}
+
+void FleetLink::Perform(const SendMessage& action) {
+  peers_.Exchange(action.address, ToPeerExchange(action.message),
+                  loop_.Now() + kMessageDeadline,
+                  [](const CallResult<Acknowledged>& /*result*/) {});
+}
+
+void FleetLink::Perform(const MemberChanged& action) {
+  const MemberUpdate& record = action.record;
+  LoggerFor("member")->info("{} is {}", record.vm.name, NameOf(record.state));
+  PublishMembers();
+  if (!IsLive(record.state) || action.restarted)
+    sink_(PeerLost{record.vm.name});
+}
+
+void FleetLink::Perform(const IsolationChanged& action) {
+  LoggerFor("member")->warn("{} contact with the peers",
+                            action.isolated ? "lost" : "regained");
+  PublishMembers();
+}
+
+void FleetLink::Perform(const ItemAdopted& action) {
+  if (action.item.key == kConfigurationKey)
+    return AdoptConfiguration(action);
+  if (action.item.key.starts_with(kLeavingPrefix)) {
+    LoggerFor("member")->info("{} is {}", action.item.key, action.item.value);
+    PublishServers();
+  }
+}
+
+void FleetLink::AdoptConfiguration(const ItemAdopted& action) {
+  const std::string source =
+      "configuration version " + std::to_string(action.item.version);
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(
+            configuration,
+            ParseConfiguration(action.body, source, settings_.deployment));
+        configuration.version = action.item.version;
+        LoggerFor("member")->info("{} is in force", source);
+        sink_(ConfigurationAdopted{configuration});
+        return {};
+      },
+      [](const Error& error) {
+        LoggerFor("member")->error("{}", error.detail);
+      },
+      [] { LoggerFor("member")->error("configuration can't be read"); });
+}
+
+void FleetLink::Perform(const FetchItem& action) {
+  if (action.source == FetchSource::kStore) {
+    platform_.ReadBody(action.hash,
+                       [this, action](const std::optional<std::string>& body) {
+                         Run(ItemFetched{action.key, action.version,
+                                         body.has_value(), body.value_or("")});
+                       });
+    return;
+  }
+  peers_.FetchItem(
+      action.address, action.key, action.version, loop_.Now() + kFetchDeadline,
+      [this, action](const CallResult<std::optional<PeerItem>>& result) {
+        const bool found =
+            result.outcome == CallOutcome::kAnswered && result.value;
+        Run(ItemFetched{action.key, action.version, found,
+                        found ? result.value->value : ""});
+      });
+}
+
+void FleetLink::Perform(const ReadVersionRow& action) {
+  platform_.ReadItems(
+      action.with_marks,
+      [this, action](const std::optional<std::vector<ItemVersion>>& items) {
+        if (!items)
+          return Run(StoreReadFailed{});
+        Run(StoreRowRead{.items = *items, .with_marks = action.with_marks});
+      });
+}
+
+void FleetLink::Perform(const WriteMark& action) {
+  const std::string server = action.item.key.substr(kLeavingPrefix.size());
+  platform_.WriteLeavingMark(
+      server, action.item.version, true, [this, action](bool recorded) {
+        Run(MarkWritten{.item = action.item, .recorded = recorded});
+      });
+}
+
+void FleetLink::Perform(const MembershipWake& action) {
+  timer_.Schedule(action.at);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibEntry/peer_codec.h
@@ -0,0 +1,19 @@
+// Conversion between the messages of LibMembership and of LibPeer.
+
+#ifndef CICADADRUM_ENTRY_PEER_CODEC_H_
+#define CICADADRUM_ENTRY_PEER_CODEC_H_
+
+#include "cicadadrum/membership/events.h"
+#include "cicadadrum/peer/messages.h"
+
+namespace cicadadrum {
+
+PeerExchange ToPeerExchange(const ExchangeMessage& message);
+
+// `sender` is what the header of the call tells.
+ExchangeMessage FromPeerExchange(const PeerInfo& sender,
+                                 const PeerExchange& exchange);
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_ENTRY_PEER_CODEC_H_
--- /dev/null
+++ b/Libraries/LibEntry/peer_link.cc
@@ -0,0 +1,140 @@
+// Slot requests and forwarded requests between entry VMs.
+
+#include "peer_link.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A return that does not arrive is made up for by the end of the lease.
+constexpr Duration kReturnDeadline = Seconds(2);
+
+PeerSettings MakePeerSettings(
+    EventLoop& loop,
+    const EntrySettings& settings,
+    const Incarnation& incarnation,
+    std::function<std::uint64_t()> configuration_version) {
+  PeerSettings peer;
+  peer.name = settings.self.name;
+  peer.incarnation = incarnation;
+  peer.configuration_version = std::move(configuration_version);
+  peer.now = [&loop] { return loop.Now(); };
+  peer.seed = incarnation.low;
+  return peer;
+}
+
+Event ReadSlotAnswer(const AskPoolOwner& action,
+                     const CallResult<SlotAnswer>& result) {
+  if (result.outcome != CallOutcome::kAnswered)
+    return SlotRefused{
+        action.request, action.attempt, RefusalReason::kPeerUnreachable, {}};
+  if (const auto* grant = std::get_if<SlotGrant>(&result.value))
+    return SlotGranted{action.request, action.attempt, grant->lease,
+                       grant->server, grant->address};
+  const auto& refusal = std::get<SlotRefusal>(result.value);
+  return SlotRefused{action.request, action.attempt, refusal.reason,
+                     refusal.retry_after};
+}
+
+}  // namespace
+
+PeerLink::PeerLink(
+    EventLoop& loop,
+    const EntrySettings& settings,
+    const Incarnation& incarnation,
+    std::function<std::uint64_t()> configuration_version,
+    std::function<std::string(const std::string& entry)> find_address)
+    : loop_(loop),
+      listen_address_(settings.self.peer_address),
+      find_address_(std::move(find_address)),
+      kj_loop_(loop.base()),
+      peer_settings_(MakePeerSettings(loop,
+                                      settings,
+                                      incarnation,
+                                      std::move(configuration_version))),
+      client_(kj_loop_, peer_settings_) {}
+
+boost::leaf::result<void> PeerLink::Listen(PeerLinkHandlers handlers) {
+  PeerHandlers server_handlers;
+  server_handlers.request_slot = [handlers](const PeerInfo& /*sender*/,
+                                            const PoolKey& pool,
+                                            const SlotAsk& ask) {
+    handlers.dispatch(PeerAskedSlot{pool, ask});
+  };
+  server_handlers.cancel_slot = [handlers](const PoolKey& pool,
+                                           const std::string& entry,
+                                           std::uint64_t id) {
+    handlers.dispatch(PeerCancelledSlot{pool, entry, id});
+  };
+  server_handlers.return_slot = [handlers](const PeerInfo& /*sender*/,
+                                           const SlotReturn& returned) {
+    handlers.dispatch(PeerReturnedSlot{returned.pool, returned.lease,
+                                       returned.outcome, returned.latency});
+  };
+  server_handlers.execute = [this, handlers](std::uint64_t call,
+                                             const PeerInfo& /*sender*/,
+                                             const ForwardedRequest& request) {
+    handlers.execute(request, [this, call](const ForwardedAnswer& answer) {
+      server_->AnswerExecute(call, answer);
+    });
+  };
+  // The request goes on: its answer is kept for a repeat with the same key.
+  server_handlers.cancel_execute = [](std::uint64_t /*call*/) {};
+  server_handlers.exchange = [handlers](const PeerInfo& sender,
+                                        const PeerExchange& exchange) {
+    handlers.exchange(sender, exchange);
+  };
+  server_handlers.fetch_item = [handlers](const PeerInfo& /*sender*/,
+                                          const std::string& key,
+                                          std::uint64_t version) {
+    return handlers.find_item(key, version);
+  };
+  BOOST_LEAF_ASSIGN(
+      server_, PeerServer::Listen(kj_loop_, listen_address_, peer_settings_,
+                                  std::move(server_handlers)));
+  return {};
+}
+
+void PeerLink::StopAccepting() {
+  server_->StopAccepting();
+}
+
+void PeerLink::AskForSlot(const AskPoolOwner& action,
+                          std::function<void(const Event&)> done) {
+  const AttemptId id{action.request, action.attempt};
+  const auto answered = [this, id, action, done = std::move(done)](
+                            const CallResult<SlotAnswer>& result) {
+    slot_calls_.erase(id);
+    done(ReadSlotAnswer(action, result));
+  };
+  slot_calls_[id] = client_.RequestSlot(find_address_(action.owner),
+                                        action.pool, action.ask, answered);
+}
+
+void PeerLink::CancelSlot(const CancelAtPoolOwner& action) {
+  const auto found = slot_calls_.find({action.request, action.attempt});
+  if (found == slot_calls_.end())
+    return;
+  client_.Cancel(found->second);
+  slot_calls_.erase(found);
+}
+
+void PeerLink::ReturnSlot(const ReturnToPoolOwner& action) {
+  client_.ReturnSlot(
+      find_address_(action.owner),
+      {action.pool, action.lease, action.outcome, action.latency},
+      loop_.Now() + kReturnDeadline,
+      [](const CallResult<Acknowledged>& /*result*/) {});
+}
+
+bool PeerLink::AnswerSlot(const AnswerPeer& action) {
+  return server_->AnswerSlot(action.pool, action.answer);
+}
+
+CallId PeerLink::Execute(const std::string& entry,
+                         const ForwardedRequest& request,
+                         CallDone<ForwardedAnswer> done) {
+  return client_.Execute(find_address_(entry), request, std::move(done));
+}
+
+}  // namespace cicadadrum
--- a/Libraries/LibEntry/platform_link.h
+++ b/Libraries/LibEntry/platform_link.h
@@ -1,48 +1,62 @@
-// Reads of the configuration and the VM list from the platform, and writes of
-// claims.
+// Reads of the configuration, the leaving marks and the VM list from the
+// platform, and writes of claims and marks.
 
 #ifndef CICADADRUM_ENTRY_PLATFORM_LINK_H_
 #define CICADADRUM_ENTRY_PLATFORM_LINK_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "cicadadrum/claim/claim.h"
 #include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/loop/http_client.h"
-#include "cicadadrum/steering/events.h"
+#include "cicadadrum/membership/item.h"
+#include "cicadadrum/model/deployment.h"
 
 namespace cicadadrum {
 
+// Every callback is called once. Nothing is decided here: an answer that is
+// missing is reported as such.
 class PlatformLink {
  public:
-  using EventSink = std::function<void(const Event&)>;
+  PlatformLink(EventLoop& loop, const Deployment& deployment);
 
-  // `sink` receives ConfigurationAdopted, ServersChanged and WriteAnswered.
-  PlatformLink(EventLoop& loop, const Deployment& deployment, EventSink sink);
+  void ReadServers(
+      std::function<void(const std::optional<std::vector<BackendServer>>&)>
+          done);
 
-  void Start();
-  void WriteClaimRows(const WriteClaims& write);
+  // Reads the version row and, if `with_marks`, the rows of the leaving marks.
+  void ReadItems(
+      bool with_marks,
+      std::function<void(const std::optional<std::vector<ItemVersion>>&)> done);
+
+  void ReadBody(const std::string& hash,
+                std::function<void(const std::optional<std::string>&)> done);
+
+  // Writes a mark unless the table has one with this sequence or a higher one.
+  // `recorded` tells whether the table now has a mark with at least this
+  // sequence.
+  void WriteLeavingMark(const std::string& server,
+                        std::uint64_t sequence,
+                        bool leaving,
+                        std::function<void(bool recorded)> done);
+
+  void WriteClaimRows(const WriteClaims& write,
+                      std::function<void(const WriteAnswered&)> done);
   void StoreClaimResult(const StoreResult& result);
 
  private:
-  void Poll();
-  void ReadServers();
-  void ReadVersionRow();
-  void ReadBody(std::uint64_t version, const std::string& hash);
   void Get(const std::string& target,
-           std::function<void(const std::string& body)> callback);
+           std::function<void(const std::optional<std::string>& body)> done);
   void Post(const std::string& target,
             std::string body,
             HttpClient::Callback callback);
 
   EventLoop& loop_;
   const Deployment& deployment_;
-  EventSink sink_;
   HttpClient client_;
-  Timer poll_timer_;
-  std::uint64_t version_ =
-      0;  // Newest configuration version passed to the sink.
 };
 
 }  // namespace cicadadrum
--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -26,6 +26,8 @@
 // round of the loop.
 constexpr Duration kAcceptPause = Milliseconds(100);
 
+constexpr Duration kMaxFlushTime = Seconds(1);
+
 constexpr auto kMethods =
     std::to_array<std::pair<evhttp_cmd_type, HttpMethod>>({
         {EVHTTP_REQ_GET, HttpMethod::kGet},
@@ -107,10 +109,13 @@
   std::map<std::uint64_t, Pending>
       pending;  // Nodes of a map keep their address.
   std::uint64_t next_id = 1;
+  std::uint64_t unsent = 0;  // Responses not yet handed to the kernel.
+  std::unique_ptr<Timer> flush_timer;
   HttpServerCounters counters;
 
   void Accept(evhttp_request* source);
   void WatchClose(Pending& entry);
+  void CountSent();
   static void ForgetClose(Pending& entry);
 };
 
@@ -149,6 +154,13 @@
   evhttp_connection_set_closecb(connection, freed, &entry);
 }
 
+void HttpServer::Impl::CountSent() {
+  if (unsent > 0)
+    --unsent;
+  if (unsent == 0 && flush_timer != nullptr)
+    flush_timer->Schedule(loop.Now());
+}
+
 void HttpServer::Impl::ForgetClose(Pending& entry) {
   if (entry.closed_event == nullptr)
     return;
@@ -225,6 +237,13 @@
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
   impl_->pending.erase(found);
   WriteFields(response.headers, evhttp_request_get_output_headers(request));
+  if (connection != nullptr) {
+    const auto sent = [](evhttp_request* /*request*/, void* argument) {
+      static_cast<Impl*>(argument)->CountSent();
+    };
+    ++impl_->unsent;
+    evhttp_request_set_on_complete_cb(request, sent, impl_.get());
+  }
   evbuffer* body = evbuffer_new();
   evbuffer_add(body, response.body.data(), response.body.size());
   evhttp_send_reply(request, response.status, nullptr, body);
@@ -245,6 +264,15 @@
   evhttp_connection_free(connection);
 }
 
+void HttpServer::WhenFlushed(std::function<void()> callback) {
+  impl_->flush_timer =
+      std::make_unique<Timer>(impl_->loop, std::move(callback));
+  // A response to a connection that is lost while it is written is never
+  // reported as sent, hence the bound.
+  const Duration wait = impl_->unsent == 0 ? Duration::zero() : kMaxFlushTime;
+  impl_->flush_timer->Schedule(impl_->loop.Now() + wait);
+}
+
 const HttpServerCounters& HttpServer::counters() const {
   return impl_->counters;
 }
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
@@ -57,6 +57,10 @@
   // Closes the connection of the request `id` without an answer.
   void Abort(std::uint64_t id);
 
+  // Calls `callback` once all responses have been handed to the kernel, at most
+  // after one second.
+  void WhenFlushed(std::function<void()> callback);
+
   const HttpServerCounters& counters() const;
 
  private:
--- a/Libraries/LibSteering/admission.cc
+++ b/Libraries/LibSteering/admission.cc
@@ -31,7 +31,7 @@
 RefusalReason CheckAdmission(const EntryState& state,
                              const RequestArrived& arrived,
                              TimePoint now) {
-  if (state.stopping)
+  if (now >= state.stop_at)
     return RefusalReason::kStopping;
   if (!IsReady(state))
     return RefusalReason::kNotReady;
--- a/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
@@ -73,7 +73,7 @@
       0;                      // Highest version any caller or peer has named.
   std::vector<EntryVm> live;  // Live entry VMs, with this one.
   std::vector<BackendServer> servers;
-  TimePoint servers_confirmed_at;  // When `servers` was last confirmed.
+  TimePoint marks_confirmed_at;  // Latest MarksConfirmed.
   bool servers_known = false;
   std::map<PoolKey, Pool> pools;  // Pools this entry VM owns or has owned.
   std::map<std::uint64_t, Request> requests;
@@ -82,6 +82,8 @@
   RetryBudget retry_budget;
   ClaimState claims;
   bool stopping = false;
+  // New requests are accepted until then, so that callers can move first.
+  TimePoint stop_at = kNever;
   bool stop_reported = false;
 };
 
--- a/Libraries/LibSteering/include/cicadadrum/steering/events.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/events.h
@@ -116,6 +116,11 @@
   std::vector<BackendServer> servers;
 };
 
+// The leaving marks in `servers` were known to be current at this time.
+struct MarksConfirmed {
+  TimePoint at;
+};
+
 struct StopRequested {};
 struct TimerExpired {};
 
@@ -134,6 +139,7 @@
                            ConfigurationAdopted,
                            MembersChanged,
                            ServersChanged,
+                           MarksConfirmed,
                            StopRequested,
                            TimerExpired>;
 
--- a/Libraries/LibSteering/pool_flow.cc
+++ b/Libraries/LibSteering/pool_flow.cc
@@ -80,6 +80,9 @@
     return found->second;
   Pool& pool = state.pools[key];
   pool.key = key;
+  // A restarted owner must not give out a lease number that an earlier run gave
+  // out, because a late return would then free another request's slot.
+  pool.next_lease = NextRandom(state.random);
   PoolActions pool_actions;
   UpdatePoolServers(pool, ServersOf(state, key), now, pool_actions);
   ApplyPoolActions(state, key, std::move(pool_actions), now, actions);
@@ -212,7 +215,6 @@
                   Actions& actions) {
   state.servers = changed.servers;
   state.servers_known = true;
-  state.servers_confirmed_at = now;
   for (auto& [key, pool] : state.pools) {
     PoolActions pool_actions;
     UpdatePoolServers(pool, ServersOf(state, key), now, pool_actions);
--- a/Libraries/LibSteering/routing.cc
+++ b/Libraries/LibSteering/routing.cc
@@ -61,7 +61,7 @@
 const BackendServer* ChooseDirectServer(const EntryState& state,
                                         const PoolKey& pool,
                                         TimePoint now) {
-  if (now - state.servers_confirmed_at > kLeavingBound)
+  if (now - state.marks_confirmed_at > kLeavingBound)
     return nullptr;
   std::vector<std::string> names;
   for (const EntryVm& entry : state.live)
--- a/Libraries/LibSteering/step.cc
+++ b/Libraries/LibSteering/step.cc
@@ -11,6 +11,10 @@
 
 namespace {
 
+// While it stops, an entry VM serves new requests for this long and names
+// another entry VM in its answers.
+constexpr Duration kStopGrace = Seconds(2);
+
 struct EventHandler {
   EntryState& state;
   TimePoint now;
@@ -62,8 +66,13 @@
   void operator()(const ServersChanged& event) const {
     ApplyServers(state, event, now, actions);
   }
+  void operator()(const MarksConfirmed& event) const {
+    state.marks_confirmed_at = std::max(state.marks_confirmed_at, event.at);
+  }
   void operator()(const StopRequested& /*event*/) const {
     state.stopping = true;
+    state.stop_at = now + kStopGrace;
+    actions.push_back(WakeAt{state.stop_at});
   }
   void operator()(const TimerExpired& /*event*/) const {
     ExpireRequests(state, now, actions);
@@ -112,7 +121,7 @@
           TimePoint now,
           Actions& actions) {
   std::visit(EventHandler{state, now, actions}, event);
-  if (state.stopping && state.requests.empty() && !state.stop_reported) {
+  if (now >= state.stop_at && state.requests.empty() && !state.stop_reported) {
     state.stop_reported = true;
     actions.push_back(Stopped{});
   }
--- a/Schemas/demonstration.capnp
+++ b/Schemas/demonstration.capnp
@@ -18,6 +18,6 @@
 struct Mix {
   deploymentFile @0 :Text;  # Relative to this file.
   vmsFile @1 :Text;  # Relative to this file; lists the backend servers.
-  leavingServer @2 :Text;  # Marked as leaving after a third of the run.
+  leavingService @2 :Text;  # Its busiest server is marked as leaving after a third of the run.
   streams @3 :List(Stream);
 }
--- a/Services/EntryServer/main.cc
+++ b/Services/EntryServer/main.cc
@@ -1,5 +1,6 @@
 // cicadadrum-entry: the daemon of every entry VM.
 
+#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -17,12 +18,15 @@
 namespace leaf = boost::leaf;
 namespace po = boost::program_options;
 
-Incarnation RandomIncarnation() {
+// The high half grows with each start, so that peers can tell the newer run;
+// the low half makes it unique.
+Incarnation NewIncarnation() {
   std::random_device device;
-  const auto draw = [&device] {
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-  };
-  return {draw(), draw()};
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto microseconds =
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+  return {static_cast<std::uint64_t>(microseconds),
+          (static_cast<std::uint64_t>(device()) << 32) | device()};
 }
 
 leaf::result<ExitCode> Run(const po::variables_map& values) {
@@ -40,7 +44,7 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
-  EntryServer server(loop, settings, RandomIncarnation());
+  EntryServer server(loop, settings, NewIncarnation());
   BOOST_LEAF_CHECK(server.Start());
   const auto stop = [&] { server.RequestStop([&loop] { loop.Stop(); }); };
   const SignalWatcher on_term(loop, SIGTERM, stop);
--- a/Services/FakePlatform/main.cc
+++ b/Services/FakePlatform/main.cc
@@ -83,6 +83,20 @@
     WriteRow(row, key, state.rows[key]);
     return Json(EncodeJson(row.asReader()));
   }
+  if (request.path == "/table/scan") {
+    const std::string prefix(FindField(request.query, "prefix"));
+    std::vector<std::pair<std::string, Row>> found;
+    for (const auto& [key, row] : state.rows) {
+      if (key.starts_with(prefix) && row.version > 0)
+        found.emplace_back(key, row);
+    }
+    capnp::MallocMessageBuilder message;
+    auto list = message.initRoot<schema::RowList>().initRows(
+        static_cast<unsigned>(found.size()));
+    for (unsigned i = 0; i < list.size(); ++i)
+      WriteRow(list[i], found[i].first, found[i].second);
+    return Json(EncodeJson(message.getRoot<schema::RowList>().asReader()));
+  }
   if (request.path.starts_with("/objects/")) {
     if (request.method == HttpMethod::kPut)
       state.objects[request.path] = request.body;
