--- a/Utilities/Demonstration/main.cc
+++ b/Utilities/Demonstration/main.cc
@@ -27,6 +27,24 @@
   loop.Run();
 }
 
+// Returns the server of `service` that has begun the most requests, because
+// only a server that carries work shows whether it drains.
+std::string BusiestServer(EventLoop& loop,
+                          const std::vector<BackendServer>& servers,
+                          const std::string& service) {
+  const auto observations = ObserveServers(loop, servers);
+  std::string busiest;
+  std::uint64_t most = 0;
+  for (const BackendServer& server : servers) {
+    const std::uint64_t begun = observations.at(server.name).begun;
+    if (server.service != service || begun <= most)
+      continue;
+    busiest = server.name;
+    most = begun;
+  }
+  return busiest;
+}
+
 leaf::result<ExitCode> Run(const po::variables_map& values) {
   BOOST_LEAF_AUTO(mix, LoadMix(values["settings"].as<std::string>()));
   const Duration length = Seconds(values["seconds"].as<int>());
@@ -35,8 +53,10 @@
   Load load(loop, mix);
   load.Start();
   RunFor(loop, length / 3);
+  const std::string leaving =
+      BusiestServer(loop, mix.servers, mix.leaving_service);
   const TimePoint marked_at = loop.Now();
-  if (!MarkLeaving(loop, mix.deployment.entries, mix.leaving_server))
+  if (!MarkLeaving(loop, mix.deployment.entries, leaving))
     return leaf::new_error(Error{ErrorCode::kUnavailable,
                                  "no entry VM accepted the leaving mark"});
   RunFor(loop, length - length / 3);
@@ -44,7 +64,7 @@
   const TimePoint wait_end = loop.Now() + kMaxWait;
   while (load.in_progress() > 0 && loop.Now() < wait_end)
     RunFor(loop, kWaitStep);
-  RunRecord record{.load = load.result(), .leaving_server = mix.leaving_server};
+  RunRecord record{.load = load.result(), .leaving_server = leaving};
   record.servers = ObserveServers(loop, mix.servers);
   record.mark_to_end = loop.Now() - marked_at;
   record.entries = ObserveEntries(loop, mix.deployment.entries);
--- a/Utilities/Demonstration/mix.cc
+++ b/Utilities/Demonstration/mix.cc
@@ -41,7 +41,7 @@
   BOOST_LEAF_AUTO(root, DecodeJsonAs<schema::Mix>(
                             text, path, ErrorCode::kInvalidSettings, message));
   const auto folder = std::filesystem::path(path).parent_path();
-  Mix mix{.leaving_server = root.getLeavingServer()};
+  Mix mix{.leaving_service = root.getLeavingService()};
   BOOST_LEAF_ASSIGN(
       mix.deployment,
       LoadDeployment((folder / root.getDeploymentFile().cStr()).string()));
--- a/Utilities/Demonstration/mix.h
+++ b/Utilities/Demonstration/mix.h
@@ -26,7 +26,7 @@
 struct Mix {
   Deployment deployment;
   std::vector<BackendServer> servers;
-  std::string leaving_server;
+  std::string leaving_service;
   std::vector<Stream> streams;
 };
 
--- a/Utilities/Demonstration/report.cc
+++ b/Utilities/Demonstration/report.cc
@@ -92,8 +92,10 @@
   std::array<char, 96> figure{};
   std::snprintf(
       figure.data(), figure.size(),
-      "last new work %.0f ms after the mark, %u in progress at the end",
+      "%llu begun, last %.0f ms after the mark; %llu cut, %u in progress",
+      static_cast<unsigned long long>(found->second.begun),
       Milliseconds(std::max(last_begun, Duration::zero())),
+      static_cast<unsigned long long>(found->second.cancelled),
       found->second.in_flight);
   return {"the leaving server gets no new work after 5 s and drains", held,
           figure.data()};
