--- /dev/null
+++ b/Tests/LibShift/test_planner.cc
@@ -0,0 +1,293 @@
+// Tests of the planner against an independent check and a planner that tries
+// every combination of moves.
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cicadadrum/base/random.h"
+#include "cicadadrum/shift/planner.h"
+
+namespace cicadadrum {
+
+namespace {
+
+const std::string kService = "lookup-svc";
+const std::array<std::string, 3> kRegions = {"hobart", "launceston", "burnie"};
+constexpr TimePoint kNow{Seconds(1000)};
+using Shares = std::array<double, 3>;
+
+// Two demands, three regions: small enough to try every combination.
+struct Case {
+  ShiftInput input;
+  ShiftPlan previous;
+};
+
+double ShareOf(const Split& split, std::size_t region) {
+  return static_cast<double>(PartsOf(split, kRegions[region])) / kWholeSplit;
+}
+
+Split RandomSplit(Random& random) {
+  Split split;
+  const auto a = static_cast<std::uint32_t>(RandomBelow(random, 11) * 100'000);
+  const auto b = static_cast<std::uint32_t>(
+      RandomBelow(random, (kWholeSplit - a) / 100'000 + 1) * 100'000);
+  split[kRegions[0]] = a;
+  split[kRegions[1]] = b;
+  split[kRegions[2]] = kWholeSplit - a - b;
+  return split;
+}
+
+TimePoint RandomAge(Random& random) {
+  return kNow - (RandomBelow(random, 8) == 0 ? Seconds(60) : Seconds(1));
+}
+
+Case RandomCase(std::uint64_t seed) {
+  Random random{seed};
+  Case result;
+  ShiftInput& input = result.input;
+  input.regions = {kRegions.begin(), kRegions.end()};
+  input.limits = MakeShiftLimits(20, Seconds(10));
+  input.max_age = Seconds(5);
+  input.services = {{kService, 2'000, 100'000}};
+  for (std::size_t i = 0; i < 2; ++i) {
+    const SplitKey key{kRegions[i], kService};
+    input.demands.push_back({key, 200 + RandomBelow(random, 1000),
+                             RandomSplit(random), RandomAge(random)});
+    if (RandomBelow(random, 2) == 0)
+      result.previous.targets[key].target = RandomSplit(random);
+  }
+  std::map<std::pair<std::string, std::string>, std::uint64_t> used;
+  for (std::size_t r = 0; r < kRegions.size(); ++r) {
+    PoolMeasurement pool{.pool = {kRegions[r], kService}};
+    pool.domains = {{"a", RandomBelow(random, 1200)},
+                    {"b", RandomBelow(random, 1200)}};
+    pool.cold_cost_parts = kWholeSplit + static_cast<std::uint32_t>(
+                                             RandomBelow(random, kWholeSplit));
+    pool.cold_load = RandomBelow(random, 100);
+    pool.lost = RandomBelow(random, 10) == 0;
+    pool.measured_at = RandomAge(random);
+    for (const DemandMeasurement& demand : input.demands)
+      pool.load += static_cast<std::uint64_t>(static_cast<double>(demand.load) *
+                                              ShareOf(demand.in_force, r));
+    input.pools.push_back(pool);
+  }
+  for (const std::string& from : kRegions) {
+    for (const std::string& to : kRegions) {
+      if (from != to)
+        input.links.push_back({from, to, 300'000'000,
+                               RandomBelow(random, 300'000'000),
+                               RandomAge(random)});
+    }
+  }
+  return result;
+}
+
+bool IsFresh(const Case& c, TimePoint at) {
+  return kNow - at <= c.input.max_age;
+}
+
+double BoundOf(const PoolMeasurement& pool) {
+  if (pool.lost)
+    return 0;
+  return static_cast<double>(
+      std::min(pool.domains[0].capacity, pool.domains[1].capacity));
+}
+
+// What a demand may come to hold in a region while entry VMs walk.
+double HeldOf(const Case& c, std::size_t demand, std::size_t region) {
+  const DemandMeasurement& measured = c.input.demands[demand];
+  const auto granted = c.previous.targets.find(measured.key);
+  const double share = ShareOf(measured.in_force, region);
+  return granted == c.previous.targets.end()
+             ? share
+             : std::max(share, ShareOf(granted->second.target, region));
+}
+
+// The safety rules, stated anew. `slack` covers rounding to whole parts.
+bool IsSafe(const Case& c, const std::array<Shares, 2>& plan, double slack) {
+  std::map<std::pair<std::size_t, std::size_t>, double> bits;
+  for (std::size_t r = 0; r < 3; ++r) {
+    const PoolMeasurement& pool = c.input.pools[r];
+    const double cold = static_cast<double>(pool.cold_cost_parts) / kWholeSplit;
+    double in_force = 0;
+    double granted = 0;
+    double growth = 0;
+    double target = 0;
+    double increase = 0;
+    for (std::size_t d = 0; d < 2; ++d) {
+      const DemandMeasurement& demand = c.input.demands[d];
+      const auto load = static_cast<double>(demand.load);
+      const double now = ShareOf(demand.in_force, r);
+      const double held = HeldOf(c, d, r);
+      const double more = std::max(0.0, plan[d][r] - held) * load;
+      in_force += now * load;
+      granted += (held - now) * load;
+      growth += more;
+      target += plan[d][r] * load;
+      increase += std::max(0.0, plan[d][r] - now) * load;
+      if (r != d) {
+        bits[{d, r}] += (more + (held - now) * load) * 2'000;
+        bits[{r, d}] += (more + (held - now) * load) * 100'000;
+      }
+    }
+    const double bound = BoundOf(pool);
+    if (increase > slack && target > bound + slack)
+      return false;
+    if (growth <= slack)
+      continue;
+    const double warming = static_cast<double>(pool.cold_load) * (cold - 1);
+    if (!IsFresh(c, pool.measured_at) ||
+        in_force + (granted + growth) * cold + warming > bound + slack * 4)
+      return false;
+  }
+  for (std::size_t d = 0; d < 2; ++d) {
+    double moved = 0;
+    for (std::size_t r = 0; r < 3; ++r)
+      moved +=
+          std::max(0.0, plan[d][r] - ShareOf(c.input.demands[d].in_force, r));
+    const bool fresh = IsFresh(c, c.input.demands[d].measured_at);
+    if (moved > (fresh ? 0.2 : 0) + 1e-6)
+      return false;
+    for (std::size_t r = 0; r < 3; ++r) {
+      const double more = (plan[d][r] - HeldOf(c, d, r)) *
+                          static_cast<double>(c.input.demands[d].load);
+      if (r == d || more <= slack)
+        continue;
+      for (const LinkMeasurement& link : c.input.links) {
+        const bool out = link.from == kRegions[d] && link.to == kRegions[r];
+        const bool back = link.from == kRegions[r] && link.to == kRegions[d];
+        if (!out && !back)
+          continue;
+        const double need = out ? bits[{d, r}] : bits[{r, d}];
+        const double free = static_cast<double>(link.capacity_bits) * 0.8 -
+                            static_cast<double>(link.used_bits);
+        if (!IsFresh(c, link.measured_at) || need > free + slack * 100'000)
+          return false;
+      }
+    }
+  }
+  return true;
+}
+
+// Work above the bounds of the pools: what a step should reduce.
+double OverloadOf(const Case& c, const std::array<Shares, 2>& plan) {
+  double sum = 0;
+  for (std::size_t r = 0; r < 3; ++r) {
+    double load = 0;
+    for (std::size_t d = 0; d < 2; ++d)
+      load += plan[d][r] * static_cast<double>(c.input.demands[d].load);
+    sum += std::max(0.0, load - BoundOf(c.input.pools[r]));
+  }
+  return sum;
+}
+
+// Every split of a demand within the cap, in steps of 4% of its traffic.
+std::vector<Shares> Choices(const DemandMeasurement& demand) {
+  std::vector<Shares> found;
+  for (int a = -5; a <= 5; ++a) {
+    for (int b = -5; b <= 5; ++b) {
+      const std::array<int, 3> moved = {a, b, -a - b};
+      Shares shares;
+      bool valid = true;
+      for (std::size_t r = 0; r < 3; ++r) {
+        shares[r] = ShareOf(demand.in_force, r) + moved[r] * 0.04;
+        valid = valid && shares[r] >= -1e-9;
+      }
+      if (valid)
+        found.push_back(shares);
+    }
+  }
+  return found;
+}
+
+double BestOverload(const Case& c, const std::array<Shares, 2>& start) {
+  double best = OverloadOf(c, start);
+  for (const Shares& first : Choices(c.input.demands[0])) {
+    for (const Shares& second : Choices(c.input.demands[1])) {
+      const std::array<Shares, 2> plan = {first, second};
+      const double overload = OverloadOf(c, plan);
+      if (overload < best && IsSafe(c, plan, 1e-3))
+        best = overload;
+    }
+  }
+  return best;
+}
+
+std::array<Shares, 2> SharesOf(const Case& c, const ShiftPlan* plan) {
+  std::array<Shares, 2> shares;
+  for (std::size_t d = 0; d < 2; ++d) {
+    const DemandMeasurement& demand = c.input.demands[d];
+    const Split& split =
+        plan == nullptr ? demand.in_force : plan->targets.at(demand.key).target;
+    for (std::size_t r = 0; r < 3; ++r)
+      shares[d][r] = ShareOf(split, r);
+  }
+  return shares;
+}
+
+}  // namespace
+
+// Guards against a decision that overloads a region or a link (I2), moves more
+// than the cap, or trusts old measurements; and against a planner that leaves
+// much undone that could have been done.
+TEST_CASE("a plan is as safe as the brute-force planner's and near its best") {
+  double possible = 0;
+  double done = 0;
+  double worst = 1;
+  int cases = 0;
+  CHECK(rc::check("planner", [&] {
+    const Case c = RandomCase(*rc::gen::arbitrary<std::uint64_t>());
+    const ShiftPlan plan = PlanShift(c.input, c.previous, kNow);
+    const auto start = SharesOf(c, nullptr);
+    const auto chosen = SharesOf(c, &plan);
+    for (const auto& [key, target] : plan.targets)
+      RC_ASSERT(IsWholeSplit(target.target));
+    RC_ASSERT(IsSafe(c, chosen, 0.01));
+    const double before = OverloadOf(c, start);
+    const double best = before - BestOverload(c, start);
+    const double ours = before - OverloadOf(c, chosen);
+    RC_ASSERT(ours >= -0.01);
+    if (best <= 1)
+      return;
+    possible += best;
+    done += std::min(ours, best);
+    worst = std::min(worst, ours / best);
+    ++cases;
+  }));
+  std::printf(
+      "planner: %d cases with work to move, %.1f%% of the best in steps of "
+      "4%%, "
+      "worst case %.1f%%\n",
+      cases, 100 * done / possible, 100 * worst);
+  CHECK(done / possible > 0.9);
+}
+
+// Guards against ceilings that together permit more than a region can take.
+TEST_CASE("the ceilings of all demands fit into each region") {
+  CHECK(rc::check("ceilings", [] {
+    const Case c = RandomCase(*rc::gen::arbitrary<std::uint64_t>());
+    const ShiftPlan plan = PlanShift(c.input, c.previous, kNow);
+    for (std::size_t r = 0; r < 3; ++r) {
+      double before = 0;
+      double most = 0;
+      for (std::size_t d = 0; d < 2; ++d) {
+        const DemandMeasurement& demand = c.input.demands[d];
+        const auto load = static_cast<double>(demand.load);
+        const SplitTarget& target = plan.targets.at(demand.key);
+        before += load * std::max(HeldOf(c, d, r), ShareOf(target.target, r));
+        most += load * std::max(HeldOf(c, d, r), ShareOf(target.ceiling, r));
+      }
+      RC_ASSERT(most <= std::max(before, BoundOf(c.input.pools[r])) + 0.01);
+    }
+  }));
+}
+
+}  // namespace cicadadrum
