--- /dev/null
+++ b/Libraries/LibLookup/block_table.cc
@@ -0,0 +1,214 @@
+// Look-up and updates of the table of client blocks.
+
+#include "cicadadrum/lookup/block_table.h"
+
+#include <algorithm>
+#include <bit>
+#include <iterator>
+#include <utility>
+
+#include "page.h"
+#include "spread.h"
+
+namespace cicadadrum {
+
+namespace {
+
+bool Contains(const BlockEntry& block, std::uint64_t address) {
+  return ((block.bits ^ address) & MaskOf(block.length)) == 0;
+}
+
+// Finds the last block that is not after (`bits`, `length`) in the order of
+// address and length.
+bool FindLast(const BlockFamily& family,
+              std::uint64_t bits,
+              std::uint8_t length,
+              BlockEntry& found) {
+  const auto next =
+      std::upper_bound(family.firsts.begin(), family.firsts.end(), bits);
+  auto index = static_cast<std::size_t>(next - family.firsts.begin());
+  while (index > 0) {
+    const BlockPage& page = *family.pages[--index];
+    std::size_t count = CountUpTo(page, bits);
+    while (count > 0) {
+      found = EntryAt(page, --count);
+      if (found.bits != bits || found.length <= length)
+        return true;
+    }
+  }
+  return false;
+}
+
+// Finds the longest block that contains `address`. Blocks are nested or
+// disjoint, and a block that contains the address is not after it. So the last
+// block up to the address is the answer, or the answer contains that block too
+// and is no longer than what both have in common.
+bool FindLongest(const BlockFamily& family,
+                 std::uint64_t address,
+                 BlockEntry& found) {
+  std::uint64_t bits = address;
+  std::uint8_t length = 64;
+  while (FindLast(family, bits, length, found)) {
+    if (Contains(found, address))
+      return true;
+    const int common = std::countl_zero(found.bits ^ address);
+    length = static_cast<std::uint8_t>(common);
+    bits = address & MaskOf(length);
+  }
+  return false;
+}
+
+bool IsValid(const ClientBlock& block) {
+  const int longest = block.family == AddressFamily::kIpv4 ? 32 : 64;
+  return block.length <= longest && (block.bits & ~MaskOf(block.length)) == 0;
+}
+
+UpdateOutcome CheckUpdate(const BlockTable& table, const BlockUpdate& update) {
+  if (update.base != table.version || update.version < update.base)
+    return UpdateOutcome::kOtherBase;
+  for (const BlockChange& change : update.changes) {
+    if (!IsValid(change.block))
+      return UpdateOutcome::kInvalidBlock;
+  }
+  return UpdateOutcome::kApplied;
+}
+
+using ChangeIterator = std::vector<BlockChange>::const_iterator;
+
+// Merges sorted changes into sorted entries.
+std::vector<BlockEntry> MergeChanges(const std::vector<BlockEntry>& entries,
+                                     ChangeIterator change,
+                                     ChangeIterator end) {
+  std::vector<BlockEntry> merged;
+  merged.reserve(entries.size() + static_cast<std::size_t>(end - change));
+  const auto is_before = [](const BlockEntry& entry, const BlockChange& other) {
+    return std::pair(entry.bits, entry.length) <
+           std::pair(other.block.bits, other.block.length);
+  };
+  auto entry = entries.begin();
+  for (; change != end; ++change) {
+    while (entry != entries.end() && is_before(*entry, *change))
+      merged.push_back(*entry++);
+    const ClientBlock& block = change->block;
+    if (entry != entries.end() && entry->bits == block.bits &&
+        entry->length == block.length)
+      ++entry;
+    if (change->site != kNoSite)
+      merged.push_back({block.bits, block.length, change->site});
+  }
+  merged.insert(merged.end(), entry, entries.end());
+  return merged;
+}
+
+// Appends `entries` to the family as pages of equal size.
+void AppendPages(BlockFamily& family, const std::vector<BlockEntry>& entries) {
+  const std::size_t pages = (entries.size() + kPageBlocks - 1) / kPageBlocks;
+  std::size_t first = 0;
+  for (std::size_t page = 1; page <= pages && first < entries.size(); ++page) {
+    std::size_t last = std::max(entries.size() * page / pages, first + 1);
+    while (last < entries.size() &&
+           entries[last].bits == entries[last - 1].bits)
+      ++last;
+    family.firsts.push_back(entries[first].bits);
+    family.pages.push_back(EncodePage(&entries[first], last - first));
+    first = last;
+  }
+  family.blocks += entries.size();
+}
+
+// Takes over the old pages one after the other and replaces those that have
+// changes, so that only one page at a time exists twice.
+void ApplyToFamily(BlockFamily& family,
+                   ChangeIterator change,
+                   ChangeIterator end) {
+  BlockFamily old = std::exchange(family, {});
+  family.firsts.reserve(old.firsts.size() + 1);
+  family.pages.reserve(old.pages.size() + 1);
+  std::vector<BlockEntry> entries;
+  for (std::size_t i = 0; i < std::max<std::size_t>(old.pages.size(), 1); ++i) {
+    const bool is_last = i + 1 >= old.pages.size();
+    const auto first_of_next =
+        is_last ? end : std::find_if(change, end, [&](const BlockChange& item) {
+          return item.block.bits >= old.firsts[i + 1];
+        });
+    // Small pages join the page after them.
+    const bool is_small = entries.size() < kPageBlocks / 4 && !entries.empty();
+    if (change == first_of_next && !is_small && i < old.pages.size()) {
+      family.firsts.push_back(old.firsts[i]);
+      family.blocks += old.pages[i]->count;
+      family.pages.push_back(std::move(old.pages[i]));
+      continue;
+    }
+    if (i < old.pages.size()) {
+      DecodePage(*old.pages[i], entries);
+      old.pages[i].reset();
+    }
+    entries = MergeChanges(entries, change, first_of_next);
+    change = first_of_next;
+    if (entries.size() < kPageBlocks / 4 && !is_last)
+      continue;
+    AppendPages(family, entries);
+    entries.clear();
+  }
+}
+
+}  // namespace
+
+SiteId FindSite(const BlockTable& table, const ClientAddress& address) {
+  const BlockFamily& family =
+      table.families[static_cast<std::size_t>(address.family)];
+  BlockEntry found;
+  if (!FindLongest(family, address.bits, found))
+    return kNoSite;
+  if (table.spreads.empty())
+    return found.site;
+  const auto spread = table.spreads.find(found.site);
+  return spread == table.spreads.end()
+             ? found.site
+             : (*spread->second)[SpreadBucket(found.bits, found.length)];
+}
+
+UpdateOutcome ApplyUpdate(BlockTable& table, BlockUpdate& update) {
+  const UpdateOutcome outcome = CheckUpdate(table, update);
+  if (outcome != UpdateOutcome::kApplied)
+    return outcome;
+  std::vector<BlockChange>& changes = update.changes;
+  const auto order = [](const BlockChange& a, const BlockChange& b) {
+    return a.block < b.block;
+  };
+  if (!std::is_sorted(changes.begin(), changes.end(), order))
+    std::sort(changes.begin(), changes.end(), order);
+  const auto repeated =
+      std::adjacent_find(changes.begin(), changes.end(),
+                         [](const BlockChange& a, const BlockChange& b) {
+                           return a.block == b.block;
+                         });
+  if (repeated != changes.end())
+    return UpdateOutcome::kRepeatedBlock;
+  const auto ipv6 = std::find_if(
+      changes.begin(), changes.end(), [](const BlockChange& change) {
+        return change.block.family == AddressFamily::kIpv6;
+      });
+  if (ipv6 != changes.begin())
+    ApplyToFamily(table.families[0], changes.begin(), ipv6);
+  if (ipv6 != changes.end())
+    ApplyToFamily(table.families[1], ipv6, changes.end());
+  table.version = update.version;
+  return UpdateOutcome::kApplied;
+}
+
+TableSize MeasureTable(const BlockTable& table) {
+  TableSize size;
+  size.bytes = sizeof(BlockTable) + table.spreads.size() * sizeof(SiteSpread);
+  for (const BlockFamily& family : table.families) {
+    size.blocks += family.blocks;
+    size.pages += family.pages.size();
+    size.bytes += family.firsts.capacity() * sizeof(family.firsts[0]) +
+                  family.pages.capacity() * sizeof(family.pages[0]);
+    for (const auto& page : family.pages)
+      size.bytes += PageBytes(*page);
+  }
+  return size;
+}
+
+}  // namespace cicadadrum
--- a/Libraries/LibLookup/include/cicadadrum/lookup/block_table.h
+++ b/Libraries/LibLookup/include/cicadadrum/lookup/block_table.h
@@ -4,10 +4,11 @@
 // decides; the order of updates has no influence. IPv6 blocks are at most 64
 // bits long, the size that one client network gets.
 //
-// Blocks are kept in order of address and length in immutable pages of at most
-// kPageBlocks blocks. An update replaces only the pages it touches, one after
-// the other, so it never needs a second copy of the table. A copy of the
-// BlockTable shares the pages and stays as it was: a snapshot costs its index.
+// Blocks are kept in order of address and length in immutable pages of about
+// kPageBlocks blocks; blocks with the same address are in one page. An update
+// replaces only the pages it touches, one after the other, so it never needs a
+// second copy of the table. A copy of the BlockTable shares the pages and stays
+// as it was: a snapshot costs its index.
 
 #ifndef CICADADRUM_LOOKUP_BLOCK_TABLE_H_
 #define CICADADRUM_LOOKUP_BLOCK_TABLE_H_
@@ -56,7 +57,9 @@
   SiteId site = kNoSite;  // kNoSite removes the block.
 };
 
-// All changes from version `base` to `version`.
+// All changes from version `base` to `version`. A large update, such as the
+// whole table for a new node, comes in parts to bound its memory: all parts but
+// the last have `version` equal to `base`.
 struct BlockUpdate {
   std::uint64_t base = 0;
   std::uint64_t version = 0;
@@ -68,7 +71,7 @@
 struct BlockPage;  // Private to the library.
 
 // Pages of one family; `firsts[i]` is the address of the first block of
-// `pages[i]`. Blocks with equal address may span pages.
+// `pages[i]`. Invariant: `firsts` grows strictly.
 struct BlockFamily {
   std::vector<std::uint64_t> firsts;
   std::vector<std::shared_ptr<const BlockPage>> pages;
@@ -110,9 +113,8 @@
 };
 
 // Applies the update; sorts its changes. A refused update changes nothing.
-UpdateOutcome ApplyUpdate(BlockTable& table, BlockUpdate& update);
-
 // Removing a block that is not in the table has no effect.
+UpdateOutcome ApplyUpdate(BlockTable& table, BlockUpdate& update);
 
 struct Neighbour {
   SiteId site = kNoSite;
@@ -120,9 +122,10 @@
 };
 
 // Divides the blocks of `lost` between the neighbours in proportion to their
-// capacity and never above it. If the site is spread already, each bucket whose
-// neighbour still has room stays where it is. Every node that has the same
-// table and the same neighbours gets the same result.
+// capacity and never above it, as the table is now; call it again after
+// updates. If the site is spread already, each bucket whose neighbour still has
+// room stays where it is. Every node that has the same table and the same
+// neighbours gets the same result.
 void SpreadSite(BlockTable& table,
                 SiteId lost,
                 const std::vector<Neighbour>& neighbours);
--- /dev/null
+++ b/Tests/LibLookup/test_block_table.cc
@@ -0,0 +1,226 @@
+// Tests of the block table against a plain map.
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "cicadadrum/base/random.h"
+#include "cicadadrum/lookup/block_table.h"
+
+namespace cicadadrum {
+
+namespace {
+
+using PlainTable = std::map<ClientBlock, SiteId>;
+
+std::uint64_t MaskOf(int length) {
+  return length == 0 ? 0 : ~std::uint64_t{0} << (64 - length);
+}
+
+SiteId FindPlain(const PlainTable& table, const ClientAddress& address) {
+  for (int length = 64; length >= 0; --length) {
+    const auto found =
+        table.find({address.family, address.bits & MaskOf(length),
+                    static_cast<std::uint8_t>(length)});
+    if (found != table.end())
+      return found->second;
+  }
+  return kNoSite;
+}
+
+// Blocks in a few narrow ranges, so that many are nested or adjacent, and at
+// both ends of the address space.
+ClientBlock RandomBlock(Random& random) {
+  ClientBlock block;
+  block.family = static_cast<AddressFamily>(RandomBelow(random, 2));
+  const int longest = block.family == AddressFamily::kIpv4 ? 32 : 64;
+  const std::array<std::uint64_t, 4> ranges = {
+      0, 0x0a14000000000000, 0x2001'0db8'0000'0000, ~std::uint64_t{0}};
+  const std::uint64_t noise =
+      NextRandom(random) >> (12 + RandomBelow(random, longest - 12));
+  block.length = static_cast<std::uint8_t>(
+      RandomBelow(random, 20) == 0
+          ? RandomBelow(random, longest + 1)
+          : longest - RandomBelow(random, longest - 12));
+  block.bits = (ranges[RandomBelow(random, 4)] ^ noise) & MaskOf(block.length);
+  return block;
+}
+
+BlockUpdate RandomUpdate(Random& random,
+                         const PlainTable& plain,
+                         std::uint64_t base) {
+  std::map<ClientBlock, SiteId> changes;
+  const std::uint64_t count = RandomBelow(random, 4) == 0 ? 900 : 30;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const auto site = static_cast<SiteId>(
+        RandomBelow(random, 3) == 0 ? kNoSite : RandomBelow(random, 180));
+    auto known = plain.lower_bound(RandomBlock(random));
+    if (known != plain.end() && RandomBelow(random, 3) == 0)
+      changes[known->first] = site;
+    else
+      changes[RandomBlock(random)] = site;
+  }
+  BlockUpdate update{base, base + 1, {}};
+  for (const auto& [block, site] : changes)
+    update.changes.push_back({block, site});
+  std::reverse(update.changes.begin(), update.changes.end());
+  return update;
+}
+
+void ApplyPlain(PlainTable& table, const BlockUpdate& update) {
+  for (const BlockChange& change : update.changes) {
+    if (change.site == kNoSite)
+      table.erase(change.block);
+    else
+      table[change.block] = change.site;
+  }
+}
+
+// First and last address of each block and their neighbours.
+std::vector<ClientAddress> Borders(const PlainTable& plain) {
+  std::vector<ClientAddress> addresses;
+  for (const auto& [block, site] : plain) {
+    const std::uint64_t last = block.bits | ~MaskOf(block.length);
+    for (const std::uint64_t bits :
+         {block.bits, block.bits - 1, last, last + 1})
+      addresses.push_back({block.family, bits});
+  }
+  return addresses;
+}
+
+// 36,000 blocks of equal length, 200 for each of 180 sites.
+BlockTable TableOfSites() {
+  BlockTable table;
+  BlockUpdate update{0, 1, {}};
+  for (std::uint64_t i = 0; i < 36'000; ++i) {
+    update.changes.push_back(
+        {{AddressFamily::kIpv4, i << 40, 24}, static_cast<SiteId>(i % 180)});
+  }
+  REQUIRE(ApplyUpdate(table, update) == UpdateOutcome::kApplied);
+  return table;
+}
+
+std::vector<SiteId> AllSites(const BlockTable& table) {
+  std::vector<SiteId> sites;
+  for (std::uint64_t i = 0; i < 36'000; ++i)
+    sites.push_back(FindSite(table, {AddressFamily::kIpv4, (i << 40) + 7}));
+  return sites;
+}
+
+}  // namespace
+
+// Guards against wrong answers at borders of blocks and pages, and against
+// updates that damage pages or that reach a snapshot.
+TEST_CASE("look-ups agree with a plain map after every update") {
+  CHECK(rc::check("table", [] {
+    Random random{*rc::gen::arbitrary<std::uint64_t>()};
+    BlockTable table;
+    PlainTable plain;
+    std::optional<std::pair<BlockTable, PlainTable>> snapshot;
+    for (std::uint64_t version = 0; version < 12; ++version) {
+      BlockUpdate update = RandomUpdate(random, plain, version);
+      ApplyPlain(plain, update);
+      RC_ASSERT(ApplyUpdate(table, update) == UpdateOutcome::kApplied);
+      RC_ASSERT(MeasureTable(table).blocks == plain.size());
+      for (const ClientAddress& address : Borders(plain))
+        RC_ASSERT(FindSite(table, address) == FindPlain(plain, address));
+      if (version == 6)
+        snapshot.emplace(table, plain);
+    }
+    for (const ClientAddress& address : Borders(snapshot->second))
+      RC_ASSERT(FindSite(snapshot->first, address) ==
+                FindPlain(snapshot->second, address));
+    BlockUpdate removal{12, 13, {}};
+    for (const auto& [block, site] : plain)
+      removal.changes.push_back({block, kNoSite});
+    RC_ASSERT(ApplyUpdate(table, removal) == UpdateOutcome::kApplied);
+    RC_ASSERT(MeasureTable(table).pages == 0U);
+  }));
+}
+
+// Guards against an IPv4 address that finds an IPv6 block, and against the
+// default blocks of length 0.
+TEST_CASE("families are apart and the longest block wins") {
+  BlockTable table;
+  BlockUpdate update{0,
+                     1,
+                     {{{AddressFamily::kIpv6, 0, 0}, 6},
+                      {{AddressFamily::kIpv4, 0, 0}, 4},
+                      {{AddressFamily::kIpv4, 0x0a00ULL << 48, 8}, 10},
+                      {{AddressFamily::kIpv4, ~0ULL << 32, 32}, 32},
+                      {{AddressFamily::kIpv6, ~0ULL, 64}, 64}}};
+  REQUIRE(ApplyUpdate(table, update) == UpdateOutcome::kApplied);
+  CHECK(FindSite(table, {AddressFamily::kIpv4, 0x0aff'ffffULL << 32}) == 10);
+  CHECK(FindSite(table, {AddressFamily::kIpv4, 0x0b00'0000ULL << 32}) == 4);
+  CHECK(FindSite(table, {AddressFamily::kIpv4, ~0ULL << 32}) == 32);
+  CHECK(FindSite(table, {AddressFamily::kIpv6, 0x0aff'ffffULL << 32}) == 6);
+  CHECK(FindSite(table, {AddressFamily::kIpv6, ~0ULL}) == 64);
+  CHECK(FindSite(table, {AddressFamily::kIpv6, ~0ULL - 1}) == 6);
+}
+
+// Guards against a refused update that leaves half of its changes.
+TEST_CASE("a refused update changes nothing") {
+  BlockTable table = TableOfSites();
+  const ClientBlock block = {AddressFamily::kIpv4, 0, 24};
+  BlockUpdate other{5, 6, {{block, 9}}};
+  CHECK(ApplyUpdate(table, other) == UpdateOutcome::kOtherBase);
+  BlockUpdate invalid{1, 2, {{block, 9}, {{AddressFamily::kIpv4, 1, 24}, 9}}};
+  CHECK(ApplyUpdate(table, invalid) == UpdateOutcome::kInvalidBlock);
+  BlockUpdate too_long{1, 2, {{block, 9}, {{AddressFamily::kIpv4, 0, 33}, 9}}};
+  CHECK(ApplyUpdate(table, too_long) == UpdateOutcome::kInvalidBlock);
+  BlockUpdate repeated{1, 2, {{block, 9}, {block, 8}}};
+  CHECK(ApplyUpdate(table, repeated) == UpdateOutcome::kRepeatedBlock);
+  CHECK(table.version == 1);
+  CHECK(FindSite(table, {AddressFamily::kIpv4, 0}) == 0);
+}
+
+// Guards against a loss that sends all blocks of a site to one neighbour, above
+// a neighbour's capacity, or that moves blocks of other sites.
+TEST_CASE("a lost site's blocks go to several neighbours within capacity") {
+  BlockTable table = TableOfSites();
+  const std::vector<SiteId> home = AllSites(table);
+  SpreadSite(table, 7, {{20, 110}, {30, 60}, {40, 60}});
+  const std::vector<SiteId> first = AllSites(table);
+  std::map<SiteId, std::size_t> taken;
+  std::size_t moved = 0;
+  for (std::size_t i = 0; i < home.size(); ++i) {
+    CHECK((first[i] != home[i]) == (home[i] == 7));
+    moved += first[i] != home[i] ? 1 : 0;
+    if (home[i] == 7)
+      ++taken[first[i]];
+  }
+  std::printf("site loss: %zu of 36000 blocks moved, %zu + %zu + %zu\n", moved,
+              taken[20], taken[30], taken[40]);
+  CHECK(taken[20] + taken[30] + taken[40] == 200);
+  CHECK(taken[20] <= 110);
+  CHECK(taken[20] >= 80);
+  CHECK(taken[30] <= 60);
+  CHECK(taken[30] >= 30);
+  CHECK(taken[40] <= 60);
+
+  // The loss of a neighbour moves only what it had taken over.
+  SpreadSite(table, 7, {{20, 110}, {40, 60}, {50, 60}});
+  const std::vector<SiteId> second = AllSites(table);
+  std::size_t moved_again = 0;
+  for (std::size_t i = 0; i < home.size(); ++i) {
+    moved_again += second[i] != first[i] ? 1 : 0;
+    CHECK((second[i] == first[i] || first[i] == 30));
+  }
+  CHECK(moved_again == taken[30]);
+
+  // Without capacity a block has no site rather than one above its bound.
+  SpreadSite(table, 7, {{20, 100}});
+  const std::vector<SiteId> third = AllSites(table);
+  CHECK(std::count(third.begin(), third.end(), 20) <= 200 + 100);
+  CHECK(std::count(third.begin(), third.end(), kNoSite) >= 100);
+  RestoreSite(table, 7);
+  CHECK(AllSites(table) == home);
+}
+
+}  // namespace cicadadrum
