--- /dev/null
+++ b/Libraries/LibBench/callers.cc
@@ -0,0 +1,230 @@
+// Callers: Poisson arrivals, choice of an entry VM, repeats after a lost entry
+// VM.
+
+#include <cmath>
+
+#include "cicadadrum/base/hash.h"
+#include "world.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Time until a caller notices that its entry VM has ended.
+constexpr Duration kNoticeTime = Milliseconds(500);
+constexpr std::uint32_t kMaxTries = 4;
+constexpr std::uint64_t kPathsPerCustomer = 200;
+
+Duration DeadlineOf(RequestClass request_class) {
+  switch (request_class) {
+    case RequestClass::kUrgent:
+      return Seconds(1);
+    case RequestClass::kRoutine:
+      return Seconds(2);
+    case RequestClass::kWrite:
+      return Seconds(5);
+    case RequestClass::kBulk:
+      break;
+  }
+  return Seconds(20);
+}
+
+double Exponential(Random& random) {
+  return -std::log(1.0 - RandomUnit(random));
+}
+
+// Half of the mean is fixed, the other half has a long tail.
+Duration DrawWork(Random& random, Duration mean) {
+  const double factor = 0.5 + (0.5 * Exponential(random));
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(mean.count()) * factor));
+}
+
+double CapacityOf(const World& world,
+                  const std::string& service,
+                  const std::string& region) {
+  double slots = 0;
+  for (const BackendServer& server : world.deployment->servers) {
+    if (server.service == service && server.region == region)
+      slots += server.slots;
+  }
+  return slots;
+}
+
+struct Arrivals {
+  std::size_t stream = 0;
+  std::string region;
+  double mean_interval = 0;  // Microseconds.
+};
+
+void ScheduleArrival(World& world, const Arrivals& arrivals) {
+  const Stream& stream = world.scenario->streams[arrivals.stream];
+  const TimePoint at = std::max(Now(world), stream.from) +
+                       Duration(static_cast<std::int64_t>(
+                           arrivals.mean_interval * Exponential(world.random)));
+  if (at >= stream.to || at >= TimePoint(world.scenario->end))
+    return;
+  Schedule(world.queue, at, [&world, arrivals] {
+    ScheduleArrival(world, arrivals);
+    const std::size_t caller = CreateRequest(
+        world, world.scenario->streams[arrivals.stream], arrivals.region);
+    SendTry(world, caller);
+  });
+}
+
+const std::vector<std::size_t>& RankEntries(World& world,
+                                            const CallerRequest& caller) {
+  auto& ranked = world.ranking[caller.region + "/" + caller.customer];
+  if (!ranked.empty())
+    return ranked;
+  std::vector<std::string> names;
+  for (const SimulatedEntry& entry : world.entries)
+    names.push_back(entry.description.name);
+  RankByRendezvous(caller.customer, names);
+  for (const bool local : {true, false}) {
+    for (const std::string& name : names) {
+      const std::size_t index = world.entry_index.at(name);
+      if ((world.entries[index].description.region == caller.region) == local)
+        ranked.push_back(index);
+    }
+  }
+  return ranked;
+}
+
+void CloseRequest(World& world, CallerRequest& caller) {
+  ++caller.answers;
+  if (caller.answers == 1)
+    --world.open;
+  else
+    ++world.result.answers_missing;
+}
+
+void CountRefusal(World& world, const CallerRequest& caller) {
+  if (!caller.counted)
+    return;
+  ClassResult& result =
+      world.result.classes[static_cast<std::size_t>(caller.request_class)];
+  ++result.refused;
+  result.with_refused.push_back((caller.deadline - caller.first_at).count());
+}
+
+}  // namespace
+
+std::size_t CreateRequest(World& world,
+                          const Stream& stream,
+                          const std::string& region) {
+  const std::size_t index = world.callers.size();
+  CallerRequest caller;
+  caller.customer =
+      world.customers[RandomBelow(world.random, world.customers.size())];
+  caller.service = world.deployment->deployment
+                       .services[static_cast<std::size_t>(stream.service)]
+                       .name;
+  caller.region = region;
+  caller.request_class = stream.request_class;
+  caller.work = DrawWork(world.random, stream.service_time);
+  caller.first_at = Now(world);
+  caller.deadline = Now(world) + DeadlineOf(stream.request_class);
+  caller.counted = Now(world) >= TimePoint(world.scenario->warmup);
+  const bool read = stream.request_class == RequestClass::kUrgent ||
+                    stream.request_class == RequestClass::kRoutine;
+  const std::uint64_t path = read ? RandomBelow(world.random, kPathsPerCustomer)
+                                  : kPathsPerCustomer + index;
+  caller.fingerprint =
+      HashBytes(caller.customer + caller.service + std::to_string(path));
+  if (stream.request_class == RequestClass::kWrite)
+    caller.key = "key-" + std::to_string(index);
+  if (caller.counted) {
+    ++world.result.requests;
+    ++world.result.classes[static_cast<std::size_t>(caller.request_class)]
+          .requests;
+  }
+  ++world.open;
+  world.callers.push_back(std::move(caller));
+  return index;
+}
+
+void SendTry(World& world, std::size_t index) {
+  CallerRequest& caller = world.callers[index];
+  for (const std::size_t entry : RankEntries(world, caller)) {
+    if (!world.entries[entry].up)
+      continue;
+    ++caller.tries;
+    const std::uint64_t request = world.next_request++;
+    world.tries[request] = {index, entry};
+    return Deliver(world, entry,
+                   RequestArrived{.request = request,
+                                  .customer = caller.customer,
+                                  .service = caller.service,
+                                  .request_class = caller.request_class,
+                                  .key = caller.key,
+                                  .fingerprint = caller.fingerprint,
+                                  .deadline = caller.deadline});
+  }
+  CountRefusal(world, caller);
+  CloseRequest(world, caller);
+}
+
+void ReceiveAnswer(World& world, const AnswerCaller& answer) {
+  const auto found = world.tries.find(answer.request);
+  if (found == world.tries.end()) {
+    ++world.result.answers_missing;
+    return;
+  }
+  CallerRequest& caller = world.callers[found->second.caller];
+  world.tries.erase(found);
+  CloseRequest(world, caller);
+  if (answer.source == AnswerSource::kSelf)
+    return CountRefusal(world, caller);
+  if (answer.source == AnswerSource::kBackend)
+    world.result.useful_time +=
+        world.attempts.at(AttemptId(answer.request, answer.attempt))
+            .ran.count();
+  if (!caller.counted)
+    return;
+  ClassResult& result =
+      world.result.classes[static_cast<std::size_t>(caller.request_class)];
+  const std::int64_t latency = (Now(world) - caller.first_at).count();
+  result.latencies.push_back(latency);
+  result.with_refused.push_back(latency);
+}
+
+void LoseTriesAt(World& world, std::size_t entry) {
+  std::vector<std::pair<std::uint64_t, std::size_t>> lost;
+  for (const auto& [request, sent] : world.tries) {
+    if (sent.entry == entry)
+      lost.emplace_back(request, sent.caller);
+  }
+  std::sort(lost.begin(), lost.end());
+  for (const auto& [request, index] : lost) {
+    world.tries.erase(request);
+    Schedule(world.queue, Now(world) + kNoticeTime, [&world, index = index] {
+      CallerRequest& caller = world.callers[index];
+      if (caller.tries < kMaxTries && Now(world) < caller.deadline)
+        return SendTry(world, index);
+      CountRefusal(world, caller);
+      CloseRequest(world, caller);
+    });
+  }
+}
+
+void StartStreams(World& world) {
+  for (std::size_t i = 0; i < world.scenario->streams.size(); ++i) {
+    const Stream& stream = world.scenario->streams[i];
+    const std::string& service =
+        world.deployment->deployment
+            .services[static_cast<std::size_t>(stream.service)]
+            .name;
+    for (const Region& region : world.deployment->deployment.regions) {
+      const double work = stream.share *
+                          CapacityOf(world, service, region.name) *
+                          world.options.load;
+      if (work > 0)
+        ScheduleArrival(
+            world, {i, region.name,
+                    static_cast<double>(stream.service_time.count()) / work});
+    }
+  }
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibBench/fake_server.cc
@@ -0,0 +1,128 @@
+// State changes of a fake backend server.
+
+#include "fake_server.h"
+
+#include <algorithm>
+
+namespace cicadadrum {
+
+namespace {
+
+constexpr std::uint32_t kColdRuns = 40;
+constexpr double kColdFactor = 3;
+
+// The factor of the strongest slow spell at `now`, and when it may change.
+double SlowFactor(const FakeServer& server, TimePoint now, TimePoint& until) {
+  double factor = 1;
+  until = kNever;
+  for (const SlowSpell& spell : server.spells) {
+    if (spell.from <= now && now < spell.to) {
+      factor = std::max(factor, spell.factor);
+      until = std::min(until, spell.to);
+    } else if (spell.from > now) {
+      until = std::min(until, spell.from);
+    }
+  }
+  return factor;
+}
+
+TimePoint FinishTime(const FakeServer& server, TimePoint now, Duration work) {
+  auto left = static_cast<double>(work.count());
+  while (true) {
+    TimePoint until;
+    const double factor = SlowFactor(server, now, until);
+    const double needed = left * factor;
+    if (until == kNever || needed <= static_cast<double>((until - now).count()))
+      return now + Duration(static_cast<std::int64_t>(needed));
+    left -= static_cast<double>((until - now).count()) / factor;
+    now = until;
+  }
+}
+
+void AdvanceBulkTime(FakeServer& server, TimePoint now) {
+  const auto elapsed = static_cast<double>((now - server.bulk_time_at).count());
+  server.bulk_time += elapsed * server.bulk_running / server.description.slots;
+  server.bulk_time_at = now;
+}
+
+}  // namespace
+
+OfferResult Offer(FakeServer& server, const Execution& execution) {
+  if (!server.up)
+    return OfferResult::kRefused;
+  if (server.running.size() + server.backlog.size() >=
+      server.slots + server.backlog_limit)
+    return OfferResult::kShed;
+  server.backlog.push_back(execution);
+  return OfferResult::kAccepted;
+}
+
+const RunningExecution* StartNext(FakeServer& server,
+                                  TimePoint now,
+                                  std::vector<Execution>& expired) {
+  while (!server.backlog.empty() && server.running.size() < server.slots) {
+    const Execution execution = server.backlog.front();
+    server.backlog.pop_front();
+    if (execution.deadline <= now) {
+      expired.push_back(execution);
+      continue;
+    }
+    Duration work = execution.work;
+    if (server.cold_runs > 0) {
+      --server.cold_runs;
+      work = Duration(static_cast<std::int64_t>(
+          static_cast<double>(work.count()) * kColdFactor));
+    }
+    if (execution.request_class == RequestClass::kBulk) {
+      AdvanceBulkTime(server, now);
+      ++server.bulk_running;
+    }
+    RunningExecution& running = server.running[execution.id];
+    running = {execution, now, FinishTime(server, now, work)};
+    return &running;
+  }
+  return nullptr;
+}
+
+Duration EndRun(FakeServer& server, std::uint64_t id, TimePoint now) {
+  const auto found = server.running.find(id);
+  if (found == server.running.end())
+    return {};
+  if (found->second.execution.request_class == RequestClass::kBulk) {
+    AdvanceBulkTime(server, now);
+    --server.bulk_running;
+  }
+  const Duration ran = now - found->second.started_at;
+  server.running.erase(found);
+  return ran;
+}
+
+void DropQueued(FakeServer& server, std::uint64_t id) {
+  std::erase_if(server.backlog,
+                [id](const Execution& queued) { return queued.id == id; });
+}
+
+double BulkTime(FakeServer& server, TimePoint now) {
+  AdvanceBulkTime(server, now);
+  return server.bulk_time;
+}
+
+std::vector<Execution> Crash(FakeServer& server, TimePoint now) {
+  AdvanceBulkTime(server, now);
+  std::vector<Execution> lost(server.backlog.begin(), server.backlog.end());
+  for (const auto& [id, running] : server.running)
+    lost.push_back(running.execution);
+  server.backlog.clear();
+  server.running.clear();
+  server.bulk_running = 0;
+  server.up = false;
+  return lost;
+}
+
+void Restart(FakeServer& server) {
+  server.up = true;
+  server.cold_runs = kColdRuns;
+  ++server.incarnation;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Utilities/Bench/report.h
@@ -0,0 +1,32 @@
+// The table that the benchmark prints.
+
+#ifndef CICADADRUM_UTILITIES_BENCH_REPORT_H_
+#define CICADADRUM_UTILITIES_BENCH_REPORT_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cicadadrum/bench/simulation.h"
+
+namespace cicadadrum {
+
+struct ReportOptions {
+  std::string folder;                  // Of the scenario files.
+  std::vector<std::string> scenarios;  // Names.
+  std::vector<DeploymentName> deployments;
+  std::vector<Policy> policies;
+  std::uint64_t seed = 1;
+  bool headroom = true;  // Run the sweep over loads.
+};
+
+// Runs everything and prints the table to standard output. Returns false if a
+// scenario can't be read.
+bool PrintReport(const ReportOptions& options);
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_UTILITIES_BENCH_REPORT_H_
