--- a/Libraries/LibBench/entry_driver.cc
+++ b/Libraries/LibBench/entry_driver.cc
@@ -82,6 +82,22 @@
                  PeerReturnedSlot{returned.pool, returned.lease,
                                   returned.outcome, returned.latency});
   }
+  void operator()(const ReportLeases& report) const {
+    if (world.options.policy != Policy::kPoolOwner)
+      return;
+    const std::size_t owner = world.entry_index.at(report.owner);
+    DeliverLater(
+        world, owner, PeerDelay(world, entry, owner),
+        PeerReportedLeases{report.pool, world.entries[entry].description.name,
+                           report.leases});
+  }
+  void operator()(const SpreadBlockedItem& spread) const {
+    for (std::size_t to = 0; to < world.entries.size(); ++to) {
+      if (to != entry)
+        DeliverLater(world, to, PeerDelay(world, entry, to),
+                     BlockedItemsReceived{{spread.item}});
+    }
+  }
   void operator()(const AnswerPeer& answer) const {
     if (const auto* grant = std::get_if<SlotGrant>(&answer.answer)) {
       const auto ask = TakeAsk(grant->entry, grant->id);
@@ -217,6 +233,8 @@
   simulated.state = MakeEntryState(
       world.deployment->deployment, simulated.description,
       {entry + 1, simulated.generation}, NextRandom(world.random));
+  // The baselines have no second attempts but retries.
+  simulated.state.hedging = world.options.policy == Policy::kPoolOwner;
   simulated.chooser = {};
   for (const BackendServer& server : world.deployment->servers)
     simulated.chooser.pools[{server.region, server.service}].push_back(
@@ -266,11 +284,13 @@
 void DeliverReport(World& world,
                    std::size_t server,
                    std::uint32_t in_progress,
-                   TimePoint /*taken_at*/) {
+                   TimePoint taken_at) {
   const BackendServer& description = world.servers[server].description;
   for (SimulatedEntry& entry : world.entries) {
     if (entry.description.region != description.region)
       continue;
+    Deliver(world, world.entry_index.at(entry.description.name),
+            LoadReported{description.name, {in_progress, taken_at}});
     for (DirectServer& known :
          entry.chooser.pools[{description.region, description.service}]) {
       if (known.description.name == description.name)
--- a/Libraries/LibSteering/admission.cc
+++ b/Libraries/LibSteering/admission.cc
@@ -47,6 +47,9 @@
     return RefusalReason::kDeadline;
   if (!IsIdempotent(arrived.request_class) && !ParseRequestKey(arrived.key))
     return RefusalReason::kKeyMissing;
+  const auto blocked = state.blocked.find(arrived.fingerprint);
+  if (blocked != state.blocked.end() && blocked->second.blocked)
+    return RefusalReason::kBlocked;
   return RefusalReason::kNone;
 }
 
--- a/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cicadadrum/base/random.h"
@@ -37,6 +39,7 @@
       owner;  // Entry VM that was asked for the slot; empty for a direct share.
   std::uint64_t lease = 0;  // Set once granted by an owner.
   std::string server;       // Set once sent.
+  bool hedge = false;       // Started while an earlier one was under way.
   TimePoint sent_at;
 };
 
@@ -59,9 +62,17 @@
 };
 
 // Tokens for retries of idempotent requests: each request adds a fraction, each
-// retry takes one.
+// retry takes one. The fraction shrinks with the share of refusals.
 struct RetryBudget {
   double tokens = 0;
+  double refused_share = 0;  // Moving average, 0 to 1.
+};
+
+// When to hedge urgent requests of one pool, and how many.
+struct HedgeState {
+  double tokens = 0;       // Each urgent request adds a fraction.
+  std::uint32_t seen = 0;  // Latencies learned, up to the number needed.
+  Duration delay{};        // Running 95th percentile of urgent attempts.
 };
 
 struct EntryState {
@@ -70,8 +81,9 @@
   Random random;
   Configuration configuration;  // Invariant: the version never decreases.
   std::uint64_t configuration_floor =
-      0;                      // Highest version any caller or peer has named.
-  std::vector<EntryVm> live;  // Live entry VMs, with this one.
+      0;                        // Highest version any caller or peer has named.
+  std::vector<EntryVm> live;    // Live entry VMs, with this one.
+  bool live_announced = false;  // Whether membership has set `live`.
   std::vector<BackendServer> servers;
   TimePoint servers_confirmed_at;  // When `servers` was last confirmed.
   bool servers_known = false;
@@ -80,6 +92,11 @@
   std::map<std::string, std::uint64_t>
       direct_requests;  // Request on the direct share of each server.
   RetryBudget retry_budget;
+  bool hedging = true;  // Whether urgent requests are hedged.
+  std::map<PoolKey, HedgeState> hedges;
+  std::set<std::pair<TimePoint, std::uint64_t>>
+      timers;  // Deadlines and hedge times of requests.
+  std::map<std::uint64_t, BlockedItem> blocked;  // By fingerprint.
   ClaimState claims;
   bool stopping = false;
   bool stop_reported = false;
@@ -99,6 +116,10 @@
 // region, or of any region if it has none. Empty if no entry VM is live.
 std::string PoolOwner(const EntryState& state, const PoolKey& pool);
 
+// The items about blocked requests that this entry VM knows, for an exchange
+// with others. Received ones come back as BlockedItemsReceived.
+std::vector<BlockedItem> ExportBlockedItems(const EntryState& state);
+
 // Applies one event at time `now` and appends the actions that follow. Every
 // RequestArrived is answered by exactly one AnswerCaller.
 void Step(EntryState& state,
--- a/Libraries/LibSteering/include/cicadadrum/steering/events.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/events.h
@@ -94,10 +94,37 @@
   Duration latency{};
 };
 
+// Another entry VM reports the leases it holds from an earlier owner of `pool`;
+// there may be none.
+struct PeerReportedLeases {
+  PoolKey pool;
+  std::string entry;
+  std::vector<HeldLease> leases;
+};
+
 struct PeerLost {
   std::string entry;
 };
 
+// A backend server's load report arrived.
+struct LoadReported {
+  std::string server;
+  LoadReport report;
+};
+
+// Whether requests with a fingerprint are refused because they crash servers.
+// Entry VMs exchange these items; for one fingerprint the greater version wins.
+struct BlockedItem {
+  std::uint64_t fingerprint = 0;
+  std::uint64_t version = 0;
+  bool blocked = true;
+  bool operator==(const BlockedItem&) const = default;
+};
+
+struct BlockedItemsReceived {
+  std::vector<BlockedItem> items;
+};
+
 // Front ends pass the claim events WriteAnswered and HomeAnswered through
 // unchanged.
 
@@ -128,7 +155,10 @@
                            PeerAskedSlot,
                            PeerCancelledSlot,
                            PeerReturnedSlot,
+                           PeerReportedLeases,
                            PeerLost,
+                           LoadReported,
+                           BlockedItemsReceived,
                            WriteAnswered,
                            HomeAnswered,
                            ConfigurationAdopted,
@@ -165,6 +195,19 @@
   Duration latency{};
 };
 
+// Report to the new owner of `pool` the leases that this entry VM holds from an
+// earlier owner.
+struct ReportLeases {
+  std::string owner;
+  PoolKey pool;
+  std::vector<HeldLease> leases;
+};
+
+// Make this item known to all entry VMs.
+struct SpreadBlockedItem {
+  BlockedItem item;
+};
+
 // Answer to PeerAskedSlot.
 struct AnswerPeer {
   PoolKey pool;
@@ -221,6 +264,8 @@
 using Action = std::variant<AskPoolOwner,
                             CancelAtPoolOwner,
                             ReturnToPoolOwner,
+                            ReportLeases,
+                            SpreadBlockedItem,
                             AnswerPeer,
                             SendToBackend,
                             CancelAtBackend,
--- a/Libraries/LibSteering/include/cicadadrum/steering/pool.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/pool.h
@@ -13,7 +13,10 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -24,11 +27,11 @@
 namespace cicadadrum {
 
 enum class ServerState : std::uint8_t {
-  kWarming,
+  kWarming,  // New or recovered; takes work in steps.
   kReady,
-  kSlow,
-  kLeaving,
-  kDown
+  kSlow,     // Much slower than its pool; gets single probes only.
+  kLeaving,  // Gets nothing.
+  kDown,     // Refused or lost connections; gets single probes only.
 };
 
 template <>
@@ -58,10 +61,11 @@
   std::vector<std::string> avoid;  // Servers of earlier attempts.
   std::string
       preferred;  // Server to prefer if it has a free slot; may be empty.
-  std::uint64_t fingerprint =
-      0;  // Identifies what the server would see; equal for repeats.
+  std::uint64_t fingerprint = 0;  // Identifies what the server would see; equal
+                                  // for repeats. 0 if unknown.
   std::uint64_t body_bytes = 0;
   PlanLimits limits;
+  bool only_if_free = false;  // Refuse instead of queueing; for hedges.
 };
 
 struct SlotGrant {
@@ -84,43 +88,186 @@
   TimePoint at = kNever;
 };
 
-using PoolAction = std::variant<SlotGrant, SlotRefusal, PoolWake>;
+// The fingerprint was running on kCrashesToBlock servers that crashed.
+struct FingerprintBlocked {
+  std::uint64_t fingerprint = 0;
+};
+
+using PoolAction =
+    std::variant<SlotGrant, SlotRefusal, PoolWake, FingerprintBlocked>;
 using PoolActions = std::vector<PoolAction>;
 
+// A lease that an entry VM holds from an earlier owner.
+struct HeldLease {
+  std::uint64_t lease = 0;
+  std::string server;
+  std::string customer;
+  RequestClass request_class = RequestClass::kRoutine;
+  std::uint64_t fingerprint = 0;
+  TimePoint granted_at;
+  TimePoint deadline = kNever;
+};
+
+// A server's own statement of its load: a hint, because it may be old or false.
+struct LoadReport {
+  std::uint32_t in_progress = 0;
+  TimePoint taken_at;
+};
+
 struct SlotLease {
   std::string entry;
   std::uint64_t id = 0;
   std::string server;
   std::string customer;
   RequestClass request_class = RequestClass::kRoutine;
+  std::uint64_t fingerprint = 0;
   TimePoint granted_at;
   TimePoint expires_at;  // The slot is free again at this time if it was not
                          // returned.
+  TimePoint age_check_at = kNever;  // Next look at the age.
+  bool probe = false;          // Granted on a server that was slow or down.
+  bool suspect = false;        // The fingerprint was suspected when granted.
+  bool crash_counted = false;  // The server was lost during this lease.
+};
+
+// Position of a server in an index of servers with a free slot, best first.
+struct ServerRank {
+  std::uint32_t load = 0;        // Leases per usable slot, in thousandths.
+  std::uint64_t last_grant = 0;  // Lease number; spreads work among equals.
+  std::uint32_t server = 0;      // Index in Pool::servers.
+  auto operator<=>(const ServerRank&) const = default;
 };
 
 struct PoolServer {
   BackendServer description;
+  bool listed = true;  // False for a server that was removed but has leases.
   ServerState state = ServerState::kReady;
-  std::uint32_t leases =
-      0;  // Invariant: number of entries of Pool::leases with this server.
+  std::set<std::uint64_t> leases;  // Numbers of the leases on this server.
+  std::uint32_t limit = 1;         // Adaptive; 1 to the number of slots.
+  std::uint32_t successes = 0;     // Since the limit changed.
+  double slowness =
+      1;  // Moving average of latency / usual latency of the pool.
+  Duration probe_backoff{};
+  TimePoint probe_at = kNever;  // Set while slow or down, without a probe.
+  std::uint32_t good_probes = 0;
+  std::uint32_t reported_extra = 0;  // Work of others by the last report.
+  TimePoint report_taken_at;
+  std::uint64_t last_grant = 0;
+  std::uint32_t usable = 0;  // Slots counted in Pool::usable_slots.
+  bool ranked = false;       // Whether `rank` is in Pool::free_servers.
+  bool ranked_for_bulk = false;
+  ServerRank rank;
+};
+
+struct CustomerQueue {
+  std::deque<std::uint64_t> asks;  // Sequence numbers; may name removed asks.
+  std::uint32_t waiting = 0;       // Asks that have not been removed.
+  double tag = 0;                  // Start tag of the first ask.
+};
+
+// Fair queue of one class: the customer with the smallest tag goes first, and
+// each grant adds one to its tag.
+struct ClassQueue {
+  std::map<std::string, CustomerQueue> customers;  // Those that wait.
+  std::set<std::pair<double, std::string>> order;  // By tag.
+  double virtual_time = 0;                         // Tag of the last grant.
+  std::uint32_t waiting = 0;
+};
+
+// Use of the pool by one customer, for the limits of its plan.
+struct CustomerUse {
+  double tokens = 0;
+  TimePoint tokens_at;
+  std::uint32_t in_progress = 0;  // Waiting and granted.
+  bool seen = false;
+};
+
+// A request that was running when a server was lost.
+struct CrashSuspect {
+  std::uint32_t crashes = 0;
+  bool blocked = false;
+};
+
+enum class PoolTimerKind : std::uint8_t {
+  kAskDeadline,
+  kLeaseExpiry,
+  kLeaseAge,
+  kProbe,
+  kHandover,
+};
+
+template <>
+struct EnumNames<PoolTimerKind> {
+  static constexpr auto kTable = std::to_array<EnumName<PoolTimerKind>>({
+      {PoolTimerKind::kAskDeadline, "ask-deadline"},
+      {PoolTimerKind::kLeaseExpiry, "lease-expiry"},
+      {PoolTimerKind::kLeaseAge, "lease-age"},
+      {PoolTimerKind::kProbe, "probe"},
+      {PoolTimerKind::kHandover, "handover"},
+  });
+};
+
+struct PoolTimer {
+  TimePoint at = kNever;
+  PoolTimerKind kind = PoolTimerKind::kAskDeadline;
+  std::uint64_t number = 0;  // Ask, lease or server.
+  auto operator<=>(const PoolTimer&) const = default;
 };
 
 struct Pool {
   PoolKey key;
-  std::map<std::string, PoolServer> servers;  // By name.
-  std::map<std::uint64_t, SlotLease> leases;  // By lease number.
-  std::array<std::deque<SlotAsk>, kRequestClassCount> queues;  // One per class.
+  std::vector<PoolServer> servers;                    // Positions don't change.
+  std::map<std::string, std::uint32_t> server_index;  // By name.
+  std::set<ServerRank> free_servers;  // Have a free slot for short work.
+  std::set<ServerRank> free_servers_for_bulk;
+  std::set<std::pair<TimePoint, std::uint32_t>> probes;  // Servers by probe_at.
+  std::uint32_t usable_slots = 0;  // Sum of PoolServer::usable.
+  std::uint32_t slow_servers = 0;
+  std::uint32_t bulk_leases = 0;
+  std::map<std::uint64_t, SlotLease> leases;        // By lease number.
+  std::unordered_map<std::uint64_t, SlotAsk> asks;  // Waiting, by sequence.
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>
+      ask_index;  // Sequence by entry VM and id.
+  std::array<ClassQueue, kRequestClassCount> queues;  // One per class.
+  std::deque<std::uint64_t> suspect_asks;             // May name removed asks.
+  std::uint32_t suspects_running = 0;                 // Invariant: at most 1.
+  std::map<std::uint64_t, CrashSuspect> suspects;     // By fingerprint.
+  std::map<std::string, CustomerUse> customers;
+  std::array<Duration, kRequestClassCount> usual{};  // Median latency; 0 if
+                                                     // unknown.
+  std::set<PoolTimer> timers;
+  std::set<std::string> awaited_reports;  // Entry VMs that may hold leases of
+                                          // an earlier owner.
+  TimePoint handover_until;  // Half the slots until then or until all reported.
   std::uint64_t next_lease = 1;
+  std::uint64_t next_ask = 1;
 };
 
-// Adds `ask` to the queue, or refuses it, and grants what can be granted.
+// Starts the ownership of a pool. `others` are the entry VMs that may hold
+// leases of an earlier owner: at most half the slots are granted until each has
+// reported, or until no lease of an earlier owner can be left.
+void TakeOverPool(Pool& pool,
+                  const std::vector<std::string>& others,
+                  TimePoint now,
+                  PoolActions& actions);
+
+// Takes over the leases that `entry` holds from an earlier owner.
+void AdoptLeases(Pool& pool,
+                 const std::string& entry,
+                 const std::vector<HeldLease>& held,
+                 TimePoint now,
+                 PoolActions& actions);
+
+// Adds `ask` to the queue, or refuses it, and grants what can be granted. Each
+// ask is answered by exactly one SlotGrant or SlotRefusal unless it is
+// cancelled.
 void RequestSlot(Pool& pool,
                  const SlotAsk& ask,
                  TimePoint now,
                  PoolActions& actions);
 
-// Removes the request of `entry` with `id` from the queue; does nothing if it
-// is not queued.
+// Withdraws the request of `entry` with `id`. A grant that crossed the
+// cancellation is taken back, because the entry VM drops it unused.
 void CancelSlot(Pool& pool,
                 const std::string& entry,
                 std::uint64_t id,
@@ -136,8 +283,8 @@
                 TimePoint now,
                 PoolActions& actions);
 
-// Gives back the slots and drops the queued requests of an entry VM that was
-// lost.
+// Drops the queued requests of an entry VM that was lost. Its leases stay until
+// they expire, because the servers may still run them.
 void DropEntry(Pool& pool,
                const std::string& entry,
                TimePoint now,
@@ -153,6 +300,15 @@
                        TimePoint now,
                        PoolActions& actions);
 
+// Takes a load report as a hint. Reports older than 5 s have no effect.
+void ObserveLoadReport(Pool& pool,
+                       const std::string& server,
+                       const LoadReport& report,
+                       TimePoint now);
+
+// Blocks a fingerprint, or clears it of suspicion.
+void SetBlocked(Pool& pool, std::uint64_t fingerprint, bool blocked);
+
 }  // namespace cicadadrum
 
 #endif  // CICADADRUM_STEERING_POOL_H_
--- a/Libraries/LibSteering/pool.cc
+++ b/Libraries/LibSteering/pool.cc
@@ -1,10 +1,15 @@
-// Granting of slots: strict precedence of classes, first come first served
-// within a class, and the server with the most free slots first.
+// The functions of a pool: requests come in, slots are granted in order of
+// class, and returned slots teach the pool about its servers.
 
 #include "cicadadrum/steering/pool.h"
 
 #include <algorithm>
 
+#include "pool_health.h"
+#include "pool_queue.h"
+#include "pool_servers.h"
+#include "pool_suspects.h"
+
 namespace cicadadrum {
 
 namespace {
@@ -12,45 +17,15 @@
 // A lease lasts this much longer than the deadline of its request, so that a
 // late return still finds it.
 constexpr Duration kLeaseGrace = Seconds(2);
-constexpr std::size_t kMaxQueuedPerClass = 512;
-// A bulk request is granted only if the server keeps this many free slots for
-// shorter work.
-constexpr std::uint32_t kSlotsKeptFromBulk = 2;
-constexpr Duration kRetryAfterFull = Milliseconds(500);
-
-std::uint32_t FreeSlots(const PoolServer& server, RequestClass request_class) {
-  const std::uint32_t kept =
-      request_class == RequestClass::kBulk
-          ? std::min(kSlotsKeptFromBulk, server.description.slots - 1)
-          : 0;
-  const std::uint32_t usable = server.description.slots - kept;
-  return server.leases < usable ? usable - server.leases : 0;
-}
-
-bool Accepts(const PoolServer& server, const SlotAsk& ask) {
-  if (server.state == ServerState::kLeaving ||
-      server.state == ServerState::kDown)
-    return false;
-  return std::find(ask.avoid.begin(), ask.avoid.end(),
-                   server.description.name) == ask.avoid.end();
-}
-
-PoolServer* ChooseServer(Pool& pool, const SlotAsk& ask) {
-  const auto preferred = pool.servers.find(ask.preferred);
-  if (preferred != pool.servers.end() && Accepts(preferred->second, ask) &&
-      FreeSlots(preferred->second, ask.request_class) > 0)
-    return &preferred->second;
-  PoolServer* best = nullptr;
-  std::uint32_t best_free = 0;
-  for (auto& [name, server] : pool.servers) {
-    const std::uint32_t free =
-        Accepts(server, ask) ? FreeSlots(server, ask.request_class) : 0;
-    if (free > best_free) {
-      best = &server;
-      best_free = free;
-    }
-  }
-  return best;
+// No lease of an earlier owner outlives this: the longest deadline of a request
+// (30 s) and the grace.
+constexpr Duration kHandoverTime = Seconds(32);
+constexpr Duration kRetryAfterNoServer = Milliseconds(500);
+constexpr std::size_t kUrgentQueue =
+    static_cast<std::size_t>(RequestClass::kUrgent);
+
+TimePoint ExpiryOf(TimePoint deadline) {
+  return deadline > kNever - kLeaseGrace ? kNever : deadline + kLeaseGrace;
 }
 
 void Refuse(const SlotAsk& ask,
@@ -60,79 +35,219 @@
   actions.push_back(SlotRefusal{ask.entry, ask.id, reason, retry_after});
 }
 
+void AddLease(Pool& pool,
+              std::uint64_t number,
+              const SlotLease& lease,
+              std::uint32_t index,
+              TimePoint now) {
+  SlotLease& added = pool.leases[number] = lease;
+  pool.timers.insert({added.expires_at, PoolTimerKind::kLeaseExpiry, number});
+  pool.bulk_leases += added.request_class == RequestClass::kBulk ? 1 : 0;
+  pool.suspects_running += added.suspect ? 1 : 0;
+  AttachLease(pool, index, number, now);
+  ScheduleAgeCheck(pool, number, added);
+}
+
 void Grant(Pool& pool,
            const SlotAsk& ask,
-           PoolServer& server,
+           const ServerChoice& choice,
            TimePoint now,
            PoolActions& actions) {
-  const std::uint64_t lease = pool.next_lease++;
-  const std::string& name = server.description.name;
-  ++server.leases;
-  pool.leases[lease] = SlotLease{ask.entry,
-                                 ask.id,
-                                 name,
-                                 ask.customer,
-                                 ask.request_class,
-                                 now,
-                                 ask.deadline + kLeaseGrace};
+  const std::uint64_t number = pool.next_lease++;
+  const BackendServer& server = pool.servers[choice.server].description;
+  if (choice.probe)
+    BeginProbe(pool, choice.server, now);
+  AddLease(pool, number,
+           {.entry = ask.entry,
+            .id = ask.id,
+            .server = server.name,
+            .customer = ask.customer,
+            .request_class = ask.request_class,
+            .fingerprint = ask.fingerprint,
+            .granted_at = now,
+            .expires_at = ExpiryOf(ask.deadline),
+            .probe = choice.probe,
+            .suspect = IsSuspect(pool, ask.fingerprint)},
+           choice.server, now);
   actions.push_back(
-      SlotGrant{ask.entry, ask.id, lease, name, server.description.address});
+      SlotGrant{ask.entry, ask.id, number, server.name, server.address});
 }
 
-void ReleaseLease(Pool& pool,
-                  std::map<std::uint64_t, SlotLease>::iterator lease) {
-  const auto server = pool.servers.find(lease->second.server);
-  if (server != pool.servers.end())
-    --server->second.leases;
-  pool.leases.erase(lease);
+void EndLease(Pool& pool, std::uint64_t number, TimePoint now) {
+  const auto found = pool.leases.find(number);
+  const SlotLease lease = std::move(found->second);
+  pool.leases.erase(found);
+  pool.timers.erase({lease.expires_at, PoolTimerKind::kLeaseExpiry, number});
+  pool.timers.erase({lease.age_check_at, PoolTimerKind::kLeaseAge, number});
+  pool.bulk_leases -= lease.request_class == RequestClass::kBulk ? 1 : 0;
+  pool.suspects_running -= lease.suspect ? 1 : 0;
+  DetachLease(pool, lease, number, now);
+  EndUse(pool, lease.customer);
 }
 
-void GrantQueued(Pool& pool, TimePoint now, PoolActions& actions) {
-  for (auto& queue : pool.queues) {
-    while (!queue.empty()) {
-      const SlotAsk& ask = queue.front();
-      if (ask.deadline <= now) {
-        Refuse(ask, RefusalReason::kDeadline, {}, actions);
-        queue.pop_front();
-        continue;
-      }
-      PoolServer* server = ChooseServer(pool, ask);
-      if (server == nullptr)
-        break;
-      Grant(pool, ask, *server, now, actions);
-      queue.pop_front();
+// Grants the first ask of the customer, if it can be granted. Returns whether
+// the queue has changed.
+bool GrantFirst(Pool& pool,
+                CustomerQueue& customer,
+                TimePoint now,
+                PoolActions& actions) {
+  const std::uint64_t sequence = FirstAsk(pool, customer);
+  if (sequence == 0)
+    return false;
+  const SlotAsk& ask = pool.asks.at(sequence);
+  if (IsBlocked(pool, ask.fingerprint)) {
+    RefuseAsk(pool, sequence, RefusalReason::kBlocked, {}, actions);
+    return true;
+  }
+  if (IsSuspect(pool, ask.fingerprint)) {
+    MoveToSuspects(pool, sequence);
+    return true;
+  }
+  const ServerChoice choice = ChooseServer(pool, ask, now);
+  if (!choice.found)
+    return false;
+  Grant(pool, TakeAsk(pool, sequence), choice, now, actions);
+  return true;
+}
+
+// Grants in the order of the customers' tags. A customer whose first request
+// avoids the free servers doesn't hold up the others.
+void GrantClass(Pool& pool,
+                RequestClass request_class,
+                TimePoint now,
+                PoolActions& actions) {
+  ClassQueue& queue = pool.queues[static_cast<std::size_t>(request_class)];
+  auto next = queue.order.begin();
+  while (next != queue.order.end() && HasFreeSlot(pool, request_class, now)) {
+    CustomerQueue& customer = queue.customers.at(next->second);
+    if (GrantFirst(pool, customer, now, actions))
+      next = queue.order.begin();
+    else
+      ++next;
+  }
+}
+
+// Suspects run one at a time in the pool.
+void GrantSuspects(Pool& pool, TimePoint now, PoolActions& actions) {
+  while (pool.suspects_running == 0) {
+    const std::uint64_t sequence = FirstSuspect(pool);
+    if (sequence == 0)
+      return;
+    const SlotAsk& ask = pool.asks.at(sequence);
+    if (IsBlocked(pool, ask.fingerprint)) {
+      RefuseAsk(pool, sequence, RefusalReason::kBlocked, {}, actions);
+      continue;
     }
+    const ServerChoice choice = ChooseServer(pool, ask, now);
+    if (!choice.found)
+      return;
+    Grant(pool, TakeAsk(pool, sequence), choice, now, actions);
   }
 }
 
-void RequestWake(const Pool& pool, PoolActions& actions) {
-  TimePoint at = kNever;
-  for (const auto& [number, lease] : pool.leases)
-    at = std::min(at, lease.expires_at);
-  for (const auto& queue : pool.queues) {
-    for (const SlotAsk& ask : queue)
-      at = std::min(at, ask.deadline);
+// No bulk is granted while an urgent request waits.
+void GrantQueued(Pool& pool, TimePoint now, PoolActions& actions) {
+  GrantClass(pool, RequestClass::kUrgent, now, actions);
+  if (pool.queues[kUrgentQueue].waiting == 0)
+    GrantSuspects(pool, now, actions);
+  GrantClass(pool, RequestClass::kRoutine, now, actions);
+  GrantClass(pool, RequestClass::kWrite, now, actions);
+  if (pool.queues[kUrgentQueue].waiting == 0)
+    GrantClass(pool, RequestClass::kBulk, now, actions);
+}
+
+void RefreshAll(Pool& pool, TimePoint now) {
+  for (std::uint32_t index = 0; index < pool.servers.size(); ++index)
+    RefreshServer(pool, index, now);
+}
+
+void ExpireTimer(Pool& pool,
+                 const PoolTimer& timer,
+                 TimePoint now,
+                 PoolActions& actions) {
+  switch (timer.kind) {
+    case PoolTimerKind::kAskDeadline:
+      return RefuseAsk(pool, timer.number, RefusalReason::kDeadline, {},
+                       actions);
+    case PoolTimerKind::kLeaseExpiry: {
+      const SlotLease lease = pool.leases.at(timer.number);
+      LearnFromOutcome(pool, lease, AttemptOutcome::kTimedOut,
+                       now - lease.granted_at, now);
+      return EndLease(pool, timer.number, now);
+    }
+    case PoolTimerKind::kLeaseAge:
+      return LearnFromAge(pool, timer.number, now);
+    case PoolTimerKind::kProbe:
+      return;  // The grants that follow use the probe.
+    case PoolTimerKind::kHandover:
+      pool.awaited_reports.clear();
+      return RefreshAll(pool, now);
   }
-  if (at != kNever)
-    actions.push_back(PoolWake{at});
 }
 
 }  // namespace
 
+void TakeOverPool(Pool& pool,
+                  const std::vector<std::string>& others,
+                  TimePoint now,
+                  PoolActions& actions) {
+  pool.awaited_reports.insert(others.begin(), others.end());
+  pool.handover_until = now + kHandoverTime;
+  if (!pool.awaited_reports.empty())
+    pool.timers.insert({pool.handover_until, PoolTimerKind::kHandover, 0});
+  RefreshAll(pool, now);
+  AdvancePool(pool, now, actions);
+}
+
+void AdoptLeases(Pool& pool,
+                 const std::string& entry,
+                 const std::vector<HeldLease>& held,
+                 TimePoint now,
+                 PoolActions& actions) {
+  for (const HeldLease& lease : held) {
+    const auto server = pool.server_index.find(lease.server);
+    if (server == pool.server_index.end() || pool.leases.contains(lease.lease))
+      continue;
+    ++pool.customers[lease.customer].in_progress;
+    AddLease(pool, lease.lease,
+             {.entry = entry,
+              .server = lease.server,
+              .customer = lease.customer,
+              .request_class = lease.request_class,
+              .fingerprint = lease.fingerprint,
+              .granted_at = lease.granted_at,
+              .expires_at = ExpiryOf(lease.deadline)},
+             server->second, now);
+  }
+  pool.awaited_reports.erase(entry);
+  if (pool.awaited_reports.empty()) {
+    pool.timers.erase({pool.handover_until, PoolTimerKind::kHandover, 0});
+    RefreshAll(pool, now);
+  }
+  AdvancePool(pool, now, actions);
+}
+
 void RequestSlot(Pool& pool,
                  const SlotAsk& ask,
                  TimePoint now,
                  PoolActions& actions) {
-  const bool any = std::any_of(
-      pool.servers.begin(), pool.servers.end(),
-      [&ask](const auto& entry) { return Accepts(entry.second, ask); });
-  auto& queue = pool.queues[static_cast<std::size_t>(ask.request_class)];
-  if (!any)
-    return Refuse(ask, RefusalReason::kNoServer, kRetryAfterFull, actions);
-  if (queue.size() >= kMaxQueuedPerClass)
-    return Refuse(ask, RefusalReason::kQueueFull, kRetryAfterFull, actions);
-  queue.push_back(ask);
+  if (IsBlocked(pool, ask.fingerprint))
+    return Refuse(ask, RefusalReason::kBlocked, {}, actions);
+  if (!HasCandidate(pool, ask, now))
+    return Refuse(ask, RefusalReason::kNoServer, kRetryAfterNoServer, actions);
+  const Duration wait = EstimateWait(pool, ask.request_class);
+  const Duration usual =
+      pool.usual[static_cast<std::size_t>(ask.request_class)];
+  if (wait > Duration{} && ask.deadline - now < wait + usual)
+    return Refuse(ask, RefusalReason::kDeadline, wait, actions);
+  const RefusalReason reason = CheckPlan(pool, ask, now);
+  if (reason != RefusalReason::kNone)
+    return Refuse(ask, reason, Seconds(1), actions);
+  Enqueue(pool, ask, now, actions);
   AdvancePool(pool, now, actions);
+  const auto waiting = pool.ask_index.find({ask.entry, ask.id});
+  if (ask.only_if_free && waiting != pool.ask_index.end())
+    RefuseAsk(pool, waiting->second, RefusalReason::kQueueFull, wait, actions);
 }
 
 void CancelSlot(Pool& pool,
@@ -140,23 +255,34 @@
                 std::uint64_t id,
                 TimePoint now,
                 PoolActions& actions) {
-  for (auto& queue : pool.queues)
-    std::erase_if(queue, [&](const SlotAsk& ask) {
-      return ask.entry == entry && ask.id == id;
-    });
+  const auto waiting = pool.ask_index.find({entry, id});
+  if (waiting != pool.ask_index.end()) {
+    RemoveAsk(pool, waiting->second);
+  } else {
+    const auto granted = std::find_if(
+        pool.leases.rbegin(), pool.leases.rend(), [&](const auto& lease) {
+          return lease.second.id == id && lease.second.entry == entry;
+        });
+    if (granted != pool.leases.rend())
+      return ReturnSlot(pool, granted->first, AttemptOutcome::kNotSent, {}, now,
+                        actions);
+  }
   AdvancePool(pool, now, actions);
 }
 
 void ReturnSlot(Pool& pool,
-                std::uint64_t lease,
-                AttemptOutcome /*outcome*/,
-                Duration /*latency*/,
+                std::uint64_t number,
+                AttemptOutcome outcome,
+                Duration latency,
                 TimePoint now,
                 PoolActions& actions) {
-  const auto found = pool.leases.find(lease);
+  const auto found = pool.leases.find(number);
   if (found == pool.leases.end())
     return;
-  ReleaseLease(pool, found);
+  const SlotLease lease = found->second;
+  LearnFromEnd(pool, lease, outcome, actions);
+  LearnFromOutcome(pool, lease, outcome, latency, now);
+  EndLease(pool, number, now);
   AdvancePool(pool, now, actions);
 }
 
@@ -164,46 +290,49 @@
                const std::string& entry,
                TimePoint now,
                PoolActions& actions) {
-  for (auto& queue : pool.queues)
-    std::erase_if(queue,
-                  [&entry](const SlotAsk& ask) { return ask.entry == entry; });
+  auto next = pool.ask_index.lower_bound({entry, 0});
+  while (next != pool.ask_index.end() && next->first.first == entry) {
+    const std::uint64_t sequence = next->second;
+    ++next;
+    RemoveAsk(pool, sequence);
+  }
   AdvancePool(pool, now, actions);
 }
 
 void AdvancePool(Pool& pool, TimePoint now, PoolActions& actions) {
-  for (auto lease = pool.leases.begin(); lease != pool.leases.end();) {
-    const auto present = lease++;
-    if (present->second.expires_at <= now)
-      ReleaseLease(pool, present);
+  while (!pool.timers.empty() && pool.timers.begin()->at <= now) {
+    const PoolTimer timer = *pool.timers.begin();
+    pool.timers.erase(pool.timers.begin());
+    ExpireTimer(pool, timer, now, actions);
   }
   GrantQueued(pool, now, actions);
-  RequestWake(pool, actions);
+  if (!pool.timers.empty() && pool.timers.begin()->at != kNever)
+    actions.push_back(PoolWake{pool.timers.begin()->at});
 }
 
 void UpdatePoolServers(Pool& pool,
                        const std::vector<BackendServer>& servers,
                        TimePoint now,
                        PoolActions& actions) {
-  std::map<std::string, PoolServer> updated;
-  for (const BackendServer& description : servers) {
-    PoolServer server{description};
-    const auto former = pool.servers.find(description.name);
-    if (former != pool.servers.end())
-      server = former->second;
-    server.description = description;
-    server.state =
-        description.leaving ? ServerState::kLeaving : ServerState::kReady;
-    updated.emplace(description.name, server);
-  }
-  pool.servers = std::move(updated);
-  for (auto& [name, server] : pool.servers) {
-    server.leases = static_cast<std::uint32_t>(
-        std::count_if(pool.leases.begin(), pool.leases.end(),
-                      [&name = name](const auto& lease) {
-                        return lease.second.server == name;
-                      }));
-  }
+  ReplaceServers(pool, servers, now);
   AdvancePool(pool, now, actions);
 }
 
+void ObserveLoadReport(Pool& pool,
+                       const std::string& name,
+                       const LoadReport& report,
+                       TimePoint now) {
+  const auto found = pool.server_index.find(name);
+  if (found == pool.server_index.end())
+    return;
+  PoolServer& server = pool.servers[found->second];
+  if (report.taken_at <= server.report_taken_at)
+    return;
+  const auto own = static_cast<std::uint32_t>(server.leases.size());
+  server.reported_extra =
+      report.in_progress > own ? report.in_progress - own : 0;
+  server.report_taken_at = report.taken_at;
+  RefreshServer(pool, found->second, now);
+}
+
 }  // namespace cicadadrum
--- a/Libraries/LibSteering/pool_flow.cc
+++ b/Libraries/LibSteering/pool_flow.cc
@@ -24,6 +24,16 @@
                TimePoint now,
                Actions& actions);
 
+void BlockFingerprint(EntryState& state,
+                      std::uint64_t fingerprint,
+                      Actions& actions) {
+  BlockedItem& item = state.blocked[fingerprint];
+  item = {fingerprint, item.version + 1, true};
+  actions.push_back(SpreadBlockedItem{item});
+  for (auto& [key, pool] : state.pools)
+    SetBlocked(pool, fingerprint, true);
+}
+
 void ApplyPoolActions(EntryState& state,
                       const PoolKey& key,
                       PoolActions pool_actions,
@@ -34,6 +44,10 @@
       actions.push_back(WakeAt{wake->at});
       continue;
     }
+    if (const auto* blocked = std::get_if<FingerprintBlocked>(&action)) {
+      BlockFingerprint(state, blocked->fingerprint, actions);
+      continue;
+    }
     if (auto* grant = std::get_if<SlotGrant>(&action)) {
       if (grant->entry != state.self.name) {
         actions.push_back(AnswerPeer{key, std::move(*grant)});
@@ -80,7 +94,17 @@
     return found->second;
   Pool& pool = state.pools[key];
   pool.key = key;
+  // Leases of different owners have different numbers.
+  pool.next_lease = ((NextRandom(state.random) >> 24U) << 20U) + 1;
+  for (const auto& [fingerprint, item] : state.blocked)
+    SetBlocked(pool, fingerprint, item.blocked);
+  std::vector<std::string> others;
+  for (const EntryVm& entry : state.live) {
+    if (entry.name != state.self.name)
+      others.push_back(entry.name);
+  }
   PoolActions pool_actions;
+  TakeOverPool(pool, others, now, pool_actions);
   UpdatePoolServers(pool, ServersOf(state, key), now, pool_actions);
   ApplyPoolActions(state, key, std::move(pool_actions), now, actions);
   return pool;
@@ -102,9 +126,34 @@
     if (!earlier.server.empty())
       ask.avoid.push_back(earlier.server);
   }
+  ask.only_if_free = attempt.hedge;
   return ask;
 }
 
+// The leases of `pool` that this entry VM holds; from now on they belong to
+// `owner`.
+std::vector<HeldLease> HandOver(EntryState& state,
+                                const PoolKey& pool,
+                                const std::string& owner) {
+  std::vector<HeldLease> held;
+  for (auto& [id, request] : state.requests) {
+    for (Attempt& attempt : request.attempts) {
+      if (attempt.pool != pool || attempt.phase != AttemptPhase::kSent ||
+          attempt.owner.empty())
+        continue;
+      attempt.owner = owner;
+      held.push_back({.lease = attempt.lease,
+                      .server = attempt.server,
+                      .customer = request.arrived.customer,
+                      .request_class = request.arrived.request_class,
+                      .fingerprint = request.arrived.fingerprint,
+                      .granted_at = attempt.sent_at,
+                      .deadline = request.arrived.deadline});
+    }
+  }
+  return held;
+}
+
 }  // namespace
 
 void AskForSlot(EntryState& state,
@@ -206,6 +255,66 @@
   }
 }
 
+void ApplyPeerReport(EntryState& state,
+                     const PeerReportedLeases& reported,
+                     TimePoint now,
+                     Actions& actions) {
+  PoolActions pool_actions;
+  AdoptLeases(FindPool(state, reported.pool, now, actions), reported.entry,
+              reported.leases, now, pool_actions);
+  ApplyPoolActions(state, reported.pool, std::move(pool_actions), now, actions);
+}
+
+void ApplyMembers(EntryState& state,
+                  const MembersChanged& changed,
+                  TimePoint now,
+                  Actions& actions) {
+  std::map<PoolKey, std::string> former;
+  for (const BackendServer& server : state.servers) {
+    const PoolKey key{server.region, server.service};
+    if (!former.contains(key))
+      former[key] = state.live_announced ? PoolOwner(state, key) : "";
+  }
+  state.live = changed.live;
+  state.live_announced = true;
+  for (const auto& [key, owner] : former) {
+    const std::string present = PoolOwner(state, key);
+    if (present == owner)
+      continue;
+    std::vector<HeldLease> held = HandOver(state, key, present);
+    if (present == state.self.name)
+      ApplyPeerReport(state, {key, present, std::move(held)}, now, actions);
+    else
+      actions.push_back(ReportLeases{present, key, std::move(held)});
+  }
+}
+
+void ApplyLoadReport(EntryState& state,
+                     const LoadReported& reported,
+                     TimePoint now) {
+  for (auto& [key, pool] : state.pools)
+    ObserveLoadReport(pool, reported.server, reported.report, now);
+}
+
+void ApplyBlockedItems(EntryState& state,
+                       const BlockedItemsReceived& received) {
+  for (const BlockedItem& item : received.items) {
+    BlockedItem& known = state.blocked[item.fingerprint];
+    if (known.version >= item.version)
+      continue;
+    known = item;
+    for (auto& [key, pool] : state.pools)
+      SetBlocked(pool, item.fingerprint, item.blocked);
+  }
+}
+
+std::vector<BlockedItem> ExportBlockedItems(const EntryState& state) {
+  std::vector<BlockedItem> items;
+  for (const auto& [fingerprint, item] : state.blocked)
+    items.push_back(item);
+  return items;
+}
+
 void ApplyServers(EntryState& state,
                   const ServersChanged& changed,
                   TimePoint now,
--- a/Libraries/LibSteering/pool_flow.h
+++ b/Libraries/LibSteering/pool_flow.h
@@ -47,6 +47,25 @@
                    TimePoint now,
                    Actions& actions);
 
+void ApplyPeerReport(EntryState& state,
+                     const PeerReportedLeases& reported,
+                     TimePoint now,
+                     Actions& actions);
+
+// Takes over the live entry VMs, and reports the leases that are held to the
+// new owners of their pools.
+void ApplyMembers(EntryState& state,
+                  const MembersChanged& changed,
+                  TimePoint now,
+                  Actions& actions);
+
+void ApplyLoadReport(EntryState& state,
+                     const LoadReported& reported,
+                     TimePoint now);
+
+// Takes over received items that are newer than the known ones.
+void ApplyBlockedItems(EntryState& state, const BlockedItemsReceived& received);
+
 // Gives each pool its present servers.
 void ApplyServers(EntryState& state,
                   const ServersChanged& changed,
--- /dev/null
+++ b/Libraries/LibSteering/pool_health.cc
@@ -0,0 +1,270 @@
+// Latency estimates, slow and lost servers, probes, and limits that grow in
+// steps.
+
+#include "pool_health.h"
+
+#include <algorithm>
+
+#include "pool_servers.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Weight of one sample in the moving average of a server's slowness.
+constexpr double kSampleWeight = 0.3;
+// A sample counts at most this much, so that one request that runs many times
+// longer than the rest does not make its server slow: two in a row do.
+constexpr double kMaxSample = 4;
+// Above this slowness a server counts as slow. Service times that vary by half
+// their mean stay below it; a server slowed threefold exceeds it after three
+// samples.
+constexpr double kSlowAbove = 2.2;
+// A probe is good if it was faster than this.
+constexpr double kGoodProbeBelow = 1.8;
+constexpr std::uint32_t kGoodProbesNeeded = 2;
+constexpr Duration kProbeAgain = Milliseconds(20);
+constexpr Duration kFirstSlowBackoff = Milliseconds(250);
+constexpr Duration kFirstDownBackoff = Milliseconds(100);
+constexpr Duration kMaxBackoff = Seconds(4);
+// Step of the running median, as a share of it.
+constexpr double kMedianStep = 0.02;
+// Share of the limit that stays after a shed.
+constexpr double kLimitAfterShed = 0.7;
+// A reduced limit of a ready server grows by one after this many successes per
+// slot; that of a warming server after one.
+constexpr std::uint32_t kGrowthRounds = 8;
+// Age checks of a lease, in multiples of the usual latency.
+constexpr int kFirstAgeCheck = 3;
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+std::size_t IndexOf(RequestClass request_class) {
+  return static_cast<std::size_t>(request_class);
+}
+
+void UpdateUsual(Pool& pool, RequestClass request_class, Duration latency) {
+  Duration& usual = pool.usual[IndexOf(request_class)];
+  if (usual == Duration{})
+    usual = std::max(latency, Duration(1));
+  else
+    usual = Scaled(usual, latency > usual ? 1 + kMedianStep : 1 - kMedianStep);
+  usual = std::max(usual, Duration(50));
+}
+
+double Sample(const Pool& pool, RequestClass request_class, Duration latency) {
+  const Duration usual = pool.usual[IndexOf(request_class)];
+  if (usual == Duration{})
+    return 1;
+  return std::min(kMaxSample, static_cast<double>(latency.count()) /
+                                  static_cast<double>(usual.count()));
+}
+
+double Average(double slowness, double sample) {
+  return ((1 - kSampleWeight) * slowness) + (kSampleWeight * sample);
+}
+
+Duration NextBackoff(PoolServer& server, Duration first) {
+  server.probe_backoff = server.probe_backoff == Duration{}
+                             ? first
+                             : std::min(kMaxBackoff, 2 * server.probe_backoff);
+  return server.probe_backoff;
+}
+
+bool MayMarkSlow(const Pool& pool) {
+  // At least half of the pool keeps serving: if most servers are slow, the
+  // load or a shared dependency is the cause.
+  const auto listed = static_cast<std::uint32_t>(
+      std::count_if(pool.servers.begin(), pool.servers.end(),
+                    [](const PoolServer& server) { return server.listed; }));
+  return 2 * (pool.slow_servers + 1) <= listed;
+}
+
+void MarkSlow(Pool& pool, std::uint32_t index, TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  server.good_probes = 0;
+  const TimePoint probe_at = now + NextBackoff(server, kFirstSlowBackoff);
+  SetServerState(pool, index, ServerState::kSlow, probe_at, now);
+}
+
+void MarkDown(Pool& pool, std::uint32_t index, TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  server.good_probes = 0;
+  const TimePoint probe_at = now + NextBackoff(server, kFirstDownBackoff);
+  SetServerState(pool, index, ServerState::kDown, probe_at, now);
+}
+
+void Recover(Pool& pool, std::uint32_t index, TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  server.limit = 1;
+  server.successes = 0;
+  server.slowness = 1;
+  SetServerState(pool, index, ServerState::kWarming, kNever, now);
+}
+
+void FinishProbe(Pool& pool,
+                 std::uint32_t index,
+                 double sample,
+                 TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  if (server.state == ServerState::kDown)
+    return Recover(pool, index, now);
+  if (server.state != ServerState::kSlow)
+    return;
+  if (sample >= kGoodProbeBelow)
+    return MarkSlow(pool, index, now);
+  if (++server.good_probes >= kGoodProbesNeeded)
+    return Recover(pool, index, now);
+  SetServerState(pool, index, ServerState::kSlow, now + kProbeAgain, now);
+}
+
+void GrowLimit(Pool& pool, std::uint32_t index, TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  if (server.limit >= server.description.slots) {
+    if (server.state == ServerState::kWarming)
+      SetServerState(pool, index, ServerState::kReady, kNever, now);
+    // Long enough without trouble: the next one starts with a short backoff.
+    if (++server.successes > kGrowthRounds * server.limit)
+      server.probe_backoff = {};
+    return;
+  }
+  const std::uint32_t rounds =
+      server.state == ServerState::kWarming ? 1 : kGrowthRounds;
+  if (++server.successes < rounds * server.limit)
+    return;
+  server.successes = 0;
+  ++server.limit;
+  RefreshServer(pool, index, now);
+}
+
+void ShrinkLimit(Pool& pool, std::uint32_t index, TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  const auto running = std::max<std::size_t>(server.leases.size(), 1) - 1;
+  server.limit = std::max(
+      1U, static_cast<std::uint32_t>(std::min<double>(
+              kLimitAfterShed * server.limit,
+              static_cast<double>(std::max<std::size_t>(running, 1)))));
+  server.successes = 0;
+  RefreshServer(pool, index, now);
+}
+
+void Observe(Pool& pool, std::uint32_t index, double sample, TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  server.slowness = Average(server.slowness, sample);
+  // A warming server is slower because its caches are cold.
+  if (server.state == ServerState::kReady && server.slowness > kSlowAbove &&
+      MayMarkSlow(pool))
+    MarkSlow(pool, index, now);
+}
+
+void LearnFromAnswer(Pool& pool,
+                     const SlotLease& lease,
+                     std::uint32_t index,
+                     Duration latency,
+                     TimePoint now) {
+  const PoolServer& server = pool.servers[index];
+  const double sample = Sample(pool, lease.request_class, latency);
+  if (server.state == ServerState::kReady)
+    UpdateUsual(pool, lease.request_class, latency);
+  if (lease.probe)
+    return FinishProbe(pool, index, sample, now);
+  Observe(pool, index, sample, now);
+  if (server.state == ServerState::kReady ||
+      server.state == ServerState::kWarming)
+    GrowLimit(pool, index, now);
+}
+
+}  // namespace
+
+void LearnFromOutcome(Pool& pool,
+                      const SlotLease& lease,
+                      AttemptOutcome outcome,
+                      Duration latency,
+                      TimePoint now) {
+  const auto found = pool.server_index.find(lease.server);
+  if (found == pool.server_index.end())
+    return;
+  const std::uint32_t index = found->second;
+  const PoolServer& server = pool.servers[index];
+  if (!server.listed || server.state == ServerState::kLeaving)
+    return;
+  switch (outcome) {
+    case AttemptOutcome::kAnswered:
+    case AttemptOutcome::kServerError:
+      return LearnFromAnswer(pool, lease, index, latency, now);
+    case AttemptOutcome::kShed:
+      ShrinkLimit(pool, index, now);
+      if (lease.probe)
+        MarkSlow(pool, index, now);
+      return;
+    case AttemptOutcome::kConnectionRefused:
+    case AttemptOutcome::kConnectionLost:
+      // The other requests that were lost with it say nothing new.
+      if (server.state != ServerState::kDown || lease.probe)
+        MarkDown(pool, index, now);
+      return;
+    case AttemptOutcome::kCancelled:
+    case AttemptOutcome::kTimedOut:
+      if (lease.probe && server.state == ServerState::kSlow)
+        return MarkSlow(pool, index, now);
+      if (lease.probe && server.state == ServerState::kDown)
+        return MarkDown(pool, index, now);
+      // The latency is a lower bound, which says something only if it is long.
+      if (Sample(pool, lease.request_class, latency) > 1)
+        Observe(pool, index, Sample(pool, lease.request_class, latency), now);
+      return;
+    case AttemptOutcome::kNotSent:
+      if (lease.probe && (server.state == ServerState::kSlow ||
+                          server.state == ServerState::kDown))
+        SetServerState(pool, index, server.state, now, now);
+      return;
+  }
+}
+
+void ScheduleAgeCheck(Pool& pool, std::uint64_t number, SlotLease& lease) {
+  const Duration usual = pool.usual[IndexOf(lease.request_class)];
+  if (usual == Duration{} || lease.probe)
+    return;
+  lease.age_check_at = lease.granted_at + kFirstAgeCheck * usual;
+  pool.timers.insert({lease.age_check_at, PoolTimerKind::kLeaseAge, number});
+}
+
+void LearnFromAge(Pool& pool, std::uint64_t number, TimePoint now) {
+  const auto found = pool.leases.find(number);
+  if (found == pool.leases.end())
+    return;
+  SlotLease& lease = found->second;
+  lease.age_check_at = kNever;
+  const auto at = pool.server_index.find(lease.server);
+  if (at == pool.server_index.end())
+    return;
+  const std::uint32_t index = at->second;
+  const PoolServer& server = pool.servers[index];
+  if (server.state != ServerState::kReady)
+    return;
+  double slowness = server.slowness;
+  for (const std::uint64_t other : server.leases) {
+    const SlotLease& running = pool.leases.at(other);
+    const double sample =
+        Sample(pool, running.request_class, now - running.granted_at);
+    if (sample > 1)
+      slowness = Average(slowness, sample);
+  }
+  if (slowness > kSlowAbove && MayMarkSlow(pool))
+    return MarkSlow(pool, index, now);
+  lease.age_check_at = now + pool.usual[IndexOf(lease.request_class)];
+  // Beyond the greatest sample a later check adds nothing of this lease.
+  if (Sample(pool, lease.request_class, now - lease.granted_at) >= kMaxSample)
+    lease.age_check_at = kNever;
+  else
+    pool.timers.insert({lease.age_check_at, PoolTimerKind::kLeaseAge, number});
+}
+
+void BeginProbe(Pool& pool, std::uint32_t index, TimePoint now) {
+  SetServerState(pool, index, pool.servers[index].state, kNever, now);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibSteering/pool_servers.cc
@@ -0,0 +1,245 @@
+// Index of servers by load, and the rules on what a server may take.
+
+#include "pool_servers.h"
+
+#include <algorithm>
+
+namespace cicadadrum {
+
+namespace {
+
+// Free slots of a server that bulk never takes, so that short work does not
+// wait for a bulk part.
+constexpr std::uint32_t kSlotsKeptFromBulk = 2;
+// Bulk holds at most this share of a pool's usable slots.
+constexpr std::uint32_t kBulkShareDivisor = 2;
+constexpr Duration kMaxReportAge = Seconds(5);
+// A probe that found no cheap request takes a write or bulk part after the
+// first time, and an urgent request after the second.
+constexpr Duration kProbeWaitsForRoutine = Seconds(1);
+constexpr Duration kProbeWaitsForOthers = Seconds(3);
+
+bool IsAvoided(const SlotAsk& ask, const PoolServer& server) {
+  return std::find(ask.avoid.begin(), ask.avoid.end(),
+                   server.description.name) != ask.avoid.end();
+}
+
+bool InHandover(const Pool& pool, TimePoint now) {
+  return !pool.awaited_reports.empty() && now < pool.handover_until;
+}
+
+std::uint32_t UsableSlots(const Pool& pool,
+                          const PoolServer& server,
+                          TimePoint now) {
+  if (!server.listed || (server.state != ServerState::kReady &&
+                         server.state != ServerState::kWarming))
+    return 0;
+  const std::uint32_t slots = server.description.slots;
+  const std::uint32_t cap =
+      InHandover(pool, now) ? std::max(1U, slots / 2) : slots;
+  return std::min(server.limit, cap);
+}
+
+std::uint32_t LoadOf(const PoolServer& server, TimePoint now) {
+  const bool fresh = now - server.report_taken_at <= kMaxReportAge;
+  // Work of others counts half, because the report may be old or false.
+  const auto twice = static_cast<std::uint32_t>(2 * server.leases.size()) +
+                     (fresh ? server.reported_extra : 0);
+  return 500 * twice / server.usable;
+}
+
+bool HasBulkSlot(const PoolServer& server) {
+  const std::uint32_t kept =
+      std::min(kSlotsKeptFromBulk, server.description.slots - 1);
+  return server.leases.size() + kept < server.usable;
+}
+
+bool SuitsProbe(const SlotAsk& ask, TimePoint probe_at, TimePoint now) {
+  if (ask.request_class == RequestClass::kRoutine)
+    return true;
+  const Duration wait = ask.request_class == RequestClass::kUrgent
+                            ? kProbeWaitsForOthers
+                            : kProbeWaitsForRoutine;
+  return now - probe_at >= wait;
+}
+
+bool BulkShareTaken(const Pool& pool) {
+  return pool.bulk_leases >=
+         std::max(1U, pool.usable_slots / kBulkShareDivisor);
+}
+
+ServerChoice ChooseProbe(const Pool& pool, const SlotAsk& ask, TimePoint now) {
+  for (const auto& [at, index] : pool.probes) {
+    if (at > now)
+      break;
+    const PoolServer& server = pool.servers[index];
+    if (SuitsProbe(ask, at, now) && !IsAvoided(ask, server))
+      return {true, index, true};
+  }
+  return {};
+}
+
+}  // namespace
+
+void RefreshServer(Pool& pool, std::uint32_t index, TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  if (server.ranked)
+    pool.free_servers.erase(server.rank);
+  if (server.ranked_for_bulk)
+    pool.free_servers_for_bulk.erase(server.rank);
+  pool.usable_slots -= server.usable;
+  server.usable = UsableSlots(pool, server, now);
+  pool.usable_slots += server.usable;
+  server.ranked = server.leases.size() < server.usable;
+  server.ranked_for_bulk = server.ranked && HasBulkSlot(server);
+  if (!server.ranked)
+    return;
+  server.rank = {LoadOf(server, now), server.last_grant, index};
+  pool.free_servers.insert(server.rank);
+  if (server.ranked_for_bulk)
+    pool.free_servers_for_bulk.insert(server.rank);
+}
+
+void SetServerState(Pool& pool,
+                    std::uint32_t index,
+                    ServerState state,
+                    TimePoint probe_at,
+                    TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  pool.slow_servers -= server.state == ServerState::kSlow ? 1 : 0;
+  pool.slow_servers += state == ServerState::kSlow ? 1 : 0;
+  if (server.probe_at != kNever) {
+    pool.probes.erase({server.probe_at, index});
+    pool.timers.erase({server.probe_at, PoolTimerKind::kProbe, index});
+  }
+  server.state = state;
+  server.probe_at = probe_at;
+  if (probe_at != kNever) {
+    pool.probes.insert({probe_at, index});
+    pool.timers.insert({probe_at, PoolTimerKind::kProbe, index});
+  }
+  RefreshServer(pool, index, now);
+}
+
+ServerChoice ChooseServer(const Pool& pool, const SlotAsk& ask, TimePoint now) {
+  const bool bulk = ask.request_class == RequestClass::kBulk;
+  if (bulk && BulkShareTaken(pool))
+    return {};
+  const ServerChoice probe = ChooseProbe(pool, ask, now);
+  if (probe.found)
+    return probe;
+  const auto preferred = pool.server_index.find(ask.preferred);
+  if (preferred != pool.server_index.end()) {
+    const PoolServer& server = pool.servers[preferred->second];
+    if ((bulk ? server.ranked_for_bulk : server.ranked) &&
+        !IsAvoided(ask, server))
+      return {true, preferred->second, false};
+  }
+  for (const ServerRank& rank :
+       bulk ? pool.free_servers_for_bulk : pool.free_servers) {
+    if (!IsAvoided(ask, pool.servers[rank.server]))
+      return {true, rank.server, false};
+  }
+  return {};
+}
+
+bool HasFreeSlot(const Pool& pool, RequestClass request_class, TimePoint now) {
+  if (!pool.probes.empty() && pool.probes.begin()->first <= now)
+    return true;
+  if (request_class == RequestClass::kBulk)
+    return !BulkShareTaken(pool) && !pool.free_servers_for_bulk.empty();
+  return !pool.free_servers.empty();
+}
+
+bool HasCandidate(const Pool& pool, const SlotAsk& ask, TimePoint now) {
+  if (ask.avoid.empty() && pool.usable_slots > 0)
+    return true;
+  return std::any_of(pool.server_index.begin(), pool.server_index.end(),
+                     [&](const auto& entry) {
+                       const PoolServer& server = pool.servers[entry.second];
+                       const bool takes = server.usable > 0 ||
+                                          server.probe_at <= now ||
+                                          server.state == ServerState::kSlow;
+                       return takes && !IsAvoided(ask, server);
+                     });
+}
+
+void AttachLease(Pool& pool,
+                 std::uint32_t index,
+                 std::uint64_t number,
+                 TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  server.leases.insert(number);
+  server.last_grant = number;
+  RefreshServer(pool, index, now);
+}
+
+void DetachLease(Pool& pool,
+                 const SlotLease& lease,
+                 std::uint64_t number,
+                 TimePoint now) {
+  const auto found = pool.server_index.find(lease.server);
+  if (found == pool.server_index.end())
+    return;
+  pool.servers[found->second].leases.erase(number);
+  RefreshServer(pool, found->second, now);
+}
+
+namespace {
+
+std::uint32_t AddServer(Pool& pool,
+                        const BackendServer& description,
+                        bool first_list) {
+  const auto index = static_cast<std::uint32_t>(pool.servers.size());
+  PoolServer server{.description = description};
+  // The servers of the first list were serving before this owner knew them;
+  // later ones are new and cold.
+  server.state = first_list ? ServerState::kReady : ServerState::kWarming;
+  server.limit = first_list ? description.slots : 1;
+  pool.servers.push_back(std::move(server));
+  pool.server_index[description.name] = index;
+  return index;
+}
+
+void UpdateServer(Pool& pool,
+                  std::uint32_t index,
+                  const BackendServer& description,
+                  TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  const bool was_leaving = server.state == ServerState::kLeaving;
+  const bool more = description.slots > server.description.slots;
+  server.listed = true;
+  server.description = description;
+  if (server.limit > description.slots || (more && server.usable > 0))
+    server.limit = description.slots;
+  if (description.leaving)
+    return SetServerState(pool, index, ServerState::kLeaving, kNever, now);
+  if (was_leaving) {
+    server.limit = 1;
+    return SetServerState(pool, index, ServerState::kWarming, kNever, now);
+  }
+  RefreshServer(pool, index, now);
+}
+
+}  // namespace
+
+void ReplaceServers(Pool& pool,
+                    const std::vector<BackendServer>& servers,
+                    TimePoint now) {
+  const bool first_list = pool.servers.empty();
+  for (PoolServer& server : pool.servers)
+    server.listed = false;
+  for (const BackendServer& description : servers) {
+    const auto found = pool.server_index.find(description.name);
+    const std::uint32_t index = found == pool.server_index.end()
+                                    ? AddServer(pool, description, first_list)
+                                    : found->second;
+    UpdateServer(pool, index, description, now);
+  }
+  for (std::uint32_t index = 0; index < pool.servers.size(); ++index) {
+    if (!pool.servers[index].listed)
+      SetServerState(pool, index, ServerState::kLeaving, kNever, now);
+  }
+}
+
+}  // namespace cicadadrum
--- a/Libraries/LibSteering/request_flow.cc
+++ b/Libraries/LibSteering/request_flow.cc
@@ -8,6 +8,7 @@
 #include <algorithm>
 
 #include "admission.h"
+#include "budgets.h"
 #include "pool_flow.h"
 #include "routing.h"
 
@@ -16,8 +17,6 @@
 namespace {
 
 constexpr std::uint32_t kMaxAttempts = 3;
-constexpr double kRetryTokensPerRequest = 0.1;
-constexpr double kMaxRetryTokens = 20;
 
 Attempt* FindAttempt(EntryState& state,
                      std::uint64_t request,
@@ -79,6 +78,8 @@
     return;
   Request request = std::move(found->second);
   state.requests.erase(found);
+  state.timers.erase({request.arrived.deadline, id});
+  LearnRefusal(state.retry_budget, answer.reason);
   for (Attempt& attempt : request.attempts) {
     if (attempt.phase == AttemptPhase::kSent)
       request.verdict = Combine(request.verdict, Verdict::kMayHaveRun);
@@ -96,6 +97,29 @@
     ApplyClaimEvent(state, finished, now, actions);
 }
 
+void AddTimer(EntryState& state,
+              TimePoint at,
+              std::uint64_t request,
+              Actions& actions) {
+  state.timers.insert({at, request});
+  actions.push_back(WakeAt{at});
+}
+
+// Starts a second attempt in the pool of the first one.
+void StartHedge(EntryState& state,
+                Request& request,
+                TimePoint now,
+                Actions& actions) {
+  const Attempt& first = request.attempts.back();
+  Attempt attempt{
+      .number = static_cast<std::uint32_t>(request.attempts.size() + 1),
+      .pool = first.pool,
+      .owner = first.owner,
+      .hedge = true};
+  request.attempts.push_back(attempt);
+  AskForSlot(state, request, request.attempts.back(), now, actions);
+}
+
 void StartAttempt(EntryState& state,
                   Request& request,
                   TimePoint now,
@@ -122,6 +146,21 @@
   return true;
 }
 
+bool HasOpenAttempt(const Request& request) {
+  return std::any_of(request.attempts.begin(), request.attempts.end(),
+                     [](const Attempt& attempt) {
+                       return attempt.phase != AttemptPhase::kEnded;
+                     });
+}
+
+// Whether another attempt could help: the refusal is about one pool or owner,
+// and not about the request or the load.
+bool IsRetryable(RefusalReason reason) {
+  return reason == RefusalReason::kPeerUnreachable ||
+         reason == RefusalReason::kNoServer ||
+         reason == RefusalReason::kNotReady;
+}
+
 bool MayRetry(EntryState& state,
               const Request& request,
               Verdict ended,
@@ -143,7 +182,9 @@
                    Actions& actions) {
   Request& request = state.requests.at(id);
   request.verdict = Combine(request.verdict, ended);
-  if (MayRetry(state, request, ended, now))
+  if (HasOpenAttempt(request))
+    return;
+  if (IsRetryable(reason) && MayRetry(state, request, ended, now))
     return StartAttempt(state, request, now, actions);
   Finish(state, id, {.reason = reason, .retry_after = retry_after}, now,
          actions);
@@ -192,12 +233,11 @@
   if (reason != RefusalReason::kNone)
     return Refuse(arrived.request, Verdict::kNotRun, reason, Seconds(1),
                   actions);
-  state.retry_budget.tokens = std::min(
-      state.retry_budget.tokens + kRetryTokensPerRequest, kMaxRetryTokens);
+  EarnRetryTokens(state.retry_budget);
   Request& request = state.requests[arrived.request];
   request.arrived = arrived;
   request.arrived_at = now;
-  actions.push_back(WakeAt{arrived.deadline});
+  AddTimer(state, arrived.deadline, arrived.request, actions);
   if (IsIdempotent(arrived.request_class))
     return StartAttempt(state, request, now, actions);
   request.phase = RequestPhase::kClaiming;
@@ -227,9 +267,13 @@
   attempt->server = granted.server;
   attempt->sent_at = now;
   attempt->phase = AttemptPhase::kSent;
+  const std::optional<TimePoint> hedge_at =
+      HedgeTime(state, request, *attempt, now);
   actions.push_back(SendToBackend{granted.request, granted.attempt,
                                   granted.server, granted.address,
                                   request.arrived.deadline});
+  if (hedge_at)
+    AddTimer(state, *hedge_at, granted.request, actions);
 }
 
 void ApplyRefusal(EntryState& state,
@@ -264,6 +308,8 @@
                                  AttemptPhase::kSent);
   if (attempt == nullptr)
     return;
+  if (VerdictOf(answered.outcome) == Verdict::kRan)
+    LearnHedgeDelay(state, state.requests.at(answered.request), *attempt, now);
   EndAttempt(state, state.requests.at(answered.request), *attempt,
              answered.outcome, now, actions);
   if (VerdictOf(answered.outcome) != Verdict::kRan) {
@@ -312,14 +358,20 @@
   }
 }
 
-void ExpireRequests(EntryState& state, TimePoint now, Actions& actions) {
-  std::vector<std::uint64_t> expired;
-  for (const auto& [id, request] : state.requests) {
-    if (request.arrived.deadline <= now)
-      expired.push_back(id);
+void AdvanceRequests(EntryState& state, TimePoint now, Actions& actions) {
+  while (!state.timers.empty() && state.timers.begin()->first <= now) {
+    const std::uint64_t id = state.timers.begin()->second;
+    state.timers.erase(state.timers.begin());
+    const auto found = state.requests.find(id);
+    if (found == state.requests.end())
+      continue;
+    if (found->second.arrived.deadline <= now)
+      Finish(state, id, {.reason = RefusalReason::kDeadline}, now, actions);
+    else if (TakeHedgeToken(state, found->second, now))
+      StartHedge(state, found->second, now, actions);
   }
-  for (const std::uint64_t id : expired)
-    Finish(state, id, {.reason = RefusalReason::kDeadline}, now, actions);
+  if (!state.timers.empty() && state.timers.begin()->first != kNever)
+    actions.push_back(WakeAt{state.timers.begin()->first});
 }
 
 }  // namespace cicadadrum
--- a/Libraries/LibSteering/request_flow.h
+++ b/Libraries/LibSteering/request_flow.h
@@ -36,8 +36,8 @@
                      TimePoint now,
                      Actions& actions);
 
-// Ends the requests whose deadline has passed.
-void ExpireRequests(EntryState& state, TimePoint now, Actions& actions);
+// Ends the requests whose deadline has passed, and hedges those that are due.
+void AdvanceRequests(EntryState& state, TimePoint now, Actions& actions);
 
 }  // namespace cicadadrum
 
--- a/Libraries/LibSteering/step.cc
+++ b/Libraries/LibSteering/step.cc
@@ -43,6 +43,15 @@
   void operator()(const PeerReturnedSlot& event) const {
     ApplyPeerReturn(state, event, now, actions);
   }
+  void operator()(const PeerReportedLeases& event) const {
+    ApplyPeerReport(state, event, now, actions);
+  }
+  void operator()(const LoadReported& event) const {
+    ApplyLoadReport(state, event, now);
+  }
+  void operator()(const BlockedItemsReceived& event) const {
+    ApplyBlockedItems(state, event);
+  }
   void operator()(const PeerLost& event) const {
     ApplyPeerLost(state, event, now, actions);
   }
@@ -57,7 +66,7 @@
       state.configuration = event.configuration;
   }
   void operator()(const MembersChanged& event) const {
-    state.live = event.live;
+    ApplyMembers(state, event, now, actions);
   }
   void operator()(const ServersChanged& event) const {
     ApplyServers(state, event, now, actions);
@@ -66,7 +75,7 @@
     state.stopping = true;
   }
   void operator()(const TimerExpired& /*event*/) const {
-    ExpireRequests(state, now, actions);
+    AdvanceRequests(state, now, actions);
     AdvancePools(state, now, actions);
     ApplyClaimEvent(state, ClaimTimerExpired{}, now, actions);
   }
