--- a/Libraries/LibSteering/pool_health.cc
+++ b/Libraries/LibSteering/pool_health.cc
@@ -12,13 +12,13 @@
 namespace {
 
 // Weight of one sample in the moving average of a server's slowness.
-constexpr double kSampleWeight = 0.3;
+constexpr double kSampleWeight = 0.2;
 // A sample counts at most this much, so that one request that runs many times
 // longer than the rest does not make its server slow: two in a row do.
 constexpr double kMaxSample = 4;
-// Above this slowness a server counts as slow. Service times that vary by half
-// their mean stay below it; a server slowed threefold exceeds it after three
-// samples.
+// Above this slowness a server counts as slow. With service times whose
+// deviation is half their mean it is five deviations of the average away from
+// the ordinary value; a server slowed threefold exceeds it after three samples.
 constexpr double kSlowAbove = 2.2;
 // A probe is good if it was faster than this.
 constexpr double kGoodProbeBelow = 1.8;
