LibSteering: Keep cold servers warming until they are fast

A restarted server with cold caches was marked as slow as soon as it had its full limit, and single probes warmed it up very slowly. It now stays warming, with all its slots, until its latency is usual again.

--- a/Libraries/LibSteering/pool_health.cc
+++ b/Libraries/LibSteering/pool_health.cc
@@ -34,6 +34,9 @@
 // A reduced limit of a ready server grows by one after this many successes per
 // slot; that of a warming server after one.
 constexpr std::uint32_t kGrowthRounds = 8;
+// A warming server with all its slots counts as ready when its latency is usual
+// again, or after this many successes per slot: it may be slow for good.
+constexpr std::uint32_t kMaxColdRounds = 32;
 // Age checks of a lease, in multiples of the usual latency.
 constexpr int kFirstAgeCheck = 3;
 
@@ -124,10 +127,15 @@
 void GrowLimit(Pool& pool, std::uint32_t index, TimePoint now) {
   PoolServer& server = pool.servers[index];
   if (server.limit >= server.description.slots) {
-    if (server.state == ServerState::kWarming)
+    ++server.successes;
+    if (server.state == ServerState::kWarming &&
+        (server.slowness < kGoodProbeBelow ||
+         server.successes > kMaxColdRounds * server.limit)) {
+      server.slowness = 1;
       SetServerState(pool, index, ServerState::kReady, kNever, now);
+    }
     // Long enough without trouble: the next one starts with a short backoff.
-    if (++server.successes > kGrowthRounds * server.limit)
+    if (server.successes > kGrowthRounds * server.limit)
       server.probe_backoff = {};
     return;
   }
