LibSteering: Retry in the same pool

A retry went to another region first: it paid the delay between regions, and a request that crashes servers reached every pool before one had counted three crashes. A region is now left out only if its pool refused the request.

--- a/Libraries/LibSteering/routing.cc
+++ b/Libraries/LibSteering/routing.cc
@@ -24,10 +24,16 @@
                      });
 }
 
-bool WasAttemptedIn(const Request& request, const std::string& region) {
-  return std::any_of(
-      request.attempts.begin(), request.attempts.end(),
-      [&](const Attempt& attempt) { return attempt.pool.region == region; });
+// Whether the pool of the region has refused the request. An attempt that was
+// sent and failed says something about its server only; a retry on another
+// server of the same pool saves the delay between regions, and the pool knows
+// the request if it crashes servers.
+bool WasRefusedIn(const Request& request, const std::string& region) {
+  return std::any_of(request.attempts.begin(), request.attempts.end(),
+                     [&](const Attempt& attempt) {
+                       return attempt.pool.region == region &&
+                              attempt.server.empty();
+                     });
 }
 
 }  // namespace
@@ -44,13 +50,13 @@
   }
   if (usable.empty())
     return std::nullopt;
-  // Regions without an earlier attempt first, then this entry VM's region, then
+  // Regions that have not refused the request first, then this entry VM's region, then
   // a fixed order by customer.
   RankByRendezvous(request.arrived.customer, usable);
   std::stable_sort(usable.begin(), usable.end(),
                    [&](const std::string& a, const std::string& b) {
                      const auto rank = [&](const std::string& region) {
-                       return (WasAttemptedIn(request, region) ? 2 : 0) +
+                       return (WasRefusedIn(request, region) ? 2 : 0) +
                               (region == state.self.region ? 0 : 1);
                      };
                      return rank(a) < rank(b);
