LibSteering: Let a new pool owner ask for leases

Entry VMs reported their leases when the owner of a pool changed. An owner that restarts within the detection time never seems to change, so it granted half of its slots for 32 s. The new owner now asks for the reports.

--- a/Libraries/LibBench/entry_driver.cc
+++ b/Libraries/LibBench/entry_driver.cc
@@ -82,9 +82,15 @@
                  PeerReturnedSlot{returned.pool, returned.lease,
                                   returned.outcome, returned.latency});
   }
+  void operator()(const AskForLeases& ask) const {
+    for (const std::string& name : ask.entries) {
+      const std::size_t to = world.entry_index.at(name);
+      DeliverLater(
+          world, to, PeerDelay(world, entry, to),
+          PeerAskedLeases{ask.pool, world.entries[entry].description.name});
+    }
+  }
   void operator()(const ReportLeases& report) const {
-    if (world.options.policy != Policy::kPoolOwner)
-      return;
     const std::size_t owner = world.entry_index.at(report.owner);
     DeliverLater(
         world, owner, PeerDelay(world, entry, owner),
--- a/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
@@ -81,9 +81,8 @@
   Random random;
   Configuration configuration;  // Invariant: the version never decreases.
   std::uint64_t configuration_floor =
-      0;                        // Highest version any caller or peer has named.
-  std::vector<EntryVm> live;    // Live entry VMs, with this one.
-  bool live_announced = false;  // Whether membership has set `live`.
+      0;                      // Highest version any caller or peer has named.
+  std::vector<EntryVm> live;  // Live entry VMs, with this one.
   std::vector<BackendServer> servers;
   TimePoint servers_confirmed_at;  // When `servers` was last confirmed.
   bool servers_known = false;
--- a/Libraries/LibSteering/include/cicadadrum/steering/events.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/events.h
@@ -94,6 +94,13 @@
   Duration latency{};
 };
 
+// The new owner of `pool` asks for the leases that this entry VM holds there;
+// answered by ReportLeases.
+struct PeerAskedLeases {
+  PoolKey pool;
+  std::string owner;
+};
+
 // Another entry VM reports the leases it holds from an earlier owner of `pool`;
 // there may be none.
 struct PeerReportedLeases {
@@ -155,6 +162,7 @@
                            PeerAskedSlot,
                            PeerCancelledSlot,
                            PeerReturnedSlot,
+                           PeerAskedLeases,
                            PeerReportedLeases,
                            PeerLost,
                            LoadReported,
@@ -195,6 +203,12 @@
   Duration latency{};
 };
 
+// Ask these entry VMs, as the new owner of `pool`, for the leases they hold.
+struct AskForLeases {
+  PoolKey pool;
+  std::vector<std::string> entries;
+};
+
 // Report to the new owner of `pool` the leases that this entry VM holds from an
 // earlier owner.
 struct ReportLeases {
@@ -264,6 +278,7 @@
 using Action = std::variant<AskPoolOwner,
                             CancelAtPoolOwner,
                             ReturnToPoolOwner,
+                            AskForLeases,
                             ReportLeases,
                             SpreadBlockedItem,
                             AnswerPeer,
--- a/Libraries/LibSteering/pool.cc
+++ b/Libraries/LibSteering/pool.cc
@@ -161,6 +161,13 @@
     RefreshServer(pool, index, now);
 }
 
+void StopAwaiting(Pool& pool, const std::string& entry, TimePoint now) {
+  if (pool.awaited_reports.erase(entry) == 0 || !pool.awaited_reports.empty())
+    return;
+  pool.timers.erase({pool.handover_until, PoolTimerKind::kHandover, 0});
+  RefreshAll(pool, now);
+}
+
 void ExpireTimer(Pool& pool,
                  const PoolTimer& timer,
                  TimePoint now,
@@ -191,7 +198,8 @@
                   const std::vector<std::string>& others,
                   TimePoint now,
                   PoolActions& actions) {
-  pool.awaited_reports.insert(others.begin(), others.end());
+  pool.timers.erase({pool.handover_until, PoolTimerKind::kHandover, 0});
+  pool.awaited_reports = {others.begin(), others.end()};
   pool.handover_until = now + kHandoverTime;
   if (!pool.awaited_reports.empty())
     pool.timers.insert({pool.handover_until, PoolTimerKind::kHandover, 0});
@@ -219,11 +227,7 @@
               .expires_at = ExpiryOf(lease.deadline)},
              server->second, now);
   }
-  pool.awaited_reports.erase(entry);
-  if (pool.awaited_reports.empty()) {
-    pool.timers.erase({pool.handover_until, PoolTimerKind::kHandover, 0});
-    RefreshAll(pool, now);
-  }
+  StopAwaiting(pool, entry, now);
   AdvancePool(pool, now, actions);
 }
 
@@ -296,6 +300,8 @@
     ++next;
     RemoveAsk(pool, sequence);
   }
+  // A lost entry VM will not report; servers shed what its leases still hold.
+  StopAwaiting(pool, entry, now);
   AdvancePool(pool, now, actions);
 }
 
--- a/Libraries/LibSteering/pool_flow.cc
+++ b/Libraries/LibSteering/pool_flow.cc
@@ -85,6 +85,53 @@
   return servers;
 }
 
+// The leases of `pool` that this entry VM holds; from now on they belong to
+// `owner`.
+std::vector<HeldLease> HandOver(EntryState& state,
+                                const PoolKey& pool,
+                                const std::string& owner) {
+  std::vector<HeldLease> held;
+  for (auto& [id, request] : state.requests) {
+    for (Attempt& attempt : request.attempts) {
+      if (attempt.pool != pool || attempt.phase != AttemptPhase::kSent ||
+          attempt.owner.empty())
+        continue;
+      attempt.owner = owner;
+      held.push_back({.lease = attempt.lease,
+                      .server = attempt.server,
+                      .customer = request.arrived.customer,
+                      .request_class = request.arrived.request_class,
+                      .fingerprint = request.arrived.fingerprint,
+                      .granted_at = attempt.sent_at,
+                      .deadline = request.arrived.deadline});
+    }
+  }
+  return held;
+}
+
+// Starts or restarts the ownership of a pool: the leases that entry VMs hold
+// are not known, also if this entry VM has only been restarted.
+void StartOwnership(EntryState& state,
+                    Pool& pool,
+                    TimePoint now,
+                    Actions& actions) {
+  const PoolKey key = pool.key;
+  std::vector<std::string> others;
+  for (const EntryVm& entry : state.live) {
+    if (entry.name != state.self.name)
+      others.push_back(entry.name);
+  }
+  PoolActions pool_actions;
+  TakeOverPool(pool, others, now, pool_actions);
+  if (!others.empty())
+    actions.push_back(AskForLeases{key, std::move(others)});
+  ApplyPoolActions(state, key, std::move(pool_actions), now, actions);
+  const PeerReportedLeases own{key, state.self.name,
+                               HandOver(state, key, state.self.name)};
+  if (!own.leases.empty())
+    ApplyPeerReport(state, own, now, actions);
+}
+
 Pool& FindPool(EntryState& state,
                const PoolKey& key,
                TimePoint now,
@@ -98,13 +145,8 @@
   pool.next_lease = ((NextRandom(state.random) >> 24U) << 20U) + 1;
   for (const auto& [fingerprint, item] : state.blocked)
     SetBlocked(pool, fingerprint, item.blocked);
-  std::vector<std::string> others;
-  for (const EntryVm& entry : state.live) {
-    if (entry.name != state.self.name)
-      others.push_back(entry.name);
-  }
+  StartOwnership(state, pool, now, actions);
   PoolActions pool_actions;
-  TakeOverPool(pool, others, now, pool_actions);
   UpdatePoolServers(pool, ServersOf(state, key), now, pool_actions);
   ApplyPoolActions(state, key, std::move(pool_actions), now, actions);
   return pool;
@@ -130,30 +172,6 @@
   return ask;
 }
 
-// The leases of `pool` that this entry VM holds; from now on they belong to
-// `owner`.
-std::vector<HeldLease> HandOver(EntryState& state,
-                                const PoolKey& pool,
-                                const std::string& owner) {
-  std::vector<HeldLease> held;
-  for (auto& [id, request] : state.requests) {
-    for (Attempt& attempt : request.attempts) {
-      if (attempt.pool != pool || attempt.phase != AttemptPhase::kSent ||
-          attempt.owner.empty())
-        continue;
-      attempt.owner = owner;
-      held.push_back({.lease = attempt.lease,
-                      .server = attempt.server,
-                      .customer = request.arrived.customer,
-                      .request_class = request.arrived.request_class,
-                      .fingerprint = request.arrived.fingerprint,
-                      .granted_at = attempt.sent_at,
-                      .deadline = request.arrived.deadline});
-    }
-  }
-  return held;
-}
-
 }  // namespace
 
 void AskForSlot(EntryState& state,
@@ -265,27 +283,26 @@
   ApplyPoolActions(state, reported.pool, std::move(pool_actions), now, actions);
 }
 
+void ReportHeldLeases(EntryState& state,
+                      const PeerAskedLeases& asked,
+                      Actions& actions) {
+  actions.push_back(ReportLeases{asked.owner, asked.pool,
+                                 HandOver(state, asked.pool, asked.owner)});
+}
+
 void ApplyMembers(EntryState& state,
                   const MembersChanged& changed,
                   TimePoint now,
                   Actions& actions) {
-  std::map<PoolKey, std::string> former;
-  for (const BackendServer& server : state.servers) {
-    const PoolKey key{server.region, server.service};
-    if (!former.contains(key))
-      former[key] = state.live_announced ? PoolOwner(state, key) : "";
+  std::vector<PoolKey> not_owned;
+  for (const auto& [key, pool] : state.pools) {
+    if (PoolOwner(state, key) != state.self.name)
+      not_owned.push_back(key);
   }
   state.live = changed.live;
-  state.live_announced = true;
-  for (const auto& [key, owner] : former) {
-    const std::string present = PoolOwner(state, key);
-    if (present == owner)
-      continue;
-    std::vector<HeldLease> held = HandOver(state, key, present);
-    if (present == state.self.name)
-      ApplyPeerReport(state, {key, present, std::move(held)}, now, actions);
-    else
-      actions.push_back(ReportLeases{present, key, std::move(held)});
+  for (const PoolKey& key : not_owned) {
+    if (PoolOwner(state, key) == state.self.name)
+      StartOwnership(state, state.pools.at(key), now, actions);
   }
 }
 
--- a/Libraries/LibSteering/pool_flow.h
+++ b/Libraries/LibSteering/pool_flow.h
@@ -47,13 +47,17 @@
                    TimePoint now,
                    Actions& actions);
 
+// Leases held across a change of a pool's owner.
+void ReportHeldLeases(EntryState& state,
+                      const PeerAskedLeases& asked,
+                      Actions& actions);
 void ApplyPeerReport(EntryState& state,
                      const PeerReportedLeases& reported,
                      TimePoint now,
                      Actions& actions);
 
-// Takes over the live entry VMs, and reports the leases that are held to the
-// new owners of their pools.
+// Takes over the live entry VMs. Ownership of a pool that this entry VM gets
+// back starts like that of a new one.
 void ApplyMembers(EntryState& state,
                   const MembersChanged& changed,
                   TimePoint now,
--- a/Libraries/LibSteering/routing.cc
+++ b/Libraries/LibSteering/routing.cc
@@ -50,8 +50,8 @@
   }
   if (usable.empty())
     return std::nullopt;
-  // Regions that have not refused the request first, then this entry VM's region, then
-  // a fixed order by customer.
+  // Regions that have not refused the request first, then this entry VM's
+  // region, then a fixed order by customer.
   RankByRendezvous(request.arrived.customer, usable);
   std::stable_sort(usable.begin(), usable.end(),
                    [&](const std::string& a, const std::string& b) {
--- a/Libraries/LibSteering/step.cc
+++ b/Libraries/LibSteering/step.cc
@@ -43,6 +43,9 @@
   void operator()(const PeerReturnedSlot& event) const {
     ApplyPeerReturn(state, event, now, actions);
   }
+  void operator()(const PeerAskedLeases& event) const {
+    ReportHeldLeases(state, event, actions);
+  }
   void operator()(const PeerReportedLeases& event) const {
     ApplyPeerReport(state, event, now, actions);
   }
