--- a/Libraries/LibSteering/include/cicadadrum/steering/events.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/events.h
@@ -94,6 +94,13 @@
   Duration latency{};
 };
 
+// The new owner of `pool` asks for the leases that this entry VM holds there;
+// answered by ReportLeases.
+struct PeerAskedLeases {
+  PoolKey pool;
+  std::string owner;
+};
+
 // Another entry VM reports the leases it holds from an earlier owner of `pool`;
 // there may be none.
 struct PeerReportedLeases {
@@ -160,6 +167,7 @@
                            PeerAskedSlot,
                            PeerCancelledSlot,
                            PeerReturnedSlot,
+                           PeerAskedLeases,
                            PeerReportedLeases,
                            PeerLost,
                            LoadReported,
@@ -201,6 +209,12 @@
   Duration latency{};
 };
 
+// Ask these entry VMs, as the new owner of `pool`, for the leases they hold.
+struct AskForLeases {
+  PoolKey pool;
+  std::vector<std::string> entries;
+};
+
 // Report to the new owner of `pool` the leases that this entry VM holds from an
 // earlier owner.
 struct ReportLeases {
@@ -270,6 +284,7 @@
 using Action = std::variant<AskPoolOwner,
                             CancelAtPoolOwner,
                             ReturnToPoolOwner,
+                            AskForLeases,
                             ReportLeases,
                             SpreadBlockedItem,
                             AnswerPeer,
