LibPeer: Test faults, hostile peers and back-pressure

Callers rely on what a failed call says: "not sent" must mean that the peer did not handle it.

The tests cover late answers out of order, cancellation and the crossing of a grant with it, a peer that dies, a refused connection and its backoff, deadlines, another protocol version, a stopping server, handlers that throw, a peer that does not read, idle connections, and garbage, oversized, truncated, repeated, forged and randomly changed messages.

--- a/Tests/LibPeer/peer_fixture.h
+++ b/Tests/LibPeer/peer_fixture.h
@@ -116,7 +116,11 @@
   }
 
   // Handles what is ready without waiting.
-  void RunReady() { loop.wait_scope().poll(); }
+  void RunReady() {
+    loop.wait_scope().poll();
+    // poll() leaves the event of the KJ loop active; its handler finds no work.
+    event_base_loop(base.get(), EVLOOP_NONBLOCK);
+  }
 
   // Asks for a slot. The result is set when the call has ended.
   std::shared_ptr<std::optional<CallResult<SlotAnswer>>> Ask(
--- a/Tests/LibPeer/test_peer_calls.cc
+++ b/Tests/LibPeer/test_peer_calls.cc
@@ -37,4 +37,163 @@
   CHECK_FALSE(fixture.Grant(5, 78));
 }
 
+// Guards against an answer that reaches another call (I3).
+TEST_CASE("late answers out of order reach their own calls") {
+  PeerFixture fixture;
+  std::vector<std::shared_ptr<std::optional<CallResult<SlotAnswer>>>> results;
+  constexpr std::uint64_t kCalls = 20;
+  for (std::uint64_t id = 0; id < kCalls; ++id)
+    results.push_back(fixture.Ask(id));
+  fixture.RunUntil([&] { return fixture.record.slots.size() == kCalls; });
+  for (std::uint64_t id = kCalls; id-- > 0;) {
+    if (id % 2 == 0)
+      CHECK(fixture.Grant(id, 100 + id));
+    else
+      CHECK(fixture.server->AnswerSlot(
+          fixture.pool, SlotRefusal{"entry-1", id, RefusalReason::kQueueFull,
+                                    Milliseconds(10 + id)}));
+    fixture.RunReady();
+  }
+  fixture.RunUntil([&] { return fixture.client->open_call_count() == 0; });
+  for (std::uint64_t id = 0; id < kCalls; ++id) {
+    REQUIRE(results[id]->has_value());
+    const SlotAnswer& answer = (*results[id])->value;
+    if (id % 2 == 0)
+      CHECK(std::get<SlotGrant>(answer).lease == 100 + id);
+    else
+      CHECK(std::get<SlotRefusal>(answer).retry_after == Milliseconds(10 + id));
+  }
+}
+
+// Guards against a request that stays in the owner's queue after its caller has
+// gone, and against a result that is delivered after Cancel().
+TEST_CASE("a cancelled slot request ends at the owner") {
+  PeerFixture fixture;
+  CallId call = 0;
+  const auto cancelled = fixture.Ask(1, &call);
+  const auto kept = fixture.Ask(2);
+  fixture.RunUntil([&] { return fixture.record.slots.size() == 2; });
+  CHECK(fixture.client->Cancel(call));
+  CHECK_FALSE(fixture.client->Cancel(call));
+  fixture.RunUntil([&] { return !fixture.record.cancelled_slots.empty(); });
+  CHECK(fixture.record.cancelled_slots == std::vector<std::uint64_t>{1});
+  CHECK_FALSE(fixture.Grant(1, 10));
+  CHECK(fixture.Grant(2, 11));
+  fixture.RunUntil([&] { return kept->has_value(); });
+  fixture.RunUntil([&] { return fixture.client->open_call_count() == 0; });
+  CHECK_FALSE(cancelled->has_value());
+  CHECK(fixture.record.returns.empty());
+}
+
+// Guards against a slot that is lost because its grant and the cancellation
+// cross on the way.
+TEST_CASE("a slot granted to a cancelled request is returned") {
+  PeerFixture fixture;
+  CallId call = 0;
+  const auto result = fixture.Ask(1, &call);
+  fixture.RunUntil([&] { return !fixture.record.slots.empty(); });
+  CHECK(fixture.Grant(1, 10));
+  CHECK(fixture.client->Cancel(call));
+  fixture.RunUntil([&] { return !fixture.record.returns.empty(); });
+  CHECK(fixture.record.returns[0].lease == 10);
+  CHECK(fixture.record.returns[0].pool == fixture.pool);
+  CHECK(fixture.record.returns[0].outcome == AttemptOutcome::kNotSent);
+  CHECK(fixture.record.cancelled_slots.empty());
+  CHECK_FALSE(result->has_value());
+}
+
+// Guards against queued requests of a peer that has died, and against a call
+// that runs on at the home after its promise was dropped.
+TEST_CASE("calls of a lost client are cancelled at the server") {
+  PeerFixture fixture;
+  fixture.Ask(1);
+  const CallId call = fixture.client->Execute(
+      fixture.address, {.key = "k", .deadline = kNever},
+      [](const CallResult<ForwardedAnswer>&) { FAIL("not expected"); });
+  fixture.client->Execute(
+      fixture.address, {.key = "l", .deadline = kNever},
+      [](const CallResult<ForwardedAnswer>&) { FAIL("not expected"); });
+  fixture.RunUntil([&] { return fixture.record.executes.size() == 2; });
+  CHECK(fixture.client->Cancel(call));
+  fixture.RunUntil([&] { return !fixture.record.cancelled_executes.empty(); });
+  CHECK(fixture.record.cancelled_executes[0] ==
+        fixture.record.executes[0].call);
+  CHECK(fixture.record.cancelled_slots.empty());
+
+  fixture.client = nullptr;
+  fixture.RunUntil([&] { return fixture.server->open_call_count() == 0; });
+  CHECK(fixture.record.cancelled_slots == std::vector<std::uint64_t>{1});
+  CHECK(fixture.record.cancelled_executes.size() == 2);
+  CHECK_FALSE(
+      fixture.server->AnswerExecute(fixture.record.executes[1].call, {}));
+  fixture.RunUntil([&] { return fixture.server->connection_count() == 0; });
+}
+
+// Guards against a field that is lost in the other messages.
+TEST_CASE("all other calls arrive unchanged") {
+  PeerFixture fixture;
+  const TimePoint deadline = SteadyNow() + Seconds(60);
+  int answered = 0;
+  const auto count = [&](const CallResult<Acknowledged>& result) {
+    CHECK(result.outcome == CallOutcome::kAnswered);
+    ++answered;
+  };
+  fixture.client->ReturnSlot(
+      fixture.address,
+      {fixture.pool, 9, AttemptOutcome::kTimedOut, Milliseconds(3)}, deadline,
+      count);
+  const PeerExchange exchange{
+      .kind = PeerExchangeKind::kPush,
+      .sequence = 3,
+      .target = "entry-9",
+      .members = {{{"entry-2", "puno", "puno-a", "127.0.0.1:1", "127.0.0.1:2"},
+                   {1, 2},
+                   4,
+                   PeerMemberState::kSuspect}},
+      .items = {{"leaving/sb-1", 5, "yes"}},
+      .digest = 6};
+  fixture.client->Exchange(fixture.address, exchange, deadline, count);
+  std::optional<CallResult<std::optional<PeerItem>>> found;
+  std::optional<CallResult<std::optional<PeerItem>>> missing;
+  fixture.client->FetchItem(fixture.address, "configuration/current", 8,
+                            deadline,
+                            [&](const auto& result) { found = result; });
+  fixture.client->FetchItem(fixture.address, "none", 8, deadline,
+                            [&](const auto& result) { missing = result; });
+  const ForwardedAnswer ran{Verdict::kRan,
+                            {201, "application/json", "{\"a\":1}", true},
+                            RefusalReason::kNone};
+  std::optional<CallResult<ForwardedAnswer>> executed;
+  const ForwardedRequest request{
+      "roads", "activation-desk", RequestClass::kWrite,   "c.entry-1.x.1",
+      "POST",  "/signs/4",        std::string("a\0b", 3), deadline,
+      "00-ab"};
+  fixture.client->Execute(fixture.address, request,
+                          [&](const auto& result) { executed = result; });
+  fixture.RunUntil([&] { return !fixture.record.executes.empty(); });
+  const auto [call, received] = fixture.record.executes[0];
+  CHECK(fixture.server->AnswerExecute(call, ran));
+  fixture.RunUntil([&] { return fixture.client->open_call_count() == 0; });
+
+  CHECK(answered == 2);
+  CHECK(fixture.record.returns[0].lease == 9);
+  CHECK(fixture.record.returns[0].outcome == AttemptOutcome::kTimedOut);
+  CHECK(fixture.record.returns[0].latency == Milliseconds(3));
+  CHECK(fixture.record.exchanges[0] == exchange);
+  REQUIRE(found->value.has_value());
+  CHECK(*found->value ==
+        PeerItem{"configuration/current", 8, std::string("a\0b", 3)});
+  CHECK(missing->outcome == CallOutcome::kAnswered);
+  CHECK_FALSE(missing->value.has_value());
+  CHECK(executed->value == ran);
+  CHECK(received.customer == "roads");
+  CHECK(received.service == "activation-desk");
+  CHECK(received.request_class == RequestClass::kWrite);
+  CHECK(received.key == "c.entry-1.x.1");
+  CHECK(received.method == "POST");
+  CHECK(received.path == "/signs/4");
+  CHECK(received.body == request.body);
+  CHECK(received.traceparent == "00-ab");
+}
+
 }  // namespace cicadadrum
--- /dev/null
+++ b/Tests/LibPeer/test_peer_faults.cc
@@ -0,0 +1,223 @@
+// Tests of calls that can't be answered: what the caller is told.
+
+#include <stdexcept>
+
+#include "peer_fixture.h"
+#include "raw_socket.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// Starts a forwarded request with a body of this size.
+std::shared_ptr<std::optional<CallResult<ForwardedAnswer>>> Execute(
+    PeerClient& client,
+    const std::string& address,
+    std::size_t body_bytes = 1,
+    TimePoint deadline = kNever) {
+  auto result = std::make_shared<std::optional<CallResult<ForwardedAnswer>>>();
+  client.Execute(
+      address,
+      {.key = "k", .body = std::string(body_bytes, 'b'), .deadline = deadline},
+      [result](const CallResult<ForwardedAnswer>& ended) { *result = ended; });
+  return result;
+}
+
+template <typename Result>
+void CheckFailed(const Result& result, CallOutcome outcome, CallFault fault) {
+  REQUIRE(result->has_value());
+  CHECK(NameOf((*result)->outcome) == NameOf(outcome));
+  CHECK(NameOf((*result)->fault) == NameOf(fault));
+}
+
+}  // namespace
+
+// Guards against "not run" for a request that the peer may have received (I4).
+TEST_CASE("a peer that dies may have received the call") {
+  PeerFixture fixture;
+  const auto result = Execute(*fixture.client, fixture.address);
+  const auto slot = fixture.Ask(1);
+  fixture.RunUntil([&] { return fixture.record.slots.size() == 1; });
+  fixture.server = nullptr;
+  fixture.RunUntil([&] { return fixture.client->open_call_count() == 0; });
+  CheckFailed(result, CallOutcome::kMayHaveBeenReceived,
+              CallFault::kConnectionLost);
+  CheckFailed(slot, CallOutcome::kMayHaveBeenReceived,
+              CallFault::kConnectionLost);
+  CHECK(fixture.client->counters().connections_lost == 1);
+}
+
+// Guards against "may have run" for a request that was never sent, and against
+// a client that tries a dead peer in a loop or gives it up for good.
+TEST_CASE("a refused connection means not sent, and is tried again") {
+  PeerFixture fixture;
+  fixture.server = nullptr;
+  Duration offset{};
+  PeerSettings settings = SettingsOf("entry-1");
+  settings.now = [&] { return SteadyNow() + offset; };
+  PeerClient client(fixture.loop, settings);
+  for (int attempt = 0; attempt < 12; ++attempt) {
+    const auto first = Execute(client, fixture.address);
+    const auto second = Execute(client, fixture.address);
+    CHECK_FALSE(first->has_value());
+    fixture.RunUntil([&] { return client.open_call_count() == 0; });
+    CheckFailed(first, CallOutcome::kNotSent, CallFault::kConnectFailed);
+    CheckFailed(second, CallOutcome::kNotSent, CallFault::kConnectFailed);
+    const auto refused = Execute(client, fixture.address);
+    fixture.RunUntil([&] { return client.open_call_count() == 0; });
+    CheckFailed(refused, CallOutcome::kNotSent, CallFault::kBackingOff);
+    offset += Seconds(2);  // The longest backoff.
+  }
+  CHECK(client.counters().connects_failed == 12);
+
+  const std::string port = fixture.address;
+  fixture.server = fixture.Listen(SettingsOf("owner"), port);
+  const auto sent = Execute(client, fixture.address);
+  fixture.RunUntil([&] { return !fixture.record.executes.empty(); });
+  fixture.server->AnswerExecute(fixture.record.executes[0].call, {});
+  fixture.RunUntil([&] { return sent->has_value(); });
+  CHECK((*sent)->outcome == CallOutcome::kAnswered);
+}
+
+// Guards against calls that outlive their deadline at either side.
+TEST_CASE("a deadline ends the call at the client and at the server") {
+  PeerFixture fixture;
+  const auto late = Execute(*fixture.client, fixture.address, 1, SteadyNow());
+  const auto wrong = Execute(*fixture.client, "no address");
+  fixture.RunUntil([&] { return late->has_value() && wrong->has_value(); });
+  CheckFailed(late, CallOutcome::kNotSent, CallFault::kDeadline);
+  CheckFailed(wrong, CallOutcome::kNotSent, CallFault::kAddressInvalid);
+
+  const auto first = Execute(*fixture.client, fixture.address);
+  fixture.RunUntil([&] { return fixture.record.executes.size() == 1; });
+  const auto execute = Execute(*fixture.client, fixture.address, 1,
+                               SteadyNow() + Milliseconds(30));
+  const auto slot = fixture.Ask(5, nullptr, Milliseconds(30));
+  fixture.RunUntil([&] { return execute->has_value() && slot->has_value(); });
+  CheckFailed(execute, CallOutcome::kMayHaveBeenReceived, CallFault::kDeadline);
+  CheckFailed(slot, CallOutcome::kMayHaveBeenReceived, CallFault::kDeadline);
+  fixture.RunUntil([&] { return fixture.server->open_call_count() == 1; });
+  CHECK(fixture.record.cancelled_slots == std::vector<std::uint64_t>{5});
+  CHECK(fixture.record.cancelled_executes.size() == 1);
+  CHECK_FALSE(first->has_value());
+}
+
+// Guards against a request that is handled by a peer that may read it
+// differently.
+TEST_CASE("a peer of another protocol version is refused") {
+  PeerFixture fixture;
+  PeerSettings settings = SettingsOf("entry-2");
+  settings.protocol_version = kPeerProtocolVersion + 1;
+  PeerClient other(fixture.loop, settings);
+  const auto result = Execute(other, fixture.address);
+  fixture.RunUntil([&] { return result->has_value(); });
+  CheckFailed(result, CallOutcome::kNotSent, CallFault::kOtherProtocolVersion);
+  CHECK(fixture.record.executes.empty());
+  CHECK(fixture.server->counters().other_protocol_version == 1);
+  CHECK(other.counters().other_protocol_version == 1);
+}
+
+// Guards against work that starts at an entry VM that stops, and against slots
+// that can't be returned to it (I7).
+TEST_CASE("a stopping server refuses new work only") {
+  PeerFixture fixture;
+  const auto open = fixture.Ask(1);
+  fixture.RunUntil([&] { return fixture.record.slots.size() == 1; });
+  fixture.server->StopAccepting();
+  const auto refused = fixture.Ask(2);
+  std::optional<CallOutcome> returned;
+  fixture.client->ReturnSlot(
+      fixture.address, {fixture.pool, 1, AttemptOutcome::kAnswered, {}}, kNever,
+      [&](const auto& result) { returned = result.outcome; });
+  fixture.RunUntil([&] { return refused->has_value() && returned; });
+  CheckFailed(refused, CallOutcome::kNotSent, CallFault::kPeerStopping);
+  CHECK(*returned == CallOutcome::kAnswered);
+  CHECK(fixture.Grant(1, 3));
+  fixture.RunUntil([&] { return open->has_value(); });
+  CHECK((*open)->outcome == CallOutcome::kAnswered);
+}
+
+// Guards against an exception that crosses the event loop or closes the
+// connection of other calls.
+TEST_CASE("a handler that throws fails its call only") {
+  PeerFixture fixture;
+  PeerHandlers handlers = RecordingHandlers(fixture.record);
+  handlers.execute = [](std::uint64_t, const PeerInfo&,
+                        const ForwardedRequest&) {
+    throw std::runtime_error("fault of the test");
+  };
+  auto server = PeerServer::Listen(fixture.loop, "127.0.0.1:0",
+                                   SettingsOf("owner"), handlers);
+  REQUIRE(server);
+  fixture.address = "127.0.0.1:" + std::to_string((*server)->port());
+  const auto result = Execute(*fixture.client, fixture.address);
+  const auto slot = fixture.Ask(1);
+  fixture.RunUntil([&] { return result->has_value(); });
+  CheckFailed(result, CallOutcome::kMayHaveBeenReceived,
+              CallFault::kPeerFailed);
+  CHECK((*server)->counters().handler_failures == 1);
+  CHECK((*server)->AnswerSlot(fixture.pool, SlotRefusal{"entry-1", 1, {}, {}}));
+  fixture.RunUntil([&] { return slot->has_value(); });
+  CHECK((*slot)->outcome == CallOutcome::kAnswered);
+
+  fixture.client->Exchange(fixture.address, {}, kNever, [](const auto&) {
+    throw std::runtime_error("fault of the test");
+  });
+  fixture.RunUntil([&] { return fixture.client->open_call_count() == 0; });
+  CHECK(fixture.client->counters().handler_failures == 1);
+}
+
+// Guards against memory that grows while a peer does not read.
+TEST_CASE("calls to a peer that does not read are bounded") {
+  PeerFixture fixture;
+  const RawListener listener;
+  PeerSettings settings = SettingsOf("entry-1");
+  settings.max_queued_bytes = std::size_t{1024} * 1024;
+  PeerClient client(fixture.loop, settings);
+  constexpr std::size_t kBody = std::size_t{200} * 1024;
+  std::shared_ptr<std::optional<CallResult<ForwardedAnswer>>> result;
+  int calls = 0;
+  while (calls < 200 && (result == nullptr || !result->has_value())) {
+    result = Execute(client, listener.Address(), kBody);
+    ++calls;
+    fixture.RunReady();
+    CHECK(client.queued_bytes(listener.Address()) <=
+          settings.max_queued_bytes + kBody);
+  }
+  CheckFailed(result, CallOutcome::kNotSent, CallFault::kQueueFull);
+  CHECK(calls > 4);
+  const auto large = Execute(client, listener.Address(), kMaxPeerMessageBytes);
+  fixture.RunReady();
+  CheckFailed(large, CallOutcome::kNotSent, CallFault::kTooLarge);
+  // Nothing spins while the peer does not read.
+  CHECK(event_base_get_num_events(fixture.base.get(),
+                                  EVENT_BASE_COUNT_ACTIVE) == 0);
+
+  client.Disconnect(listener.Address());
+  fixture.RunUntil([&] { return client.open_call_count() == 0; });
+  CHECK(client.queued_bytes(listener.Address()) == 0);
+}
+
+// Guards against an idle connection that wakes the process.
+TEST_CASE("an idle connection makes no wake-ups") {
+  PeerFixture fixture;
+  const auto slot = fixture.Ask(1);
+  fixture.RunUntil([&] { return fixture.record.slots.size() == 1; });
+  fixture.RunReady();
+  bool fired = false;
+  const timeval delay{0, 30'000};
+  event_base_once(
+      fixture.base.get(), -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* context) {
+        *static_cast<bool*>(context) = true;
+      },
+      &fired, &delay);
+  int iterations = 0;
+  while (!fired) {
+    event_base_loop(fixture.base.get(), EVLOOP_ONCE);
+    ++iterations;
+  }
+  CHECK(iterations == 1);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Tests/LibPeer/test_peer_hostile.cc
@@ -0,0 +1,216 @@
+// Tests of peers that send what no entry VM sends. A bad peer loses its own
+// connection and nothing else.
+
+#include <capnp/rpc-twoparty.h>
+#include <capnp/rpc.capnp.h>
+#include <schemas/peer.capnp.h>
+
+#include <functional>
+
+#include "cicadadrum/base/random.h"
+#include "cicadadrum/loop/bufferevent_stream.h"
+#include "peer_fixture.h"
+#include "raw_socket.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A server with one honest call that stays open while others misbehave.
+struct HostileFixture : PeerFixture {
+  std::shared_ptr<std::optional<CallResult<SlotAnswer>>> honest = Ask(1);
+
+  HostileFixture() {
+    RunUntil([&] { return record.slots.size() == 1; });
+  }
+
+  // Waits until only the honest connection is left, and checks the counters.
+  void CheckClosed(std::uint64_t malformed, std::uint64_t truncated) {
+    RunUntil([&] {
+      return server->connection_count() == 1 &&
+             server->counters().malformed_messages +
+                     server->counters().truncated_messages >=
+                 malformed + truncated;
+    });
+    CHECK(server->counters().malformed_messages == malformed);
+    CHECK(server->counters().truncated_messages == truncated);
+  }
+
+  void CheckHonestCall() {
+    CHECK(Grant(1, 5));
+    RunUntil([&] { return honest->has_value(); });
+    CHECK((*honest)->outcome == CallOutcome::kAnswered);
+  }
+
+  // Returns the bytes that a client sends with its first calls.
+  std::string RecordClient() {
+    const RawListener listener;
+    PeerClient recorded(loop, SettingsOf("entry-2"));
+    recorded.Execute(listener.Address(), {.key = "k", .deadline = kNever},
+                     [](const auto&) {});
+    recorded.Exchange(listener.Address(),
+                      {.members = {{{"m", "r", "d", "c", "p"}, {}, 1, {}}},
+                       .items = {{"i", 1, "v"}}},
+                      kNever, [](const auto&) {});
+    int accepted = -1;
+    RunUntil([&] {
+      RunReady();
+      return (accepted = listener.Accept()) >= 0;
+    });
+    RunReady();
+    return RawSocket(accepted).Receive();
+  }
+
+  // Makes one call by the schema alone and returns when it has failed.
+  void CallForged(
+      const std::function<void(schema::EntryPeer::RequestSlotParams::Builder)>&
+          fill) {
+    RunForged([&](schema::EntryPeer::Client peer) {
+      auto request = peer.requestSlotRequest(capnp::MessageSize{64, 0});
+      auto header = request.initHeader();
+      header.setProtocolVersion(kPeerProtocolVersion);
+      header.setSender("forger");
+      fill(request);
+      return request.send().ignoreResult();
+    });
+  }
+
+  void RunForged(
+      const std::function<kj::Promise<void>(schema::EntryPeer::Client)>& call) {
+    const sockaddr_in to = Loopback(server->port());
+    auto stream =
+        BuffereventStream::Connect(
+            base.get(), reinterpret_cast<const sockaddr*>(&to), sizeof(to))
+            .wait(loop.wait_scope());
+    capnp::TwoPartyVatNetwork network(*stream,
+                                      capnp::rpc::twoparty::Side::CLIENT);
+    auto rpc = capnp::makeRpcClient(network);
+    capnp::MallocMessageBuilder message;
+    auto vat = message.getRoot<capnp::rpc::twoparty::VatId>();
+    vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+    auto peer = rpc.bootstrap(vat).castAs<schema::EntryPeer>();
+    const auto thrown =
+        kj::runCatchingExceptions([&] { call(peer).wait(loop.wait_scope()); });
+    CHECK(thrown != nullptr);
+    network.onDisconnect().wait(loop.wait_scope());
+  }
+};
+
+}  // namespace
+
+// Guards against bytes that crash the server or close other connections.
+TEST_CASE("garbage, oversized and truncated messages close the connection") {
+  HostileFixture fixture;
+  const std::string valid = fixture.RecordClient();
+  REQUIRE(valid.size() > 200);
+
+  RawSocket garbage(RawSocket::ConnectTo(fixture.server->port()));
+  garbage.Send("GET / HTTP/1.1\r\nHost: entry\r\n\r\n");
+  fixture.CheckClosed(1, 0);
+
+  // One segment of 2^24 words.
+  RawSocket oversized(RawSocket::ConnectTo(fixture.server->port()));
+  oversized.Send({"\0\0\0\0\0\0\0\x01", 8});
+  fixture.CheckClosed(2, 0);
+
+  RawSocket truncated(RawSocket::ConnectTo(fixture.server->port()));
+  truncated.Send(std::string_view(valid).substr(0, valid.size() - 5));
+  truncated.Close();
+  fixture.CheckClosed(2, 1);
+
+  RawSocket repeated(RawSocket::ConnectTo(fixture.server->port()));
+  repeated.Send(valid + valid);
+  fixture.CheckClosed(3, 1);
+  fixture.CheckHonestCall();
+}
+
+// Guards against values of a forged message that reach the core.
+TEST_CASE("forged calls close the connection and reach no handler") {
+  HostileFixture fixture;
+  const auto fill = [](auto request) {
+    auto slot = request.initRequest();
+    slot.setRequestClass(schema::RequestClass::URGENT);
+    return slot;
+  };
+  fixture.CallForged([&](auto request) {
+    fill(request).setRequestClass(static_cast<schema::RequestClass>(99));
+  });
+  fixture.CheckClosed(1, 0);
+  fixture.CallForged(
+      [&](auto request) { fill(request).setRemainingMicroseconds(-1); });
+  fixture.CheckClosed(2, 0);
+  fixture.CallForged([&](auto request) {
+    fill(request);
+    request.getHeader().setSender("");
+  });
+  fixture.CheckClosed(3, 0);
+  fixture.RunForged([](schema::EntryPeer::Client peer) {
+    return peer
+        .typelessRequest(capnp::typeId<schema::EntryPeer>(), 77,
+                         capnp::MessageSize{16, 0})
+        .send()
+        .ignoreResult();
+  });
+  fixture.CheckClosed(4, 0);
+  CHECK(fixture.record.slots.size() == 1);
+  fixture.CheckHonestCall();
+}
+
+// Guards against an answer that crashes the client or is taken for "not sent".
+TEST_CASE("a garbage answer closes the connection of the client") {
+  PeerFixture fixture;
+  const RawListener listener;
+  std::optional<CallResult<ForwardedAnswer>> result;
+  fixture.client->Execute(listener.Address(), {.key = "k", .deadline = kNever},
+                          [&](const auto& ended) { result = ended; });
+  int accepted = -1;
+  fixture.RunUntil([&] {
+    fixture.RunReady();
+    return (accepted = listener.Accept()) >= 0;
+  });
+  const RawSocket socket(accepted);
+  socket.Send("HTTP/1.1 400 Bad Request\r\n\r\n");
+  fixture.RunUntil([&] { return result.has_value(); });
+  CHECK(result->outcome == CallOutcome::kMayHaveBeenReceived);
+  CHECK(fixture.client->counters().malformed_messages == 1);
+  fixture.RunReady();
+  CHECK(fixture.client->open_call_count() == 0);
+}
+
+// Guards against connections that exhaust the file descriptors.
+TEST_CASE("connections beyond the limit are closed") {
+  HostileFixture fixture;
+  PeerSettings settings = SettingsOf("owner");
+  settings.max_connections = 1;
+  const auto server = fixture.Listen(settings);
+  const RawSocket first(RawSocket::ConnectTo(server->port()));
+  const RawSocket second(RawSocket::ConnectTo(server->port()));
+  fixture.RunUntil([&] { return server->counters().connections_refused == 1; });
+  CHECK(server->connection_count() == 1);
+}
+
+// Guards against any other byte sequence that crashes the server: single
+// changes of a valid sequence get past the first checks.
+TEST_CASE("changed messages harm nobody else") {
+  HostileFixture fixture;
+  const std::string valid = fixture.RecordClient();
+  Random random{20261204};
+  for (int round = 0; round < 300; ++round) {
+    std::string changed = valid;
+    const std::uint64_t changes = 1 + RandomBelow(random, 4);
+    for (std::uint64_t i = 0; i < changes; ++i)
+      changed[RandomBelow(random, changed.size())] =
+          static_cast<char>(NextRandom(random));
+    changed.resize(changed.size() - RandomBelow(random, 2) * 8);
+    RawSocket socket(RawSocket::ConnectTo(fixture.server->port()));
+    socket.Send(changed);
+    fixture.RunReady();
+    socket.Close();
+    fixture.RunUntil([&] { return fixture.server->connection_count() == 1; });
+  }
+  CHECK(fixture.server->counters().malformed_messages > 0);
+  CHECK(fixture.server->counters().truncated_messages > 0);
+  fixture.CheckHonestCall();
+}
+
+}  // namespace cicadadrum
