LibPeer: End a call whose answer has a malformed header

Cause: the client read the header of an answer outside of the check for malformed messages. Cap'n Proto threw for a header with a bad pointer after the call had been removed, and the caller was never told how the call ended.

The header is now read within the check. A link to a peer is forgotten on Disconnect(), so that addresses of replaced VMs don't pile up; connections have numbers that are unique within the client, so that the end of an old one can't close a new one. StopAccepting() is now called RefuseNewWork().

--- a/Libraries/LibLoop/bufferevent_stream.cc
+++ b/Libraries/LibLoop/bufferevent_stream.cc
@@ -63,6 +63,9 @@
     failed_fulfiller = kj::mv(paf.fulfiller);
     bufferevent_setcb(bev, &OnReadable, &OnWritable, &OnEvent, this);
     bufferevent_setwatermark(bev, EV_WRITE, limits.max_output_bytes, 0);
+    // libevent's default is 16 KiB for each turn of the loop.
+    bufferevent_set_max_single_read(bev, limits.max_input_bytes);
+    bufferevent_set_max_single_write(bev, limits.max_output_bytes);
   }
 
   Impl(const Impl&) = delete;
--- a/Libraries/LibPeer/client_impl.h
+++ b/Libraries/LibPeer/client_impl.h
@@ -56,7 +56,9 @@
 // The connection to one peer address.
 struct PeerLink {
   LinkPhase phase = LinkPhase::kClosed;
-  std::uint64_t generation = 0;  // Number of the latest connection.
+  // Number of the present connection, unique within the client. What happens
+  // to an earlier connection is ignored.
+  std::uint64_t generation = 0;
   kj::Maybe<kj::Promise<void>> connecting;
   std::unique_ptr<PeerConnection> connection;  // Set in kConnected.
   kj::Maybe<schema::EntryPeer::Client> peer;   // Set in kConnected.
@@ -95,8 +97,12 @@
   bool Cancel(CallId id);
   void Disconnect(const std::string& address);
 
+  // Closes a connection and ends its calls, but keeps its backoff.
+  void DropLink(const std::string& address);
+
+  // `header` is empty if it is malformed.
   AnswerCheck CheckAnswer(const std::string& address,
-                          schema::PeerHeader::Reader header);
+                          const std::optional<ReceivedHeader>& header);
   // Counts a malformed answer and closes the connection.
   void CloseMalformed(const std::string& address, std::string_view detail);
 
@@ -151,7 +157,10 @@
   void RetireSoon();
   void taskFailed(kj::Exception&& exception) override;
 
+  void ForgetLink(const std::string& address);
+
   Random random_;
+  std::uint64_t next_generation_ = 1;
   CallId next_call_ = 1;
   // Promises and connections are not destroyed from their own continuations;
   // they are kept here until a later turn.
--- a/Libraries/LibPeer/client_links.cc
+++ b/Libraries/LibPeer/client_links.cc
@@ -38,7 +38,8 @@
   auto* socket_address = reinterpret_cast<sockaddr*>(&parsed);
   evutil_parse_sockaddr_port(address.c_str(), socket_address, &length);
   link.phase = LinkPhase::kConnecting;
-  const std::uint64_t generation = ++link.generation;
+  const std::uint64_t generation = next_generation_++;
+  link.generation = generation;
   Retire(link.connecting);
   link.connecting =
       BuffereventStream::Connect(loop.base(), socket_address,
@@ -127,7 +128,7 @@
 
 void PeerClient::Impl::CloseLink(PeerLink& link) {
   link.phase = LinkPhase::kClosed;
-  ++link.generation;
+  link.generation = 0;
   link.peer = nullptr;
   Retire(link.connecting);
   if (link.connection != nullptr) {
@@ -142,6 +143,18 @@
 }
 
 void PeerClient::Impl::Disconnect(const std::string& address) {
+  DropLink(address);
+  tasks_.add(kj::evalLater([this, address] { ForgetLink(address); }));
+}
+
+void PeerClient::Impl::ForgetLink(const std::string& address) {
+  const auto found = links.find(address);
+  if (found != links.end() && found->second.phase == LinkPhase::kClosed &&
+      found->second.open_calls == 0)
+    links.erase(found);
+}
+
+void PeerClient::Impl::DropLink(const std::string& address) {
   const auto found = links.find(address);
   if (found == links.end())
     return;
@@ -157,10 +170,9 @@
   }
 }
 
-AnswerCheck PeerClient::Impl::CheckAnswer(const std::string& address,
-                                          schema::PeerHeader::Reader from) {
-  const auto header =
-      Decode([&] { return ReadHeader(from, settings.protocol_version); });
+AnswerCheck PeerClient::Impl::CheckAnswer(
+    const std::string& address,
+    const std::optional<ReceivedHeader>& header) {
   if (!header) {
     CloseMalformed(address, "header of an answer");
     return {CallOutcome::kMayHaveBeenReceived, CallFault::kInvalidAnswer, {}};
@@ -193,7 +205,7 @@
   found->second.connection->messages().Report(PeerFault::kMalformedMessage,
                                               detail);
   BackOff(found->second);
-  Disconnect(address);
+  DropLink(address);
 }
 
 }  // namespace cicadadrum
--- a/Libraries/LibPeer/include/cicadadrum/peer/peer_client.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/peer_client.h
@@ -76,8 +76,8 @@
   // Ends a call without calling its `done`. Returns false if it has ended.
   bool Cancel(CallId call);
 
-  // Closes the connection to `address`. Its calls end as may-have-been-received
-  // or, if they wait for the connection, as not sent.
+  // Closes the connection to `address` and forgets its backoff. Its calls end
+  // as may-have-been-received or, if they wait for the connection, as not sent.
   void Disconnect(const std::string& address);
 
   // Bytes that wait to be sent to `address`.
--- a/Libraries/LibPeer/include/cicadadrum/peer/peer_server.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/peer_server.h
@@ -79,7 +79,7 @@
 
   // Refuses new slot requests and forwarded requests as not handled. Other
   // calls go on, and open calls can still be answered.
-  void StopAccepting();
+  void RefuseNewWork();
 
   std::size_t connection_count() const;
   std::size_t open_call_count() const;
--- a/Libraries/LibPeer/peer_client.cc
+++ b/Libraries/LibPeer/peer_client.cc
@@ -34,8 +34,10 @@
   if (!call)
     return;
   CallResult<Value> result;
-  const AnswerCheck check =
-      client.CheckAnswer(call->address, response.getHeader());
+  const auto header = Decode([&] {
+    return ReadHeader(response.getHeader(), client.settings.protocol_version);
+  });
+  const AnswerCheck check = client.CheckAnswer(call->address, header);
   result.outcome = check.outcome;
   result.fault = check.fault;
   if (check.outcome == CallOutcome::kAnswered) {
--- a/Libraries/LibPeer/peer_server.cc
+++ b/Libraries/LibPeer/peer_server.cc
@@ -299,7 +299,7 @@
   return true;
 }
 
-void PeerServer::StopAccepting() {
+void PeerServer::RefuseNewWork() {
   impl_->refuses_calls = true;
 }
 
--- a/Tests/LibPeer/test_peer_faults.cc
+++ b/Tests/LibPeer/test_peer_faults.cc
@@ -123,7 +123,7 @@
   PeerFixture fixture;
   const auto open = fixture.Ask(1);
   fixture.RunUntil([&] { return fixture.record.slots.size() == 1; });
-  fixture.server->StopAccepting();
+  fixture.server->RefuseNewWork();
   const auto refused = fixture.Ask(2);
   std::optional<CallOutcome> returned;
   fixture.client->ReturnSlot(
--- a/Tests/LibPeer/test_peer_hostile.cc
+++ b/Tests/LibPeer/test_peer_hostile.cc
@@ -6,6 +6,7 @@
 #include <schemas/peer.capnp.h>
 
 #include <functional>
+#include <map>
 
 #include "cicadadrum/base/random.h"
 #include "cicadadrum/loop/bufferevent_stream.h"
@@ -42,23 +43,39 @@
     CHECK((*honest)->outcome == CallOutcome::kAnswered);
   }
 
-  // Returns the bytes that a client sends with its first calls.
-  std::string RecordClient() {
+  // Makes two calls over a new connection, and returns its other end.
+  int CallTwice(
+      PeerClient& caller,
+      const std::function<void(const CallResult<ForwardedAnswer>&)>& done) {
     const RawListener listener;
-    PeerClient recorded(loop, SettingsOf("entry-2"));
-    recorded.Execute(listener.Address(), {.key = "k", .deadline = kNever},
-                     [](const auto&) {});
-    recorded.Exchange(listener.Address(),
-                      {.members = {{{"m", "r", "d", "c", "p"}, {}, 1, {}}},
-                       .items = {{"i", 1, "v"}}},
-                      kNever, [](const auto&) {});
+    caller.Execute(listener.Address(), {.key = "k", .deadline = kNever}, done);
+    caller.Exchange(listener.Address(),
+                    {.members = {{{"m", "r", "d", "c", "p"}, {}, 1, {}}},
+                     .items = {{"i", 1, "v"}}},
+                    kNever, [](const auto&) {});
     int accepted = -1;
     RunUntil([&] {
       RunReady();
       return (accepted = listener.Accept()) >= 0;
     });
     RunReady();
-    return RawSocket(accepted).Receive();
+    return accepted;
+  }
+
+  // Returns the bytes that a client sends with its first calls.
+  std::string RecordClient() {
+    PeerClient recorded(loop, SettingsOf("entry-2"));
+    return RawSocket(CallTwice(recorded, [](const auto&) {})).Receive();
+  }
+
+  // Returns the bytes with which the server answers RecordClient().
+  std::string RecordServer() {
+    const RawSocket socket(RawSocket::ConnectTo(server->port()));
+    socket.Send(RecordClient());
+    RunUntil([&] { return record.executes.size() == 1; });
+    server->AnswerExecute(record.executes[0].call, {});
+    RunReady();
+    return socket.Receive();
   }
 
   // Makes one call by the schema alone and returns when it has failed.
@@ -96,6 +113,16 @@
   }
 };
 
+// Returns the bytes with up to four changes, sometimes cut off.
+std::string Change(std::string bytes, Random& random) {
+  const std::uint64_t changes = 1 + RandomBelow(random, 4);
+  for (std::uint64_t i = 0; i < changes; ++i)
+    bytes[RandomBelow(random, bytes.size())] =
+        static_cast<char>(NextRandom(random));
+  bytes.resize(bytes.size() - RandomBelow(random, 2) * 8);
+  return bytes;
+}
+
 }  // namespace
 
 // Guards against bytes that crash the server or close other connections.
@@ -196,14 +223,8 @@
   const std::string valid = fixture.RecordClient();
   Random random{20261204};
   for (int round = 0; round < 300; ++round) {
-    std::string changed = valid;
-    const std::uint64_t changes = 1 + RandomBelow(random, 4);
-    for (std::uint64_t i = 0; i < changes; ++i)
-      changed[RandomBelow(random, changed.size())] =
-          static_cast<char>(NextRandom(random));
-    changed.resize(changed.size() - RandomBelow(random, 2) * 8);
     RawSocket socket(RawSocket::ConnectTo(fixture.server->port()));
-    socket.Send(changed);
+    socket.Send(Change(valid, random));
     fixture.RunReady();
     socket.Close();
     fixture.RunUntil([&] { return fixture.server->connection_count() == 1; });
@@ -213,4 +234,31 @@
   fixture.CheckHonestCall();
 }
 
+// Guards against an answer that crashes the client, or that is taken for proof
+// that the request was not sent.
+TEST_CASE("changed answers end their own calls only") {
+  HostileFixture fixture;
+  const std::string valid = fixture.RecordServer();
+  Random random{20261204};
+  std::map<CallFault, int> faults;
+  for (int round = 0; round < 300; ++round) {
+    PeerClient client(fixture.loop, SettingsOf("entry-2"));
+    std::optional<CallResult<ForwardedAnswer>> result;
+    RawSocket socket(
+        fixture.CallTwice(client, [&](const auto& ended) { result = ended; }));
+    socket.Send(Change(valid, random));
+    fixture.RunReady();
+    socket.Close();
+    fixture.RunUntil([&] { return client.open_call_count() == 0; });
+    REQUIRE(result.has_value());
+    ++faults[result->fault];
+    if (result->outcome == CallOutcome::kNotSent)
+      CHECK(NameOf(result->fault) == "other-protocol-version");
+  }
+  CHECK(faults[CallFault::kNone] > 0);
+  CHECK(faults[CallFault::kInvalidAnswer] > 0);
+  CHECK(faults[CallFault::kConnectionLost] > 0);
+  fixture.CheckHonestCall();
+}
+
 }  // namespace cicadadrum
