--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -99,6 +99,9 @@
 CAPNP_DECLARE_SCHEMA(891cfc27c6698aec);
 CAPNP_DECLARE_SCHEMA(a21b746b9cb3c9f0);
 CAPNP_DECLARE_SCHEMA(f4fb808a20c1e7da);
+CAPNP_DECLARE_SCHEMA(e811a9efa66f67ef);
+CAPNP_DECLARE_SCHEMA(a5946c004b37b4ea);
+CAPNP_DECLARE_SCHEMA(acad6d9e2acfa440);
 CAPNP_DECLARE_SCHEMA(c05311397d2f3013);
 CAPNP_DECLARE_SCHEMA(97cdaaa2985336b3);
 CAPNP_DECLARE_SCHEMA(8f5affd7c5374325);
@@ -112,6 +115,10 @@
 CAPNP_DECLARE_SCHEMA(b8a8ea481fed1681);
 CAPNP_DECLARE_SCHEMA(985b446f8527a2c0);
 CAPNP_DECLARE_SCHEMA(8fdaeb9fe72d233a);
+CAPNP_DECLARE_SCHEMA(d978f4c14e2af873);
+CAPNP_DECLARE_SCHEMA(8098f31b35261bb3);
+CAPNP_DECLARE_SCHEMA(f0ea7392ee39e885);
+CAPNP_DECLARE_SCHEMA(9ffa64bfca9feb6a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -266,7 +273,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9de7faf8e49a9f1, 2, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f9de7faf8e49a9f1, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -326,7 +333,52 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f4fb808a20c1e7da, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f4fb808a20c1e7da, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HeldLease {
+  HeldLease() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e811a9efa66f67ef, 5, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PoolName {
+  PoolName() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a5946c004b37b4ea, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct LeasesReport {
+  LeasesReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(acad6d9e2acfa440, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -353,6 +405,10 @@
   struct FetchItemResults;
   struct CancelSlotParams;
   struct CancelSlotResults;
+  struct AskLeasesParams;
+  struct AskLeasesResults;
+  struct ReportLeasesParams;
+  struct ReportLeasesResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -542,6 +598,66 @@
   };
 };
 
+struct EntryPeer::AskLeasesParams {
+  AskLeasesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d978f4c14e2af873, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::AskLeasesResults {
+  AskLeasesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8098f31b35261bb3, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::ReportLeasesParams {
+  ReportLeasesParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f0ea7392ee39e885, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::ReportLeasesResults {
+  ReportLeasesResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9ffa64bfca9feb6a, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Incarnation::Reader {
@@ -774,6 +890,10 @@
 
   inline  ::uint64_t getBodyBytes() const;
 
+  inline bool getOnlyPreferred() const;
+
+  inline bool getOnlyIfFree() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -853,6 +973,12 @@
   inline  ::uint64_t getBodyBytes();
   inline void setBodyBytes( ::uint64_t value);
 
+  inline bool getOnlyPreferred();
+  inline void setOnlyPreferred(bool value);
+
+  inline bool getOnlyIfFree();
+  inline void setOnlyIfFree(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1387,6 +1513,10 @@
   inline bool hasTraceparent() const;
   inline  ::capnp::Text::Reader getTraceparent() const;
 
+  inline  ::uint64_t getOriginRequest() const;
+
+  inline  ::uint32_t getOriginAttempt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1470,6 +1600,12 @@
   inline void adoptTraceparent(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTraceparent();
 
+  inline  ::uint64_t getOriginRequest();
+  inline void setOriginRequest( ::uint64_t value);
+
+  inline  ::uint32_t getOriginAttempt();
+  inline void setOriginAttempt( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1877,6 +2013,8 @@
 
   inline  ::uint64_t getDigest() const;
 
+  inline  ::uint64_t getSenderIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1935,6 +2073,9 @@
   inline  ::uint64_t getDigest();
   inline void setDigest( ::uint64_t value);
 
+  inline  ::uint64_t getSenderIncarnation();
+  inline void setSenderIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1961,92 +2102,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class EntryPeer::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef EntryPeer Calls;
-  typedef EntryPeer Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::RequestSlotParams,  ::cicadadrum::schema::EntryPeer::RequestSlotResults> requestSlotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ReturnSlotParams,  ::cicadadrum::schema::EntryPeer::ReturnSlotResults> returnSlotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ExecuteParams,  ::cicadadrum::schema::EntryPeer::ExecuteResults> executeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ExchangeParams,  ::cicadadrum::schema::EntryPeer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::FetchItemParams,  ::cicadadrum::schema::EntryPeer::FetchItemResults> fetchItemRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::CancelSlotParams,  ::cicadadrum::schema::EntryPeer::CancelSlotResults> cancelSlotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class EntryPeer::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef EntryPeer Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::cicadadrum::schema::EntryPeer::RequestSlotParams RequestSlotParams;
-  typedef  ::cicadadrum::schema::EntryPeer::RequestSlotResults RequestSlotResults;
-  typedef ::capnp::CallContext<RequestSlotParams, RequestSlotResults> RequestSlotContext;
-  virtual ::kj::Promise<void> requestSlot(RequestSlotContext context);
-  typedef  ::cicadadrum::schema::EntryPeer::ReturnSlotParams ReturnSlotParams;
-  typedef  ::cicadadrum::schema::EntryPeer::ReturnSlotResults ReturnSlotResults;
-  typedef ::capnp::CallContext<ReturnSlotParams, ReturnSlotResults> ReturnSlotContext;
-  virtual ::kj::Promise<void> returnSlot(ReturnSlotContext context);
-  typedef  ::cicadadrum::schema::EntryPeer::ExecuteParams ExecuteParams;
-  typedef  ::cicadadrum::schema::EntryPeer::ExecuteResults ExecuteResults;
-  typedef ::capnp::CallContext<ExecuteParams, ExecuteResults> ExecuteContext;
-  virtual ::kj::Promise<void> execute(ExecuteContext context);
-  typedef  ::cicadadrum::schema::EntryPeer::ExchangeParams ExchangeParams;
-  typedef  ::cicadadrum::schema::EntryPeer::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::cicadadrum::schema::EntryPeer::FetchItemParams FetchItemParams;
-  typedef  ::cicadadrum::schema::EntryPeer::FetchItemResults FetchItemResults;
-  typedef ::capnp::CallContext<FetchItemParams, FetchItemResults> FetchItemContext;
-  virtual ::kj::Promise<void> fetchItem(FetchItemContext context);
-  typedef  ::cicadadrum::schema::EntryPeer::CancelSlotParams CancelSlotParams;
-  typedef  ::cicadadrum::schema::EntryPeer::CancelSlotResults CancelSlotResults;
-  typedef ::capnp::CallContext<CancelSlotParams, CancelSlotResults> CancelSlotContext;
-  virtual ::kj::Promise<void> cancelSlot(CancelSlotContext context);
-
-  inline  ::cicadadrum::schema::EntryPeer::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::cicadadrum::schema::EntryPeer>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class EntryPeer::RequestSlotParams::Reader {
+class HeldLease::Reader {
 public:
-  typedef RequestSlotParams Reads;
+  typedef HeldLease Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2061,11 +2119,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader() const;
-  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+  inline  ::uint64_t getLease() const;
 
-  inline bool hasRequest() const;
-  inline  ::cicadadrum::schema::SlotRequest::Reader getRequest() const;
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline  ::cicadadrum::schema::RequestClass getRequestClass() const;
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::int64_t getAgeMicroseconds() const;
+
+  inline  ::int64_t getRemainingMicroseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2079,9 +2147,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::RequestSlotParams::Builder {
+class HeldLease::Builder {
 public:
-  typedef RequestSlotParams Builds;
+  typedef HeldLease Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2095,19 +2163,34 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader();
-  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
-  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
-  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
-  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+  inline  ::uint64_t getLease();
+  inline void setLease( ::uint64_t value);
 
-  inline bool hasRequest();
-  inline  ::cicadadrum::schema::SlotRequest::Builder getRequest();
-  inline void setRequest( ::cicadadrum::schema::SlotRequest::Reader value);
-  inline  ::cicadadrum::schema::SlotRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::cicadadrum::schema::SlotRequest>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::SlotRequest> disownRequest();
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline  ::cicadadrum::schema::RequestClass getRequestClass();
+  inline void setRequestClass( ::cicadadrum::schema::RequestClass value);
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::int64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::int64_t value);
+
+  inline  ::int64_t getRemainingMicroseconds();
+  inline void setRemainingMicroseconds( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2119,16 +2202,14 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::RequestSlotParams::Pipeline {
+class HeldLease::Pipeline {
 public:
-  typedef RequestSlotParams Pipelines;
+  typedef HeldLease Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::SlotRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2137,9 +2218,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::RequestSlotResults::Reader {
+class PoolName::Reader {
 public:
-  typedef RequestSlotResults Reads;
+  typedef PoolName Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2154,11 +2235,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader() const;
-  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
 
-  inline bool hasAnswer() const;
-  inline  ::cicadadrum::schema::SlotAnswer::Reader getAnswer() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2172,9 +2253,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::RequestSlotResults::Builder {
+class PoolName::Builder {
 public:
-  typedef RequestSlotResults Builds;
+  typedef PoolName Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2188,19 +2269,751 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHeader();
-  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
-  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
-  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
-  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PoolName::Pipeline {
+public:
+  typedef PoolName Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LeasesReport::Reader {
+public:
+  typedef LeasesReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool() const;
+  inline  ::cicadadrum::schema::PoolName::Reader getPool() const;
+
+  inline bool hasLeases() const;
+  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Reader getLeases() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeasesReport::Builder {
+public:
+  typedef LeasesReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool();
+  inline  ::cicadadrum::schema::PoolName::Builder getPool();
+  inline void setPool( ::cicadadrum::schema::PoolName::Reader value);
+  inline  ::cicadadrum::schema::PoolName::Builder initPool();
+  inline void adoptPool(::capnp::Orphan< ::cicadadrum::schema::PoolName>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PoolName> disownPool();
+
+  inline bool hasLeases();
+  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Builder getLeases();
+  inline void setLeases( ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Builder initLeases(unsigned int size);
+  inline void adoptLeases(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>> disownLeases();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeasesReport::Pipeline {
+public:
+  typedef LeasesReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PoolName::Pipeline getPool();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class EntryPeer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef EntryPeer Calls;
+  typedef EntryPeer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::RequestSlotParams,  ::cicadadrum::schema::EntryPeer::RequestSlotResults> requestSlotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ReturnSlotParams,  ::cicadadrum::schema::EntryPeer::ReturnSlotResults> returnSlotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ExecuteParams,  ::cicadadrum::schema::EntryPeer::ExecuteResults> executeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ExchangeParams,  ::cicadadrum::schema::EntryPeer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::FetchItemParams,  ::cicadadrum::schema::EntryPeer::FetchItemResults> fetchItemRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::CancelSlotParams,  ::cicadadrum::schema::EntryPeer::CancelSlotResults> cancelSlotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::AskLeasesParams,  ::cicadadrum::schema::EntryPeer::AskLeasesResults> askLeasesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ReportLeasesParams,  ::cicadadrum::schema::EntryPeer::ReportLeasesResults> reportLeasesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class EntryPeer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef EntryPeer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::cicadadrum::schema::EntryPeer::RequestSlotParams RequestSlotParams;
+  typedef  ::cicadadrum::schema::EntryPeer::RequestSlotResults RequestSlotResults;
+  typedef ::capnp::CallContext<RequestSlotParams, RequestSlotResults> RequestSlotContext;
+  virtual ::kj::Promise<void> requestSlot(RequestSlotContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::ReturnSlotParams ReturnSlotParams;
+  typedef  ::cicadadrum::schema::EntryPeer::ReturnSlotResults ReturnSlotResults;
+  typedef ::capnp::CallContext<ReturnSlotParams, ReturnSlotResults> ReturnSlotContext;
+  virtual ::kj::Promise<void> returnSlot(ReturnSlotContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::ExecuteParams ExecuteParams;
+  typedef  ::cicadadrum::schema::EntryPeer::ExecuteResults ExecuteResults;
+  typedef ::capnp::CallContext<ExecuteParams, ExecuteResults> ExecuteContext;
+  virtual ::kj::Promise<void> execute(ExecuteContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::ExchangeParams ExchangeParams;
+  typedef  ::cicadadrum::schema::EntryPeer::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::FetchItemParams FetchItemParams;
+  typedef  ::cicadadrum::schema::EntryPeer::FetchItemResults FetchItemResults;
+  typedef ::capnp::CallContext<FetchItemParams, FetchItemResults> FetchItemContext;
+  virtual ::kj::Promise<void> fetchItem(FetchItemContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::CancelSlotParams CancelSlotParams;
+  typedef  ::cicadadrum::schema::EntryPeer::CancelSlotResults CancelSlotResults;
+  typedef ::capnp::CallContext<CancelSlotParams, CancelSlotResults> CancelSlotContext;
+  virtual ::kj::Promise<void> cancelSlot(CancelSlotContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::AskLeasesParams AskLeasesParams;
+  typedef  ::cicadadrum::schema::EntryPeer::AskLeasesResults AskLeasesResults;
+  typedef ::capnp::CallContext<AskLeasesParams, AskLeasesResults> AskLeasesContext;
+  virtual ::kj::Promise<void> askLeases(AskLeasesContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::ReportLeasesParams ReportLeasesParams;
+  typedef  ::cicadadrum::schema::EntryPeer::ReportLeasesResults ReportLeasesResults;
+  typedef ::capnp::CallContext<ReportLeasesParams, ReportLeasesResults> ReportLeasesContext;
+  virtual ::kj::Promise<void> reportLeases(ReportLeasesContext context);
+
+  inline  ::cicadadrum::schema::EntryPeer::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::cicadadrum::schema::EntryPeer>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::RequestSlotParams::Reader {
+public:
+  typedef RequestSlotParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+  inline bool hasRequest() const;
+  inline  ::cicadadrum::schema::SlotRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::RequestSlotParams::Builder {
+public:
+  typedef RequestSlotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+  inline bool hasRequest();
+  inline  ::cicadadrum::schema::SlotRequest::Builder getRequest();
+  inline void setRequest( ::cicadadrum::schema::SlotRequest::Reader value);
+  inline  ::cicadadrum::schema::SlotRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::cicadadrum::schema::SlotRequest>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::SlotRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::RequestSlotParams::Pipeline {
+public:
+  typedef RequestSlotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+  inline  ::cicadadrum::schema::SlotRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::RequestSlotResults::Reader {
+public:
+  typedef RequestSlotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+  inline bool hasAnswer() const;
+  inline  ::cicadadrum::schema::SlotAnswer::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::RequestSlotResults::Builder {
+public:
+  typedef RequestSlotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+  inline bool hasAnswer();
+  inline  ::cicadadrum::schema::SlotAnswer::Builder getAnswer();
+  inline void setAnswer( ::cicadadrum::schema::SlotAnswer::Reader value);
+  inline  ::cicadadrum::schema::SlotAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::cicadadrum::schema::SlotAnswer>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::SlotAnswer> disownAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::RequestSlotResults::Pipeline {
+public:
+  typedef RequestSlotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+  inline  ::cicadadrum::schema::SlotAnswer::Pipeline getAnswer();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ReturnSlotParams::Reader {
+public:
+  typedef ReturnSlotParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+  inline bool hasSlotReturn() const;
+  inline  ::cicadadrum::schema::SlotReturn::Reader getSlotReturn() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ReturnSlotParams::Builder {
+public:
+  typedef ReturnSlotParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+  inline bool hasSlotReturn();
+  inline  ::cicadadrum::schema::SlotReturn::Builder getSlotReturn();
+  inline void setSlotReturn( ::cicadadrum::schema::SlotReturn::Reader value);
+  inline  ::cicadadrum::schema::SlotReturn::Builder initSlotReturn();
+  inline void adoptSlotReturn(::capnp::Orphan< ::cicadadrum::schema::SlotReturn>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::SlotReturn> disownSlotReturn();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ReturnSlotParams::Pipeline {
+public:
+  typedef ReturnSlotParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+  inline  ::cicadadrum::schema::SlotReturn::Pipeline getSlotReturn();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ReturnSlotResults::Reader {
+public:
+  typedef ReturnSlotResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ReturnSlotResults::Builder {
+public:
+  typedef ReturnSlotResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ReturnSlotResults::Pipeline {
+public:
+  typedef ReturnSlotResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ExecuteParams::Reader {
+public:
+  typedef ExecuteParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+  inline bool hasRequest() const;
+  inline  ::cicadadrum::schema::ForwardedRequest::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ExecuteParams::Builder {
+public:
+  typedef ExecuteParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+  inline bool hasRequest();
+  inline  ::cicadadrum::schema::ForwardedRequest::Builder getRequest();
+  inline void setRequest( ::cicadadrum::schema::ForwardedRequest::Reader value);
+  inline  ::cicadadrum::schema::ForwardedRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::cicadadrum::schema::ForwardedRequest>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::ForwardedRequest> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ExecuteParams::Pipeline {
+public:
+  typedef ExecuteParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+  inline  ::cicadadrum::schema::ForwardedRequest::Pipeline getRequest();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ExecuteResults::Reader {
+public:
+  typedef ExecuteResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+  inline bool hasAnswer() const;
+  inline  ::cicadadrum::schema::ForwardedAnswer::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ExecuteResults::Builder {
+public:
+  typedef ExecuteResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
   inline bool hasAnswer();
-  inline  ::cicadadrum::schema::SlotAnswer::Builder getAnswer();
-  inline void setAnswer( ::cicadadrum::schema::SlotAnswer::Reader value);
-  inline  ::cicadadrum::schema::SlotAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::cicadadrum::schema::SlotAnswer>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::SlotAnswer> disownAnswer();
+  inline  ::cicadadrum::schema::ForwardedAnswer::Builder getAnswer();
+  inline void setAnswer( ::cicadadrum::schema::ForwardedAnswer::Reader value);
+  inline  ::cicadadrum::schema::ForwardedAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::cicadadrum::schema::ForwardedAnswer>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::ForwardedAnswer> disownAnswer();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2212,16 +3025,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::RequestSlotResults::Pipeline {
+class EntryPeer::ExecuteResults::Pipeline {
 public:
-  typedef RequestSlotResults Pipelines;
+  typedef ExecuteResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::SlotAnswer::Pipeline getAnswer();
+  inline  ::cicadadrum::schema::ForwardedAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2230,9 +3043,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ReturnSlotParams::Reader {
+class EntryPeer::ExchangeParams::Reader {
 public:
-  typedef ReturnSlotParams Reads;
+  typedef ExchangeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2250,8 +3063,8 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
-  inline bool hasSlotReturn() const;
-  inline  ::cicadadrum::schema::SlotReturn::Reader getSlotReturn() const;
+  inline bool hasMessage() const;
+  inline  ::cicadadrum::schema::ExchangeMessage::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2265,9 +3078,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ReturnSlotParams::Builder {
+class EntryPeer::ExchangeParams::Builder {
 public:
-  typedef ReturnSlotParams Builds;
+  typedef ExchangeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2288,12 +3101,12 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
-  inline bool hasSlotReturn();
-  inline  ::cicadadrum::schema::SlotReturn::Builder getSlotReturn();
-  inline void setSlotReturn( ::cicadadrum::schema::SlotReturn::Reader value);
-  inline  ::cicadadrum::schema::SlotReturn::Builder initSlotReturn();
-  inline void adoptSlotReturn(::capnp::Orphan< ::cicadadrum::schema::SlotReturn>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::SlotReturn> disownSlotReturn();
+  inline bool hasMessage();
+  inline  ::cicadadrum::schema::ExchangeMessage::Builder getMessage();
+  inline void setMessage( ::cicadadrum::schema::ExchangeMessage::Reader value);
+  inline  ::cicadadrum::schema::ExchangeMessage::Builder initMessage();
+  inline void adoptMessage(::capnp::Orphan< ::cicadadrum::schema::ExchangeMessage>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::ExchangeMessage> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2305,16 +3118,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ReturnSlotParams::Pipeline {
+class EntryPeer::ExchangeParams::Pipeline {
 public:
-  typedef ReturnSlotParams Pipelines;
+  typedef ExchangeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::SlotReturn::Pipeline getSlotReturn();
+  inline  ::cicadadrum::schema::ExchangeMessage::Pipeline getMessage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2323,9 +3136,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ReturnSlotResults::Reader {
+class EntryPeer::ExchangeResults::Reader {
 public:
-  typedef ReturnSlotResults Reads;
+  typedef ExchangeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2355,9 +3168,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ReturnSlotResults::Builder {
+class EntryPeer::ExchangeResults::Builder {
 public:
-  typedef ReturnSlotResults Builds;
+  typedef ExchangeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2388,9 +3201,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ReturnSlotResults::Pipeline {
+class EntryPeer::ExchangeResults::Pipeline {
 public:
-  typedef ReturnSlotResults Pipelines;
+  typedef ExchangeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2405,9 +3218,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ExecuteParams::Reader {
+class EntryPeer::FetchItemParams::Reader {
 public:
-  typedef ExecuteParams Reads;
+  typedef FetchItemParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2425,8 +3238,10 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
-  inline bool hasRequest() const;
-  inline  ::cicadadrum::schema::ForwardedRequest::Reader getRequest() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint64_t getVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2440,9 +3255,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ExecuteParams::Builder {
+class EntryPeer::FetchItemParams::Builder {
 public:
-  typedef ExecuteParams Builds;
+  typedef FetchItemParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2463,12 +3278,15 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
-  inline bool hasRequest();
-  inline  ::cicadadrum::schema::ForwardedRequest::Builder getRequest();
-  inline void setRequest( ::cicadadrum::schema::ForwardedRequest::Reader value);
-  inline  ::cicadadrum::schema::ForwardedRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::cicadadrum::schema::ForwardedRequest>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::ForwardedRequest> disownRequest();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2480,16 +3298,15 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ExecuteParams::Pipeline {
+class EntryPeer::FetchItemParams::Pipeline {
 public:
-  typedef ExecuteParams Pipelines;
+  typedef FetchItemParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::ForwardedRequest::Pipeline getRequest();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2498,9 +3315,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ExecuteResults::Reader {
+class EntryPeer::FetchItemResults::Reader {
 public:
-  typedef ExecuteResults Reads;
+  typedef FetchItemResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2518,8 +3335,10 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
-  inline bool hasAnswer() const;
-  inline  ::cicadadrum::schema::ForwardedAnswer::Reader getAnswer() const;
+  inline bool getFound() const;
+
+  inline bool hasItem() const;
+  inline  ::cicadadrum::schema::ItemVersion::Reader getItem() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2533,9 +3352,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ExecuteResults::Builder {
+class EntryPeer::FetchItemResults::Builder {
 public:
-  typedef ExecuteResults Builds;
+  typedef FetchItemResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2556,12 +3375,15 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
-  inline bool hasAnswer();
-  inline  ::cicadadrum::schema::ForwardedAnswer::Builder getAnswer();
-  inline void setAnswer( ::cicadadrum::schema::ForwardedAnswer::Reader value);
-  inline  ::cicadadrum::schema::ForwardedAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::cicadadrum::schema::ForwardedAnswer>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::ForwardedAnswer> disownAnswer();
+  inline bool getFound();
+  inline void setFound(bool value);
+
+  inline bool hasItem();
+  inline  ::cicadadrum::schema::ItemVersion::Builder getItem();
+  inline void setItem( ::cicadadrum::schema::ItemVersion::Reader value);
+  inline  ::cicadadrum::schema::ItemVersion::Builder initItem();
+  inline void adoptItem(::capnp::Orphan< ::cicadadrum::schema::ItemVersion>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::ItemVersion> disownItem();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2573,16 +3395,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ExecuteResults::Pipeline {
+class EntryPeer::FetchItemResults::Pipeline {
 public:
-  typedef ExecuteResults Pipelines;
+  typedef FetchItemResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::ForwardedAnswer::Pipeline getAnswer();
+  inline  ::cicadadrum::schema::ItemVersion::Pipeline getItem();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2591,9 +3413,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ExchangeParams::Reader {
+class EntryPeer::CancelSlotParams::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef CancelSlotParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2611,8 +3433,8 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
-  inline bool hasMessage() const;
-  inline  ::cicadadrum::schema::ExchangeMessage::Reader getMessage() const;
+  inline bool hasCancel() const;
+  inline  ::cicadadrum::schema::SlotCancel::Reader getCancel() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2626,9 +3448,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ExchangeParams::Builder {
+class EntryPeer::CancelSlotParams::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef CancelSlotParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2649,12 +3471,12 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
-  inline bool hasMessage();
-  inline  ::cicadadrum::schema::ExchangeMessage::Builder getMessage();
-  inline void setMessage( ::cicadadrum::schema::ExchangeMessage::Reader value);
-  inline  ::cicadadrum::schema::ExchangeMessage::Builder initMessage();
-  inline void adoptMessage(::capnp::Orphan< ::cicadadrum::schema::ExchangeMessage>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::ExchangeMessage> disownMessage();
+  inline bool hasCancel();
+  inline  ::cicadadrum::schema::SlotCancel::Builder getCancel();
+  inline void setCancel( ::cicadadrum::schema::SlotCancel::Reader value);
+  inline  ::cicadadrum::schema::SlotCancel::Builder initCancel();
+  inline void adoptCancel(::capnp::Orphan< ::cicadadrum::schema::SlotCancel>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::SlotCancel> disownCancel();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2666,16 +3488,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ExchangeParams::Pipeline {
+class EntryPeer::CancelSlotParams::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef CancelSlotParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::ExchangeMessage::Pipeline getMessage();
+  inline  ::cicadadrum::schema::SlotCancel::Pipeline getCancel();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2684,9 +3506,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ExchangeResults::Reader {
+class EntryPeer::CancelSlotResults::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef CancelSlotResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2716,9 +3538,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ExchangeResults::Builder {
+class EntryPeer::CancelSlotResults::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef CancelSlotResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2749,9 +3571,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ExchangeResults::Pipeline {
+class EntryPeer::CancelSlotResults::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef CancelSlotResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2766,9 +3588,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::FetchItemParams::Reader {
+class EntryPeer::AskLeasesParams::Reader {
 public:
-  typedef FetchItemParams Reads;
+  typedef AskLeasesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2786,10 +3608,8 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline  ::uint64_t getVersion() const;
+  inline bool hasPool() const;
+  inline  ::cicadadrum::schema::PoolName::Reader getPool() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2803,9 +3623,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::FetchItemParams::Builder {
+class EntryPeer::AskLeasesParams::Builder {
 public:
-  typedef FetchItemParams Builds;
+  typedef AskLeasesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2826,15 +3646,12 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool hasPool();
+  inline  ::cicadadrum::schema::PoolName::Builder getPool();
+  inline void setPool( ::cicadadrum::schema::PoolName::Reader value);
+  inline  ::cicadadrum::schema::PoolName::Builder initPool();
+  inline void adoptPool(::capnp::Orphan< ::cicadadrum::schema::PoolName>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PoolName> disownPool();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2846,15 +3663,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::FetchItemParams::Pipeline {
+class EntryPeer::AskLeasesParams::Pipeline {
 public:
-  typedef FetchItemParams Pipelines;
+  typedef AskLeasesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+  inline  ::cicadadrum::schema::PoolName::Pipeline getPool();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2863,9 +3681,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::FetchItemResults::Reader {
+class EntryPeer::AskLeasesResults::Reader {
 public:
-  typedef FetchItemResults Reads;
+  typedef AskLeasesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2883,11 +3701,6 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
-  inline bool getFound() const;
-
-  inline bool hasItem() const;
-  inline  ::cicadadrum::schema::ItemVersion::Reader getItem() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2900,9 +3713,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::FetchItemResults::Builder {
+class EntryPeer::AskLeasesResults::Builder {
 public:
-  typedef FetchItemResults Builds;
+  typedef AskLeasesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2923,16 +3736,6 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
-  inline bool getFound();
-  inline void setFound(bool value);
-
-  inline bool hasItem();
-  inline  ::cicadadrum::schema::ItemVersion::Builder getItem();
-  inline void setItem( ::cicadadrum::schema::ItemVersion::Reader value);
-  inline  ::cicadadrum::schema::ItemVersion::Builder initItem();
-  inline void adoptItem(::capnp::Orphan< ::cicadadrum::schema::ItemVersion>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::ItemVersion> disownItem();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2943,16 +3746,15 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::FetchItemResults::Pipeline {
+class EntryPeer::AskLeasesResults::Pipeline {
 public:
-  typedef FetchItemResults Pipelines;
+  typedef AskLeasesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::ItemVersion::Pipeline getItem();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2961,9 +3763,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CancelSlotParams::Reader {
+class EntryPeer::ReportLeasesParams::Reader {
 public:
-  typedef CancelSlotParams Reads;
+  typedef ReportLeasesParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2981,8 +3783,8 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
-  inline bool hasCancel() const;
-  inline  ::cicadadrum::schema::SlotCancel::Reader getCancel() const;
+  inline bool hasReport() const;
+  inline  ::cicadadrum::schema::LeasesReport::Reader getReport() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2996,9 +3798,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CancelSlotParams::Builder {
+class EntryPeer::ReportLeasesParams::Builder {
 public:
-  typedef CancelSlotParams Builds;
+  typedef ReportLeasesParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3019,12 +3821,12 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
-  inline bool hasCancel();
-  inline  ::cicadadrum::schema::SlotCancel::Builder getCancel();
-  inline void setCancel( ::cicadadrum::schema::SlotCancel::Reader value);
-  inline  ::cicadadrum::schema::SlotCancel::Builder initCancel();
-  inline void adoptCancel(::capnp::Orphan< ::cicadadrum::schema::SlotCancel>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::SlotCancel> disownCancel();
+  inline bool hasReport();
+  inline  ::cicadadrum::schema::LeasesReport::Builder getReport();
+  inline void setReport( ::cicadadrum::schema::LeasesReport::Reader value);
+  inline  ::cicadadrum::schema::LeasesReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::cicadadrum::schema::LeasesReport>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::LeasesReport> disownReport();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3036,16 +3838,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CancelSlotParams::Pipeline {
+class EntryPeer::ReportLeasesParams::Pipeline {
 public:
-  typedef CancelSlotParams Pipelines;
+  typedef ReportLeasesParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::SlotCancel::Pipeline getCancel();
+  inline  ::cicadadrum::schema::LeasesReport::Pipeline getReport();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3054,9 +3856,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::CancelSlotResults::Reader {
+class EntryPeer::ReportLeasesResults::Reader {
 public:
-  typedef CancelSlotResults Reads;
+  typedef ReportLeasesResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3086,9 +3888,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::CancelSlotResults::Builder {
+class EntryPeer::ReportLeasesResults::Builder {
 public:
-  typedef CancelSlotResults Builds;
+  typedef ReportLeasesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3119,9 +3921,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::CancelSlotResults::Pipeline {
+class EntryPeer::ReportLeasesResults::Pipeline {
 public:
-  typedef CancelSlotResults Pipelines;
+  typedef ReportLeasesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3525,6 +4327,34 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SlotRequest::Reader::getOnlyPreferred() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotRequest::Builder::getOnlyPreferred() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setOnlyPreferred(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotRequest::Reader::getOnlyIfFree() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotRequest::Builder::getOnlyIfFree() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+}
+inline void SlotRequest::Builder::setOnlyIfFree(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cicadadrum::schema::SlotAnswer::Which SlotAnswer::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
@@ -4149,6 +4979,34 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ForwardedRequest::Reader::getOriginRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ForwardedRequest::Builder::getOriginRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedRequest::Builder::setOriginRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ForwardedRequest::Reader::getOriginAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ForwardedRequest::Builder::getOriginAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedRequest::Builder::setOriginAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cicadadrum::schema::Verdict ForwardedAnswer::Reader::getVerdict() const {
   return _reader.getDataField< ::cicadadrum::schema::Verdict>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4620,120 +5478,413 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ExchangeMessage::Reader::hasTarget() const {
+inline bool ExchangeMessage::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMessage::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ExchangeMessage::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ExchangeMessage::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ExchangeMessage::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMessage::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ExchangeMessage::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ExchangeMessage::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMessage::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::setMembers( ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMessage::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ExchangeMessage::Reader::hasItems() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ExchangeMessage::Builder::hasItems() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ExchangeMessage::Builder::setItems( ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ExchangeMessage::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ExchangeMessage::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ExchangeMessage::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ExchangeMessage::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ExchangeMessage::Reader::getSenderIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ExchangeMessage::Builder::getSenderIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ExchangeMessage::Builder::setSenderIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HeldLease::Reader::getLease() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldLease::Builder::getLease() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeldLease::Builder::setLease( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeldLease::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldLease::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HeldLease::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HeldLease::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeldLease::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HeldLease::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HeldLease::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HeldLease::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HeldLease::Reader::hasCustomer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldLease::Builder::hasCustomer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HeldLease::Reader::getCustomer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HeldLease::Builder::getCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HeldLease::Builder::setCustomer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HeldLease::Builder::initCustomer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HeldLease::Builder::adoptCustomer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HeldLease::Builder::disownCustomer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::cicadadrum::schema::RequestClass HeldLease::Reader::getRequestClass() const {
+  return _reader.getDataField< ::cicadadrum::schema::RequestClass>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::cicadadrum::schema::RequestClass HeldLease::Builder::getRequestClass() {
+  return _builder.getDataField< ::cicadadrum::schema::RequestClass>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HeldLease::Builder::setRequestClass( ::cicadadrum::schema::RequestClass value) {
+  _builder.setDataField< ::cicadadrum::schema::RequestClass>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t HeldLease::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldLease::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HeldLease::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t HeldLease::Reader::getAgeMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeldLease::Builder::getAgeMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HeldLease::Builder::setAgeMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t HeldLease::Reader::getRemainingMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t HeldLease::Builder::getRemainingMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HeldLease::Builder::setRemainingMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PoolName::Reader::hasRegion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasTarget() {
+inline bool PoolName::Builder::hasRegion() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ExchangeMessage::Reader::getTarget() const {
+inline  ::capnp::Text::Reader PoolName::Reader::getRegion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ExchangeMessage::Builder::getTarget() {
+inline  ::capnp::Text::Builder PoolName::Builder::getRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setTarget( ::capnp::Text::Reader value) {
+inline void PoolName::Builder::setRegion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ExchangeMessage::Builder::initTarget(unsigned int size) {
+inline  ::capnp::Text::Builder PoolName::Builder::initRegion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptTarget(
+inline void PoolName::Builder::adoptRegion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ExchangeMessage::Builder::disownTarget() {
+inline ::capnp::Orphan< ::capnp::Text> PoolName::Builder::disownRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasMembers() const {
+inline bool PoolName::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasMembers() {
+inline bool PoolName::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader PoolName::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder PoolName::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setMembers( ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void PoolName::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder PoolName::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ExchangeMessage::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void PoolName::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::MemberUpdate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> PoolName::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ExchangeMessage::Reader::hasItems() const {
+inline bool LeasesReport::Reader::hasPool() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ExchangeMessage::Builder::hasItems() {
+inline bool LeasesReport::Builder::hasPool() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>::Reader ExchangeMessage::Reader::getItems() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::cicadadrum::schema::PoolName::Reader LeasesReport::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::getItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::cicadadrum::schema::PoolName::Builder LeasesReport::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ExchangeMessage::Builder::setItems( ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PoolName::Pipeline LeasesReport::Pipeline::getPool() {
+  return  ::cicadadrum::schema::PoolName::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>::Builder ExchangeMessage::Builder::initItems(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void LeasesReport::Builder::setPool( ::cicadadrum::schema::PoolName::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void ExchangeMessage::Builder::adoptItems(
-    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::cicadadrum::schema::PoolName::Builder LeasesReport::Builder::initPool() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>> ExchangeMessage::Builder::disownItems() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ItemVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void LeasesReport::Builder::adoptPool(
+    ::capnp::Orphan< ::cicadadrum::schema::PoolName>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t ExchangeMessage::Reader::getDigest() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::cicadadrum::schema::PoolName> LeasesReport::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ExchangeMessage::Builder::getDigest() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool LeasesReport::Reader::hasLeases() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ExchangeMessage::Builder::setDigest( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool LeasesReport::Builder::hasLeases() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Reader LeasesReport::Reader::getLeases() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Builder LeasesReport::Builder::getLeases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LeasesReport::Builder::setLeases( ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Builder LeasesReport::Builder::initLeases(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LeasesReport::Builder::adoptLeases(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>> LeasesReport::Builder::disownLeases() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -5602,6 +6753,240 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool EntryPeer::AskLeasesParams::Reader::hasHeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::AskLeasesParams::Builder::hasHeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PeerHeader::Reader EntryPeer::AskLeasesParams::Reader::getHeader() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::AskLeasesParams::Builder::getHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PeerHeader::Pipeline EntryPeer::AskLeasesParams::Pipeline::getHeader() {
+  return  ::cicadadrum::schema::PeerHeader::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::AskLeasesParams::Builder::setHeader( ::cicadadrum::schema::PeerHeader::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::AskLeasesParams::Builder::initHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::AskLeasesParams::Builder::adoptHeader(
+    ::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> EntryPeer::AskLeasesParams::Builder::disownHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::AskLeasesParams::Reader::hasPool() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::AskLeasesParams::Builder::hasPool() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PoolName::Reader EntryPeer::AskLeasesParams::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PoolName::Builder EntryPeer::AskLeasesParams::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PoolName::Pipeline EntryPeer::AskLeasesParams::Pipeline::getPool() {
+  return  ::cicadadrum::schema::PoolName::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::AskLeasesParams::Builder::setPool( ::cicadadrum::schema::PoolName::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PoolName::Builder EntryPeer::AskLeasesParams::Builder::initPool() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::AskLeasesParams::Builder::adoptPool(
+    ::capnp::Orphan< ::cicadadrum::schema::PoolName>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PoolName> EntryPeer::AskLeasesParams::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PoolName>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::AskLeasesResults::Reader::hasHeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::AskLeasesResults::Builder::hasHeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PeerHeader::Reader EntryPeer::AskLeasesResults::Reader::getHeader() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::AskLeasesResults::Builder::getHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PeerHeader::Pipeline EntryPeer::AskLeasesResults::Pipeline::getHeader() {
+  return  ::cicadadrum::schema::PeerHeader::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::AskLeasesResults::Builder::setHeader( ::cicadadrum::schema::PeerHeader::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::AskLeasesResults::Builder::initHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::AskLeasesResults::Builder::adoptHeader(
+    ::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> EntryPeer::AskLeasesResults::Builder::disownHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::ReportLeasesParams::Reader::hasHeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ReportLeasesParams::Builder::hasHeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PeerHeader::Reader EntryPeer::ReportLeasesParams::Reader::getHeader() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::ReportLeasesParams::Builder::getHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PeerHeader::Pipeline EntryPeer::ReportLeasesParams::Pipeline::getHeader() {
+  return  ::cicadadrum::schema::PeerHeader::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::ReportLeasesParams::Builder::setHeader( ::cicadadrum::schema::PeerHeader::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::ReportLeasesParams::Builder::initHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ReportLeasesParams::Builder::adoptHeader(
+    ::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> EntryPeer::ReportLeasesParams::Builder::disownHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::ReportLeasesParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ReportLeasesParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::LeasesReport::Reader EntryPeer::ReportLeasesParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::LeasesReport>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::LeasesReport::Builder EntryPeer::ReportLeasesParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::LeasesReport>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::LeasesReport::Pipeline EntryPeer::ReportLeasesParams::Pipeline::getReport() {
+  return  ::cicadadrum::schema::LeasesReport::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::ReportLeasesParams::Builder::setReport( ::cicadadrum::schema::LeasesReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::LeasesReport>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::LeasesReport::Builder EntryPeer::ReportLeasesParams::Builder::initReport() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::LeasesReport>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ReportLeasesParams::Builder::adoptReport(
+    ::capnp::Orphan< ::cicadadrum::schema::LeasesReport>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::LeasesReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::LeasesReport> EntryPeer::ReportLeasesParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::LeasesReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::ReportLeasesResults::Reader::hasHeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::ReportLeasesResults::Builder::hasHeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PeerHeader::Reader EntryPeer::ReportLeasesResults::Reader::getHeader() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::ReportLeasesResults::Builder::getHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PeerHeader::Pipeline EntryPeer::ReportLeasesResults::Pipeline::getHeader() {
+  return  ::cicadadrum::schema::PeerHeader::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::ReportLeasesResults::Builder::setHeader( ::cicadadrum::schema::PeerHeader::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::ReportLeasesResults::Builder::initHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::ReportLeasesResults::Builder::adoptHeader(
+    ::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> EntryPeer::ReportLeasesResults::Builder::disownHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibEntry/entry_core.cc
+++ b/Libraries/LibEntry/entry_core.cc
@@ -84,11 +84,11 @@
   handlers.find_item = [this](const std::string& key, std::uint64_t version) {
     return fleet_.FindPeerItem(key, version);
   };
-  handlers.execute = [this](
-                         const ForwardedRequest& request,
-                         std::function<void(const ForwardedAnswer&)> respond) {
-    TakeForwarded(request, std::move(respond));
-  };
+  handlers.execute =
+      [this](const PeerInfo& sender, const ForwardedRequest& request,
+             std::function<void(const ForwardedAnswer&)> respond) {
+        TakeForwarded(sender, request, std::move(respond));
+      };
   BOOST_LEAF_CHECK(peers_.Listen(std::move(handlers)));
   fleet_.Start();
   PollServers();
@@ -98,7 +98,6 @@
 
 void EntryCore::Stop() {
   fleet_.Leave();
-  peers_.StopAccepting();
   Dispatch(StopRequested{});
 }
 
@@ -161,6 +160,7 @@
 }
 
 void EntryCore::TakeForwarded(
+    const PeerInfo& sender,
     const ForwardedRequest& request,
     std::function<void(const ForwardedAnswer&)> respond) {
   const std::uint64_t id = NewRequestId();
@@ -177,6 +177,8 @@
                     .reason = RefusalReason::kQueueFull});
   held.arrived = *arrived;
   held.arrived.forwarded = true;
+  held.arrived.origin = {sender.incarnation, request.origin_request,
+                         request.origin_attempt};
   held.arrived.deadline = request.deadline;
   held.respond = [respond = std::move(respond)](const HttpResponse& response,
                                                 const AnswerCaller& answer) {
@@ -217,10 +219,13 @@
   peers_.ReturnSlot(action);
 }
 
-// FIXME: Needs a call of its own in LibPeer; until then a new owner waits for
-// the end of the lease time.
-void EntryCore::Perform(const AskForLeases& /*action*/) {}
-void EntryCore::Perform(const ReportLeases& /*action*/) {}
+void EntryCore::Perform(const AskForLeases& action) {
+  peers_.SendLeasesQuestion(action);
+}
+
+void EntryCore::Perform(const ReportLeases& action) {
+  peers_.SendLeasesReport(action);
+}
 
 void EntryCore::Perform(const SpreadBlockedItem& action) {
   fleet_.SpreadBlocked(action.item);
@@ -348,9 +353,11 @@
   const auto found = held_.find(action.request);
   if (found == held_.end())
     return;
-  const ForwardedRequest request =
+  ForwardedRequest request =
       MakeForwarded(found->second.request, found->second.arrived,
                     FormatTraceparent(found->second.context));
+  request.origin_request = action.request;
+  request.origin_attempt = action.attempt;
   peers_.Execute(action.home, request,
                  [this, action](const CallResult<ForwardedAnswer>& result) {
                    HomeAnswered answered{
@@ -377,6 +384,7 @@
 }
 
 void EntryCore::Perform(const Stopped& /*action*/) {
+  peers_.RefuseNewWork();
   if (on_stopped)
     on_stopped();
 }
--- a/Libraries/LibEntry/entry_core.h
+++ b/Libraries/LibEntry/entry_core.h
@@ -55,7 +55,8 @@
                    std::function<void(const HttpResponse&)> respond);
 
   // Takes a request that a peer passed to this entry VM as its key's home.
-  void TakeForwarded(const ForwardedRequest& request,
+  void TakeForwarded(const PeerInfo& sender,
+                     const ForwardedRequest& request,
                      std::function<void(const ForwardedAnswer&)> respond);
 
   std::uint64_t NewRequestId() { return next_request_++; }
--- a/Libraries/LibEntry/peer_codec.cc
+++ b/Libraries/LibEntry/peer_codec.cc
@@ -18,7 +18,8 @@
   PeerExchange exchange{.kind = static_cast<PeerExchangeKind>(message.kind),
                         .sequence = message.sequence,
                         .target = message.target,
-                        .digest = message.digest};
+                        .digest = message.digest,
+                        .sender_incarnation = message.incarnation};
   for (const MemberUpdate& member : message.members) {
     exchange.members.push_back(
         {.entry = member.vm,
@@ -35,7 +36,7 @@
 ExchangeMessage FromPeerExchange(const PeerInfo& sender,
                                  const PeerExchange& exchange) {
   ExchangeMessage message{.sender = sender.name,
-                          .incarnation = sender.incarnation.high,
+                          .incarnation = exchange.sender_incarnation,
                           .configuration_version = sender.configuration_version,
                           .kind = static_cast<ExchangeKind>(exchange.kind),
                           .sequence = exchange.sequence,
--- a/Libraries/LibEntry/peer_link.cc
+++ b/Libraries/LibEntry/peer_link.cc
@@ -71,12 +71,22 @@
     handlers.dispatch(PeerReturnedSlot{returned.pool, returned.lease,
                                        returned.outcome, returned.latency});
   };
+  server_handlers.ask_leases = [handlers](const PeerInfo& sender,
+                                          const PoolKey& pool) {
+    handlers.dispatch(PeerAskedLeases{pool, sender.name});
+  };
+  server_handlers.report_leases = [handlers](const PeerInfo& sender,
+                                             const LeasesReport& report) {
+    handlers.dispatch(
+        PeerReportedLeases{report.pool, sender.name, report.leases});
+  };
   server_handlers.execute = [this, handlers](std::uint64_t call,
-                                             const PeerInfo& /*sender*/,
+                                             const PeerInfo& sender,
                                              const ForwardedRequest& request) {
-    handlers.execute(request, [this, call](const ForwardedAnswer& answer) {
-      server_->AnswerExecute(call, answer);
-    });
+    handlers.execute(sender, request,
+                     [this, call](const ForwardedAnswer& answer) {
+                       server_->AnswerExecute(call, answer);
+                     });
   };
   // The request goes on: its answer is kept for a repeat with the same key.
   server_handlers.cancel_execute = [](std::uint64_t /*call*/) {};
@@ -95,8 +105,8 @@
   return {};
 }
 
-void PeerLink::StopAccepting() {
-  server_->StopAccepting();
+void PeerLink::RefuseNewWork() {
+  server_->RefuseNewWork();
 }
 
 void PeerLink::AskForSlot(const AskPoolOwner& action,
@@ -127,6 +137,21 @@
       [](const CallResult<Acknowledged>& /*result*/) {});
 }
 
+void PeerLink::SendLeasesQuestion(const AskForLeases& action) {
+  for (const std::string& entry : action.entries) {
+    client_.AskLeases(find_address_(entry), action.pool,
+                      loop_.Now() + kReturnDeadline,
+                      [](const CallResult<Acknowledged>& /*result*/) {});
+  }
+}
+
+void PeerLink::SendLeasesReport(const ReportLeases& action) {
+  client_.ReportLeases(find_address_(action.owner),
+                       {action.pool, action.leases},
+                       loop_.Now() + kReturnDeadline,
+                       [](const CallResult<Acknowledged>& /*result*/) {});
+}
+
 bool PeerLink::AnswerSlot(const AnswerPeer& action) {
   return server_->AnswerSlot(action.pool, action.answer);
 }
--- a/Libraries/LibEntry/peer_link.h
+++ b/Libraries/LibEntry/peer_link.h
@@ -27,7 +27,8 @@
   std::function<std::optional<PeerItem>(const std::string& key,
                                         std::uint64_t version)>
       find_item;
-  std::function<void(const ForwardedRequest&,
+  std::function<void(const PeerInfo& sender,
+                     const ForwardedRequest&,
                      std::function<void(const ForwardedAnswer&)>)>
       execute;
 };
@@ -42,7 +43,7 @@
            std::function<std::string(const std::string& entry)> find_address);
 
   boost::leaf::result<void> Listen(PeerLinkHandlers handlers);
-  void StopAccepting();
+  void RefuseNewWork();
 
   // `done` gets SlotGranted or SlotRefused.
   void AskForSlot(const AskPoolOwner& action,
@@ -50,6 +51,9 @@
   void CancelSlot(const CancelAtPoolOwner& action);
   void ReturnSlot(const ReturnToPoolOwner& action);
 
+  void SendLeasesQuestion(const AskForLeases& action);
+  void SendLeasesReport(const ReportLeases& action);
+
   // Returns false if the peer no longer waits for the answer; a granted slot
   // must then be returned.
   bool AnswerSlot(const AnswerPeer& action);
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -58,6 +58,8 @@
   to.setPreferred(TextToWire(ask.preferred));
   to.setFingerprint(ask.fingerprint);
   to.setBodyBytes(ask.body_bytes);
+  to.setOnlyPreferred(ask.only_preferred);
+  to.setOnlyIfFree(ask.only_if_free);
 }
 
 std::optional<ReceivedSlotRequest> ReadSlotRequest(
@@ -79,6 +81,8 @@
   request.ask.preferred = TextFromWire(from.getPreferred());
   request.ask.fingerprint = from.getFingerprint();
   request.ask.body_bytes = from.getBodyBytes();
+  request.ask.only_preferred = from.getOnlyPreferred();
+  request.ask.only_if_free = from.getOnlyIfFree();
   return request;
 }
 
@@ -165,6 +169,8 @@
   to.setBody(DataToWire(request.body));
   to.setRemainingMicroseconds(DeadlineToWire(request.deadline, now));
   to.setTraceparent(TextToWire(request.traceparent));
+  to.setOriginRequest(request.origin_request);
+  to.setOriginAttempt(request.origin_attempt);
 }
 
 std::optional<ForwardedRequest> ReadForwardedRequest(
@@ -184,6 +190,8 @@
   request.body = DataFromWire(from.getBody());
   request.deadline = *deadline;
   request.traceparent = TextFromWire(from.getTraceparent());
+  request.origin_request = from.getOriginRequest();
+  request.origin_attempt = from.getOriginAttempt();
   return request;
 }
 
--- a/Libraries/LibPeer/codec.h
+++ b/Libraries/LibPeer/codec.h
@@ -75,6 +75,15 @@
 void WriteSlotCancel(const SlotName& slot, schema::SlotCancel::Builder to);
 std::optional<SlotName> ReadSlotCancel(schema::SlotCancel::Reader from);
 
+void WritePool(const PoolKey& pool, schema::PoolName::Builder to);
+std::optional<PoolKey> ReadPool(schema::PoolName::Reader from);
+
+void WriteLeasesReport(const LeasesReport& report,
+                       TimePoint now,
+                       schema::LeasesReport::Builder to);
+std::optional<LeasesReport> ReadLeasesReport(schema::LeasesReport::Reader from,
+                                             TimePoint now);
+
 void WriteForwardedRequest(const ForwardedRequest& request,
                            TimePoint now,
                            schema::ForwardedRequest::Builder to);
@@ -110,6 +119,7 @@
 std::size_t EstimateBytes(const ForwardedAnswer& answer);
 std::size_t EstimateBytes(const PeerExchange& message);
 std::size_t EstimateBytes(const PeerItem& item);
+std::size_t EstimateBytes(const LeasesReport& report);
 
 }  // namespace cicadadrum
 
--- a/Libraries/LibPeer/codec_exchange.cc
+++ b/Libraries/LibPeer/codec_exchange.cc
@@ -65,6 +65,7 @@
   to.setSequence(message.sequence);
   to.setTarget(TextToWire(message.target));
   to.setDigest(message.digest);
+  to.setSenderIncarnation(message.sender_incarnation);
   auto members = to.initMembers(static_cast<unsigned>(message.members.size()));
   for (unsigned i = 0; i < members.size(); ++i)
     WriteMember(message.members[i], members[i]);
@@ -82,6 +83,7 @@
   message.sequence = from.getSequence();
   message.target = TextFromWire(from.getTarget());
   message.digest = from.getDigest();
+  message.sender_incarnation = from.getSenderIncarnation();
   for (const auto reader : from.getMembers()) {
     auto member = ReadMember(reader);
     if (!member)
--- a/Libraries/LibPeer/entry_peer.cc
+++ b/Libraries/LibPeer/entry_peer.cc
@@ -69,6 +69,35 @@
     return Run([&] { server().handlers.return_slot(peer, *slot_return); });
   }
 
+  kj::Promise<void> askLeases(AskLeasesContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer); end != nullptr)
+      return TakePromise(end);
+    const auto pool = Decode([&]() -> std::optional<PoolKey> {
+      return ReadPool(context.getParams().getPool());
+    });
+    if (!pool)
+      return Malformed("question for leases");
+    WriteOwnHeader(
+        context.getResults(SizeHint(kSmallMessageBytes)).initHeader());
+    return Run([&] { server().handlers.ask_leases(peer, *pool); });
+  }
+
+  kj::Promise<void> reportLeases(ReportLeasesContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer); end != nullptr)
+      return TakePromise(end);
+    const auto report = Decode([&] {
+      return ReadLeasesReport(context.getParams().getReport(),
+                              server().settings.now());
+    });
+    if (!report)
+      return Malformed("report of leases");
+    WriteOwnHeader(
+        context.getResults(SizeHint(kSmallMessageBytes)).initHeader());
+    return Run([&] { server().handlers.report_leases(peer, *report); });
+  }
+
   kj::Promise<void> execute(ExecuteContext context) override {
     PeerInfo peer;
     if (auto end = CheckHeader(context, peer, true); end != nullptr)
--- a/Libraries/LibPeer/include/cicadadrum/peer/messages.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/messages.h
@@ -40,6 +40,12 @@
   Duration latency{};  // Not negative.
 };
 
+// Leases that the sender holds from an earlier owner of `pool`.
+struct LeasesReport {
+  PoolKey pool;
+  std::vector<HeldLease> leases;
+};
+
 // A request passed to the home of its key.
 struct ForwardedRequest {
   std::string customer;
@@ -51,6 +57,8 @@
   std::string body;
   TimePoint deadline = kNever;
   std::string traceparent;
+  std::uint64_t origin_request = 0;  // Number of the request at the sender.
+  std::uint32_t origin_attempt = 0;
 };
 
 struct ForwardedAnswer {
@@ -114,7 +122,8 @@
   std::string target;  // Member that a kPingRequest asks to probe.
   std::vector<PeerMember> members;
   std::vector<PeerItem> items;
-  std::uint64_t digest = 0;  // Of all item versions held.
+  std::uint64_t digest = 0;              // Of all item versions held.
+  std::uint64_t sender_incarnation = 0;  // As membership knows it.
   bool operator==(const PeerExchange&) const = default;
 };
 
--- a/Libraries/LibPeer/include/cicadadrum/peer/peer_client.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/peer_client.h
@@ -56,6 +56,16 @@
                     TimePoint deadline,
                     const CallDone<Acknowledged>& done);
 
+  CallId AskLeases(const std::string& address,
+                   const PoolKey& pool,
+                   TimePoint deadline,
+                   const CallDone<Acknowledged>& done);
+
+  CallId ReportLeases(const std::string& address,
+                      const LeasesReport& report,
+                      TimePoint deadline,
+                      const CallDone<Acknowledged>& done);
+
   // The deadline is `request.deadline`.
   CallId Execute(const std::string& address,
                  const ForwardedRequest& request,
--- a/Libraries/LibPeer/include/cicadadrum/peer/peer_server.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/peer_server.h
@@ -34,6 +34,10 @@
 
   std::function<void(const PeerInfo&, const SlotReturn&)> return_slot;
 
+  // The sender is the new owner of the pool and asks for the leases held here.
+  std::function<void(const PeerInfo&, const PoolKey&)> ask_leases;
+  std::function<void(const PeerInfo&, const LeasesReport&)> report_leases;
+
   // Ends with AnswerExecute() or cancel_execute. `call` is never used again.
   std::function<
       void(std::uint64_t call, const PeerInfo&, const ForwardedRequest&)>
--- a/Libraries/LibPeer/peer_client.cc
+++ b/Libraries/LibPeer/peer_client.cc
@@ -202,6 +202,41 @@
   return impl_->StartReturn(address, slot_return, deadline, done, false);
 }
 
+CallId PeerClient::AskLeases(const std::string& address,
+                             const PoolKey& pool,
+                             TimePoint deadline,
+                             const CallDone<Acknowledged>& done) {
+  Impl& impl = *impl_;
+  auto call = MakeCall<Acknowledged>(address, EstimateBytes(SlotAsk{}), done);
+  call.send = [&impl, pool, done](schema::EntryPeer::Client& peer, CallId id) {
+    auto request = peer.askLeasesRequest(SizeHint(kSmallMessageBytes));
+    WriteOwnHeader(impl, request);
+    WritePool(pool, request.initPool());
+    return SendCall<Acknowledged>(
+        impl, id, done, request,
+        [](const auto& response) { return ReadNothing(response); });
+  };
+  return impl.Start(std::move(call), deadline);
+}
+
+CallId PeerClient::ReportLeases(const std::string& address,
+                                const LeasesReport& report,
+                                TimePoint deadline,
+                                const CallDone<Acknowledged>& done) {
+  Impl& impl = *impl_;
+  auto call = MakeCall<Acknowledged>(address, EstimateBytes(report), done);
+  call.send = [&impl, report, done](schema::EntryPeer::Client& peer,
+                                    CallId id) {
+    auto request = peer.reportLeasesRequest(SizeHint(EstimateBytes(report)));
+    WriteOwnHeader(impl, request);
+    WriteLeasesReport(report, impl.settings.now(), request.initReport());
+    return SendCall<Acknowledged>(
+        impl, id, done, request,
+        [](const auto& response) { return ReadNothing(response); });
+  };
+  return impl.Start(std::move(call), deadline);
+}
+
 CallId PeerClient::Execute(const std::string& address,
                            const ForwardedRequest& forwarded,
                            CallDone<ForwardedAnswer> done) {
--- a/Libraries/LibSteering/include/cicadadrum/steering/events.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/events.h
@@ -39,6 +39,7 @@
   std::uint64_t configuration_floor =
       0;  // Highest version the caller has seen.
   bool forwarded = false;
+  ForwardOrigin origin;  // Set if forwarded.
 };
 
 struct CallerGone {
--- a/Libraries/LibSteering/request_flow.cc
+++ b/Libraries/LibSteering/request_flow.cc
@@ -270,7 +270,7 @@
     return StartAttempt(state, request, now, actions);
   request.phase = RequestPhase::kClaiming;
   const ClaimAsked asked{arrived.request, *ParseRequestKey(arrived.key),
-                         arrived.deadline, arrived.forwarded};
+                         arrived.deadline, arrived.forwarded, arrived.origin};
   ApplyClaimEvent(state, asked, now, actions);
 }
 
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -93,6 +93,8 @@
   preferred @7 :Text;
   fingerprint @8 :UInt64;
   bodyBytes @9 :UInt64;
+  onlyPreferred @10 :Bool;
+  onlyIfFree @11 :Bool;
 }
 
 struct SlotAnswer {
@@ -136,6 +138,8 @@
   body @6 :Data;
   remainingMicroseconds @7 :Int64;
   traceparent @8 :Text;
+  originRequest @9 :UInt64;  # Number of the request at the sender.
+  originAttempt @10 :UInt32;
 }
 
 struct ForwardedAnswer {
@@ -172,6 +176,29 @@
   members @3 :List(MemberUpdate);
   items @4 :List(ItemVersion);
   digest @5 :UInt64;  # Of all item versions held.
+  # Of the sender as membership knows it; it can be higher than the one in the header.
+  senderIncarnation @6 :UInt64;
+}
+
+# A lease that an entry VM holds from an earlier owner of the pool.
+struct HeldLease {
+  lease @0 :UInt64;
+  server @1 :Text;
+  customer @2 :Text;
+  requestClass @3 :Configuration.RequestClass;
+  fingerprint @4 :UInt64;
+  ageMicroseconds @5 :Int64;  # Since it was granted.
+  remainingMicroseconds @6 :Int64;  # Until the deadline of its request.
+}
+
+struct PoolName {
+  region @0 :Text;
+  service @1 :Text;
+}
+
+struct LeasesReport {
+  pool @0 :PoolName;
+  leases @1 :List(HeldLease);
 }
 
 # An answer whose header carries a refusal has no other member set.
@@ -186,4 +213,7 @@
   # Ends a slot request. The requestSlot call is then answered: refused, or granted if the grant was sent
   # first. The sender waits for that answer and returns the granted slot, so that no grant is lost.
   cancelSlot @5 (header :PeerHeader, cancel :SlotCancel) -> (header :PeerHeader);
+  # The sender is the new owner of the pool; the receiver answers with reportLeases.
+  askLeases @6 (header :PeerHeader, pool :PoolName) -> (header :PeerHeader);
+  reportLeases @7 (header :PeerHeader, report :LeasesReport) -> (header :PeerHeader);
 }
