LibPeer: Test that a second bootstrap closes the connection

Cause: a trial with ten deliberate faults showed that two had no effect on the tests. Without the check of repeated bootstraps, the repeated bytes of a client were still refused by Cap'n Proto, because they reuse question numbers. The loop that ends calls after a lost connection never found one, because Cap'n Proto rejects their promises first.

The test now asks for the bootstrap object twice with different question numbers, and the loop is removed.

Measured: the fault "second bootstrap is accepted" now stops the test.

--- a/Libraries/LibPeer/client_links.cc
+++ b/Libraries/LibPeer/client_links.cc
@@ -122,8 +122,7 @@
   CloseLink(link);
   ReportFault(faults, PeerFault::kConnectionLost, address, "closed by the peer",
               settings.now());
-  for (const CallId id : CallsOf(address))
-    FailCall(id, CallOutcome::kMayHaveBeenReceived, CallFault::kConnectionLost);
+  // Cap'n Proto rejects the promises of all calls, which ends them.
 }
 
 void PeerClient::Impl::CloseLink(PeerLink& link) {
--- a/Tests/LibPeer/test_peer_hostile.cc
+++ b/Tests/LibPeer/test_peer_hostile.cc
@@ -19,6 +19,9 @@
 
 // A server with one honest call that stays open while others misbehave.
 struct HostileFixture : PeerFixture {
+  // Asks the server for the object that it serves.
+  using Bootstrap = std::function<schema::EntryPeer::Client()>;
+
   std::shared_ptr<std::optional<CallResult<SlotAnswer>>> honest = Ask(1);
 
   HostileFixture() {
@@ -82,8 +85,8 @@
   void CallForged(
       const std::function<void(schema::EntryPeer::RequestSlotParams::Builder)>&
           fill) {
-    RunForged([&](schema::EntryPeer::Client peer) {
-      auto request = peer.requestSlotRequest(capnp::MessageSize{64, 0});
+    RunForged([&](const Bootstrap& bootstrap) {
+      auto request = bootstrap().requestSlotRequest(capnp::MessageSize{64, 0});
       auto header = request.initHeader();
       header.setProtocolVersion(kPeerProtocolVersion);
       header.setSender("forger");
@@ -92,8 +95,10 @@
     });
   }
 
+  // Connects by the schema alone, and returns when `call` has failed and the
+  // server has closed the connection.
   void RunForged(
-      const std::function<kj::Promise<void>(schema::EntryPeer::Client)>& call) {
+      const std::function<kj::Promise<void>(const Bootstrap&)>& call) {
     const sockaddr_in to = Loopback(server->port());
     auto stream =
         BuffereventStream::Connect(
@@ -105,9 +110,11 @@
     capnp::MallocMessageBuilder message;
     auto vat = message.getRoot<capnp::rpc::twoparty::VatId>();
     vat.setSide(capnp::rpc::twoparty::Side::SERVER);
-    auto peer = rpc.bootstrap(vat).castAs<schema::EntryPeer>();
-    const auto thrown =
-        kj::runCatchingExceptions([&] { call(peer).wait(loop.wait_scope()); });
+    const Bootstrap bootstrap = [&] {
+      return rpc.bootstrap(vat).castAs<schema::EntryPeer>();
+    };
+    const auto thrown = kj::runCatchingExceptions(
+        [&] { call(bootstrap).wait(loop.wait_scope()); });
     CHECK(thrown != nullptr);
     network.onDisconnect().wait(loop.wait_scope());
   }
@@ -171,14 +178,20 @@
     request.getHeader().setSender("");
   });
   fixture.CheckClosed(3, 0);
-  fixture.RunForged([](schema::EntryPeer::Client peer) {
-    return peer
+  fixture.RunForged([](const HostileFixture::Bootstrap& bootstrap) {
+    return bootstrap()
         .typelessRequest(capnp::typeId<schema::EntryPeer>(), 77,
                          capnp::MessageSize{16, 0})
         .send()
         .ignoreResult();
   });
   fixture.CheckClosed(4, 0);
+  // Objects that nobody needs could be asked for without end.
+  fixture.RunForged([](const HostileFixture::Bootstrap& bootstrap) {
+    auto first = bootstrap();
+    return bootstrap().whenResolved().attach(kj::mv(first));
+  });
+  fixture.CheckClosed(5, 0);
   CHECK(fixture.record.slots.size() == 1);
   fixture.CheckHonestCall();
 }
