LibPeer: Add tables of names to the private enumerations

Cause: the house style asks for a table of names next to each enumeration; three private ones had none. An open slot request kept the number of its connection, which nothing read.

Measured: all tests pass in the default build and under the sanitizers.

--- a/Libraries/LibPeer/client_impl.h
+++ b/Libraries/LibPeer/client_impl.h
@@ -6,6 +6,7 @@
 #include <kj/async.h>
 #include <schemas/peer.capnp.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -33,6 +34,16 @@
   kAbandoned,  // A slot request that has ended here and not yet at the owner.
 };
 
+template <>
+struct EnumNames<CallPhase> {
+  static constexpr auto kTable = std::to_array<EnumName<CallPhase>>({
+      {CallPhase::kRefused, "refused"},
+      {CallPhase::kWaiting, "waiting"},
+      {CallPhase::kSent, "sent"},
+      {CallPhase::kAbandoned, "abandoned"},
+  });
+};
+
 struct ClientCall {
   CallPhase phase = CallPhase::kWaiting;
   CallId id = 0;
@@ -53,6 +64,15 @@
 
 enum class LinkPhase : std::uint8_t { kClosed, kConnecting, kConnected };
 
+template <>
+struct EnumNames<LinkPhase> {
+  static constexpr auto kTable = std::to_array<EnumName<LinkPhase>>({
+      {LinkPhase::kClosed, "closed"},
+      {LinkPhase::kConnecting, "connecting"},
+      {LinkPhase::kConnected, "connected"},
+  });
+};
+
 // The connection to one peer address.
 struct PeerLink {
   LinkPhase phase = LinkPhase::kClosed;
--- a/Libraries/LibPeer/entry_peer.cc
+++ b/Libraries/LibPeer/entry_peer.cc
@@ -44,7 +44,7 @@
     context.releaseParams();
     context.allowCancellation();
     return server()
-        .AskSlot(connection_, peer, *request)
+        .AskSlot(peer, *request)
         .then([this, context](
                   kj::Own<SlotAnswer>&& answer) mutable -> kj::Promise<void> {
           if (link_->server == nullptr)
--- a/Libraries/LibPeer/open_calls.h
+++ b/Libraries/LibPeer/open_calls.h
@@ -26,7 +26,6 @@
 // -Wmaybe-uninitialized warnings for kj::Maybe of a string or a variant.
 struct OpenSlotRequest {
   std::uint64_t call = 0;  // Tells a repeat of the same key apart.
-  std::uint64_t connection = 0;
   kj::Own<kj::PromiseFulfiller<kj::Own<SlotAnswer>>> fulfiller;
 };
 
--- a/Libraries/LibPeer/peer_server.cc
+++ b/Libraries/LibPeer/peer_server.cc
@@ -178,7 +178,6 @@
 }
 
 kj::Promise<kj::Own<SlotAnswer>> PeerServer::Impl::AskSlot(
-    std::uint64_t connection,
     const PeerInfo& peer,
     const ReceivedSlotRequest& request) {
   const SlotRequestKey key{request.pool, peer.name, request.ask.id};
@@ -187,8 +186,7 @@
   CancelSlot(key);
   const std::uint64_t call = open.next_call++;
   auto paf = kj::newPromiseAndFulfiller<kj::Own<SlotAnswer>>();
-  open.slots.emplace(key,
-                     OpenSlotRequest{call, connection, kj::mv(paf.fulfiller)});
+  open.slots.emplace(key, OpenSlotRequest{call, kj::mv(paf.fulfiller)});
   SlotAsk ask = request.ask;
   ask.entry = peer.name;
   const bool handled =
--- a/Libraries/LibPeer/server_impl.h
+++ b/Libraries/LibPeer/server_impl.h
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <kj/async.h>
 
+#include <array>
 #include <cstdint>
 #include <exception>
 #include <map>
@@ -43,6 +44,15 @@
 // What the server makes of the header of a call.
 enum class HeaderCheck : std::uint8_t { kAccepted, kRefused, kMalformed };
 
+template <>
+struct EnumNames<HeaderCheck> {
+  static constexpr auto kTable = std::to_array<EnumName<HeaderCheck>>({
+      {HeaderCheck::kAccepted, "accepted"},
+      {HeaderCheck::kRefused, "refused"},
+      {HeaderCheck::kMalformed, "malformed"},
+  });
+};
+
 class PeerServer::Impl final : private kj::TaskSet::ErrorHandler {
  public:
   Impl(KjLoop& loop, PeerSettings settings, PeerHandlers handlers);
@@ -66,8 +76,7 @@
   void CloseMalformed(std::uint64_t connection, std::string_view detail);
 
   // Both return the promise of the answer. Dropping it tells the handler.
-  kj::Promise<kj::Own<SlotAnswer>> AskSlot(std::uint64_t connection,
-                                           const PeerInfo& peer,
+  kj::Promise<kj::Own<SlotAnswer>> AskSlot(const PeerInfo& peer,
                                            const ReceivedSlotRequest& request);
   kj::Promise<kj::Own<ForwardedAnswer>> AskExecute(
       const PeerInfo& peer,
