LibSteering: Probe slow servers with writes if there are no reads

A pool that sees only writes waited a second for a cheap idempotent request before each probe of a slow server. A write may now be the probe of a slow server; not of one that was down, because it may be lost with the server.

--- a/Libraries/LibSteering/pool_servers.cc
+++ b/Libraries/LibSteering/pool_servers.cc
@@ -54,13 +54,24 @@
   return server.leases.size() + kept < server.usable;
 }
 
-bool SuitsProbe(const SlotAsk& ask, TimePoint probe_at, TimePoint now) {
+bool SuitsProbe(const Pool& pool,
+                const SlotAsk& ask,
+                const PoolServer& server,
+                TimePoint now) {
   if (ask.request_class == RequestClass::kRoutine)
     return true;
+  // Without routine requests, waiting for one only keeps the server away. A
+  // write is not risked on a server that may be lost again.
+  const bool has_routine =
+      pool.usual[static_cast<std::size_t>(RequestClass::kRoutine)] !=
+      Duration{};
+  if (ask.request_class == RequestClass::kWrite && !has_routine &&
+      server.state == ServerState::kSlow)
+    return true;
   const Duration wait = ask.request_class == RequestClass::kUrgent
                             ? kProbeWaitsForOthers
                             : kProbeWaitsForRoutine;
-  return now - probe_at >= wait;
+  return now - server.probe_at >= wait;
 }
 
 bool BulkShareTaken(const Pool& pool) {
@@ -73,7 +84,7 @@
     if (at > now)
       break;
     const PoolServer& server = pool.servers[index];
-    if (SuitsProbe(ask, at, now) && !IsAvoided(ask, server))
+    if (SuitsProbe(pool, ask, server, now) && !IsAvoided(ask, server))
       return {true, index, true};
   }
   return {};
