--- a/Libraries/LibSteering/pool.cc
+++ b/Libraries/LibSteering/pool.cc
@@ -152,8 +152,11 @@
     GrantSuspects(pool, now, actions);
   GrantClass(pool, RequestClass::kRoutine, now, actions);
   GrantClass(pool, RequestClass::kWrite, now, actions);
-  if (pool.queues[kUrgentQueue].waiting == 0)
-    GrantClass(pool, RequestClass::kBulk, now, actions);
+  if (pool.queues[kUrgentQueue].waiting > 0)
+    return;
+  GrantClass(pool, RequestClass::kBulk, now, actions);
+  // The classes may have found further suspects in their queues.
+  GrantSuspects(pool, now, actions);
 }
 
 void RefreshAll(Pool& pool, TimePoint now) {
--- /dev/null
+++ b/Tests/LibSteering/test_pool.cc
@@ -0,0 +1,343 @@
+// Tests of the rules of a slot pool that must always hold.
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "cicadadrum/steering/pool.h"
+
+namespace cicadadrum {
+
+namespace {
+
+struct PoolFixture {
+  Pool pool;
+  TimePoint now{Seconds(1)};
+  std::uint64_t next_id = 1;
+
+  explicit PoolFixture(std::uint32_t servers, std::uint32_t slots = 4) {
+    std::vector<BackendServer> list;
+    list.reserve(servers);
+    for (std::uint32_t i = 0; i < servers; ++i)
+      list.push_back({.name = "s" + std::to_string(i), .slots = slots});
+    PoolActions actions;
+    UpdatePoolServers(pool, list, now, actions);
+  }
+
+  SlotAsk Ask(RequestClass request_class,
+              const std::string& customer = "c",
+              std::uint64_t fingerprint = 0) {
+    return {.entry = "e",
+            .id = next_id++,
+            .customer = customer,
+            .request_class = request_class,
+            .deadline = now + Seconds(2),
+            .fingerprint = fingerprint};
+  }
+
+  PoolActions Request(const SlotAsk& ask) {
+    PoolActions actions;
+    RequestSlot(pool, ask, now, actions);
+    return actions;
+  }
+
+  PoolActions Return(std::uint64_t lease,
+                     AttemptOutcome outcome = AttemptOutcome::kAnswered,
+                     Duration latency = Milliseconds(10)) {
+    PoolActions actions;
+    ReturnSlot(pool, lease, outcome, latency, now, actions);
+    return actions;
+  }
+
+  PoolActions Advance(Duration time) {
+    now += time;
+    PoolActions actions;
+    AdvancePool(pool, now, actions);
+    return actions;
+  }
+
+  // Runs one routine request of `latency` on some server.
+  void RunOne(Duration latency) {
+    const PoolActions actions = Request(Ask(RequestClass::kRoutine));
+    now += latency;
+    for (const PoolAction& action : actions) {
+      if (const auto* grant = std::get_if<SlotGrant>(&action))
+        Return(grant->lease, AttemptOutcome::kAnswered, latency);
+    }
+  }
+};
+
+std::vector<SlotGrant> Grants(const PoolActions& actions) {
+  std::vector<SlotGrant> grants;
+  for (const PoolAction& action : actions) {
+    if (const auto* grant = std::get_if<SlotGrant>(&action))
+      grants.push_back(*grant);
+  }
+  return grants;
+}
+
+RefusalReason Refusal(const PoolActions& actions) {
+  for (const PoolAction& action : actions) {
+    if (const auto* refusal = std::get_if<SlotRefusal>(&action))
+      return refusal->reason;
+  }
+  return RefusalReason::kNone;
+}
+
+ServerState StateOf(const Pool& pool, const std::string& name) {
+  return pool.servers[pool.server_index.at(name)].state;
+}
+
+}  // namespace
+
+// Guards against short work waiting for a bulk part that holds the last slots
+// of a server, and against bulk filling a pool.
+TEST_CASE("bulk leaves two slots of each server and half of the pool") {
+  PoolFixture fixture(3, 5);
+  std::map<std::string, int> granted;
+  int total = 0;
+  for (int i = 0; i < 12; ++i) {
+    for (const auto& grant :
+         Grants(fixture.Request(fixture.Ask(RequestClass::kBulk)))) {
+      ++granted[grant.server];
+      ++total;
+    }
+  }
+  CHECK(total == 7);
+  for (const auto& [server, count] : granted)
+    CHECK(count <= 3);
+}
+
+// Guards against one customer's burst shutting out the others.
+TEST_CASE("a customer with one request overtakes another one's burst") {
+  PoolFixture fixture(1, 1);
+  const auto first =
+      Grants(fixture.Request(fixture.Ask(RequestClass::kRoutine, "burst")));
+  for (int i = 0; i < 40; ++i)
+    fixture.Request(fixture.Ask(RequestClass::kRoutine, "burst"));
+  const SlotAsk other = fixture.Ask(RequestClass::kRoutine, "other");
+  fixture.Request(other);
+  auto grants = Grants(fixture.Return(first.front().lease));
+  grants = Grants(fixture.Return(grants.front().lease));
+  REQUIRE(grants.size() == 1);
+  CHECK(grants.front().id == other.id);
+}
+
+// Guards against a full queue refusing the customer that has the least in it.
+TEST_CASE("a full queue refuses the customer with the most waiting") {
+  PoolFixture fixture(1, 1);
+  fixture.Request(fixture.Ask(RequestClass::kRoutine, "burst"));
+  for (int i = 0; i < 64; ++i)
+    fixture.Request(fixture.Ask(RequestClass::kRoutine, "burst"));
+  const SlotAsk other = fixture.Ask(RequestClass::kRoutine, "other");
+  const PoolActions actions = fixture.Request(other);
+  CHECK(Refusal(actions) == RefusalReason::kQueueFull);
+  CHECK(fixture.pool.ask_index.contains({"e", other.id}));
+}
+
+// Guards against a request waiting for a deadline that it can't meet.
+TEST_CASE("a request that can't start by its deadline is refused early") {
+  PoolFixture fixture(1, 1);
+  fixture.RunOne(Milliseconds(100));
+  fixture.Request(fixture.Ask(RequestClass::kRoutine));
+  for (int i = 0; i < 10; ++i)
+    fixture.Request(fixture.Ask(RequestClass::kRoutine));
+  SlotAsk ask = fixture.Ask(RequestClass::kRoutine);
+  ask.deadline = fixture.now + Milliseconds(300);
+  const PoolActions actions = fixture.Request(ask);
+  CHECK(Refusal(actions) == RefusalReason::kDeadline);
+  CHECK(std::get<SlotRefusal>(actions.front()).retry_after > Milliseconds(300));
+}
+
+// Guards against a customer exceeding its plan.
+TEST_CASE("plan limits hold for rate and concurrency") {
+  PoolFixture fixture(4);
+  SlotAsk ask = fixture.Ask(RequestClass::kRoutine);
+  ask.limits = {.requests_per_second = 0, .concurrency = 1};
+  const auto lease = Grants(fixture.Request(ask)).at(0).lease;
+  ask.id = fixture.next_id++;
+  CHECK(Refusal(fixture.Request(ask)) == RefusalReason::kConcurrencyLimit);
+  fixture.Return(lease);
+  ask.limits = {.requests_per_second = 2, .concurrency = 0};
+  ask.customer = "rated";
+  int granted = 0;
+  for (int i = 0; i < 5; ++i) {
+    ask.id = fixture.next_id++;
+    granted += static_cast<int>(Grants(fixture.Request(ask)).size());
+  }
+  CHECK(granted == 2);
+}
+
+// Guards against work being sent to a server that answers slowly, and against
+// the loss of a server that is fast again.
+TEST_CASE("a slow server gets single probes until it is fast") {
+  PoolFixture fixture(4, 1);
+  for (int i = 0; i < 40; ++i)
+    fixture.RunOne(Milliseconds(10));
+  const std::string slow = "s1";
+  for (int i = 0; i < 24; ++i) {
+    const auto grant =
+        Grants(fixture.Request(fixture.Ask(RequestClass::kRoutine))).at(0);
+    const Duration latency = Milliseconds(grant.server == slow ? 100 : 10);
+    fixture.now += Milliseconds(1);
+    fixture.Return(grant.lease, AttemptOutcome::kAnswered, latency);
+  }
+  REQUIRE(StateOf(fixture.pool, slow) == ServerState::kSlow);
+  for (int i = 0; i < 100; ++i) {
+    fixture.now += Milliseconds(20);
+    fixture.RunOne(Milliseconds(10));
+  }
+  CHECK(StateOf(fixture.pool, slow) == ServerState::kReady);
+}
+
+// Guards against waiting for the answers of a slow server before it counts as
+// slow.
+TEST_CASE("the age of requests in progress shows a slow server") {
+  PoolFixture fixture(2, 4);
+  for (int i = 0; i < 40; ++i)
+    fixture.RunOne(Milliseconds(10));
+  std::vector<SlotGrant> held;
+  held.reserve(8);
+  for (int i = 0; i < 8; ++i)
+    held.push_back(
+        Grants(fixture.Request(fixture.Ask(RequestClass::kRoutine))).at(0));
+  fixture.now += Milliseconds(10);
+  for (const SlotGrant& grant : held) {
+    if (grant.server == "s0")
+      fixture.Return(grant.lease);
+  }
+  for (int i = 0; i < 5; ++i)
+    fixture.Advance(Milliseconds(10));
+  CHECK(StateOf(fixture.pool, "s1") == ServerState::kSlow);
+  CHECK(StateOf(fixture.pool, "s0") == ServerState::kReady);
+}
+
+// Guards against requests being lost one after the other on a server that is
+// down.
+TEST_CASE("a server that refuses connections is down until a probe succeeds") {
+  PoolFixture fixture(2, 1);
+  const auto grant =
+      Grants(fixture.Request(fixture.Ask(RequestClass::kUrgent))).at(0);
+  fixture.Return(grant.lease, AttemptOutcome::kConnectionRefused, {});
+  CHECK(StateOf(fixture.pool, grant.server) == ServerState::kDown);
+  for (int i = 0; i < 3; ++i) {
+    const auto next =
+        Grants(fixture.Request(fixture.Ask(RequestClass::kUrgent))).at(0);
+    CHECK(next.server != grant.server);
+    fixture.Return(next.lease);
+  }
+  fixture.Advance(Milliseconds(200));
+  const auto probe =
+      Grants(fixture.Request(fixture.Ask(RequestClass::kRoutine))).at(0);
+  CHECK(probe.server == grant.server);
+  fixture.Return(probe.lease);
+  CHECK(StateOf(fixture.pool, grant.server) == ServerState::kWarming);
+}
+
+// Guards against a burst on a server whose caches are cold.
+TEST_CASE("a new server takes work in steps") {
+  PoolFixture fixture(1, 1);
+  PoolActions actions;
+  UpdatePoolServers(fixture.pool,
+                    {{.name = "s0", .slots = 1}, {.name = "new", .slots = 6}},
+                    fixture.now, actions);
+  std::map<std::string, int> granted;
+  for (int i = 0; i < 6; ++i) {
+    for (const auto& grant :
+         Grants(fixture.Request(fixture.Ask(RequestClass::kRoutine))))
+      ++granted[grant.server];
+  }
+  CHECK(granted["new"] == 1);
+}
+
+// Guards against a server that sheds getting as much as before.
+TEST_CASE("a shed lowers the limit of its server") {
+  PoolFixture fixture(1, 4);
+  std::vector<SlotGrant> held;
+  held.reserve(4);
+  for (int i = 0; i < 4; ++i)
+    held.push_back(
+        Grants(fixture.Request(fixture.Ask(RequestClass::kRoutine))).at(0));
+  fixture.Return(held[3].lease, AttemptOutcome::kShed, {});
+  CHECK(Grants(fixture.Request(fixture.Ask(RequestClass::kRoutine))).empty());
+}
+
+// Guards against a request that crashes servers taking down the whole pool, and
+// against blocking those that ran beside it.
+TEST_CASE("a fingerprint is blocked after three crashes and others are not") {
+  PoolFixture fixture(6, 2);
+  constexpr std::uint64_t kCrasher = 7;
+  constexpr std::uint64_t kInnocent = 8;
+  bool blocked = false;
+  for (int crash = 0; crash < 3; ++crash) {
+    const auto bad = Grants(
+        fixture.Request(fixture.Ask(RequestClass::kRoutine, "c", kCrasher)));
+    REQUIRE(bad.size() == 1);
+    // A second one waits, because suspects run one at a time.
+    const SlotAsk second = fixture.Ask(RequestClass::kRoutine, "c", kCrasher);
+    if (crash > 0)
+      CHECK(Grants(fixture.Request(second)).empty());
+    PoolActions actions;
+    CancelSlot(fixture.pool, "e", second.id, fixture.now, actions);
+    actions = fixture.Return(bad[0].lease, AttemptOutcome::kConnectionLost);
+    for (const PoolAction& action : actions)
+      blocked = blocked || std::holds_alternative<FingerprintBlocked>(action);
+    const auto good = Grants(
+        fixture.Request(fixture.Ask(RequestClass::kRoutine, "c", kInnocent)));
+    fixture.Return(good.at(0).lease);
+  }
+  CHECK(blocked);
+  CHECK(Refusal(fixture.Request(
+            fixture.Ask(RequestClass::kRoutine, "c", kCrasher))) ==
+        RefusalReason::kBlocked);
+  CHECK(!fixture.pool.suspects.contains(kInnocent));
+}
+
+// Guards against two owners granting twice the slots of a server.
+TEST_CASE("a new owner grants half the slots until the leases are reported") {
+  PoolFixture fixture(1, 4);
+  PoolActions actions;
+  TakeOverPool(fixture.pool, {"other"}, fixture.now, actions);
+  std::size_t granted = 0;
+  for (int i = 0; i < 4; ++i)
+    granted +=
+        Grants(fixture.Request(fixture.Ask(RequestClass::kUrgent))).size();
+  CHECK(granted == 2);
+  actions.clear();
+  AdoptLeases(fixture.pool, "other",
+              {{.lease = 900, .server = "s0", .deadline = fixture.now}},
+              fixture.now, actions);
+  CHECK(Grants(actions).size() == 1);
+}
+
+// Guards against a slot that stays taken because its grant crossed the
+// cancellation.
+TEST_CASE("cancelling a granted request frees its slot") {
+  PoolFixture fixture(1, 1);
+  const SlotAsk first = fixture.Ask(RequestClass::kUrgent);
+  fixture.Request(first);
+  fixture.Request(fixture.Ask(RequestClass::kUrgent));
+  PoolActions actions;
+  CancelSlot(fixture.pool, "e", first.id, fixture.now, actions);
+  CHECK(Grants(actions).size() == 1);
+}
+
+// Guards against reports that are old or false steering requests.
+TEST_CASE("a load report is a hint that expires") {
+  PoolFixture fixture(2, 4);
+  ObserveLoadReport(fixture.pool, "s0", {3, fixture.now}, fixture.now);
+  const auto first =
+      Grants(fixture.Request(fixture.Ask(RequestClass::kUrgent))).at(0);
+  CHECK(first.server == "s1");
+  fixture.Return(first.lease);
+  fixture.Advance(Seconds(6));
+  std::set<std::string> used;
+  for (int i = 0; i < 8; ++i) {
+    const auto grant =
+        Grants(fixture.Request(fixture.Ask(RequestClass::kUrgent))).at(0);
+    used.insert(grant.server);
+  }
+  CHECK(used.size() == 2);
+}
+
+}  // namespace cicadadrum
