LibSteering: Use slow servers for work that would wait longer

With half of the servers slowed threefold the rest can't hold the load, and slow servers stood idle while routine reads were refused.

--- a/Libraries/LibSteering/include/cicadadrum/steering/pool.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/pool.h
@@ -148,6 +148,7 @@
   std::uint32_t successes = 0;     // Since the limit changed.
   double slowness =
       1;  // Moving average of latency / usual latency of the pool.
+  double slow_factor = 1;  // While slow: latency / usual of the last answer.
   Duration probe_backoff{};
   TimePoint probe_at = kNever;  // Set while slow or down, without a probe.
   std::uint32_t good_probes = 0;
@@ -157,6 +158,7 @@
   std::uint32_t usable = 0;  // Slots counted in Pool::usable_slots.
   bool ranked = false;       // Whether `rank` is in Pool::free_servers.
   bool ranked_for_bulk = false;
+  bool ranked_as_slow = false;
   ServerRank rank;
 };
 
@@ -221,6 +223,7 @@
   std::map<std::string, std::uint32_t> server_index;  // By name.
   std::set<ServerRank> free_servers;  // Have a free slot for short work.
   std::set<ServerRank> free_servers_for_bulk;
+  std::set<ServerRank> slow_servers_free;  // For work that would wait longer.
   std::set<std::pair<TimePoint, std::uint32_t>> probes;  // Servers by probe_at.
   std::uint32_t usable_slots = 0;  // Sum of PoolServer::usable.
   std::uint32_t slow_servers = 0;
--- a/Libraries/LibSteering/pool_health.cc
+++ b/Libraries/LibSteering/pool_health.cc
@@ -22,6 +22,8 @@
 constexpr double kSlowAbove = 2.2;
 // A probe is good if it was faster than this.
 constexpr double kGoodProbeBelow = 1.8;
+// Assumed of a slow server until it answers.
+constexpr double kUnknownSlowFactor = 10;
 constexpr std::uint32_t kGoodProbesNeeded = 2;
 constexpr Duration kProbeAgain = Milliseconds(20);
 constexpr Duration kFirstSlowBackoff = Milliseconds(250);
@@ -89,6 +91,8 @@
 void MarkSlow(Pool& pool, std::uint32_t index, TimePoint now) {
   PoolServer& server = pool.servers[index];
   server.good_probes = 0;
+  if (server.state != ServerState::kSlow)
+    server.slow_factor = kUnknownSlowFactor;
   const TimePoint probe_at = now + NextBackoff(server, kFirstSlowBackoff);
   SetServerState(pool, index, ServerState::kSlow, probe_at, now);
 }
@@ -168,6 +172,21 @@
     MarkSlow(pool, index, now);
 }
 
+void LearnSlowFactor(Pool& pool,
+                     std::uint32_t index,
+                     RequestClass request_class,
+                     Duration latency,
+                     TimePoint now) {
+  const Duration usual = pool.usual[IndexOf(request_class)];
+  if (usual == Duration{})
+    return;
+  const double factor =
+      static_cast<double>(latency.count()) / static_cast<double>(usual.count());
+  PoolServer& server = pool.servers[index];
+  server.slow_factor = Average(server.slow_factor, std::max(1.0, factor));
+  RefreshServer(pool, index, now);
+}
+
 void LearnFromAnswer(Pool& pool,
                      const SlotLease& lease,
                      std::uint32_t index,
@@ -177,6 +196,8 @@
   const double sample = Sample(pool, lease.request_class, latency);
   if (server.state == ServerState::kReady)
     UpdateUsual(pool, lease.request_class, latency);
+  if (server.state == ServerState::kSlow)
+    LearnSlowFactor(pool, index, lease.request_class, latency, now);
   if (lease.probe)
     return FinishProbe(pool, index, sample, now);
   Observe(pool, index, sample, now);
--- a/Libraries/LibSteering/pool_servers.cc
+++ b/Libraries/LibSteering/pool_servers.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "pool_queue.h"
+
 namespace cicadadrum {
 
 namespace {
@@ -86,6 +88,30 @@
          std::max(1U, pool.usable_slots / kBulkShareDivisor);
 }
 
+// Whether a slow server would finish a request of this class before it could
+// start on another one. Urgent requests and bulk don't run there.
+bool SlowIsFaster(const Pool& pool, RequestClass request_class) {
+  if (pool.slow_servers_free.empty() ||
+      (request_class != RequestClass::kRoutine &&
+       request_class != RequestClass::kWrite))
+    return false;
+  const PoolServer& server =
+      pool.servers[pool.slow_servers_free.begin()->server];
+  const Duration usual = pool.usual[static_cast<std::size_t>(request_class)];
+  const auto latency = static_cast<double>(usual.count()) * server.slow_factor;
+  return static_cast<double>(EstimateWait(pool, request_class).count()) >
+         latency;
+}
+
+ServerChoice ChooseSlow(const Pool& pool, const SlotAsk& ask) {
+  if (!SlowIsFaster(pool, ask.request_class))
+    return {};
+  const std::uint32_t index = pool.slow_servers_free.begin()->server;
+  if (IsAvoided(ask, pool.servers[index]))
+    return {};
+  return {true, index, false};
+}
+
 ServerChoice ChooseProbe(const Pool& pool, const SlotAsk& ask, TimePoint now) {
   for (const auto& [at, index] : pool.probes) {
     if (at > now)
@@ -130,11 +156,21 @@
     pool.free_servers.erase(server.rank);
   if (server.ranked_for_bulk)
     pool.free_servers_for_bulk.erase(server.rank);
+  if (server.ranked_as_slow)
+    pool.slow_servers_free.erase(server.rank);
   pool.usable_slots -= server.usable;
   server.usable = UsableSlots(pool, server, now);
   pool.usable_slots += server.usable;
   server.ranked = server.leases.size() < server.usable;
   server.ranked_for_bulk = server.ranked && HasBulkSlot(server);
+  server.ranked_as_slow =
+      server.state == ServerState::kSlow && server.listed &&
+      server.leases.size() < std::max(1U, server.description.slots / 2);
+  if (server.ranked_as_slow) {
+    server.rank = {static_cast<std::uint32_t>(100 * server.slow_factor),
+                   server.last_grant, index};
+    pool.slow_servers_free.insert(server.rank);
+  }
   if (!server.ranked)
     return;
   server.rank = {LoadOf(server, now), server.last_grant, index};
@@ -178,8 +214,9 @@
         !IsAvoided(ask, server))
       return {true, preferred->second, false};
   }
-  return ChooseLeastLoaded(
+  const ServerChoice choice = ChooseLeastLoaded(
       pool, bulk ? pool.free_servers_for_bulk : pool.free_servers, ask);
+  return choice.found ? choice : ChooseSlow(pool, ask);
 }
 
 bool HasFreeSlot(const Pool& pool, RequestClass request_class, TimePoint now) {
@@ -187,7 +224,7 @@
     return true;
   if (request_class == RequestClass::kBulk)
     return !BulkShareTaken(pool) && !pool.free_servers_for_bulk.empty();
-  return !pool.free_servers.empty();
+  return !pool.free_servers.empty() || SlowIsFaster(pool, request_class);
 }
 
 bool HasCandidate(const Pool& pool, const SlotAsk& ask, TimePoint now) {
