--- a/Libraries/LibSteering/pool_servers.cc
+++ b/Libraries/LibSteering/pool_servers.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "pool_queue.h"
+
 namespace cicadadrum {
 
 namespace {
@@ -19,6 +21,13 @@
 constexpr Duration kProbeWaitsForRoutine = Seconds(1);
 constexpr Duration kProbeWaitsForOthers = Seconds(3);
 
+// A server in the entry VM's failure domain is preferred if its load is at most
+// this much greater, in thousandths: its slot is held for less time, because
+// messages between failure domains take 0.5 to 1.5 ms each way.
+constexpr std::uint32_t kLoadForNearServer = 250;
+// Bounds the search, so that its cost does not grow with the pool.
+constexpr std::size_t kServersLookedAt = 6;
+
 bool IsAvoided(const SlotAsk& ask, const PoolServer& server) {
   return std::find(ask.avoid.begin(), ask.avoid.end(),
                    server.description.name) != ask.avoid.end();
@@ -54,13 +63,24 @@
   return server.leases.size() + kept < server.usable;
 }
 
-bool SuitsProbe(const SlotAsk& ask, TimePoint probe_at, TimePoint now) {
+bool SuitsProbe(const Pool& pool,
+                const SlotAsk& ask,
+                const PoolServer& server,
+                TimePoint now) {
   if (ask.request_class == RequestClass::kRoutine)
     return true;
+  // Without routine requests, waiting for one only keeps the server away. A
+  // write is not risked on a server that may be lost again.
+  const bool has_routine =
+      pool.usual[static_cast<std::size_t>(RequestClass::kRoutine)] !=
+      Duration{};
+  if (ask.request_class == RequestClass::kWrite && !has_routine &&
+      server.state == ServerState::kSlow)
+    return true;
   const Duration wait = ask.request_class == RequestClass::kUrgent
                             ? kProbeWaitsForOthers
                             : kProbeWaitsForRoutine;
-  return now - probe_at >= wait;
+  return now - server.probe_at >= wait;
 }
 
 bool BulkShareTaken(const Pool& pool) {
@@ -68,17 +88,66 @@
          std::max(1U, pool.usable_slots / kBulkShareDivisor);
 }
 
+// Whether a slow server would finish a request of this class before it could
+// start on another one. Urgent requests and bulk don't run there.
+bool SlowIsFaster(const Pool& pool, RequestClass request_class) {
+  if (pool.slow_servers_free.empty() ||
+      (request_class != RequestClass::kRoutine &&
+       request_class != RequestClass::kWrite))
+    return false;
+  const PoolServer& server =
+      pool.servers[pool.slow_servers_free.begin()->server];
+  const Duration usual = pool.usual[static_cast<std::size_t>(request_class)];
+  const auto latency = static_cast<double>(usual.count()) * server.slow_factor;
+  return static_cast<double>(EstimateWait(pool, request_class).count()) >
+         latency;
+}
+
+ServerChoice ChooseSlow(const Pool& pool, const SlotAsk& ask) {
+  if (!SlowIsFaster(pool, ask.request_class))
+    return {};
+  const std::uint32_t index = pool.slow_servers_free.begin()->server;
+  if (IsAvoided(ask, pool.servers[index]))
+    return {};
+  return {true, index, false};
+}
+
 ServerChoice ChooseProbe(const Pool& pool, const SlotAsk& ask, TimePoint now) {
   for (const auto& [at, index] : pool.probes) {
     if (at > now)
       break;
     const PoolServer& server = pool.servers[index];
-    if (SuitsProbe(ask, at, now) && !IsAvoided(ask, server))
+    if (SuitsProbe(pool, ask, server, now) && !IsAvoided(ask, server))
       return {true, index, true};
   }
   return {};
 }
 
+// Returns the least loaded server, or one that is little more loaded and in the
+// entry VM's failure domain.
+ServerChoice ChooseLeastLoaded(const Pool& pool,
+                               const std::set<ServerRank>& ranks,
+                               const SlotAsk& ask) {
+  ServerChoice best;
+  std::uint32_t best_load = 0;
+  std::size_t looked_at = 0;
+  for (const ServerRank& rank : ranks) {
+    const PoolServer& server = pool.servers[rank.server];
+    if (IsAvoided(ask, server))
+      continue;
+    if (best.found && (rank.load > best_load + kLoadForNearServer ||
+                       ++looked_at > kServersLookedAt))
+      break;
+    if (server.description.failure_domain == ask.failure_domain)
+      return {true, rank.server, false};
+    if (!best.found) {
+      best = {true, rank.server, false};
+      best_load = rank.load;
+    }
+  }
+  return best;
+}
+
 }  // namespace
 
 void RefreshServer(Pool& pool, std::uint32_t index, TimePoint now) {
@@ -87,11 +156,21 @@
     pool.free_servers.erase(server.rank);
   if (server.ranked_for_bulk)
     pool.free_servers_for_bulk.erase(server.rank);
+  if (server.ranked_as_slow)
+    pool.slow_servers_free.erase(server.rank);
   pool.usable_slots -= server.usable;
   server.usable = UsableSlots(pool, server, now);
   pool.usable_slots += server.usable;
   server.ranked = server.leases.size() < server.usable;
   server.ranked_for_bulk = server.ranked && HasBulkSlot(server);
+  server.ranked_as_slow =
+      server.state == ServerState::kSlow && server.listed &&
+      server.leases.size() < std::max(1U, server.description.slots / 2);
+  if (server.ranked_as_slow) {
+    server.rank = {static_cast<std::uint32_t>(100 * server.slow_factor),
+                   server.last_grant, index};
+    pool.slow_servers_free.insert(server.rank);
+  }
   if (!server.ranked)
     return;
   server.rank = {LoadOf(server, now), server.last_grant, index};
@@ -137,12 +216,9 @@
     if (ask.only_preferred && server.usable > 0 && !avoided)
       return {};
   }
-  for (const ServerRank& rank :
-       bulk ? pool.free_servers_for_bulk : pool.free_servers) {
-    if (!IsAvoided(ask, pool.servers[rank.server]))
-      return {true, rank.server, false};
-  }
-  return {};
+  const ServerChoice choice = ChooseLeastLoaded(
+      pool, bulk ? pool.free_servers_for_bulk : pool.free_servers, ask);
+  return choice.found ? choice : ChooseSlow(pool, ask);
 }
 
 bool HasFreeSlot(const Pool& pool, RequestClass request_class, TimePoint now) {
@@ -150,7 +226,7 @@
     return true;
   if (request_class == RequestClass::kBulk)
     return !BulkShareTaken(pool) && !pool.free_servers_for_bulk.empty();
-  return !pool.free_servers.empty();
+  return !pool.free_servers.empty() || SlowIsFaster(pool, request_class);
 }
 
 bool HasCandidate(const Pool& pool, const SlotAsk& ask, TimePoint now) {
