LibStore: Add the platform client and its policy

Calls have deadlines, jittered retries under a budget, a circuit breaker and a rate for reads and for writes, decided by StepStore without input or output. A write whose lost try may have taken effect ends as uncertain and never as failed.

TransactionAnswer gets the present rows of the writes whose own check failed: without them a claim could not tell a row it wrote from one that was there.

--- a/Generated/schemas/store.capnp.h
+++ b/Generated/schemas/store.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(de0e2f3d61e23c33);
 CAPNP_DECLARE_SCHEMA(b9b37560a19315b9);
 CAPNP_DECLARE_SCHEMA(a2688eea66a0b85d);
+CAPNP_DECLARE_SCHEMA(838bc5a7fcdb3018);
 CAPNP_DECLARE_SCHEMA(c52b3c4d522ccfb4);
 CAPNP_DECLARE_SCHEMA(b7587ccae8aec08f);
 enum class VmState_b7587ccae8aec08f: uint16_t {
@@ -108,7 +109,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2688eea66a0b85d, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a2688eea66a0b85d, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ClaimRow {
+  ClaimRow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(838bc5a7fcdb3018, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -570,6 +586,9 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline bool hasFailed() const;
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader getFailed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -608,6 +627,13 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline bool hasFailed();
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder getFailed();
+  inline void setFailed( ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder initFailed(unsigned int size);
+  inline void adoptFailed(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> disownFailed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -634,6 +660,137 @@
 };
 #endif  // !CAPNP_LITE
 
+class ClaimRow::Reader {
+public:
+  typedef ClaimRow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
+
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
+
+  inline  ::uint64_t getClaim() const;
+
+  inline bool getFinished() const;
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool getTruncated() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ClaimRow::Builder {
+public:
+  typedef ClaimRow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
+
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+
+  inline  ::uint64_t getClaim();
+  inline void setClaim( ::uint64_t value);
+
+  inline bool getFinished();
+  inline void setFinished(bool value);
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool getTruncated();
+  inline void setTruncated(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ClaimRow::Pipeline {
+public:
+  typedef ClaimRow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class RowList::Reader {
 public:
   typedef RowList Reads;
@@ -1310,6 +1467,232 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool TransactionAnswer::Reader::hasFailed() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TransactionAnswer::Builder::hasFailed() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader TransactionAnswer::Reader::getFailed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder TransactionAnswer::Builder::getFailed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TransactionAnswer::Builder::setFailed( ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder TransactionAnswer::Builder::initFailed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void TransactionAnswer::Builder::adoptFailed(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> TransactionAnswer::Builder::disownFailed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimRow::Reader::hasHolder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimRow::Builder::hasHolder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimRow::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimRow::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClaimRow::Builder::setHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimRow::Builder::initHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ClaimRow::Builder::adoptHolder(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimRow::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimRow::Reader::hasIncarnation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimRow::Builder::hasIncarnation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimRow::Reader::getIncarnation() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimRow::Builder::getIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ClaimRow::Builder::setIncarnation( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimRow::Builder::initIncarnation(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ClaimRow::Builder::adoptIncarnation(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimRow::Builder::disownIncarnation() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t ClaimRow::Reader::getClaim() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ClaimRow::Builder::getClaim() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ClaimRow::Builder::setClaim( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClaimRow::Reader::getFinished() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ClaimRow::Builder::getFinished() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ClaimRow::Builder::setFinished(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ClaimRow::Reader::getStatus() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ClaimRow::Builder::getStatus() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ClaimRow::Builder::setStatus( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClaimRow::Reader::hasContentType() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimRow::Builder::hasContentType() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClaimRow::Reader::getContentType() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClaimRow::Builder::getContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ClaimRow::Builder::setContentType( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClaimRow::Builder::initContentType(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ClaimRow::Builder::adoptContentType(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClaimRow::Builder::disownContentType() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimRow::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClaimRow::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ClaimRow::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ClaimRow::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ClaimRow::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ClaimRow::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ClaimRow::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ClaimRow::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool ClaimRow::Reader::getTruncated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool ClaimRow::Builder::getTruncated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void ClaimRow::Builder::setTruncated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RowList::Reader::hasRows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/Libraries/LibStore/connections.cc
@@ -0,0 +1,202 @@
+// Kept and bounded HTTP connections to the platform, on evhttp.
+
+#include "connections.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <vector>
+
+namespace cicadadrum {
+
+namespace {
+
+struct Waiting {
+  std::uint64_t id = 0;
+  HttpRequest request;
+};
+
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;  // 0 if the text is malformed.
+};
+
+Address SplitAddress(const std::string& text) {
+  Address address;
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos)
+    return address;
+  address.host = text.substr(0, colon);
+  std::from_chars(text.data() + colon + 1, text.data() + text.size(),
+                  address.port);
+  return address;
+}
+
+// A server error other than "unavailable" doesn't tell whether the request took
+// effect.
+TryOutcome OutcomeOf(int status) {
+  if (status == 0)
+    return TryOutcome::kNotSent;
+  if (status == HTTP_SERVUNAVAIL)
+    return TryOutcome::kRefused;
+  return status >= HTTP_INTERNAL ? TryOutcome::kLost : TryOutcome::kAnswered;
+}
+
+std::string TakeBody(evhttp_request* request) {
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, body.data(), body.size());
+  return body;
+}
+
+}  // namespace
+
+struct Connections::Impl {
+  struct Connection {
+    Impl* owner = nullptr;
+    evhttp_connection* handle = nullptr;
+    evhttp_request* request = nullptr;  // Null while the connection is idle.
+    std::uint64_t id = 0;               // Of the request.
+  };
+
+  event_base* base = nullptr;
+  std::string text;
+  Address address;
+  std::size_t max_connections = 0;
+  std::size_t max_response_bytes = 0;
+  Done done;
+  std::vector<std::unique_ptr<Connection>> connections;
+  std::deque<Waiting> waiting;
+  event* pump = nullptr;  // Starts waiting requests outside evhttp's callbacks.
+
+  Connection* TakeIdle();
+  void Start(Connection& connection, const Waiting& next);
+  void Pump();
+  void Finish(Connection& connection, evhttp_request* request);
+};
+
+Connections::Impl::Connection* Connections::Impl::TakeIdle() {
+  for (const auto& connection : connections) {
+    if (connection->request == nullptr)
+      return connection.get();
+  }
+  if (connections.size() >= max_connections)
+    return nullptr;
+  auto connection = std::make_unique<Connection>();
+  connection->owner = this;
+  connection->handle = evhttp_connection_base_new(
+      base, nullptr, address.host.c_str(), address.port);
+  evhttp_connection_set_retries(connection->handle, 0);
+  evhttp_connection_set_max_body_size(
+      connection->handle, static_cast<ev_ssize_t>(max_response_bytes));
+  connections.push_back(std::move(connection));
+  return connections.back().get();
+}
+
+void Connections::Impl::Start(Connection& connection, const Waiting& next) {
+  const auto on_done = [](evhttp_request* request, void* argument) {
+    auto* ended = static_cast<Connection*>(argument);
+    ended->owner->Finish(*ended, request);
+  };
+  connection.id = next.id;
+  connection.request = evhttp_request_new(on_done, &connection);
+  evkeyvalq* headers = evhttp_request_get_output_headers(connection.request);
+  evhttp_add_header(headers, "Host", text.c_str());
+  if (next.request.post || next.request.put) {
+    const char* type =
+        next.request.post ? "application/json" : "application/octet-stream";
+    evhttp_add_header(headers, "Content-Type", type);
+    evbuffer_add(evhttp_request_get_output_buffer(connection.request),
+                 next.request.body.data(), next.request.body.size());
+  }
+  const evhttp_cmd_type method = next.request.put    ? EVHTTP_REQ_PUT
+                                 : next.request.post ? EVHTTP_REQ_POST
+                                                     : EVHTTP_REQ_GET;
+  if (evhttp_make_request(connection.handle, connection.request, method,
+                          next.request.path.c_str()) == 0)
+    return;
+  // evhttp freed the request.
+  connection.request = nullptr;
+  done(next.id, TryOutcome::kNotSent, {});
+}
+
+void Connections::Impl::Pump() {
+  while (!waiting.empty()) {
+    Connection* connection = TakeIdle();
+    if (connection == nullptr)
+      return;
+    const Waiting next = std::move(waiting.front());
+    waiting.pop_front();
+    Start(*connection, next);
+  }
+}
+
+// evhttp passes no request if the connection was lost with the request under
+// way, and a request with status 0 if it could not connect.
+void Connections::Impl::Finish(Connection& connection,
+                               evhttp_request* request) {
+  connection.request = nullptr;
+  HttpResponse response;
+  TryOutcome outcome = TryOutcome::kLost;
+  if (request != nullptr) {
+    response.status = evhttp_request_get_response_code(request);
+    response.body = TakeBody(request);
+    outcome = OutcomeOf(response.status);
+  }
+  event_active(pump, EV_TIMEOUT, 0);
+  done(connection.id, outcome, response);
+}
+
+Connections::Connections(event_base* base,
+                         const std::string& address,
+                         std::size_t max_connections,
+                         std::size_t max_response_bytes,
+                         Done done)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->base = base;
+  impl_->text = address;
+  impl_->address = SplitAddress(address);
+  impl_->max_connections = max_connections;
+  impl_->max_response_bytes = max_response_bytes;
+  impl_->done = std::move(done);
+  impl_->pump = event_new(
+      base, -1, 0,
+      [](evutil_socket_t, short, void* argument) {
+        static_cast<Impl*>(argument)->Pump();
+      },
+      impl_.get());
+}
+
+Connections::~Connections() {
+  for (const auto& connection : impl_->connections) {
+    if (connection->request != nullptr)
+      evhttp_cancel_request(connection->request);
+    evhttp_connection_free(connection->handle);
+  }
+  event_free(impl_->pump);
+}
+
+void Connections::Send(std::uint64_t id, const HttpRequest& request) {
+  impl_->waiting.push_back({id, request});
+  event_active(impl_->pump, EV_TIMEOUT, 0);
+}
+
+void Connections::Cancel(std::uint64_t id) {
+  std::erase_if(impl_->waiting,
+                [id](const Waiting& waiting) { return waiting.id == id; });
+  for (const auto& connection : impl_->connections) {
+    if (connection->request == nullptr || connection->id != id)
+      continue;
+    // evhttp closes the connection and calls nothing back.
+    evhttp_request* request = connection->request;
+    connection->request = nullptr;
+    evhttp_cancel_request(request);
+    event_active(impl_->pump, EV_TIMEOUT, 0);
+  }
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibStore/connections.h
@@ -0,0 +1,59 @@
+// Kept and bounded HTTP connections to the platform.
+
+#ifndef CICADADRUM_STORE_CONNECTIONS_H_
+#define CICADADRUM_STORE_CONNECTIONS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "cicadadrum/store/policy.h"
+
+struct event_base;
+
+namespace cicadadrum {
+
+struct HttpRequest {
+  bool put = false;   // PUT instead of GET or POST.
+  bool post = false;  // POST instead of GET.
+  std::string path;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 0;
+  std::string body;
+};
+
+// Sends requests over at most `max_connections` connections, one request at a
+// time on each. Requests beyond that wait in order.
+class Connections {
+ public:
+  // Called with the outcome of request `id`. kAnswered comes with any status
+  // below 500.
+  using Done = std::function<
+      void(std::uint64_t id, TryOutcome outcome, const HttpResponse& response)>;
+
+  Connections(event_base* base,
+              const std::string& address,
+              std::size_t max_connections,
+              std::size_t max_response_bytes,
+              Done done);
+  ~Connections();
+  Connections(const Connections&) = delete;
+  Connections& operator=(const Connections&) = delete;
+
+  void Send(std::uint64_t id, const HttpRequest& request);
+
+  // Drops request `id`, which gets no outcome.
+  void Cancel(std::uint64_t id);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_STORE_CONNECTIONS_H_
--- /dev/null
+++ b/Libraries/LibStore/store_calls.cc
@@ -0,0 +1,121 @@
+// HTTP calls to the platform under the policy of policy.h.
+
+#include "store_calls.h"
+
+#include <event2/event.h>
+
+#include <algorithm>
+
+namespace cicadadrum {
+
+StoreCalls::StoreCalls(event_base* base, const StoreSettings& settings)
+    : state_(MakeStoreState(settings.policy, settings.seed)),
+      connections_(base,
+                   settings.address,
+                   settings.max_connections,
+                   settings.max_response_bytes,
+                   [this](std::uint64_t id,
+                          TryOutcome outcome,
+                          const HttpResponse& response) {
+                     EndTry(id, outcome, response);
+                   }) {
+  apply_ = event_new(
+      base, -1, 0,
+      [](evutil_socket_t, short, void* argument) {
+        static_cast<StoreCalls*>(argument)->ApplyActions();
+      },
+      this);
+  timer_ = evtimer_new(
+      base,
+      [](evutil_socket_t, short, void* argument) {
+        static_cast<StoreCalls*>(argument)->Step(StoreTimerExpired{});
+      },
+      this);
+}
+
+// Actions are applied from the loop and in order, so that a callback never runs
+// inside the function that started its call.
+void StoreCalls::Step(const StoreEvent& event) {
+  StoreActions actions;
+  StepStore(state_, event, StoreNow(), actions);
+  for (const StoreAction& action : actions)
+    actions_.push_back(action);
+  event_active(apply_, EV_TIMEOUT, 0);
+}
+
+void StoreCalls::ApplyActions() {
+  while (!actions_.empty()) {
+    const StoreAction action = actions_.front();
+    actions_.pop_front();
+    Apply(action);
+  }
+}
+
+void StoreCalls::SendOne(const SendTry& send) {
+  PendingCall& call = calls_.at(send.call);
+  call.try_id = next_try_++;
+  tries_[call.try_id] = send;
+  connections_.Send(call.try_id, call.request);
+}
+
+void StoreCalls::CancelOne(const AbandonTry& abandon) {
+  const std::uint64_t id = calls_.at(abandon.call).try_id;
+  tries_.erase(id);
+  connections_.Cancel(id);
+}
+
+void StoreCalls::EndTry(std::uint64_t id,
+                        TryOutcome outcome,
+                        const HttpResponse& response) {
+  const auto found = tries_.find(id);
+  if (found == tries_.end())
+    return;
+  const SendTry sent = found->second;
+  tries_.erase(found);
+  calls_.at(sent.call).response = response;
+  Step(TryEnded{sent.call, sent.number, outcome});
+}
+
+void StoreCalls::Apply(const StoreAction& action) {
+  if (const auto* send = std::get_if<SendTry>(&action))
+    SendOne(*send);
+  else if (const auto* abandon = std::get_if<AbandonTry>(&action))
+    CancelOne(*abandon);
+  else if (const auto* end = std::get_if<EndCall>(&action))
+    EndOne(*end);
+  else if (const auto* wake = std::get_if<StoreWake>(&action))
+    SetTimer(wake->at);
+  else if (const auto* changed = std::get_if<PlatformChanged>(&action);
+           changed != nullptr && observer_)
+    observer_(changed->up);
+}
+
+void StoreCalls::EndOne(const EndCall& end) {
+  const auto found = calls_.find(end.call);
+  PendingCall call = std::move(found->second);
+  calls_.erase(found);
+  call.done(end.outcome, call.response);
+}
+
+StoreCalls::~StoreCalls() {
+  event_free(timer_);
+  event_free(apply_);
+}
+
+void StoreCalls::SetTimer(TimePoint at) {
+  const Duration wait = std::max(Duration(0), at - StoreNow());
+  const timeval after = {static_cast<time_t>(wait.count() / 1'000'000),
+                         static_cast<suseconds_t>(wait.count() % 1'000'000)};
+  evtimer_add(timer_, &after);
+}
+
+void StoreCalls::Call(StoreAccess access,
+                      const HttpRequest& request,
+                      Duration timeout,
+                      Response done) {
+  const std::uint64_t id = next_call_++;
+  calls_[id] = {request, std::move(done), {}};
+  Step(CallAsked{id, access, StoreNow() + timeout});
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibStore/store_client.cc
@@ -0,0 +1,311 @@
+// Client of the platform: turns operations into HTTP requests and responses
+// into results.
+
+#include "cicadadrum/store/store_client.h"
+
+#include <event2/http.h>
+
+#include <algorithm>
+#include <boost/leaf/capture.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <cstdlib>
+#include <deque>
+
+#include "cicadadrum/base/error.h"
+#include "cicadadrum/store/claim_rows.h"
+#include "cicadadrum/store/store_json.h"
+#include "store_calls.h"
+
+namespace cicadadrum {
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+
+// Returns a result that carries its error until the receiver handles it,
+// although no handler is active where it is made.
+template <typename T, typename Make>
+leaf::result<T> Captured(Make make) {
+  return leaf::capture(leaf::make_shared_context([](const Error&) {}),
+                       [&]() -> leaf::result<T> { return make(); });
+}
+
+std::string EncodeForUri(const std::string& text) {
+  char* encoded =
+      evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0);
+  std::string result = encoded;
+  std::free(encoded);
+  return result;
+}
+
+Error ErrorOf(CallOutcome outcome) {
+  if (outcome == CallOutcome::kUncertain)
+    return {ErrorCode::kUncertain,
+            "the platform did not answer; the write may have taken effect"};
+  return {ErrorCode::kUnavailable, "the platform is unavailable"};
+}
+
+Error UnexpectedStatus(const HttpResponse& response) {
+  return {ErrorCode::kInvalidMessage, "the platform answered with status " +
+                                          std::to_string(response.status) +
+                                          ": " + response.body.substr(0, 200)};
+}
+
+RowAnswer AnswerFor(const TransactionAnswer& answer, const std::string& key) {
+  for (const Row& row : answer.rows) {
+    if (row.key == key)
+      return {true, row};
+  }
+  for (const Row& row : answer.failed) {
+    if (row.key == key)
+      return {false, row};
+  }
+  return {};
+}
+
+}  // namespace
+
+class StoreClient::Impl {
+ public:
+  Impl(event_base* base, const StoreSettings& settings)
+      : token_prefix_(settings.token_prefix), calls_(base, settings) {}
+
+  StoreCalls& Calls() { return calls_; }
+
+  // Calls and decodes the body of a response with status 200.
+  template <typename T, typename DecodeBody>
+  void CallAndDecode(StoreAccess access,
+                     const HttpRequest& request,
+                     Duration timeout,
+                     Callback<T> done,
+                     DecodeBody decode);
+
+  void Transact(Transaction transaction,
+                Duration timeout,
+                Callback<TransactionAnswer> done);
+
+  void WriteRow(const RowWrite& write,
+                Duration timeout,
+                Callback<RowAnswer> done);
+
+ private:
+  void SendRows();
+  void DropExpiredRows();
+  void FinishRows(leaf::result<TransactionAnswer> result);
+  void FinishRow(const WaitingRow& row,
+                 const TransactionAnswer* answer,
+                 const Error& error);
+
+  std::string token_prefix_;
+  std::uint64_t next_token_ = 1;
+  RowBatch batch_;
+  std::map<std::uint64_t, Callback<RowAnswer>> row_callbacks_;
+  std::uint64_t next_row_ = 1;
+  StoreCalls calls_;
+};
+
+template <typename T, typename DecodeBody>
+void StoreClient::Impl::CallAndDecode(StoreAccess access,
+                                      const HttpRequest& request,
+                                      Duration timeout,
+                                      Callback<T> done,
+                                      DecodeBody decode) {
+  calls_.Call(
+      access, request, timeout,
+      [done, decode](CallOutcome outcome, const HttpResponse& response) {
+        done(Captured<T>([&]() -> leaf::result<T> {
+          if (outcome != CallOutcome::kAnswered)
+            return leaf::new_error(ErrorOf(outcome));
+          if (response.status != kOk)
+            return leaf::new_error(UnexpectedStatus(response));
+          return decode(response.body);
+        }));
+      });
+}
+
+void StoreClient::Impl::Transact(Transaction transaction,
+                                 Duration timeout,
+                                 Callback<TransactionAnswer> done) {
+  if (transaction.token.empty())
+    transaction.token = token_prefix_ + "-" + std::to_string(next_token_++);
+  const HttpRequest request{.post = true,
+                            .path = "/table/transact",
+                            .body = EncodeTransaction(transaction)};
+  CallAndDecode<TransactionAnswer>(StoreAccess::kWrite, request, timeout,
+                                   std::move(done), DecodeTransactionAnswer);
+}
+
+void StoreClient::Impl::WriteRow(const RowWrite& write,
+                                 Duration timeout,
+                                 Callback<RowAnswer> done) {
+  const std::uint64_t id = next_row_++;
+  row_callbacks_[id] = std::move(done);
+  batch_.waiting.push_back({id, write, StoreNow() + timeout});
+  SendRows();
+}
+
+void StoreClient::Impl::FinishRow(const WaitingRow& row,
+                                  const TransactionAnswer* answer,
+                                  const Error& error) {
+  const Callback<RowAnswer> done = std::move(row_callbacks_.at(row.id));
+  row_callbacks_.erase(row.id);
+  done(Captured<RowAnswer>([&]() -> leaf::result<RowAnswer> {
+    if (answer == nullptr)
+      return leaf::new_error(error);
+    return AnswerFor(*answer, row.write.key);
+  }));
+}
+
+// Ends rows that waited for a transaction until their deadline. They are moved
+// out first, because a callback may add rows.
+void StoreClient::Impl::DropExpiredRows() {
+  std::vector<WaitingRow> expired;
+  std::deque<WaitingRow> left;
+  for (const WaitingRow& row : batch_.waiting) {
+    if (row.deadline <= StoreNow())
+      expired.push_back(row);
+    else
+      left.push_back(row);
+  }
+  batch_.waiting = std::move(left);
+  for (const WaitingRow& row : expired)
+    FinishRow(row, nullptr, ErrorOf(CallOutcome::kFailed));
+}
+
+// The transaction has the time of its most patient row.
+void StoreClient::Impl::SendRows() {
+  if (!batch_.in_flight.empty() || batch_.waiting.empty())
+    return;
+  Transaction transaction;
+  TimePoint deadline = StoreNow();
+  for (const WaitingRow& row : TakeBatch(batch_)) {
+    transaction.writes.push_back(row.write);
+    deadline = std::max(deadline, row.deadline);
+  }
+  Transact(transaction, deadline - StoreNow(),
+           [this](leaf::result<TransactionAnswer> result) {
+             FinishRows(std::move(result));
+           });
+}
+
+void StoreClient::Impl::FinishRows(leaf::result<TransactionAnswer> result) {
+  const std::vector<WaitingRow> rows = std::move(batch_.in_flight);
+  batch_.in_flight.clear();
+  Error error{ErrorCode::kInvalidMessage, "the platform's answer was lost"};
+  const std::optional<TransactionAnswer> answer = leaf::try_handle_all(
+      [&]() -> leaf::result<std::optional<TransactionAnswer>> {
+        BOOST_LEAF_AUTO(value, std::move(result));
+        return std::optional(value);
+      },
+      [&](const Error& found) {
+        error = found;
+        return std::optional<TransactionAnswer>();
+      },
+      [] { return std::optional<TransactionAnswer>(); });
+  for (const WaitingRow& row : rows)
+    FinishRow(row, answer ? &*answer : nullptr, error);
+  DropExpiredRows();
+  SendRows();
+}
+
+StoreClient::StoreClient(event_base* base, const StoreSettings& settings)
+    : impl_(std::make_unique<Impl>(base, settings)) {}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::SetObserver(std::function<void(bool up)> observer) {
+  impl_->Calls().SetObserver(std::move(observer));
+}
+
+void StoreClient::Transact(const Transaction& transaction,
+                           Duration timeout,
+                           Callback<TransactionAnswer> done) {
+  impl_->Transact(transaction, timeout, std::move(done));
+}
+
+void StoreClient::WriteRow(const RowWrite& write,
+                           Duration timeout,
+                           Callback<RowAnswer> done) {
+  impl_->WriteRow(write, timeout, std::move(done));
+}
+
+void StoreClient::InsertClaims(const WriteClaims& write,
+                               Duration timeout,
+                               std::function<void(WriteAnswered)> done) {
+  const auto finish = [write, done = std::move(done)](
+                          leaf::result<TransactionAnswer> result) {
+    done(leaf::try_handle_all(
+        [&]() -> leaf::result<WriteAnswered> {
+          BOOST_LEAF_AUTO(answer, std::move(result));
+          return ReadClaimAnswer(write, answer);
+        },
+        [&](const Error& error) {
+          const bool failed = error.code == ErrorCode::kUnavailable;
+          return AnswerAllClaims(write, failed ? ClaimWriteOutcome::kFailed
+                                               : ClaimWriteOutcome::kUncertain);
+        },
+        [&] { return AnswerAllClaims(write, ClaimWriteOutcome::kUncertain); }));
+  };
+  impl_->Transact(MakeClaimTransaction(write), timeout, finish);
+}
+
+void StoreClient::ReadRow(const std::string& key,
+                          Duration timeout,
+                          Callback<Row> done) {
+  impl_->CallAndDecode<Row>(StoreAccess::kRead,
+                            {.path = "/table/row?key=" + EncodeForUri(key)},
+                            timeout, std::move(done), DecodeRow);
+}
+
+void StoreClient::Scan(const std::string& prefix,
+                       Duration timeout,
+                       Callback<std::vector<Row>> done) {
+  impl_->CallAndDecode<std::vector<Row>>(
+      StoreAccess::kRead,
+      {.path = "/table/scan?prefix=" + EncodeForUri(prefix)}, timeout,
+      std::move(done), DecodeRows);
+}
+
+void StoreClient::GetObject(const std::string& name,
+                            Duration timeout,
+                            Callback<std::optional<std::string>> done) {
+  using Object = std::optional<std::string>;
+  const auto finish = [done = std::move(done)](CallOutcome outcome,
+                                               const HttpResponse& response) {
+    done(Captured<Object>([&]() -> leaf::result<Object> {
+      if (outcome != CallOutcome::kAnswered)
+        return leaf::new_error(ErrorOf(outcome));
+      if (response.status == kNotFound)
+        return Object();
+      if (response.status != kOk)
+        return leaf::new_error(UnexpectedStatus(response));
+      return Object(response.body);
+    }));
+  };
+  impl_->Calls().Call(StoreAccess::kRead,
+                      {.path = "/objects/" + EncodeForUri(name)}, timeout,
+                      finish);
+}
+
+void StoreClient::PutObject(const std::string& name,
+                            const std::string& body,
+                            Duration timeout,
+                            Callback<void> done) {
+  impl_->CallAndDecode<void>(
+      StoreAccess::kWrite,
+      {.put = true, .path = "/objects/" + EncodeForUri(name), .body = body},
+      timeout, std::move(done),
+      [](const std::string& /*body*/) -> leaf::result<void> { return {}; });
+}
+
+void StoreClient::ListVms(Duration timeout,
+                          Callback<std::vector<BackendServer>> done) {
+  impl_->CallAndDecode<std::vector<BackendServer>>(StoreAccess::kRead,
+                                                   {.path = "/vms"}, timeout,
+                                                   std::move(done), DecodeVms);
+}
+
+}  // namespace cicadadrum
--- a/Schemas/store.capnp
+++ b/Schemas/store.capnp
@@ -2,6 +2,7 @@
 # Bodies of the platform's HTTP interfaces: table service and VM list.
 
 using Cxx = import "/capnp/c++.capnp";
+using Json = import "/capnp/compat/json.capnp";
 $Cxx.namespace("cicadadrum::schema");
 
 struct Row {
@@ -33,6 +34,19 @@
 struct TransactionAnswer {
   committed @0 :Bool;
   rows @1 :List(Row);  # After a commit the rows written; otherwise the rows whose checks failed.
+  failed @2 :List(Row);  # Present rows of the writes whose own check failed.
+}
+
+# Value of a row claims/<key>.
+struct ClaimRow {
+  holder @0 :Text;  # Entry VM
+  incarnation @1 :Text;  # 32 hexadecimal digits
+  claim @2 :UInt64;  # Number of the claim within the incarnation.
+  finished @3 :Bool;
+  status @4 :UInt16;  # This and the rest are set if finished.
+  contentType @5 :Text;
+  body @6 :Data $Json.base64;
+  truncated @7 :Bool;  # The body was too large to keep.
 }
 
 struct RowList {
--- /dev/null
+++ b/Tests/LibStore/test_policy.cc
@@ -0,0 +1,129 @@
+// Tests of the policy of calls to the platform.
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "cicadadrum/store/policy.h"
+#include "cicadadrum/store/rows.h"
+
+namespace cicadadrum {
+
+namespace {
+
+template <typename T>
+std::vector<T> All(const StoreActions& actions) {
+  std::vector<T> found;
+  for (const StoreAction& action : actions) {
+    if (const T* one = std::get_if<T>(&action))
+      found.push_back(*one);
+  }
+  return found;
+}
+
+struct Fixture {
+  StoreState state = MakeStoreState({}, 7);
+  TimePoint now{Seconds(10)};
+
+  StoreActions Run(const StoreEvent& event) {
+    StoreActions actions;
+    StepStore(state, event, now, actions);
+    return actions;
+  }
+  StoreActions Ask(std::uint64_t id, StoreAccess access) {
+    return Run(CallAsked{id, access, now + Seconds(5)});
+  }
+};
+
+}  // namespace
+
+// Guards against "failed" for a write whose lost try may have taken effect.
+TEST_CASE("a lost write is uncertain although later tries are refused") {
+  Fixture fixture;
+  fixture.state.policy.max_tries = 2;
+  CHECK(All<SendTry>(fixture.Ask(1, StoreAccess::kWrite)).size() == 1);
+  fixture.Run(TryEnded{1, 1, TryOutcome::kLost});
+  fixture.now += Seconds(1);
+  CHECK(All<SendTry>(fixture.Run(StoreTimerExpired{}))[0].number == 2);
+  const auto ended =
+      All<EndCall>(fixture.Run(TryEnded{1, 2, TryOutcome::kRefused}));
+  REQUIRE(ended.size() == 1);
+  CHECK(ended[0].outcome == CallOutcome::kUncertain);
+}
+
+// Guards against load on a platform that is down, and against staying away from
+// one that is up again.
+TEST_CASE("the breaker fails calls at once and probes with one call") {
+  Fixture fixture;
+  fixture.state.policy.max_tries = 1;
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    fixture.Ask(id, StoreAccess::kRead);
+    fixture.Run(TryEnded{id, 1, TryOutcome::kRefused});
+  }
+  const StoreActions refused = fixture.Ask(6, StoreAccess::kRead);
+  CHECK(All<SendTry>(refused).empty());
+  CHECK(All<EndCall>(refused)[0].outcome == CallOutcome::kFailed);
+  fixture.now += fixture.state.policy.open_time;
+  CHECK(All<SendTry>(fixture.Ask(7, StoreAccess::kRead)).size() == 1);
+  CHECK(All<SendTry>(fixture.Ask(8, StoreAccess::kRead)).empty());
+  const StoreActions up = fixture.Run(TryEnded{7, 1, TryOutcome::kAnswered});
+  CHECK(All<PlatformChanged>(up)[0].up);
+  CHECK(All<SendTry>(fixture.Ask(9, StoreAccess::kRead)).size() == 1);
+}
+
+// Guards against a call without an end or with two, against a second try beside
+// the first, and against more tries than the rates and the retry budget allow.
+TEST_CASE("any sequence ends every call once within the rates") {
+  CHECK(rc::check([](const std::vector<std::uint16_t>& choices) {
+    Fixture fixture;
+    std::map<std::uint64_t, std::uint32_t> under_way;
+    std::set<std::uint64_t> ended;
+    std::uint64_t asked = 0;
+    std::size_t tries = 0;
+    const auto apply = [&](const StoreActions& actions) {
+      for (const SendTry& send : All<SendTry>(actions)) {
+        RC_ASSERT(!ended.contains(send.call));
+        under_way[send.call] = send.number;
+        ++tries;
+      }
+      for (const EndCall& end : All<EndCall>(actions))
+        RC_ASSERT(ended.insert(end.call).second);
+    };
+    for (const std::uint16_t choice : choices) {
+      fixture.now += Milliseconds(choice % 128);
+      if (choice % 3 == 0) {
+        apply(fixture.Ask(++asked, StoreAccess::kWrite));
+      } else if (choice % 3 == 1 && !under_way.empty()) {
+        const auto [call, number] = *under_way.begin();
+        under_way.erase(call);
+        apply(fixture.Run(
+            TryEnded{call, number, static_cast<TryOutcome>(choice / 3 % 4)}));
+      } else {
+        apply(fixture.Run(StoreTimerExpired{}));
+      }
+    }
+    const StorePolicy& policy = fixture.state.policy;
+    const double seconds =
+        static_cast<double>((fixture.now - TimePoint(Seconds(10))).count()) /
+        1e6;
+    const double burst = policy.writes_per_second * 0.25;
+    RC_ASSERT(static_cast<double>(tries) <=
+              burst + policy.writes_per_second * seconds + 1);
+    RC_ASSERT(static_cast<double>(tries) <=
+              static_cast<double>(asked) * 1.1 + policy.max_retry_tokens);
+    fixture.now += Seconds(6);
+    apply(fixture.Run(StoreTimerExpired{}));
+    RC_ASSERT(ended.size() == asked);
+  }));
+}
+
+// Guards against two writes of one row in one transaction, whose order would be
+// lost.
+TEST_CASE("two writes of a row go into different batches") {
+  RowBatch batch;
+  batch.waiting = {{1, {.key = "a"}}, {2, {.key = "b"}}, {3, {.key = "a"}}};
+  CHECK(TakeBatch(batch).size() == 2);
+  batch.in_flight.clear();
+  CHECK(TakeBatch(batch)[0].id == 3);
+}
+
+}  // namespace cicadadrum
