--- a/Tests/LibClaim/world.h
+++ b/Tests/LibClaim/world.h
@@ -112,6 +112,15 @@
 
 std::vector<Op> EnabledOps(const World& world);
 
+// Returns the record whose request is passed to the home and has no answer, or
+// nullptr.
+const ClaimRecord* AskedAtHome(const World& world, const Request& request);
+
+// Whether the operation counts against Budgets::faults.
+bool IsFault(const World& world, const Op& op);
+
+bool IsHomeDead(const World& world, const std::string& key);
+
 // Applies the operation and sets World::fault if a check fails.
 void ApplyOp(World& world, const Op& op);
 
--- /dev/null
+++ b/Tests/LibStore/test_store_client.cc
@@ -0,0 +1,206 @@
+// Tests of the platform client against the test double, on one loop over
+// loopback.
+
+#include <doctest/doctest.h>
+#include <event2/event.h>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include "cicadadrum/base/error.h"
+#include "cicadadrum/fake_platform/fake_platform.h"
+#include "cicadadrum/store/store_client.h"
+
+namespace cicadadrum {
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+struct Fixture {
+  std::unique_ptr<event_base, void (*)(event_base*)> base{event_base_new(),
+                                                          event_base_free};
+  std::unique_ptr<FakePlatform> platform = leaf::try_handle_all(
+      [&] { return FakePlatform::Create(base.get(), {.vm_list_lag = {}}); },
+      [] { return std::unique_ptr<FakePlatform>(); });
+  StoreSettings settings{.address = platform->Address(),
+                         .token_prefix = "test"};
+  StoreClient client{base.get(), settings};
+
+  // Runs the loop until `done`, for at most some seconds.
+  void RunUntil(const bool& done) {
+    const timeval bound = {10, 0};
+    event_base_loopexit(base.get(), &bound);
+    while (!done && !event_base_got_exit(base.get()))
+      event_base_loop(base.get(), EVLOOP_ONCE);
+    REQUIRE(done);
+  }
+
+  // Starts a call and returns its value, or nothing with `error` set.
+  template <typename T, typename Start>
+  std::optional<T> Call(Start start) {
+    std::optional<T> value;
+    bool done = false;
+    start([&](leaf::result<T> result) {
+      done = true;
+      leaf::try_handle_all(
+          [&]() -> leaf::result<void> {
+            BOOST_LEAF_ASSIGN(value, std::move(result));
+            return {};
+          },
+          [&](const Error& found) { error = found.code; }, [] {});
+    });
+    RunUntil(done);
+    return value;
+  }
+
+  std::optional<TransactionAnswer> Transact(const Transaction& transaction,
+                                            Duration timeout = Seconds(5)) {
+    return Call<TransactionAnswer>(
+        [&](auto done) { client.Transact(transaction, timeout, done); });
+  }
+
+  WriteAnswered Claim(const WriteClaims& write) {
+    WriteAnswered answered;
+    bool done = false;
+    client.InsertClaims(write, Seconds(5), [&](const WriteAnswered& answer) {
+      answered = answer;
+      done = true;
+    });
+    RunUntil(done);
+    return answered;
+  }
+
+  std::optional<ErrorCode> error;
+};
+
+}  // namespace
+
+// Guards against encodings on which client and platform disagree.
+TEST_CASE("rows, objects and the VM list come back as they were written") {
+  Fixture fixture;
+  const std::string key = "a/b c&d=\xc3\xb1";
+  const auto written = fixture.Transact({.writes = {{key, "v\"1", true, 0}}});
+  REQUIRE(written);
+  CHECK(written->committed);
+  const Row expected{key, "v\"1", 1};
+  CHECK(fixture.Call<Row>([&](auto done) {
+    fixture.client.ReadRow(key, Seconds(5), done);
+  }) == expected);
+  CHECK(fixture.Call<std::vector<Row>>([&](auto done) {
+    fixture.client.Scan("a/", Seconds(5), done);
+  }) == std::vector<Row>{expected});
+  bool put = false;
+  fixture.client.PutObject(
+      "x/y", std::string("\0z", 2), Seconds(5),
+      [&](leaf::result<void> result) { put = static_cast<bool>(result); });
+  fixture.RunUntil(put);
+  CHECK(fixture.platform->State().objects["x/y"] == std::string("\0z", 2));
+  using Object = std::optional<std::string>;
+  CHECK(*fixture.Call<Object>([&](auto done) {
+    fixture.client.GetObject("none", Seconds(5), done);
+  }) == std::nullopt);
+  ApplyControl(fixture.platform->State(),
+               {.set_vms = true, .vms = {{.name = "sb-1", .leaving = true}}},
+               TimePoint());
+  const auto vms = fixture.Call<std::vector<BackendServer>>(
+      [&](auto done) { fixture.client.ListVms(Seconds(5), done); });
+  REQUIRE(vms->size() == 1);
+  CHECK(vms->front().leaving);
+}
+
+// Guards against one row that exists making the other claims of its batch fail,
+// and against a claim lost with the answer.
+TEST_CASE("claims of one batch are independent and survive a lost answer") {
+  Fixture fixture;
+  const ClaimRow first{.holder = "entry-1", .incarnation = {1, 1}, .claim = 5};
+  const ClaimRow second{.holder = "entry-2", .incarnation = {2, 2}, .claim = 6};
+  fixture.Claim({1, {{"k1", first}}});
+  ApplyControl(fixture.platform->State(),
+               {.mode = PlatformMode::kLoseAnswers, .requests = 1},
+               TimePoint());
+  const WriteAnswered answered =
+      fixture.Claim({1, {{"k1", second}, {"k2", second}}});
+  REQUIRE(answered.results.size() == 2);
+  CHECK(answered.results[0].outcome == ClaimWriteOutcome::kExists);
+  CHECK(answered.results[0].row == first);
+  CHECK(answered.results[1].outcome == ClaimWriteOutcome::kInserted);
+  CHECK(fixture.platform->State().writes == 3);
+  CHECK(fixture.platform->State().rows_written == 2);
+}
+
+// Guards against "failed" for a write that took effect, and against "uncertain"
+// for one that can't have.
+TEST_CASE("a failed write is told apart from one that may have taken effect") {
+  Fixture fixture;
+  ApplyControl(fixture.platform->State(), {.mode = PlatformMode::kDown},
+               TimePoint());
+  CHECK(!fixture.Transact({.writes = {{"a", "1"}}}));
+  CHECK(fixture.error == ErrorCode::kUnavailable);
+  Fixture losing;
+  ApplyControl(losing.platform->State(), {.mode = PlatformMode::kLoseAnswers},
+               TimePoint());
+  CHECK(!losing.Transact({.writes = {{"a", "1"}}}));
+  CHECK(losing.error == ErrorCode::kUncertain);
+  CHECK(losing.platform->State().rows_written == 1);
+  Fixture slow;
+  ApplyControl(slow.platform->State(),
+               {.mode = PlatformMode::kSlow, .delay = Seconds(60)},
+               TimePoint());
+  CHECK(!slow.Transact({.writes = {{"a", "1"}}}, Milliseconds(20)));
+  CHECK(slow.error == ErrorCode::kUncertain);
+  Fixture gone;
+  gone.platform.reset();
+  CHECK(!gone.Transact({.writes = {{"a", "1"}}}));
+  CHECK(gone.error == ErrorCode::kUnavailable);
+}
+
+// Guards against a row write per transaction.
+TEST_CASE("row writes that wait share a transaction") {
+  Fixture fixture;
+  int written = 0;
+  bool done = false;
+  for (int i = 0; i < 20; ++i) {
+    fixture.client.WriteRow({.key = "r" + std::to_string(i), .value = "v"},
+                            Seconds(5), [&](leaf::result<RowAnswer> result) {
+                              written += result && result->written ? 1 : 0;
+                              done = written == 20;
+                            });
+  }
+  fixture.RunUntil(done);
+  CHECK(fixture.platform->State().writes == 2);
+}
+
+// Guards against a connection per request, and against more than the bound.
+TEST_CASE("connections are kept and bounded") {
+  Fixture fixture;
+  for (int round = 0; round < 2; ++round) {
+    int answers = 0;
+    bool done = false;
+    for (int i = 0; i < 15; ++i) {
+      fixture.client.ReadRow("a", Seconds(5), [&](leaf::result<Row> result) {
+        answers += result ? 1 : 0;
+        done = answers == 15;
+      });
+    }
+    fixture.RunUntil(done);
+  }
+  CHECK(fixture.platform->State().callers.size() ==
+        fixture.settings.max_connections);
+}
+
+// Guards against a misspelt setting that is silently ignored.
+TEST_CASE("settings allow comments and reject unknown fields") {
+  const auto parse = [](const std::string& json) {
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::string> {
+          BOOST_LEAF_AUTO(settings, ParsePlatformSettings(json));
+          return settings.listen;
+        },
+        [](const Error& error) { return std::string(NameOf(error.code)); },
+        [] { return std::string(); });
+  };
+  CHECK(parse("{\"listen\": \"127.0.0.1:9\" /* free */ }") == "127.0.0.1:9");
+  CHECK(parse("{\"listn\": \"127.0.0.1:9\"}") == "invalid-settings");
+}
+
+}  // namespace cicadadrum
