--- a/Tests/LibClaim/test_exploration.cc
+++ b/Tests/LibClaim/test_exploration.cc
@@ -162,6 +162,14 @@
   StepClaim(state, changed, now, actions);
 }
 
+// Wrong variant: deadlines and delays never end.
+void StepIgnoresTimer(ClaimState& state,
+                      const ClaimEvent& event,
+                      TimePoint /*now*/,
+                      ClaimActions& actions) {
+  StepClaim(state, event, TimePoint(), actions);
+}
+
 }  // namespace
 
 // Guards against a second execution, a false "not run" and a request without a
@@ -213,6 +221,12 @@
        {1, 4, 0, 1},
        8,
        "not-run"},
+      {"timer ignored",
+       StepIgnoresTimer,
+       KeyKind::kCaller,
+       {2, 1, 0, 1},
+       6,
+       "never got a decision"},
       {"copies accepted",
        StepAcceptsCopies,
        KeyKind::kHomeOnly,
