--- a/Generated/schemas/demonstration.capnp.h
+++ b/Generated/schemas/demonstration.capnp.h
@@ -199,8 +199,8 @@
   inline bool hasDeploymentFile() const;
   inline  ::capnp::Text::Reader getDeploymentFile() const;
 
-  inline bool hasVmsFile() const;
-  inline  ::capnp::Text::Reader getVmsFile() const;
+  inline bool hasPlatformFile() const;
+  inline  ::capnp::Text::Reader getPlatformFile() const;
 
   inline bool hasLeavingService() const;
   inline  ::capnp::Text::Reader getLeavingService() const;
@@ -243,12 +243,12 @@
   inline void adoptDeploymentFile(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDeploymentFile();
 
-  inline bool hasVmsFile();
-  inline  ::capnp::Text::Builder getVmsFile();
-  inline void setVmsFile( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVmsFile(unsigned int size);
-  inline void adoptVmsFile(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVmsFile();
+  inline bool hasPlatformFile();
+  inline  ::capnp::Text::Builder getPlatformFile();
+  inline void setPlatformFile( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPlatformFile(unsigned int size);
+  inline void adoptPlatformFile(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPlatformFile();
 
   inline bool hasLeavingService();
   inline  ::capnp::Text::Builder getLeavingService();
@@ -484,36 +484,36 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Mix::Reader::hasVmsFile() const {
+inline bool Mix::Reader::hasPlatformFile() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Mix::Builder::hasVmsFile() {
+inline bool Mix::Builder::hasPlatformFile() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Mix::Reader::getVmsFile() const {
+inline  ::capnp::Text::Reader Mix::Reader::getPlatformFile() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Mix::Builder::getVmsFile() {
+inline  ::capnp::Text::Builder Mix::Builder::getPlatformFile() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Mix::Builder::setVmsFile( ::capnp::Text::Reader value) {
+inline void Mix::Builder::setPlatformFile( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Mix::Builder::initVmsFile(unsigned int size) {
+inline  ::capnp::Text::Builder Mix::Builder::initPlatformFile(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Mix::Builder::adoptVmsFile(
+inline void Mix::Builder::adoptPlatformFile(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Mix::Builder::disownVmsFile() {
+inline ::capnp::Orphan< ::capnp::Text> Mix::Builder::disownPlatformFile() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
--- a/Generated/schemas/store.capnp.c++
+++ b/Generated/schemas/store.capnp.c++
@@ -309,17 +309,17 @@
   2, 3, i_b9b37560a19315b9, nullptr, nullptr, { &s_b9b37560a19315b9, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<53> b_a2688eea66a0b85d = {
+static const ::capnp::_::AlignedData<72> b_a2688eea66a0b85d = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      93, 184, 160, 102, 234, 142, 104, 162,
      12,   0,   0,   0,   1,   0,   1,   0,
      78,  45, 130, 144,  82,  55, 102, 143,
-      1,   0,   7,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 242,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 116, 111, 114, 101,  46,  99,  97,
@@ -327,21 +327,28 @@
     115,  97,  99, 116, 105, 111, 110,  65,
     110, 115, 119, 101, 114,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  82,   0,   0,   0,
+     69,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,  42,   0,   0,   0,
+     77,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     72,   0,   0,   0,   2,   0,   1,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+    100,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
      99, 111, 109, 109, 105, 116, 116, 101,
     100,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
@@ -361,47 +368,9 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_a2688eea66a0b85d = b_a2688eea66a0b85d.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_a2688eea66a0b85d[] = {
-  &s_b731eaed6be463a2,
-};
-static const uint16_t m_a2688eea66a0b85d[] = {0, 1};
-static const uint16_t i_a2688eea66a0b85d[] = {0, 1};
-const ::capnp::_::RawSchema s_a2688eea66a0b85d = {
-  0xa2688eea66a0b85d, b_a2688eea66a0b85d.words, 53, d_a2688eea66a0b85d, m_a2688eea66a0b85d,
-  1, 2, i_a2688eea66a0b85d, nullptr, nullptr, { &s_a2688eea66a0b85d, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<36> b_c52b3c4d522ccfb4 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    180, 207,  44,  82,  77,  60,  43, 197,
-     12,   0,   0,   0,   1,   0,   0,   0,
-     78,  45, 130, 144,  82,  55, 102, 143,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 162,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 116, 111, 114, 101,  46,  99,  97,
-    112, 110, 112,  58,  82, 111, 119,  76,
-    105, 115, 116,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   1,   0,
-     36,   0,   0,   0,   2,   0,   1,   0,
-    114, 111, 119, 115,   0,   0,   0,   0,
+    102,  97, 105, 108, 101, 100,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -414,26 +383,26 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_c52b3c4d522ccfb4 = b_c52b3c4d522ccfb4.words;
+::capnp::word const* const bp_a2688eea66a0b85d = b_a2688eea66a0b85d.words;
 #if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_c52b3c4d522ccfb4[] = {
+static const ::capnp::_::RawSchema* const d_a2688eea66a0b85d[] = {
   &s_b731eaed6be463a2,
 };
-static const uint16_t m_c52b3c4d522ccfb4[] = {0};
-static const uint16_t i_c52b3c4d522ccfb4[] = {0};
-const ::capnp::_::RawSchema s_c52b3c4d522ccfb4 = {
-  0xc52b3c4d522ccfb4, b_c52b3c4d522ccfb4.words, 36, d_c52b3c4d522ccfb4, m_c52b3c4d522ccfb4,
-  1, 1, i_c52b3c4d522ccfb4, nullptr, nullptr, { &s_c52b3c4d522ccfb4, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_a2688eea66a0b85d[] = {0, 2, 1};
+static const uint16_t i_a2688eea66a0b85d[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_a2688eea66a0b85d = {
+  0xa2688eea66a0b85d, b_a2688eea66a0b85d.words, 72, d_a2688eea66a0b85d, m_a2688eea66a0b85d,
+  1, 3, i_a2688eea66a0b85d, nullptr, nullptr, { &s_a2688eea66a0b85d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<141> b_feba181528df7f17 = {
+static const ::capnp::_::AlignedData<149> b_838bc5a7fcdb3018 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-     23, 127, 223,  40,  21,  24, 186, 254,
+     24,  48, 219, 252, 167, 197, 139, 131,
      12,   0,   0,   0,   1,   0,   2,   0,
      78,  45, 130, 144,  82,  55, 102, 143,
       4,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 146,   0,   0,   0,
+     21,   0,   0,   0, 170,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      25,   0,   0,   0, 199,   1,   0,   0,
@@ -441,7 +410,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     115, 116, 111, 114, 101,  46,  99,  97,
     112, 110, 112,  58,  67, 108,  97, 105,
-    109,   0,   0,   0,   0,   0,   0,   0,
+    109,  82, 111, 119,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
      32,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -461,45 +430,45 @@
       2,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    221,   0,   0,   0,  74,   0,   0,   0,
+    221,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    220,   0,   0,   0,   3,   0,   1,   0,
-    232,   0,   0,   0,   2,   0,   1,   0,
-      3,   0,   0,   0,   1,   0,   0,   0,
+    216,   0,   0,   0,   3,   0,   1,   0,
+    228,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,  64,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    229,   0,   0,   0,  58,   0,   0,   0,
+    225,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     224,   0,   0,   0,   3,   0,   1,   0,
     236,   0,   0,   0,   2,   0,   1,   0,
-      4,   0,   0,   0,   2,   0,   0,   0,
+      4,   0,   0,   0,   5,   0,   0,   0,
       0,   0,   1,   0,   4,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    233,   0,   0,   0,  98,   0,   0,   0,
+    233,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    232,   0,   0,   0,   3,   0,   1,   0,
-    244,   0,   0,   0,   2,   0,   1,   0,
-      5,   0,   0,   0,   3,   0,   0,   0,
+    228,   0,   0,   0,   3,   0,   1,   0,
+    240,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   5,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    241,   0,   0,   0,  42,   0,   0,   0,
+    237,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     236,   0,   0,   0,   3,   0,   1,   0,
     248,   0,   0,   0,   2,   0,   1,   0,
-      6,   0,   0,   0,   1,   0,   0,   0,
+      6,   0,   0,   0,   3,   0,   0,   0,
       0,   0,   1,   0,   6,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    245,   0,   0,   0,  82,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    244,   0,   0,   0,   3,   0,   1,   0,
-      0,   1,   0,   0,   2,   0,   1,   0,
-      7,   0,   0,   0,   1,   0,   0,   0,
+    245,   0,   0,   0,  42,   0,   0,   0,
+    245,   0,   0,   0,  31,   0,   0,   0,
+     16,   1,   0,   0,   3,   0,   1,   0,
+     28,   1,   0,   0,   2,   0,   1,   0,
+      7,   0,   0,   0,  65,   0,   0,   0,
       0,   0,   1,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    253,   0,   0,   0,  50,   0,   0,   0,
+     25,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    248,   0,   0,   0,   3,   0,   1,   0,
-      4,   1,   0,   0,   2,   0,   1,   0,
+     24,   1,   0,   0,   3,   0,   1,   0,
+     36,   1,   0,   0,   2,   0,   1,   0,
     104, 111, 108, 100, 101, 114,   0,   0,
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -517,6 +486,14 @@
      12,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     99, 108,  97, 105, 109,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
     102, 105, 110, 105, 115, 104, 101, 100,
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
@@ -544,11 +521,19 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      98, 111, 100, 121,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   1,   0,   2,   0,
+     75,  62,  37,  10,  69, 121, 216, 215,
+      4,   0,   0,   0,   2,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     116, 114, 117, 110,  99,  97, 116, 101,
@@ -559,23 +544,65 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_838bc5a7fcdb3018 = b_838bc5a7fcdb3018.words;
+#if !CAPNP_LITE
+static const uint16_t m_838bc5a7fcdb3018[] = {6, 2, 5, 3, 0, 1, 4, 7};
+static const uint16_t i_838bc5a7fcdb3018[] = {0, 1, 2, 3, 4, 5, 6, 7};
+const ::capnp::_::RawSchema s_838bc5a7fcdb3018 = {
+  0x838bc5a7fcdb3018, b_838bc5a7fcdb3018.words, 149, nullptr, m_838bc5a7fcdb3018,
+  0, 8, i_838bc5a7fcdb3018, nullptr, nullptr, { &s_838bc5a7fcdb3018, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<36> b_c52b3c4d522ccfb4 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    180, 207,  44,  82,  77,  60,  43, 197,
+     12,   0,   0,   0,   1,   0,   0,   0,
+     78,  45, 130, 144,  82,  55, 102, 143,
+      1,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     99, 108,  97, 105, 109,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 162,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      9,   0,   0,   0,   0,   0,   0,   0,
+    115, 116, 111, 114, 101,  46,  99,  97,
+    112, 110, 112,  58,  82, 111, 119,  76,
+    105, 115, 116,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+    114, 111, 119, 115,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    162,  99, 228, 107, 237, 234,  49, 183,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_feba181528df7f17 = b_feba181528df7f17.words;
+::capnp::word const* const bp_c52b3c4d522ccfb4 = b_c52b3c4d522ccfb4.words;
 #if !CAPNP_LITE
-static const uint16_t m_feba181528df7f17[] = {5, 7, 4, 2, 0, 1, 3, 6};
-static const uint16_t i_feba181528df7f17[] = {0, 1, 2, 3, 4, 5, 6, 7};
-const ::capnp::_::RawSchema s_feba181528df7f17 = {
-  0xfeba181528df7f17, b_feba181528df7f17.words, 141, nullptr, m_feba181528df7f17,
-  0, 8, i_feba181528df7f17, nullptr, nullptr, { &s_feba181528df7f17, nullptr, nullptr, 0, 0, nullptr }
+static const ::capnp::_::RawSchema* const d_c52b3c4d522ccfb4[] = {
+  &s_b731eaed6be463a2,
+};
+static const uint16_t m_c52b3c4d522ccfb4[] = {0};
+static const uint16_t i_c52b3c4d522ccfb4[] = {0};
+const ::capnp::_::RawSchema s_c52b3c4d522ccfb4 = {
+  0xc52b3c4d522ccfb4, b_c52b3c4d522ccfb4.words, 36, d_c52b3c4d522ccfb4, m_c52b3c4d522ccfb4,
+  1, 1, i_c52b3c4d522ccfb4, nullptr, nullptr, { &s_c52b3c4d522ccfb4, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<25> b_b7587ccae8aec08f = {
@@ -864,6 +891,14 @@
 constexpr ::capnp::_::RawSchema const* TransactionAnswer::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// ClaimRow
+constexpr uint16_t ClaimRow::_capnpPrivate::dataWordSize;
+constexpr uint16_t ClaimRow::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind ClaimRow::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ClaimRow::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // RowList
 constexpr uint16_t RowList::_capnpPrivate::dataWordSize;
 constexpr uint16_t RowList::_capnpPrivate::pointerCount;
@@ -872,14 +907,6 @@
 constexpr ::capnp::_::RawSchema const* RowList::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-// Claim
-constexpr uint16_t Claim::_capnpPrivate::dataWordSize;
-constexpr uint16_t Claim::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Claim::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Claim::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
 // Vm
 constexpr uint16_t Vm::_capnpPrivate::dataWordSize;
 constexpr uint16_t Vm::_capnpPrivate::pointerCount;
--- a/Generated/schemas/store.capnp.h
+++ b/Generated/schemas/store.capnp.h
@@ -24,8 +24,8 @@
 CAPNP_DECLARE_SCHEMA(de0e2f3d61e23c33);
 CAPNP_DECLARE_SCHEMA(b9b37560a19315b9);
 CAPNP_DECLARE_SCHEMA(a2688eea66a0b85d);
+CAPNP_DECLARE_SCHEMA(838bc5a7fcdb3018);
 CAPNP_DECLARE_SCHEMA(c52b3c4d522ccfb4);
-CAPNP_DECLARE_SCHEMA(feba181528df7f17);
 CAPNP_DECLARE_SCHEMA(b7587ccae8aec08f);
 enum class VmState_b7587ccae8aec08f: uint16_t {
   LIVE,
@@ -109,37 +109,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2688eea66a0b85d, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a2688eea66a0b85d, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct RowList {
-  RowList() = delete;
+struct ClaimRow {
+  ClaimRow() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c52b3c4d522ccfb4, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(838bc5a7fcdb3018, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
-struct Claim {
-  Claim() = delete;
+struct RowList {
+  RowList() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(feba181528df7f17, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c52b3c4d522ccfb4, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -586,6 +586,9 @@
   inline bool hasRows() const;
   inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline bool hasFailed() const;
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader getFailed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -624,6 +627,13 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline bool hasFailed();
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder getFailed();
+  inline void setFailed( ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder initFailed(unsigned int size);
+  inline void adoptFailed(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> disownFailed();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -650,9 +660,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RowList::Reader {
+class ClaimRow::Reader {
 public:
-  typedef RowList Reads;
+  typedef ClaimRow Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -667,8 +677,25 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRows() const;
-  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+  inline bool hasHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
+
+  inline bool hasIncarnation() const;
+  inline  ::capnp::Text::Reader getIncarnation() const;
+
+  inline  ::uint64_t getClaim() const;
+
+  inline bool getFinished() const;
+
+  inline  ::uint16_t getStatus() const;
+
+  inline bool hasContentType() const;
+  inline  ::capnp::Text::Reader getContentType() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline bool getTruncated() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -682,9 +709,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RowList::Builder {
+class ClaimRow::Builder {
 public:
-  typedef RowList Builds;
+  typedef ClaimRow Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -698,12 +725,45 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRows();
-  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder getRows();
-  inline void setRows( ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
-  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> disownRows();
+  inline bool hasHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
+
+  inline bool hasIncarnation();
+  inline  ::capnp::Text::Builder getIncarnation();
+  inline void setIncarnation( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
+  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
+
+  inline  ::uint64_t getClaim();
+  inline void setClaim( ::uint64_t value);
+
+  inline bool getFinished();
+  inline void setFinished(bool value);
+
+  inline  ::uint16_t getStatus();
+  inline void setStatus( ::uint16_t value);
+
+  inline bool hasContentType();
+  inline  ::capnp::Text::Builder getContentType();
+  inline void setContentType( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContentType(unsigned int size);
+  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline bool getTruncated();
+  inline void setTruncated(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -715,9 +775,9 @@
 };
 
 #if !CAPNP_LITE
-class RowList::Pipeline {
+class ClaimRow::Pipeline {
 public:
-  typedef RowList Pipelines;
+  typedef ClaimRow Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -731,9 +791,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Claim::Reader {
+class RowList::Reader {
 public:
-  typedef Claim Reads;
+  typedef RowList Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -748,25 +808,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHolder() const;
-  inline  ::capnp::Text::Reader getHolder() const;
-
-  inline bool hasIncarnation() const;
-  inline  ::capnp::Text::Reader getIncarnation() const;
-
-  inline bool getFinished() const;
-
-  inline  ::uint16_t getStatus() const;
-
-  inline bool hasContentType() const;
-  inline  ::capnp::Text::Reader getContentType() const;
-
-  inline bool hasBody() const;
-  inline  ::capnp::Text::Reader getBody() const;
-
-  inline bool getTruncated() const;
-
-  inline  ::uint64_t getClaim() const;
+  inline bool hasRows() const;
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -780,9 +823,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Claim::Builder {
+class RowList::Builder {
 public:
-  typedef Claim Builds;
+  typedef RowList Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -796,45 +839,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHolder();
-  inline  ::capnp::Text::Builder getHolder();
-  inline void setHolder( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHolder(unsigned int size);
-  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
-
-  inline bool hasIncarnation();
-  inline  ::capnp::Text::Builder getIncarnation();
-  inline void setIncarnation( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initIncarnation(unsigned int size);
-  inline void adoptIncarnation(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownIncarnation();
-
-  inline bool getFinished();
-  inline void setFinished(bool value);
-
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
-
-  inline bool hasContentType();
-  inline  ::capnp::Text::Builder getContentType();
-  inline void setContentType( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initContentType(unsigned int size);
-  inline void adoptContentType(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownContentType();
-
-  inline bool hasBody();
-  inline  ::capnp::Text::Builder getBody();
-  inline void setBody( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBody();
-
-  inline bool getTruncated();
-  inline void setTruncated(bool value);
-
-  inline  ::uint64_t getClaim();
-  inline void setClaim( ::uint64_t value);
+  inline bool hasRows();
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder getRows();
+  inline void setRows( ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> disownRows();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -846,9 +856,9 @@
 };
 
 #if !CAPNP_LITE
-class Claim::Pipeline {
+class RowList::Pipeline {
 public:
-  typedef Claim Pipelines;
+  typedef RowList Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1457,230 +1467,264 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RowList::Reader::hasRows() const {
+inline bool TransactionAnswer::Reader::hasFailed() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RowList::Builder::hasRows() {
+inline bool TransactionAnswer::Builder::hasFailed() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader RowList::Reader::getRows() const {
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader TransactionAnswer::Reader::getFailed() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder RowList::Builder::getRows() {
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder TransactionAnswer::Builder::getFailed() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RowList::Builder::setRows( ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void TransactionAnswer::Builder::setFailed( ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder RowList::Builder::initRows(unsigned int size) {
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder TransactionAnswer::Builder::initFailed(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RowList::Builder::adoptRows(
+inline void TransactionAnswer::Builder::adoptFailed(
     ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> RowList::Builder::disownRows() {
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> TransactionAnswer::Builder::disownFailed() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Claim::Reader::hasHolder() const {
+inline bool ClaimRow::Reader::hasHolder() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Claim::Builder::hasHolder() {
+inline bool ClaimRow::Builder::hasHolder() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Claim::Reader::getHolder() const {
+inline  ::capnp::Text::Reader ClaimRow::Reader::getHolder() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Claim::Builder::getHolder() {
+inline  ::capnp::Text::Builder ClaimRow::Builder::getHolder() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Claim::Builder::setHolder( ::capnp::Text::Reader value) {
+inline void ClaimRow::Builder::setHolder( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Claim::Builder::initHolder(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimRow::Builder::initHolder(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Claim::Builder::adoptHolder(
+inline void ClaimRow::Builder::adoptHolder(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownHolder() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimRow::Builder::disownHolder() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Claim::Reader::hasIncarnation() const {
+inline bool ClaimRow::Reader::hasIncarnation() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Claim::Builder::hasIncarnation() {
+inline bool ClaimRow::Builder::hasIncarnation() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Claim::Reader::getIncarnation() const {
+inline  ::capnp::Text::Reader ClaimRow::Reader::getIncarnation() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Claim::Builder::getIncarnation() {
+inline  ::capnp::Text::Builder ClaimRow::Builder::getIncarnation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Claim::Builder::setIncarnation( ::capnp::Text::Reader value) {
+inline void ClaimRow::Builder::setIncarnation( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Claim::Builder::initIncarnation(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimRow::Builder::initIncarnation(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Claim::Builder::adoptIncarnation(
+inline void ClaimRow::Builder::adoptIncarnation(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownIncarnation() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimRow::Builder::disownIncarnation() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Claim::Reader::getFinished() const {
-  return _reader.getDataField<bool>(
+inline  ::uint64_t ClaimRow::Reader::getClaim() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Claim::Builder::getFinished() {
-  return _builder.getDataField<bool>(
+inline  ::uint64_t ClaimRow::Builder::getClaim() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Claim::Builder::setFinished(bool value) {
-  _builder.setDataField<bool>(
+inline void ClaimRow::Builder::setClaim( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Claim::Reader::getStatus() const {
+inline bool ClaimRow::Reader::getFinished() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ClaimRow::Builder::getFinished() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ClaimRow::Builder::setFinished(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ClaimRow::Reader::getStatus() const {
   return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Claim::Builder::getStatus() {
+inline  ::uint16_t ClaimRow::Builder::getStatus() {
   return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Claim::Builder::setStatus( ::uint16_t value) {
+inline void ClaimRow::Builder::setStatus( ::uint16_t value) {
   _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Claim::Reader::hasContentType() const {
+inline bool ClaimRow::Reader::hasContentType() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Claim::Builder::hasContentType() {
+inline bool ClaimRow::Builder::hasContentType() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Claim::Reader::getContentType() const {
+inline  ::capnp::Text::Reader ClaimRow::Reader::getContentType() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Claim::Builder::getContentType() {
+inline  ::capnp::Text::Builder ClaimRow::Builder::getContentType() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Claim::Builder::setContentType( ::capnp::Text::Reader value) {
+inline void ClaimRow::Builder::setContentType( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Claim::Builder::initContentType(unsigned int size) {
+inline  ::capnp::Text::Builder ClaimRow::Builder::initContentType(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Claim::Builder::adoptContentType(
+inline void ClaimRow::Builder::adoptContentType(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownContentType() {
+inline ::capnp::Orphan< ::capnp::Text> ClaimRow::Builder::disownContentType() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Claim::Reader::hasBody() const {
+inline bool ClaimRow::Reader::hasBody() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Claim::Builder::hasBody() {
+inline bool ClaimRow::Builder::hasBody() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Claim::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::Data::Reader ClaimRow::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Claim::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::Data::Builder ClaimRow::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Claim::Builder::setBody( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void ClaimRow::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Claim::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::Data::Builder ClaimRow::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Claim::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void ClaimRow::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Claim::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Data> ClaimRow::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Claim::Reader::getTruncated() const {
+inline bool ClaimRow::Reader::getTruncated() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
 
-inline bool Claim::Builder::getTruncated() {
+inline bool ClaimRow::Builder::getTruncated() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
 }
-inline void Claim::Builder::setTruncated(bool value) {
+inline void ClaimRow::Builder::setTruncated(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Claim::Reader::getClaim() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RowList::Reader::hasRows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Claim::Builder::getClaim() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RowList::Builder::hasRows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Claim::Builder::setClaim( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader RowList::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder RowList::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RowList::Builder::setRows( ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>::Builder RowList::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RowList::Builder::adoptRows(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>> RowList::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Row,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Vm::Reader::hasName() const {
--- a/Libraries/LibEntry/entry_core.cc
+++ b/Libraries/LibEntry/entry_core.cc
@@ -53,7 +53,7 @@
                     Dispatch(TimerExpired{});
                   }),
       backends_(loop, settings.max_connections_per_server),
-      platform_(loop, settings.deployment),
+      platform_(loop, settings.deployment, incarnation),
       peers_(
           loop,
           settings,
@@ -90,6 +90,7 @@
         TakeForwarded(sender, request, std::move(respond));
       };
   BOOST_LEAF_CHECK(peers_.Listen(std::move(handlers)));
+  platform_.SetObserver([this](bool up) { Dispatch(TableChanged{up}); });
   fleet_.Start();
   PollServers();
   load_poller_.Start();
--- a/Libraries/LibEntry/platform_link.cc
+++ b/Libraries/LibEntry/platform_link.cc
@@ -1,4 +1,4 @@
-// The platform's HTTP interface, as docs/interface.md has it.
+// Reads and writes of the platform's table, object store and VM list.
 
 #include "platform_link.h"
 
@@ -7,11 +7,10 @@
 
 #include "cicadadrum/base/error.h"
 #include "cicadadrum/configuration/json.h"
-#include "cicadadrum/configuration/settings.h"
+#include "cicadadrum/store/claim_rows.h"
+#include "cicadadrum/store/store_json.h"
 #include "cicadadrum/telemetry/log.h"
-#include "claim_codec.h"
 #include "schemas/configuration.capnp.h"
-#include "schemas/store.capnp.h"
 
 namespace cicadadrum {
 
@@ -19,10 +18,20 @@
 
 namespace {
 
-constexpr Duration kCallDeadline = Seconds(2);
+constexpr Duration kReadTimeout = Seconds(2);
+constexpr Duration kWriteTimeout = Seconds(2);
+// The response of a finished request is kept for repeats; it may be written
+// late.
+constexpr Duration kResultTimeout = Seconds(30);
 constexpr char kPointerKey[] = "configuration/current";
 
-// Runs a decoder; logs its error, if any, and then returns nothing.
+// A leaving mark and the version of its row; 0 if the row is absent.
+struct MarkRow {
+  ItemVersion item;
+  std::uint64_t row_version = 0;
+};
+
+// Returns the value of `function`, or nothing after logging its error.
 template <typename Function>
 auto OrNothing(Function&& function) {
   using Value = std::decay_t<decltype(function().value())>;
@@ -32,253 +41,129 @@
         return std::optional<Value>(std::move(value));
       },
       [](const Error& error) {
-        LoggerFor("store")->warn("{}", error.detail);
+        LoggerFor("store")->debug("{}: {}", NameOf(error.code), error.detail);
         return std::optional<Value>();
       },
       [] { return std::optional<Value>(); });
 }
 
-leaf::result<std::string> Present(const std::optional<std::string>& body) {
-  if (!body)
-    return leaf::new_error(
-        Error{ErrorCode::kUnavailable, "the platform did not answer a read"});
-  return *body;
-}
-
-BackendServer ReadServer(schema::Vm::Reader vm) {
-  return {.name = vm.getName(),
-          .service = vm.getService(),
-          .region = vm.getRegion(),
-          .failure_domain = vm.getFailureDomain(),
-          .address = vm.getAddress(),
-          .slots = vm.getSlots(),
-          .connections = vm.getConnections(),
-          .leaving = vm.getState() == schema::VmState::LEAVING};
-}
-
-leaf::result<std::vector<BackendServer>> DecodeServers(
-    const std::optional<std::string>& body) {
-  BOOST_LEAF_AUTO(text, Present(body));
-  capnp::MallocMessageBuilder message;
-  BOOST_LEAF_AUTO(
-      list, DecodeJsonAs<schema::VmList>(text, "VM list",
-                                         ErrorCode::kInvalidMessage, message));
-  std::vector<BackendServer> servers;
-  for (const auto vm : list.getVms())
-    servers.push_back(ReadServer(vm));
-  return servers;
-}
-
-leaf::result<std::vector<ItemVersion>> DecodePointerRow(
-    const std::optional<std::string>& body) {
-  BOOST_LEAF_AUTO(text, Present(body));
-  capnp::MallocMessageBuilder message;
-  BOOST_LEAF_AUTO(
-      row, DecodeJsonAs<schema::Row>(text, "version row",
-                                     ErrorCode::kInvalidMessage, message));
+leaf::result<std::vector<ItemVersion>> ReadPointer(const Row& row) {
   std::vector<ItemVersion> items;
-  if (row.getVersion() == 0)
+  if (row.version == 0)
     return items;
-  capnp::MallocMessageBuilder value_message;
+  capnp::MallocMessageBuilder message;
   BOOST_LEAF_AUTO(pointer, DecodeJsonAs<schema::ConfigurationPointer>(
-                               row.getValue(), "version row",
-                               ErrorCode::kInvalidMessage, value_message));
+                               row.value, kPointerKey,
+                               ErrorCode::kInvalidMessage, message));
   items.push_back({std::string(kConfigurationKey), pointer.getVersion(),
                    pointer.getBodyHash()});
   return items;
 }
 
-// A leaving mark and the version of its row; 0 if the row is absent.
-struct MarkRow {
-  ItemVersion item;
-  std::uint64_t row_version = 0;
-};
-
-leaf::result<MarkRow> ReadMark(schema::Row::Reader row) {
-  MarkRow mark{.item = {.key = row.getKey()}, .row_version = row.getVersion()};
-  if (mark.row_version == 0)
+leaf::result<MarkRow> ReadMark(const Row& row) {
+  MarkRow mark{.item = {.key = row.key}, .row_version = row.version};
+  if (row.version == 0)
     return mark;
   capnp::MallocMessageBuilder message;
-  BOOST_LEAF_AUTO(value, DecodeJsonAs<schema::LeavingMark>(
-                             row.getValue(), "leaving mark",
-                             ErrorCode::kInvalidMessage, message));
+  BOOST_LEAF_AUTO(value,
+                  DecodeJsonAs<schema::LeavingMark>(
+                      row.value, row.key, ErrorCode::kInvalidMessage, message));
   mark.item.version = value.getSequence();
   mark.item.value = NameOf(value.getLeaving() ? MarkValue::kLeavingRecorded
                                               : MarkValue::kCleared);
   return mark;
 }
 
-leaf::result<MarkRow> DecodeMarkRow(const std::optional<std::string>& body) {
-  BOOST_LEAF_AUTO(text, Present(body));
-  capnp::MallocMessageBuilder message;
-  BOOST_LEAF_AUTO(
-      row, DecodeJsonAs<schema::Row>(text, "leaving mark",
-                                     ErrorCode::kInvalidMessage, message));
-  return ReadMark(row);
-}
-
-leaf::result<std::vector<ItemVersion>> DecodeMarkRows(
-    const std::optional<std::string>& body) {
-  BOOST_LEAF_AUTO(text, Present(body));
+Transaction MakeMarkWrite(const MarkRow& present,
+                          const std::string& server,
+                          std::uint64_t sequence,
+                          bool leaving) {
   capnp::MallocMessageBuilder message;
-  BOOST_LEAF_AUTO(
-      list, DecodeJsonAs<schema::RowList>(text, "leaving marks",
-                                          ErrorCode::kInvalidMessage, message));
-  std::vector<ItemVersion> items;
-  for (const auto row : list.getRows()) {
-    BOOST_LEAF_AUTO(mark, ReadMark(row));
-    items.push_back(mark.item);
-  }
-  return items;
-}
-
-std::string EncodeMarkWrite(const std::string& key,
-                            const std::string& server,
-                            std::uint64_t sequence,
-                            bool leaving,
-                            std::uint64_t row_version) {
-  capnp::MallocMessageBuilder value_message;
-  auto mark = value_message.initRoot<schema::LeavingMark>();
+  auto mark = message.initRoot<schema::LeavingMark>();
   mark.setServer(server);
   mark.setSequence(sequence);
   mark.setLeaving(leaving);
-  capnp::MallocMessageBuilder message;
-  auto transaction = message.initRoot<schema::Transaction>();
-  transaction.setToken(key + "-" + std::to_string(sequence));
-  auto check = transaction.initChecks(1)[0];
-  check.setKey(key);
-  check.setVersion(row_version);
-  auto write = transaction.initWrites(1)[0];
-  write.setKey(key);
-  write.setValue(EncodeJson(mark.asReader()));
-  return EncodeJson(transaction.asReader());
-}
-
-bool IsCommitted(const std::string& body) {
-  capnp::MallocMessageBuilder message;
-  const auto answer = DecodeJsonAs<schema::TransactionAnswer>(
-      body, "transaction", ErrorCode::kInvalidMessage, message);
-  return answer && answer->getCommitted();
-}
-
-std::string ClaimKey(const std::string& key) {
-  return "claims/" + key;
-}
-
-std::string EncodeClaimWrites(const WriteClaims& write,
-                              const std::string& token) {
-  capnp::MallocMessageBuilder message;
-  auto transaction = message.initRoot<schema::Transaction>();
-  transaction.setToken(token);
-  auto writes =
-      transaction.initWrites(static_cast<unsigned>(write.writes.size()));
-  for (unsigned i = 0; i < writes.size(); ++i) {
-    writes[i].setKey(ClaimKey(write.writes[i].key));
-    writes[i].setValue(EncodeClaimRow(write.writes[i].row));
-    writes[i].setCheck(true);
-  }
-  return EncodeJson(transaction.asReader());
-}
-
-// Whether the row is the result of this claim, perhaps with its response.
-bool IsSameClaim(const ClaimRow& row, const ClaimRow& claim) {
-  return row.incarnation == claim.incarnation && row.claim == claim.claim;
-}
-
-leaf::result<WriteAnswered> ReadClaimResults(const WriteClaims& write,
-                                             const std::string& body) {
-  capnp::MallocMessageBuilder message;
-  BOOST_LEAF_AUTO(
-      answer, DecodeJsonAs<schema::TransactionAnswer>(
-                  body, "transaction", ErrorCode::kInvalidMessage, message));
-  WriteAnswered answered{.batch = write.batch};
-  for (const ClaimWrite& claim : write.writes) {
-    ClaimWriteResult result{.key = claim.key,
-                            .outcome = ClaimWriteOutcome::kUncertain};
-    for (const auto row : answer.getRows()) {
-      if (ClaimKey(claim.key) != row.getKey().cStr())
-        continue;
-      BOOST_LEAF_ASSIGN(result.row, DecodeClaimRow(row.getValue()));
-      result.outcome = IsSameClaim(result.row, claim.row)
-                           ? ClaimWriteOutcome::kInserted
-                           : ClaimWriteOutcome::kExists;
-    }
-    answered.results.push_back(result);
-  }
-  return answered;
+  const std::string key = std::string(kLeavingPrefix) + server;
+  return {.token = "",
+          .checks = {{key, present.row_version}},
+          .writes = {{.key = key, .value = EncodeJson(mark.asReader())}}};
 }
 
-WriteAnswered SameOutcome(const WriteClaims& write, ClaimWriteOutcome outcome) {
-  WriteAnswered answered{.batch = write.batch};
-  for (const ClaimWrite& claim : write.writes)
-    answered.results.push_back({.key = claim.key, .outcome = outcome});
-  return answered;
+StoreSettings MakeStoreSettings(const Deployment& deployment,
+                                const Incarnation& incarnation) {
+  return {.address = deployment.platform_address,
+          .token_prefix = FormatIncarnation(incarnation),
+          .seed = incarnation.low,
+          .policy = {}};
 }
 
 }  // namespace
 
-PlatformLink::PlatformLink(EventLoop& loop, const Deployment& deployment)
-    : loop_(loop),
-      deployment_(deployment),
-      client_(loop, {.max_connections_per_address = 8}) {}
+PlatformLink::PlatformLink(EventLoop& loop,
+                           const Deployment& deployment,
+                           const Incarnation& incarnation)
+    : store_(loop.base(), MakeStoreSettings(deployment, incarnation)) {}
 
-void PlatformLink::Get(
-    const std::string& target,
-    std::function<void(const std::optional<std::string>& body)> done) {
-  const HttpRequest request{.method = HttpMethod::kGet, .target = target};
-  client_.Send(deployment_.platform_address, request,
-               loop_.Now() + kCallDeadline,
-               [done = std::move(done)](HttpOutcome outcome,
-                                        const HttpResponse& response) {
-                 const bool found = outcome == HttpOutcome::kAnswered &&
-                                    response.status == 200;
-                 done(found ? std::optional(response.body) : std::nullopt);
-               });
-}
-
-void PlatformLink::Post(const std::string& target,
-                        std::string body,
-                        HttpClient::Callback callback) {
-  const HttpRequest request{
-      .method = HttpMethod::kPost, .target = target, .body = std::move(body)};
-  client_.Send(deployment_.platform_address, request,
-               loop_.Now() + kCallDeadline, std::move(callback));
+void PlatformLink::SetObserver(std::function<void(bool up)> observer) {
+  store_.SetObserver([observer = std::move(observer)](bool up) {
+    LoggerFor("store")->warn("the platform is {}", up ? "up" : "down");
+    observer(up);
+  });
 }
 
 void PlatformLink::ReadServers(
     std::function<void(const std::optional<std::vector<BackendServer>>&)>
         done) {
-  Get("/vms", [done = std::move(done)](const std::optional<std::string>& body) {
-    done(OrNothing([&]() { return DecodeServers(body); }));
-  });
+  store_.ListVms(kReadTimeout,
+                 [done = std::move(done)](
+                     leaf::result<std::vector<BackendServer>> servers) {
+                   done(OrNothing([&] { return std::move(servers); }));
+                 });
 }
 
 void PlatformLink::ReadItems(
     bool with_marks,
     std::function<void(const std::optional<std::vector<ItemVersion>>&)> done) {
-  Get(std::string("/table/row?key=") + kPointerKey,
-      [this, with_marks,
-       done = std::move(done)](const std::optional<std::string>& row) {
-        auto items = OrNothing([&]() { return DecodePointerRow(row); });
+  store_.ReadRow(
+      kPointerKey, kReadTimeout,
+      [this, with_marks, done = std::move(done)](leaf::result<Row> row) {
+        auto items = OrNothing([&]() -> leaf::result<std::vector<ItemVersion>> {
+          BOOST_LEAF_AUTO(present, std::move(row));
+          return ReadPointer(present);
+        });
         if (!items || !with_marks)
           return done(items);
-        Get(std::string("/table/scan?prefix=") + std::string(kLeavingPrefix),
-            [items = *items, done](const std::optional<std::string>& rows) {
-              const auto marks =
-                  OrNothing([&]() { return DecodeMarkRows(rows); });
-              if (!marks)
-                return done(std::nullopt);
-              std::vector<ItemVersion> all = items;
-              all.insert(all.end(), marks->begin(), marks->end());
-              done(all);
-            });
+        ReadMarks(std::move(*items), done);
       });
 }
 
+void PlatformLink::ReadMarks(
+    std::vector<ItemVersion> items,
+    std::function<void(const std::optional<std::vector<ItemVersion>>&)> done) {
+  const auto scanned = [items = std::move(items), done = std::move(done)](
+                           leaf::result<std::vector<Row>> rows) {
+    done(OrNothing([&]() -> leaf::result<std::vector<ItemVersion>> {
+      BOOST_LEAF_AUTO(present, std::move(rows));
+      std::vector<ItemVersion> all = items;
+      for (const Row& row : present) {
+        BOOST_LEAF_AUTO(mark, ReadMark(row));
+        all.push_back(mark.item);
+      }
+      return all;
+    }));
+  };
+  store_.Scan(std::string(kLeavingPrefix), kReadTimeout, scanned);
+}
+
 void PlatformLink::ReadBody(
     const std::string& hash,
     std::function<void(const std::optional<std::string>&)> done) {
-  Get("/objects/configuration-" + hash, std::move(done));
+  store_.GetObject(
+      "configuration-" + hash, kReadTimeout,
+      [done = std::move(done)](leaf::result<std::optional<std::string>> body) {
+        const auto found = OrNothing([&] { return std::move(body); });
+        done(found ? *found : std::nullopt);
+      });
 }
 
 void PlatformLink::WriteLeavingMark(const std::string& server,
@@ -286,52 +171,41 @@
                                     bool leaving,
                                     std::function<void(bool recorded)> done) {
   const std::string key = std::string(kLeavingPrefix) + server;
-  Get("/table/row?key=" + key, [this, key, server, sequence, leaving,
-                                done](const std::optional<std::string>& body) {
-    const auto row = OrNothing([&]() { return DecodeMarkRow(body); });
-    if (!row)
-      return done(false);
-    if (row->item.version >= sequence)
-      return done(true);
-    Post("/table/transact",
-         EncodeMarkWrite(key, server, sequence, leaving, row->row_version),
-         [done](HttpOutcome outcome, const HttpResponse& response) {
-           done(outcome == HttpOutcome::kAnswered && response.status == 200 &&
-                IsCommitted(response.body));
-         });
-  });
+  store_.ReadRow(
+      key, kReadTimeout,
+      [this, server, sequence, leaving, done](leaf::result<Row> row) {
+        const auto present = OrNothing([&]() -> leaf::result<MarkRow> {
+          BOOST_LEAF_AUTO(value, std::move(row));
+          return ReadMark(value);
+        });
+        if (!present)
+          return done(false);
+        if (present->item.version >= sequence)
+          return done(true);
+        store_.Transact(
+            MakeMarkWrite(*present, server, sequence, leaving), kWriteTimeout,
+            [done](leaf::result<TransactionAnswer> answer) {
+              const auto written = OrNothing([&] { return std::move(answer); });
+              done(written && written->committed);
+            });
+      });
 }
 
 void PlatformLink::WriteClaimRows(
     const WriteClaims& write,
     std::function<void(const WriteAnswered&)> done) {
-  const std::string token =
-      FormatIncarnation(write.writes.front().row.incarnation) + "-" +
-      std::to_string(write.batch);
-  Post("/table/transact", EncodeClaimWrites(write, token),
-       [write, done = std::move(done)](HttpOutcome outcome,
-                                       const HttpResponse& response) {
-         if (outcome != HttpOutcome::kAnswered || response.status != 200) {
-           const bool sent = outcome == HttpOutcome::kLost ||
-                             outcome == HttpOutcome::kTimedOut;
-           return done(SameOutcome(write, sent ? ClaimWriteOutcome::kUncertain
-                                               : ClaimWriteOutcome::kFailed));
-         }
-         const auto results = ReadClaimResults(write, response.body);
-         done(results ? *results
-                      : SameOutcome(write, ClaimWriteOutcome::kUncertain));
-       });
+  store_.InsertClaims(write, kWriteTimeout,
+                      [done = std::move(done)](const WriteAnswered& answered) {
+                        done(answered);
+                      });
 }
 
 void PlatformLink::StoreClaimResult(const StoreResult& result) {
-  capnp::MallocMessageBuilder message;
-  auto transaction = message.initRoot<schema::Transaction>();
-  transaction.setToken(result.key + "-result");
-  auto writes = transaction.initWrites(1);
-  writes[0].setKey(ClaimKey(result.key));
-  writes[0].setValue(EncodeClaimRow(result.row));
-  Post("/table/transact", EncodeJson(transaction.asReader()),
-       [](HttpOutcome, const HttpResponse&) {});
+  store_.WriteRow(
+      {.key = ClaimRowKey(result.key), .value = EncodeClaimRow(result.row)},
+      kResultTimeout, [](leaf::result<RowAnswer> answer) {
+        OrNothing([&] { return std::move(answer); });
+      });
 }
 
 }  // namespace cicadadrum
--- a/Libraries/LibEntry/platform_link.h
+++ b/Libraries/LibEntry/platform_link.h
@@ -1,5 +1,5 @@
 // Reads of the configuration, the leaving marks and the VM list from the
-// platform, and writes of claims and marks.
+// platform, and writes of claims and marks, on LibStore.
 
 #ifndef CICADADRUM_ENTRY_PLATFORM_LINK_H_
 #define CICADADRUM_ENTRY_PLATFORM_LINK_H_
@@ -11,9 +11,9 @@
 
 #include "cicadadrum/claim/claim.h"
 #include "cicadadrum/loop/event_loop.h"
-#include "cicadadrum/loop/http_client.h"
 #include "cicadadrum/membership/item.h"
 #include "cicadadrum/model/deployment.h"
+#include "cicadadrum/store/store_client.h"
 
 namespace cicadadrum {
 
@@ -21,7 +21,12 @@
 // missing is reported as such.
 class PlatformLink {
  public:
-  PlatformLink(EventLoop& loop, const Deployment& deployment);
+  PlatformLink(EventLoop& loop,
+               const Deployment& deployment,
+               const Incarnation& incarnation);
+
+  // Called when the platform is found down or up again.
+  void SetObserver(std::function<void(bool up)> observer);
 
   void ReadServers(
       std::function<void(const std::optional<std::vector<BackendServer>>&)>
@@ -48,15 +53,11 @@
   void StoreClaimResult(const StoreResult& result);
 
  private:
-  void Get(const std::string& target,
-           std::function<void(const std::optional<std::string>& body)> done);
-  void Post(const std::string& target,
-            std::string body,
-            HttpClient::Callback callback);
+  void ReadMarks(
+      std::vector<ItemVersion> items,
+      std::function<void(const std::optional<std::vector<ItemVersion>>&)> done);
 
-  EventLoop& loop_;
-  const Deployment& deployment_;
-  HttpClient client_;
+  StoreClient store_;
 };
 
 }  // namespace cicadadrum
--- a/Libraries/LibSteering/include/cicadadrum/steering/events.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/events.h
@@ -133,7 +133,8 @@
   std::vector<BlockedItem> items;
 };
 
-// Front ends pass the claim events WriteAnswered and HomeAnswered through
+// Front ends pass the claim events WriteAnswered, HomeAnswered and
+// TableChanged through
 // unchanged.
 
 struct ConfigurationAdopted {
@@ -175,6 +176,7 @@
                            BlockedItemsReceived,
                            WriteAnswered,
                            HomeAnswered,
+                           TableChanged,
                            ConfigurationAdopted,
                            MembersChanged,
                            ServersChanged,
--- a/Libraries/LibSteering/step.cc
+++ b/Libraries/LibSteering/step.cc
@@ -68,6 +68,9 @@
   void operator()(const HomeAnswered& event) const {
     ApplyClaimEvent(state, event, now, actions);
   }
+  void operator()(const TableChanged& event) const {
+    ApplyClaimEvent(state, event, now, actions);
+  }
   void operator()(const ConfigurationAdopted& event) const {
     if (event.configuration.version > state.configuration.version)
       state.configuration = event.configuration;
--- a/Meta/demonstration.sh
+++ b/Meta/demonstration.sh
@@ -37,7 +37,7 @@
   local settings=Settings/$1 deployment=Settings/$1/deployment.json
   local platform entry_ports last
   platform=$(sed -n 's/.*"platformAddress": "\(.*\)".*/\1/p' "$deployment")
-  start platform "$build/Services/FakePlatform/fake-platform" --vms "$settings/vms.json" --listen "$platform"
+  start platform "$build/Services/FakePlatform/fake-platform" --settings "$settings/platform.json"
   for backends in "$settings"/backends-*.json; do
     start backends "$build/Services/FakeBackend/fake-backend" --settings "$backends"
   done
--- a/Schemas/demonstration.capnp
+++ b/Schemas/demonstration.capnp
@@ -17,7 +17,7 @@
 
 struct Mix {
   deploymentFile @0 :Text;  # Relative to this file.
-  vmsFile @1 :Text;  # Relative to this file; lists the backend servers.
+  platformFile @1 :Text;  # Relative to this file; lists the backend servers.
   leavingService @2 :Text;  # Its busiest server is marked as leaving after a third of the run.
   streams @3 :List(Stream);
 }
--- a/Services/FakePlatform/main.cc
+++ b/Services/FakePlatform/main.cc
@@ -1,128 +1,108 @@
-// fake-platform: stands in for the platform's table service, object store and
-// VM list, in memory.
+// Program fake-platform: the platform's test double for tests and the
+// demonstration run.
 
-#include <capnp/message.h>
+#include <event2/event.h>
 
+#include <boost/leaf/handle_errors.hpp>
+#include <boost/program_options.hpp>
 #include <csignal>
+#include <fstream>
 #include <iostream>
-#include <map>
+#include <sstream>
 
-#include "cicadadrum/configuration/json.h"
-#include "cicadadrum/loop/event_loop.h"
-#include "cicadadrum/loop/http_server.h"
-#include "cicadadrum/program/program.h"
-#include "schemas/store.capnp.h"
+#include "cicadadrum/base/error.h"
+#include "cicadadrum/fake_platform/fake_platform.h"
 
 namespace cicadadrum {
 
 namespace {
 
 namespace leaf = boost::leaf;
-namespace po = boost::program_options;
-
-struct Row {
-  std::string value;
-  std::uint64_t version = 0;
-};
-
-struct PlatformState {
-  std::map<std::string, Row> rows;
-  std::map<std::string, std::string> objects;
-  std::string vms;
-};
+namespace options = boost::program_options;
+
+constexpr int kUsageError = 2;
+
+options::options_description Describe() {
+  options::options_description description("Options of fake-platform");
+  description.add_options()("settings", options::value<std::string>(),
+                            "file with settings, JSON with comments")(
+      "check", "check the settings and exit")(
+      "listen", options::value<std::string>(),
+      "IP:port, instead of the settings'")("help", "show this text")(
+      "version", "show the version");
+  return description;
+}
 
-HttpResponse Json(std::string body) {
-  return {.headers = {{"Content-Type", "application/json"}},
-          .body = std::move(body)};
+leaf::result<PlatformSettings> LoadSettings(
+    const options::variables_map& given) {
+  PlatformSettings settings;
+  if (given.count("settings") > 0) {
+    const auto path = given["settings"].as<std::string>();
+    std::ifstream file(path);
+    if (!file)
+      return leaf::new_error(
+          Error{ErrorCode::kFileUnreadable, "cannot read " + path});
+    std::ostringstream text;
+    text << file.rdbuf();
+    BOOST_LEAF_ASSIGN(settings, ParsePlatformSettings(text.str()));
+  }
+  if (given.count("listen") > 0)
+    settings.listen = given["listen"].as<std::string>();
+  return settings;
 }
 
-void WriteRow(schema::Row::Builder target,
-              const std::string& key,
-              const Row& row) {
-  target.setKey(key);
-  target.setValue(row.value);
-  target.setVersion(row.version);
+void Stop(evutil_socket_t /*signal*/, short /*events*/, void* base) {
+  event_base_loopbreak(static_cast<event_base*>(base));
 }
 
-HttpResponse Transact(PlatformState& state, const HttpRequest& request) {
-  capnp::MallocMessageBuilder message;
-  const auto transaction = DecodeJsonAs<schema::Transaction>(
-      request.body, "transaction", ErrorCode::kInvalidMessage, message);
-  if (!transaction)
-    return {.status = 400, .body = "malformed\n"};
-  capnp::MallocMessageBuilder answer_message;
-  auto answer = answer_message.initRoot<schema::TransactionAnswer>();
-  for (const auto check : transaction->getChecks()) {
-    const Row row = state.rows[check.getKey()];
-    if (row.version == check.getVersion())
-      continue;
-    WriteRow(answer.initRows(1)[0], check.getKey(), row);
-    return Json(EncodeJson(answer.asReader()));
-  }
-  answer.setCommitted(true);
-  auto rows = answer.initRows(transaction->getWrites().size());
-  unsigned next = 0;
-  for (const auto write : transaction->getWrites()) {
-    Row& row = state.rows[write.getKey()];
-    if (!write.getCheck() || write.getCheckVersion() == row.version)
-      row = {write.getValue(), row.version + 1};
-    WriteRow(rows[next++], write.getKey(), row);
-  }
-  return Json(EncodeJson(answer.asReader()));
+leaf::result<int> Run(const options::variables_map& given) {
+  BOOST_LEAF_AUTO(settings, LoadSettings(given));
+  BOOST_LEAF_CHECK(CheckPlatformSettings(settings));
+  if (given.count("check") > 0)
+    return 0;
+  // A caller that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::unique_ptr<event_base, void (*)(event_base*)> base(
+      event_base_new(), event_base_free);
+  BOOST_LEAF_AUTO(platform, FakePlatform::Create(base.get(), settings));
+  std::cout << "[fake-platform] listening on " << platform->Address()
+            << std::endl;
+  using Event = std::unique_ptr<event, void (*)(event*)>;
+  const Event term(evsignal_new(base.get(), SIGTERM, Stop, base.get()),
+                   event_free);
+  const Event interrupt(evsignal_new(base.get(), SIGINT, Stop, base.get()),
+                        event_free);
+  event_add(term.get(), nullptr);
+  event_add(interrupt.get(), nullptr);
+  event_base_dispatch(base.get());
+  return 0;
 }
 
-HttpResponse Handle(PlatformState& state, const HttpRequest& request) {
-  if (request.path == "/vms")
-    return Json(state.vms);
-  if (request.path == "/table/transact")
-    return Transact(state, request);
-  if (request.path == "/table/row") {
-    const std::string key(FindField(request.query, "key"));
-    capnp::MallocMessageBuilder message;
-    auto row = message.initRoot<schema::Row>();
-    WriteRow(row, key, state.rows[key]);
-    return Json(EncodeJson(row.asReader()));
+int Main(int argc, char** argv) {
+  const options::options_description description = Describe();
+  options::variables_map given;
+  try {
+    options::store(options::parse_command_line(argc, argv, description), given);
+  } catch (const options::error& error) {
+    std::cerr << "fake-platform: " << error.what() << "\n" << description;
+    return kUsageError;
   }
-  if (request.path == "/table/scan") {
-    const std::string prefix(FindField(request.query, "prefix"));
-    std::vector<std::pair<std::string, Row>> found;
-    for (const auto& [key, row] : state.rows) {
-      if (key.starts_with(prefix) && row.version > 0)
-        found.emplace_back(key, row);
-    }
-    capnp::MallocMessageBuilder message;
-    auto list = message.initRoot<schema::RowList>().initRows(
-        static_cast<unsigned>(found.size()));
-    for (unsigned i = 0; i < list.size(); ++i)
-      WriteRow(list[i], found[i].first, found[i].second);
-    return Json(EncodeJson(message.getRoot<schema::RowList>().asReader()));
+  if (given.count("help") > 0) {
+    std::cout << description;
+    return 0;
   }
-  if (request.path.starts_with("/objects/")) {
-    if (request.method == HttpMethod::kPut)
-      state.objects[request.path] = request.body;
-    const auto found = state.objects.find(request.path);
-    if (found != state.objects.end())
-      return Json(found->second);
+  if (given.count("version") > 0) {
+    std::cout << "fake-platform " << CICADADRUM_VERSION << "\n";
+    return 0;
   }
-  return {.status = 404, .body = "not found\n"};
-}
-
-leaf::result<ExitCode> Run(const po::variables_map& values) {
-  PlatformState state;
-  BOOST_LEAF_ASSIGN(state.vms, ReadFile(values["vms"].as<std::string>()));
-  std::signal(SIGPIPE, SIG_IGN);
-  EventLoop loop;
-  std::unique_ptr<HttpServer> server;
-  server = std::make_unique<HttpServer>(
-      loop, HttpServerOptions{},
-      [&](std::uint64_t id, const HttpRequest& request) {
-        server->Respond(id, Handle(state, request));
-      },
-      [](std::uint64_t) {});
-  BOOST_LEAF_CHECK(server->Listen(values["listen"].as<std::string>()));
-  const SignalWatcher on_term(loop, SIGTERM, [&loop] { loop.Stop(); });
-  loop.Run();
-  return ExitCode::kSuccess;
+  return leaf::try_handle_all([&] { return Run(given); },
+                              [](const Error& error) {
+                                std::cerr
+                                    << "fake-platform: " << NameOf(error.code)
+                                    << ": " << error.detail << "\n";
+                                return 1;
+                              },
+                              [] { return 1; });
 }
 
 }  // namespace
@@ -130,18 +110,5 @@
 }  // namespace cicadadrum
 
 int main(int argc, char** argv) {
-  namespace po = boost::program_options;
-  const cicadadrum::ProgramInfo info{"fake-platform",
-                                     "stands in for the platform"};
-  po::options_description options("Options");
-  options.add_options()("vms", po::value<std::string>()->required(),
-                        "VM list, JSON with comments");
-  options.add_options()("listen", po::value<std::string>()->required(),
-                        "IP:port");
-  const auto parsed =
-      cicadadrum::ParseCommandLine(info, options, {}, argc, argv);
-  if (parsed.exit)
-    return static_cast<int>(*parsed.exit);
-  return cicadadrum::RunProgram(info,
-                                [&] { return cicadadrum::Run(parsed.values); });
+  return cicadadrum::Main(argc, argv);
 }
--- a/Utilities/Demonstration/mix.cc
+++ b/Utilities/Demonstration/mix.cc
@@ -9,7 +9,7 @@
 #include "cicadadrum/configuration/json.h"
 #include "cicadadrum/configuration/settings.h"
 #include "schemas/demonstration.capnp.h"
-#include "schemas/store.capnp.h"
+#include "schemas/fakes.capnp.h"
 
 namespace cicadadrum {
 
@@ -19,7 +19,7 @@
     const std::string& path) {
   BOOST_LEAF_AUTO(text, ReadFile(path));
   capnp::MallocMessageBuilder message;
-  BOOST_LEAF_AUTO(list, DecodeJsonAs<schema::VmList>(
+  BOOST_LEAF_AUTO(list, DecodeJsonAs<schema::PlatformSettings>(
                             text, path, ErrorCode::kInvalidSettings, message));
   std::vector<BackendServer> servers;
   for (const auto vm : list.getVms()) {
@@ -45,8 +45,9 @@
   BOOST_LEAF_ASSIGN(
       mix.deployment,
       LoadDeployment((folder / root.getDeploymentFile().cStr()).string()));
-  BOOST_LEAF_ASSIGN(mix.servers,
-                    LoadServers((folder / root.getVmsFile().cStr()).string()));
+  BOOST_LEAF_ASSIGN(
+      mix.servers,
+      LoadServers((folder / root.getPlatformFile().cStr()).string()));
   for (const auto stream : root.getStreams()) {
     mix.streams.push_back(
         {.customer = stream.getCustomer(),
