LibLookup: Keep the counts of blocks per site and bucket

Cause: the loss of a site read all pages to count its blocks, on the one loop of the process. Conclusion: a region with many sites can be spread without holding the loop.

--- a/Libraries/LibLookup/block_table.cc
+++ b/Libraries/LibLookup/block_table.cc
@@ -75,8 +75,9 @@
 
 using ChangeIterator = std::vector<BlockChange>::const_iterator;
 
-// Merges sorted changes into sorted entries.
-std::vector<BlockEntry> MergeChanges(const std::vector<BlockEntry>& entries,
+// Merges sorted changes into sorted entries and counts the blocks.
+std::vector<BlockEntry> MergeChanges(BlockTable& table,
+                                     const std::vector<BlockEntry>& entries,
                                      ChangeIterator change,
                                      ChangeIterator end) {
   std::vector<BlockEntry> merged;
@@ -92,9 +93,11 @@
     const ClientBlock& block = change->block;
     if (entry != entries.end() && entry->bits == block.bits &&
         entry->length == block.length)
-      ++entry;
-    if (change->site != kNoSite)
-      merged.push_back({block.bits, block.length, change->site});
+      CountBlock(table, *entry++, false);
+    if (change->site == kNoSite)
+      continue;
+    merged.push_back({block.bits, block.length, change->site});
+    CountBlock(table, merged.back(), true);
   }
   merged.insert(merged.end(), entry, entries.end());
   return merged;
@@ -118,7 +121,8 @@
 
 // Takes over the old pages one after the other and replaces those that have
 // changes, so that only one page at a time exists twice.
-void ApplyToFamily(BlockFamily& family,
+void ApplyToFamily(BlockTable& table,
+                   BlockFamily& family,
                    ChangeIterator change,
                    ChangeIterator end) {
   BlockFamily old = std::exchange(family, {});
@@ -143,7 +147,7 @@
       DecodePage(*old.pages[i], entries);
       old.pages[i].reset();
     }
-    entries = MergeChanges(entries, change, first_of_next);
+    entries = MergeChanges(table, entries, change, first_of_next);
     change = first_of_next;
     if (entries.size() < kPageBlocks / 4 && !is_last)
       continue;
@@ -190,9 +194,9 @@
         return change.block.family == AddressFamily::kIpv6;
       });
   if (ipv6 != changes.begin())
-    ApplyToFamily(table.families[0], changes.begin(), ipv6);
+    ApplyToFamily(table, table.families[0], changes.begin(), ipv6);
   if (ipv6 != changes.end())
-    ApplyToFamily(table.families[1], ipv6, changes.end());
+    ApplyToFamily(table, table.families[1], ipv6, changes.end());
   table.version = update.version;
   return UpdateOutcome::kApplied;
 }
@@ -200,6 +204,8 @@
 TableSize MeasureTable(const BlockTable& table) {
   TableSize size;
   size.bytes = sizeof(BlockTable) + table.spreads.size() * sizeof(SiteSpread);
+  for (const BucketCounts& counts : table.site_counts)
+    size.bytes += counts.capacity() * sizeof(counts[0]);
   for (const BlockFamily& family : table.families) {
     size.blocks += family.blocks;
     size.pages += family.pages.size();
--- a/Libraries/LibLookup/include/cicadadrum/lookup/block_table.h
+++ b/Libraries/LibLookup/include/cicadadrum/lookup/block_table.h
@@ -83,9 +83,14 @@
 constexpr std::size_t kSpreadBuckets = 1024;
 using SiteSpread = std::array<SiteId, kSpreadBuckets>;
 
+// Number of blocks of a site per bucket; empty for a site without blocks. Kept
+// with each update, because counting them anew reads the whole table.
+using BucketCounts = std::vector<std::uint32_t>;
+
 struct BlockTable {
   std::uint64_t version = 0;
-  std::array<BlockFamily, 2> families;  // By AddressFamily.
+  std::array<BlockFamily, 2> families;            // By AddressFamily.
+  std::array<BucketCounts, kNoSite> site_counts;  // By SiteId.
   // Lost sites. The blocks keep their own site in the pages, so the loss and
   // the return of a site rewrite no page and move no other block.
   std::map<SiteId, std::shared_ptr<const SiteSpread>> spreads;
@@ -136,7 +141,8 @@
 struct TableSize {
   std::size_t blocks = 0;
   std::size_t pages = 0;
-  std::size_t bytes = 0;  // Pages with their allocations, index, spreads.
+  std::size_t bytes =
+      0;  // Pages with their allocations, index, counts, spreads.
 };
 
 TableSize MeasureTable(const BlockTable& table);
--- a/Libraries/LibLookup/spread.cc
+++ b/Libraries/LibLookup/spread.cc
@@ -5,30 +5,10 @@
 #include <cmath>
 #include <vector>
 
-#include "page.h"
-
 namespace cicadadrum {
 
 namespace {
 
-using BucketCounts = std::array<std::size_t, kSpreadBuckets>;
-
-BucketCounts CountBuckets(const BlockTable& table, SiteId site) {
-  BucketCounts counts{};
-  for (const BlockFamily& family : table.families) {
-    for (const auto& page : family.pages) {
-      const std::uint8_t* sites = SitesOf(*page);
-      for (std::size_t i = 0; i < page->count; ++i) {
-        if (sites[i] != site)
-          continue;
-        const BlockEntry entry = EntryAt(*page, i);
-        ++counts[SpreadBucket(entry.bits, entry.length)];
-      }
-    }
-  }
-  return counts;
-}
-
 // Lower is better; a site with twice the capacity wins twice as many buckets.
 double Score(std::size_t bucket, const Neighbour& neighbour) {
   Random random{bucket * 256 + neighbour.site};
@@ -76,7 +56,8 @@
 void SpreadSite(BlockTable& table,
                 SiteId lost,
                 const std::vector<Neighbour>& neighbours) {
-  const BucketCounts counts = CountBuckets(table, lost);
+  BucketCounts counts = table.site_counts[lost];
+  counts.resize(kSpreadBuckets);
   auto spread = std::make_shared<SiteSpread>();
   spread->fill(kNoSite);
   std::vector<Neighbour> room = neighbours;
@@ -96,6 +77,13 @@
   table.spreads[lost] = spread;
 }
 
+void CountBlock(BlockTable& table, const BlockEntry& block, bool added) {
+  BucketCounts& counts = table.site_counts[block.site];
+  counts.resize(kSpreadBuckets);
+  std::uint32_t& count = counts[SpreadBucket(block.bits, block.length)];
+  count += added ? 1U : ~0U;
+}
+
 void RestoreSite(BlockTable& table, SiteId site) {
   table.spreads.erase(site);
 }
--- a/Libraries/LibLookup/spread.h
+++ b/Libraries/LibLookup/spread.h
@@ -8,6 +8,7 @@
 
 #include "cicadadrum/base/random.h"
 #include "cicadadrum/lookup/block_table.h"
+#include "page.h"
 
 namespace cicadadrum {
 
@@ -16,6 +17,9 @@
   return RandomBelow(random, kSpreadBuckets);
 }
 
+// Counts a block of `site` in or out.
+void CountBlock(BlockTable& table, const BlockEntry& block, bool added);
+
 }  // namespace cicadadrum
 
 #endif  // CICADADRUM_LOOKUP_SPREAD_H_
