LibShift: Try several orders of moves

Cause: one greedy order can fill the only region that a later demand could go to. The test now demands 97% over all cases, and the test of the block table also checks the counts per site.

--- a/Libraries/LibShift/planner.cc
+++ b/Libraries/LibShift/planner.cc
@@ -1,11 +1,15 @@
-// One step of a movement of work between regions, greedily: the fullest pool
-// first, and for each of its demands the region with the most room.
+// One step of a movement of work between regions. Moves are chosen greedily in
+// a few orders, and the order that leaves the least work above the bounds wins:
+// a single order can fill the only region that a later demand could go to.
 
 #include "cicadadrum/shift/planner.h"
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <utility>
 
+#include "move_order.h"
 #include "room.h"
 
 namespace cicadadrum {
@@ -30,45 +34,72 @@
   return keys;
 }
 
+bool GoesBefore(const Rooms& rooms,
+                const DemandRoom& demand,
+                RegionOrder order,
+                const std::string& a,
+                const std::string& b) {
+  const std::string& home = demand.key.entry_region;
+  if (order == RegionOrder::kHomeFirst && (a == home) != (b == home))
+    return a == home;
+  const double free_a = FreeLoad(rooms, demand, a);
+  const double free_b = FreeLoad(rooms, demand, b);
+  return order == RegionOrder::kLeastRoom ? free_a < free_b : free_a > free_b;
+}
+
 // Moves work of `demand` out of `pool` until the pool is within its bound or no
 // region has room.
-void Relieve(Rooms& rooms, DemandRoom& demand, const PoolKey& pool) {
-  const auto remaining = [&rooms, &pool] {
-    const PoolRoom& here = rooms.pools.at(pool);
-    return std::max(0.0, here.load - here.bound);
-  };
+void Relieve(Rooms& rooms,
+             DemandRoom& demand,
+             const PoolKey& pool,
+             RegionOrder order) {
   std::vector<std::string> regions = rooms.regions;
-  while (!regions.empty() && remaining() > 0) {
-    // Home first: it needs no link. Then the region with the most room.
-    const auto best = std::max_element(
-        regions.begin(), regions.end(),
-        [&](const std::string& a, const std::string& b) {
-          const bool a_home = a == demand.key.entry_region;
-          const bool b_home = b == demand.key.entry_region;
-          if (a_home != b_home)
-            return b_home;
-          return FreeLoad(rooms, demand, a) < FreeLoad(rooms, demand, b);
-        });
-    const std::string region = *best;
-    regions.erase(best);
-    if (region != pool.region)
-      MoveLoad(rooms, demand, pool.region, region, remaining());
+  std::stable_sort(regions.begin(), regions.end(),
+                   [&](const std::string& a, const std::string& b) {
+                     return GoesBefore(rooms, demand, order, a, b);
+                   });
+  for (const std::string& region : regions) {
+    const PoolRoom& here = rooms.pools.at(pool);
+    if (region != pool.region && here.load > here.bound)
+      MoveLoad(rooms, demand, pool.region, region, here.load - here.bound);
   }
 }
 
-void RelievePools(Rooms& rooms) {
+void RelievePools(Rooms& rooms, const MoveOrder& order) {
+  const bool local_first = order.demands == DemandOrder::kLocalFirst;
   for (const PoolKey& pool : OverloadedPools(rooms)) {
-    // Demands from other regions leave first; they also free a link.
-    for (const bool from_home : {false, true}) {
+    for (const bool is_local : {local_first, !local_first}) {
       for (DemandRoom& demand : rooms.demands) {
         if (demand.key.service == pool.service &&
-            (demand.key.entry_region == pool.region) == from_home)
-          Relieve(rooms, demand, pool);
+            (demand.key.entry_region == pool.region) == is_local)
+          Relieve(rooms, demand, pool, order.regions);
       }
     }
   }
 }
 
+double WorkAboveBounds(const Rooms& rooms) {
+  double sum = 0;
+  for (const auto& [key, pool] : rooms.pools)
+    sum += std::max(0.0, pool.load - pool.bound);
+  return sum;
+}
+
+Rooms RelieveInBestOrder(const Rooms& rooms) {
+  Rooms best = rooms;
+  RelievePools(best, kMoveOrders[0]);
+  for (std::size_t i = 1; i < kMoveOrders.size(); ++i) {
+    // A plan that leaves nothing to move can't be improved.
+    if (WorkAboveBounds(best) <= 0)
+      break;
+    Rooms other = rooms;
+    RelievePools(other, kMoveOrders[i]);
+    if (WorkAboveBounds(other) < WorkAboveBounds(best))
+      best = std::move(other);
+  }
+  return best;
+}
+
 // Moves work that is served elsewhere back to the region of its entry VMs.
 void ReturnHome(Rooms& rooms) {
   for (DemandRoom& demand : rooms.demands) {
@@ -110,8 +141,7 @@
 ShiftPlan PlanShift(const ShiftInput& input,
                     const ShiftPlan& previous,
                     TimePoint now) {
-  Rooms rooms = MakeRooms(input, previous, now);
-  RelievePools(rooms);
+  Rooms rooms = RelieveInBestOrder(MakeRooms(input, previous, now));
   ReturnHome(rooms);
   ShiftPlan plan;
   for (const DemandRoom& demand : rooms.demands) {
--- a/Tests/LibLookup/test_block_table.cc
+++ b/Tests/LibLookup/test_block_table.cc
@@ -94,6 +94,18 @@
   return addresses;
 }
 
+// Whether the counts that divide a lost site's blocks are those of the blocks.
+bool CountsAgree(const BlockTable& table, const PlainTable& plain) {
+  std::array<std::uint64_t, kNoSite> sums{};
+  for (std::size_t site = 0; site < kNoSite; ++site) {
+    for (const std::uint32_t count : table.site_counts[site])
+      sums[site] += count;
+  }
+  for (const auto& [block, site] : plain)
+    --sums[site];
+  return std::count(sums.begin(), sums.end(), 0) == kNoSite;
+}
+
 // 36,000 blocks of equal length, 200 for each of 180 sites.
 BlockTable TableOfSites() {
   BlockTable table;
@@ -128,6 +140,7 @@
       ApplyPlain(plain, update);
       RC_ASSERT(ApplyUpdate(table, update) == UpdateOutcome::kApplied);
       RC_ASSERT(MeasureTable(table).blocks == plain.size());
+      RC_ASSERT(CountsAgree(table, plain));
       for (const ClientAddress& address : Borders(plain))
         RC_ASSERT(FindSite(table, address) == FindPlain(plain, address));
       if (version == 6)
--- a/Tests/LibShift/test_planner.cc
+++ b/Tests/LibShift/test_planner.cc
@@ -267,7 +267,7 @@
       "4%%, "
       "worst case %.1f%%\n",
       cases, 100 * done / possible, 100 * worst);
-  CHECK(done / possible > 0.9);
+  CHECK(done / possible > 0.97);
 }
 
 // Guards against ceilings that together permit more than a region can take.
