LibShift: Compute the room of regions once per demand

Cause: a plan at the size to design for took 24 to 33 ms on the one loop of the controller; the order of regions was computed within the comparison, and demands without a share in the pool were tried too.

--- a/Libraries/LibShift/planner.cc
+++ b/Libraries/LibShift/planner.cc
@@ -34,17 +34,30 @@
   return keys;
 }
 
-bool GoesBefore(const Rooms& rooms,
-                const DemandRoom& demand,
-                RegionOrder order,
-                const std::string& a,
-                const std::string& b) {
-  const std::string& home = demand.key.entry_region;
-  if (order == RegionOrder::kHomeFirst && (a == home) != (b == home))
-    return a == home;
-  const double free_a = FreeLoad(rooms, demand, a);
-  const double free_b = FreeLoad(rooms, demand, b);
-  return order == RegionOrder::kLeastRoom ? free_a < free_b : free_a > free_b;
+struct RegionRoom {
+  std::string region;
+  bool is_home = false;
+  double free = 0;
+};
+
+// The regions in the order in which `demand` tries them.
+std::vector<RegionRoom> RegionsInOrder(const Rooms& rooms,
+                                       const DemandRoom& demand,
+                                       RegionOrder order) {
+  std::vector<RegionRoom> regions;
+  regions.reserve(rooms.regions.size());
+  for (const std::string& region : rooms.regions)
+    regions.push_back({region, region == demand.key.entry_region,
+                       FreeLoad(rooms, demand, region)});
+  std::stable_sort(
+      regions.begin(), regions.end(),
+      [order](const RegionRoom& a, const RegionRoom& b) {
+        if (order == RegionOrder::kHomeFirst && a.is_home != b.is_home)
+          return a.is_home;
+        return order == RegionOrder::kLeastRoom ? a.free < b.free
+                                                : a.free > b.free;
+      });
+  return regions;
 }
 
 // Moves work of `demand` out of `pool` until the pool is within its bound or no
@@ -53,15 +66,14 @@
              DemandRoom& demand,
              const PoolKey& pool,
              RegionOrder order) {
-  std::vector<std::string> regions = rooms.regions;
-  std::stable_sort(regions.begin(), regions.end(),
-                   [&](const std::string& a, const std::string& b) {
-                     return GoesBefore(rooms, demand, order, a, b);
-                   });
-  for (const std::string& region : regions) {
-    const PoolRoom& here = rooms.pools.at(pool);
-    if (region != pool.region && here.load > here.bound)
-      MoveLoad(rooms, demand, pool.region, region, here.load - here.bound);
+  const PoolRoom& here = rooms.pools.at(pool);
+  // Most demands have no share in the pool or have moved their cap already.
+  if (demand.cap_left == 0 || here.load <= here.bound ||
+      PartsOf(demand.target, pool.region) == 0)
+    return;
+  for (const RegionRoom& room : RegionsInOrder(rooms, demand, order)) {
+    if (room.region != pool.region && here.load > here.bound)
+      MoveLoad(rooms, demand, pool.region, room.region, here.load - here.bound);
   }
 }
 
@@ -105,7 +117,8 @@
   for (DemandRoom& demand : rooms.demands) {
     const std::string& home = demand.key.entry_region;
     const auto pool = rooms.pools.find({home, demand.key.service});
-    if (pool == rooms.pools.end() || pool->second.load > pool->second.bound)
+    if (demand.cap_left == 0 || pool == rooms.pools.end() ||
+        pool->second.load >= pool->second.bound)
       continue;
     for (const std::string& region : rooms.regions) {
       if (region != home)
--- a/Libraries/LibShift/room.cc
+++ b/Libraries/LibShift/room.cc
@@ -185,7 +185,8 @@
               double load) {
   const auto to_pool = rooms.pools.find({to, demand.key.service});
   const auto from_pool = rooms.pools.find({from, demand.key.service});
-  if (to_pool == rooms.pools.end() || demand.load <= 0)
+  if (to_pool == rooms.pools.end() || demand.load <= 0 ||
+      demand.cap_left == 0 || PartsOf(demand.target, from) == 0)
     return;
   const std::uint32_t held = PartsOf(demand.held, to);
   const std::uint32_t present = PartsOf(demand.target, to);
