--- a/Libraries/LibMembership/exchange.cc
+++ b/Libraries/LibMembership/exchange.cc
@@ -32,9 +32,13 @@
 // no receiver meets a sender it cannot answer.
 constexpr Duration kIntroduction = Seconds(30);
 
-// Member updates usually reach all nodes within this time; a difference that
-// lasts longer needs a pull.
-constexpr Duration kMemberRepairDelay = Seconds(5);
+// Member updates usually reach all nodes within about 16 messages (4 s); a
+// difference that lasts longer needs a pull. An equal digest takes back half of
+// a different one: a group of nodes that all miss the same record see equal
+// digests among themselves, and must still notice that others differ.
+constexpr std::uint32_t kMemberRepairThreshold = 32;
+constexpr std::uint32_t kDifferentWeight = 2;
+constexpr std::uint32_t kEqualWeight = 1;
 constexpr Duration kMemberPullPeriod = Seconds(10);
 constexpr Duration kItemPullPeriod = Milliseconds(400);
 
@@ -119,15 +123,17 @@
 
 void CompareMembers(StepContext& context, std::size_t sender, bool equal) {
   MembershipState& state = context.state;
+  std::uint32_t& differences = state.member_differences;
   if (equal || state.joining) {
-    state.members_differ_since = kNever;
+    differences -= std::min(differences, kEqualWeight);
     return;
   }
-  if (state.members_differ_since == kNever)
-    state.members_differ_since = context.now;
-  if (context.now - state.members_differ_since < kMemberRepairDelay ||
+  differences =
+      std::min(differences + kDifferentWeight, kMemberRepairThreshold);
+  if (differences < kMemberRepairThreshold ||
       context.now < state.next_member_pull_at)
     return;
+  differences = 0;
   state.next_member_pull_at = context.now + kMemberPullPeriod;
   SendPull(context, state.members[sender].record.vm, true, false);
 }
@@ -160,7 +166,9 @@
 
 }  // namespace
 
-ExchangeMessage MakeMessage(StepContext& context, ExchangeKind kind) {
+ExchangeMessage MakeMessage(StepContext& context,
+                            ExchangeKind kind,
+                            std::size_t max_updates) {
   MembershipState& state = context.state;
   const MemberUpdate& self = state.members[0].record;
   ExchangeMessage message{.sender = self.vm.name,
@@ -168,7 +176,8 @@
                           .configuration_version = InForceVersion(state),
                           .kind = kind,
                           .digest = Digest(state)};
-  message.members = TakeUpdates(state, state.options.max_updates);
+  message.members = TakeUpdates(
+      state, max_updates > 0 ? max_updates : state.options.max_updates);
   const bool named = std::any_of(
       message.members.begin(), message.members.end(),
       [&](const MemberUpdate& u) { return u.vm.name == self.vm.name; });
@@ -209,17 +218,35 @@
 void AnswerPull(StepContext& context,
                 std::size_t sender,
                 const ExchangeMessage& pull) {
+  MembershipState& state = context.state;
   ExchangeMessage answer = MakeMessage(context, ExchangeKind::kPush);
   answer.sequence = pull.sequence;
   for (const ItemVersion& digests : pull.items) {
-    if (digests.key == kMemberDigests)
+    if (digests.key == kMemberDigests) {
       AddMembersPage(context, digests.value, answer);
-    else if (digests.key == kItemDigests)
+      answer.items.push_back({std::string(kMemberDigests), 0,
+                              FormatBuckets(state.member_buckets)});
+    } else if (digests.key == kItemDigests) {
       AddItemsPage(context, digests.value, answer);
+    }
   }
   SendToMember(context, sender, std::move(answer));
 }
 
+void ReturnMembers(StepContext& context,
+                   std::size_t sender,
+                   const ExchangeMessage& answer) {
+  for (const ItemVersion& digests : answer.items) {
+    if (digests.key != kMemberDigests)
+      continue;
+    ExchangeMessage push = MakeMessage(context, ExchangeKind::kPush);
+    push.members.clear();
+    AddMembersPage(context, digests.value, push);
+    if (!push.members.empty())
+      SendToMember(context, sender, std::move(push));
+  }
+}
+
 bool IsFullPage(const ExchangeMessage& message) {
   return message.members.size() >= kMembersPerPage;
 }
--- a/Libraries/LibMembership/exchange.h
+++ b/Libraries/LibMembership/exchange.h
@@ -9,8 +9,11 @@
 
 namespace cicadadrum {
 
-// Returns a message with this node's header, digest and pending updates.
-ExchangeMessage MakeMessage(StepContext& context, ExchangeKind kind);
+// Returns a message with this node's header, digest and up to `max_updates`
+// pending updates; options.max_updates if 0.
+ExchangeMessage MakeMessage(StepContext& context,
+                            ExchangeKind kind,
+                            std::size_t max_updates = 0);
 
 // Sends to a member of the table.
 void SendToMember(StepContext& context,
@@ -29,6 +32,12 @@
                 std::size_t sender,
                 const ExchangeMessage& pull);
 
+// Sends what the sender of an answer to a pull lacks: after its records were
+// merged, the buckets that still differ hold more here than there.
+void ReturnMembers(StepContext& context,
+                   std::size_t sender,
+                   const ExchangeMessage& answer);
+
 // Whether `message` answers a pull and could not hold everything that differs.
 bool IsFullPage(const ExchangeMessage& message);
 
--- a/Libraries/LibMembership/include/cicadadrum/membership/membership.h
+++ b/Libraries/LibMembership/include/cicadadrum/membership/membership.h
@@ -27,14 +27,16 @@
 
 struct MembershipOptions {
   Duration probe_period = Seconds(1);
-  // Several times the longest round trip between regions (110 ms).
-  Duration direct_timeout = Milliseconds(400);
-  Duration probe_timeout = Milliseconds(900);  // Direct and indirect together.
+  // Twice the longest round trip between regions (110 ms), and as much again
+  // for the two round trips of an indirect probe.
+  Duration direct_timeout = Milliseconds(250);
+  Duration probe_timeout = Milliseconds(600);  // Direct and indirect together.
   Duration suspicion_timeout = Milliseconds(1200);
-  std::size_t helpers = 3;      // Members asked for an indirect probe.
-  std::size_t push_fanout = 3;  // Peers told of a change at once.
-  std::size_t max_updates = 6;  // Member updates on a probe message.
-  std::size_t readers = 2;      // Per region.
+  std::size_t helpers = 3;         // Members asked for an indirect probe.
+  std::size_t push_fanout = 3;     // Peers told of a change at once.
+  std::size_t death_updates = 12;  // Member updates on a push of deaths.
+  std::size_t max_updates = 6;     // Member updates on a probe message.
+  std::size_t readers = 2;         // Per region.
   Duration read_period = Seconds(1);
 };
 
@@ -55,7 +57,8 @@
 };
 
 struct Suspicion {
-  bool own = false;   // Raised by a probe of this node.
+  bool own = false;  // Raised by a probe of this node.
+  TimePoint raised_at;
   TimePoint dead_at;  // When the member counts as dead unless it refutes.
   TimePoint ping_at;  // Next ping that tells the member; kNever if not `own`.
 };
@@ -89,6 +92,8 @@
   // XOR of the hashes of the live records in each bucket.
   std::array<std::uint32_t, kMemberBuckets> member_buckets{};
   std::vector<PendingUpdate> updates;
+  TimePoint death_push_at = kNever;  // When to push deaths; kNever for none.
+  TimePoint last_death_push_at{-Seconds(60)};
   std::vector<std::size_t> probe_order;  // What is left of this round.
   std::vector<Probe> probes;
   std::vector<RelayedProbe> relayed;
@@ -96,6 +101,7 @@
   std::uint64_t next_sequence = 1;
   TimePoint next_probe_at;
   TimePoint next_reconnect_at;
+  TimePoint next_tell_at;
   TimePoint last_ack_at;    // Of any probe of this node.
   TimePoint last_heard_at;  // Any message of a peer.
   bool isolated = false;
@@ -105,7 +111,9 @@
   TimePoint started_at;
   std::uint64_t join_sequence = 0;  // Of the last pull while joining.
   TimePoint next_join_at;
-  TimePoint members_differ_since = kNever;
+  // Grows with each message whose member digest differs, and shrinks with each
+  // equal one.
+  std::uint32_t member_differences = 0;
   TimePoint next_member_pull_at;
   TimePoint next_item_pull_at;
 
--- a/Libraries/LibMembership/member_table.cc
+++ b/Libraries/LibMembership/member_table.cc
@@ -20,6 +20,8 @@
 // raised it, so that a refutation that follows the suspicion arrives in time.
 constexpr int kRelayedSuspicionFactor = 3;
 
+constexpr Duration kDeathPushGap = Milliseconds(200);
+
 std::uint32_t RecordHash(const MemberUpdate& record) {
   const std::uint64_t seed =
       record.incarnation * 0x9e3779b97f4a7c15ULL + record.sequence;
@@ -50,6 +52,7 @@
   const Duration timeout = state.options.suspicion_timeout;
   state.suspicions[index] = {
       .own = own,
+      .raised_at = context.now,
       .dead_at =
           context.now + (own ? timeout : timeout * kRelayedSuspicionFactor),
       .ping_at = own ? context.now : kNever};
@@ -66,11 +69,24 @@
   } else if (IsNewer(update, mine)) {
     mine.sequence = update.sequence + 1;
   } else {
+    // The sender is behind, for example it holds an earlier process of this
+    // node for dead: the answer must carry the present record.
+    if (update != mine)
+      QueueUpdate(state, 0);
     return;
   }
   SetRecord(context, 0, mine);
 }
 
+// Pools wait for a new owner until a death is known, so deaths do not wait for
+// the next probe. The gap bounds the messages when a whole region dies.
+void ScheduleDeathPush(StepContext& context) {
+  MembershipState& state = context.state;
+  if (state.death_push_at == kNever)
+    state.death_push_at =
+        std::max(context.now, state.last_death_push_at + kDeathPushGap);
+}
+
 std::uint32_t SendLimit(const MembershipState& state) {
   // An epidemic reaches all n nodes in about log2(n) rounds; 4 more cover loss.
   return static_cast<std::uint32_t>(std::bit_width(state.members.size())) + 4;
@@ -124,6 +140,8 @@
   UpdateSuspicion(context, index, own_suspicion);
   if (IsLive(old.state) != IsLive(record.state))
     state.reader_known = false;
+  if (IsLive(old.state) && !IsLive(record.state))
+    ScheduleDeathPush(context);
   const bool restarted = old.incarnation != record.incarnation;
   if (old.state != record.state || restarted)
     context.actions.emplace_back(
--- a/Libraries/LibMembership/probing.cc
+++ b/Libraries/LibMembership/probing.cc
@@ -15,9 +15,13 @@
 // A node whose last ack is older than this many periods blames itself: its
 // messages or the acks are lost, and it must not accuse others.
 constexpr int kSelfBlamePeriods = 5;
+constexpr int kSilentPeriods = 2;
 constexpr Duration kIsolatedAfter = Seconds(5);
 constexpr Duration kReconnectPeriod = Seconds(5);
 constexpr Duration kSuspectPingPeriod = Milliseconds(400);
+
+// Bounds the exchange with a member that does not refute.
+constexpr Duration kTellPeriod = Milliseconds(200);
 constexpr Duration kRelayLifetime = Seconds(1);
 
 bool BlamesItself(const StepContext& context) {
@@ -122,12 +126,22 @@
   SendToMember(context, *index, std::move(ping));
 }
 
+void RestartSuspicion(StepContext& context, Suspicion& suspicion) {
+  suspicion.raised_at = context.now;
+  suspicion.dead_at = context.now + context.state.options.suspicion_timeout;
+}
+
 void CheckSuspicions(StepContext& context) {
   MembershipState& state = context.state;
   std::vector<std::size_t> dead;
   for (auto& [index, suspicion] : state.suspicions) {
     if (suspicion.dead_at <= context.now) {
-      dead.push_back(index);
+      // Without an ack since the suspicion began, it may be this node's own
+      // messages that are lost: it begins again.
+      if (state.last_ack_at > suspicion.raised_at)
+        dead.push_back(index);
+      else
+        RestartSuspicion(context, suspicion);
     } else if (suspicion.ping_at <= context.now) {
       suspicion.ping_at = context.now + kSuspectPingPeriod;
       PingWithRecord(context, index);
@@ -140,6 +154,20 @@
   }
 }
 
+void PushDeaths(StepContext& context) {
+  MembershipState& state = context.state;
+  if (context.now < state.death_push_at)
+    return;
+  state.death_push_at = kNever;
+  state.last_death_push_at = context.now;
+  for (const std::size_t peer :
+       RandomLiveSample(state, state.options.push_fanout)) {
+    ExchangeMessage push =
+        MakeMessage(context, ExchangeKind::kPush, state.options.death_updates);
+    SendToMember(context, peer, std::move(push));
+  }
+}
+
 // Tries one address of a member held for dead, or of a seed or listed VM that
 // is not known: this is how two sides of a healed cut meet again.
 void Reconnect(StepContext& context) {
@@ -182,7 +210,14 @@
 }
 
 void NoteAck(StepContext& context) {
-  context.state.last_ack_at = context.now;
+  MembershipState& state = context.state;
+  const Duration silence = context.now - state.last_ack_at;
+  state.last_ack_at = context.now;
+  // The suspects may have answered in vain during the silence.
+  if (silence > state.options.probe_period * kSilentPeriods) {
+    for (auto& [index, suspicion] : state.suspicions)
+      RestartSuspicion(context, suspicion);
+  }
   CheckIsolation(context);
 }
 
@@ -242,6 +277,14 @@
   SendToMember(context, *target, std::move(ping));
 }
 
+void TellDeadSender(StepContext& context, std::size_t index) {
+  MembershipState& state = context.state;
+  if (context.now < state.next_tell_at)
+    return;
+  state.next_tell_at = context.now + kTellPeriod;
+  PingWithRecord(context, index);
+}
+
 void PingWithRecord(StepContext& context, std::size_t index) {
   ExchangeMessage ping = MakeMessage(context, ExchangeKind::kPing);
   ping.sequence = context.state.next_sequence++;
@@ -255,6 +298,7 @@
   CheckProbes(context);
   CheckSuspicions(context);
   CheckIsolation(context);
+  PushDeaths(context);
   if (context.state.leaving)
     return;
   StartProbe(context);
@@ -262,7 +306,7 @@
 }
 
 TimePoint NextProbingTime(const MembershipState& state) {
-  TimePoint next = kNever;
+  TimePoint next = state.death_push_at;
   for (const Probe& probe : state.probes)
     next = std::min({next, probe.indirect_at, probe.fail_at});
   for (const auto& [index, suspicion] : state.suspicions)
--- a/Libraries/LibMembership/probing.h
+++ b/Libraries/LibMembership/probing.h
@@ -21,6 +21,9 @@
 // held for suspect or dead can refute it.
 void PingWithRecord(StepContext& context, std::size_t index);
 
+// Tells a member that is held for dead and sent a message, at a bounded rate.
+void TellDeadSender(StepContext& context, std::size_t index);
+
 void RunProbing(StepContext& context);
 
 // Returns when RunProbing has something to do.
--- a/Libraries/LibMembership/step.cc
+++ b/Libraries/LibMembership/step.cc
@@ -41,7 +41,9 @@
 }
 
 // An answer to a pull repeats its sequence; other pushes have none.
-void OnPullAnswer(StepContext& context, const ExchangeMessage& message) {
+void OnPullAnswer(StepContext& context,
+                  std::size_t sender,
+                  const ExchangeMessage& message) {
   MembershipState& state = context.state;
   if (message.kind != ExchangeKind::kPush || message.sequence == 0)
     return;
@@ -49,6 +51,8 @@
   if (full)
     state.next_member_pull_at =
         std::min(state.next_member_pull_at, context.now + Seconds(1));
+  else if (!state.joining)
+    ReturnMembers(context, sender, message);
   if (!state.joining || message.sequence != state.join_sequence)
     return;
   state.joining = full;
@@ -74,12 +78,12 @@
     for (const ItemVersion& item : message.items)
       ApplyItem(context, item, message.sender);
   }
-  OnPullAnswer(context, message);
+  OnPullAnswer(context, *sender, message);
   DispatchMessage(context, *sender, message);
   CompareDigests(context, *sender, message);
   if (message.kind != ExchangeKind::kPing &&
       state.members[*sender].record.state == MemberState::kDead)
-    PingWithRecord(context, *sender);
+    TellDeadSender(context, *sender);
 }
 
 void OnLeave(StepContext& context) {
