LibMembership: Repair member tables with a filter of the records held

Cause: a pull told one digest per bucket, so an answer of 64 records held mostly known ones, joining nodes kept asking the few seeds, records learnt in bulk filled the queue of pending updates, and an early answer with little delayed the next pull by 10 s. Change: a pull carries a Bloom filter of the records held (9 bits per record), members are asked instead of seeds once 8 are known, records learnt in bulk are not passed on, and the time between pulls starts at 200 ms and doubles to 10 s while they bring little.

--- a/Libraries/LibMembership/exchange.cc
+++ b/Libraries/LibMembership/exchange.cc
@@ -1,8 +1,8 @@
 // Messages to peers, and the repair of differences by bucket digests.
 //
 // A probe message carries one digest. Only when it differs does a node send a
-// pull with a digest per bucket; the answer holds the records and items of the
-// buckets that differ, in pages.
+// pull, with a filter of its member records or a digest per bucket of items;
+// the answer holds what the filter or the digests lack, in pages.
 
 #include "exchange.h"
 
@@ -16,13 +16,15 @@
 #include "cicadadrum/base/hash.h"
 #include "items.h"
 #include "member_table.h"
+#include "record_filter.h"
 
 namespace cicadadrum {
 
 namespace {
 
-// Keys of the bucket digests in a pull. No item key begins with '#'.
-constexpr std::string_view kMemberDigests = "#members";
+// Keys of the filter of members and the bucket digests of items in a pull. No
+// item key begins with '#'.
+constexpr std::string_view kMemberFilter = "#members";
 constexpr std::string_view kItemDigests = "#items";
 
 constexpr std::size_t kMembersPerPage = 64;  // About 9 KB.
@@ -40,7 +42,12 @@
 constexpr std::uint32_t kMemberRepairThreshold = 32;
 constexpr std::uint32_t kDifferentWeight = 2;
 constexpr std::uint32_t kEqualWeight = 1;
-constexpr Duration kMemberPullPeriod = Seconds(10);
+
+// A pull that brings little doubles the time to the next one, from
+// kFastPullPeriod.
+constexpr Duration kSlowPullPeriod = Seconds(10);
+
+constexpr Duration kPagePeriod = Milliseconds(100);
 constexpr Duration kItemPullPeriod = Milliseconds(400);
 
 std::string FormatBuckets(std::span<const std::uint32_t> buckets) {
@@ -78,8 +85,7 @@
         buckets.begin(), buckets.end(), std::uint32_t{0},
         [](std::uint32_t a, std::uint32_t b) { return a ^ b; });
   };
-  return (std::uint64_t{fold(state.item_buckets)} << 32) |
-         fold(state.member_buckets);
+  return (std::uint64_t{fold(state.item_buckets)} << 32) | state.member_digest;
 }
 
 // A receiver that does not know the sender has no address to answer to.
@@ -93,16 +99,15 @@
 }
 
 void AddMembersPage(StepContext& context,
-                    std::string_view digests,
+                    const ItemVersion& filter,
                     ExchangeMessage& answer) {
   MembershipState& state = context.state;
-  const auto differing = Differing(state.member_buckets, digests);
   const std::size_t size = state.members.size();
-  // A random start lets repeated pulls see all of a long list.
+  // A random start keeps pages of several peers from being the same.
   const std::size_t start = RandomBelow(state.random, size);
   for (std::size_t k = 0; k < size; ++k) {
     const Member& member = state.members[(start + k) % size];
-    if (!differing[MemberBucket(member.record.vm.name)])
+    if (IsInFilter(filter.value, filter.version, member.record))
       continue;
     answer.members.push_back(WireRecord(member));
     if (answer.members.size() >= kMembersPerPage)
@@ -144,8 +149,12 @@
   if (differences < kMemberRepairThreshold ||
       context.now < state.next_member_pull_at)
     return;
-  differences = 0;
-  state.next_member_pull_at = context.now + kMemberPullPeriod;
+  // A new process goes on without waiting for more differences.
+  if (context.now - state.started_at >= kIntroduction)
+    differences = 0;
+  state.next_member_pull_at = context.now + state.member_pull_period;
+  state.member_pull_period =
+      std::min(state.member_pull_period * 2, kSlowPullPeriod);
   SendPull(context, state.members[sender].record.vm, true, false);
 }
 
@@ -164,8 +173,11 @@
 }
 
 const EntryVm* JoinTarget(MembershipState& state) {
+  // Few known members may be as new as this one; with more, the seeds are left
+  // alone, because all nodes have the same ones.
+  const bool many = state.members.size() > kManyRecords;
   if (const std::optional<std::size_t> index = RandomLive(state);
-      index && state.next_sequence % 2 == 0)
+      index && (many || state.next_sequence % 2 == 0))
     return &state.members[*index].record.vm;
   const std::vector<EntryVm>& seeds =
       state.seeds.empty() ? state.platform_entries : state.seeds;
@@ -215,8 +227,8 @@
   pull.sequence = state.next_sequence++;
   pull.members = {WireRecord(state.members[0])};
   if (members)
-    pull.items.push_back(
-        {std::string(kMemberDigests), 0, FormatBuckets(state.member_buckets)});
+    pull.items.push_back({std::string(kMemberFilter), pull.sequence,
+                          MakeRecordFilter(state, pull.sequence)});
   if (items)
     pull.items.push_back(
         {std::string(kItemDigests), 0, FormatBuckets(state.item_buckets)});
@@ -232,34 +244,40 @@
   MembershipState& state = context.state;
   ExchangeMessage answer = MakeMessage(context, ExchangeKind::kPush);
   answer.sequence = pull.sequence;
+  bool asks_members = false;
   for (const ItemVersion& digests : pull.items) {
-    if (digests.key == kMemberDigests) {
-      AddMembersPage(context, digests.value, answer);
-      answer.items.push_back({std::string(kMemberDigests), 0,
-                              FormatBuckets(state.member_buckets)});
+    if (digests.key == kMemberFilter) {
+      asks_members = true;
+      AddMembersPage(context, digests, answer);
     } else if (digests.key == kItemDigests) {
       AddItemsPage(context, digests.value, answer);
     }
   }
   SendToMember(context, sender, std::move(answer));
+  // A pull of members tells of a difference that lasts, and only one side may
+  // see it often: this side asks as well.
+  if (asks_members && !state.joining)
+    state.member_differences = kMemberRepairThreshold;
 }
 
-void ReturnMembers(StepContext& context,
-                   std::size_t sender,
-                   const ExchangeMessage& answer) {
-  for (const ItemVersion& digests : answer.items) {
-    if (digests.key != kMemberDigests)
-      continue;
-    ExchangeMessage push = MakeMessage(context, ExchangeKind::kPush);
-    push.members.clear();
-    AddMembersPage(context, digests.value, push);
-    if (!push.members.empty())
-      SendToMember(context, sender, std::move(push));
+void OnPullAnswer(StepContext& context,
+                  const ExchangeMessage& answer,
+                  std::size_t changed) {
+  MembershipState& state = context.state;
+  const bool productive = changed >= kManyRecords;
+  if (state.joining && answer.sequence == state.join_sequence) {
+    state.joining = productive;
+    state.next_join_at = context.now + kPagePeriod;
+    // The next message with another digest starts a repair.
+    state.member_differences = kMemberRepairThreshold;
+    return;
+  }
+  if (productive) {
+    state.member_pull_period = kFastPullPeriod;
+    state.next_member_pull_at =
+        std::min(state.next_member_pull_at, context.now + kFastPullPeriod);
+    state.member_differences = kMemberRepairThreshold;
   }
-}
-
-bool IsFullPage(const ExchangeMessage& message) {
-  return message.members.size() >= kMembersPerPage;
 }
 
 void CompareDigests(StepContext& context,
--- a/Libraries/LibMembership/exchange.h
+++ b/Libraries/LibMembership/exchange.h
@@ -9,6 +9,10 @@
 
 namespace cicadadrum {
 
+// A table that this many records of one page were missing from is repaired
+// without waiting.
+constexpr std::size_t kManyRecords = 8;
+
 // Returns a message with this node's header, digest and up to `max_updates`
 // pending updates; options.max_updates if 0.
 ExchangeMessage MakeMessage(StepContext& context,
@@ -20,7 +24,7 @@
                   std::size_t index,
                   ExchangeMessage message);
 
-// Sends a pull with this node's bucket digests and its own record; returns the
+// Sends a pull with what this node holds and its own record; returns the
 // sequence that the answer repeats.
 std::uint64_t SendPull(StepContext& context,
                        const EntryVm& to,
@@ -32,14 +36,11 @@
                 std::size_t sender,
                 const ExchangeMessage& pull);
 
-// Sends what the sender of an answer to a pull lacks: after its records were
-// merged, the buckets that still differ hold more here than there.
-void ReturnMembers(StepContext& context,
-                   std::size_t sender,
-                   const ExchangeMessage& answer);
-
-// Whether `message` answers a pull and could not hold everything that differs.
-bool IsFullPage(const ExchangeMessage& message);
+// Continues after an answer to a pull whose records were merged; `changed` of
+// them were new here.
+void OnPullAnswer(StepContext& context,
+                  const ExchangeMessage& answer,
+                  std::size_t changed);
 
 // Compares the digests of a peer with this node's and pulls what differs.
 void CompareDigests(StepContext& context,
--- a/Libraries/LibMembership/include/cicadadrum/membership/membership.h
+++ b/Libraries/LibMembership/include/cicadadrum/membership/membership.h
@@ -77,7 +77,9 @@
   TimePoint retry_at;
 };
 
-constexpr std::size_t kMemberBuckets = 64;
+// Shortest time between pulls of member records.
+constexpr Duration kFastPullPeriod = Milliseconds(200);
+
 constexpr std::size_t kItemBuckets = 16;
 
 struct MembershipState {
@@ -89,8 +91,7 @@
   // members[0] is this node.
   std::vector<Member> members;
   std::unordered_map<std::string, std::size_t> index_of;  // By name.
-  // XOR of the hashes of the live records in each bucket.
-  std::array<std::uint32_t, kMemberBuckets> member_buckets{};
+  std::uint32_t member_digest = 0;  // XOR of the hashes of live records.
   std::vector<PendingUpdate> updates;
   // When to push deaths and refutations; kNever for none.
   TimePoint urgent_push_at = kNever;
@@ -116,6 +117,7 @@
   // equal one.
   std::uint32_t member_differences = 0;
   TimePoint next_member_pull_at;
+  Duration member_pull_period = kFastPullPeriod;
   TimePoint next_item_pull_at;
 
   std::map<std::string, HeldItem> items;
--- a/Libraries/LibMembership/member_table.cc
+++ b/Libraries/LibMembership/member_table.cc
@@ -22,7 +22,7 @@
 
 constexpr Duration kUrgentPushGap = Milliseconds(200);
 
-std::uint32_t RecordHash(const MemberUpdate& record) {
+std::uint32_t DigestHash(const MemberUpdate& record) {
   const std::uint64_t seed =
       record.incarnation * 0x9e3779b97f4a7c15ULL + record.sequence;
   return static_cast<std::uint32_t>(HashBytes(record.vm.name, seed));
@@ -30,7 +30,7 @@
 
 void ToggleInDigest(MembershipState& state, const MemberUpdate& record) {
   if (IsLive(record.state))
-    state.member_buckets[MemberBucket(record.vm.name)] ^= RecordHash(record);
+    state.member_digest ^= DigestHash(record);
 }
 
 void QueueUpdate(MembershipState& state, std::size_t index) {
@@ -116,8 +116,12 @@
   return found->second;
 }
 
-std::size_t MemberBucket(std::string_view name) {
-  return HashBytes(name) % kMemberBuckets;
+std::uint64_t RecordHash(const MemberUpdate& record, std::uint64_t salt) {
+  const std::uint64_t version = (std::uint64_t{record.sequence} << 2) |
+                                static_cast<unsigned>(record.state);
+  return HashBytes(
+      record.vm.name,
+      salt ^ (record.incarnation * 0x9e3779b97f4a7c15ULL + version));
 }
 
 std::size_t AddMember(StepContext& context, const MemberUpdate& record) {
--- a/Libraries/LibMembership/member_table.h
+++ b/Libraries/LibMembership/member_table.h
@@ -15,8 +15,8 @@
 std::optional<std::size_t> FindIndex(const MembershipState& state,
                                      std::string_view name);
 
-// Bucket of a member's name in member_buckets.
-std::size_t MemberBucket(std::string_view name);
+// Returns a hash of what the record says, for RecordFilter.
+std::uint64_t RecordHash(const MemberUpdate& record, std::uint64_t salt);
 
 // Adds `record` to the table; its name must be new.
 std::size_t AddMember(StepContext& context, const MemberUpdate& record);
--- a/Libraries/LibMembership/step.cc
+++ b/Libraries/LibMembership/step.cc
@@ -41,30 +41,36 @@
 }
 
 // An answer to a pull repeats its sequence; other pushes have none.
-void OnPullAnswer(StepContext& context,
-                  std::size_t sender,
-                  const ExchangeMessage& message) {
+bool IsPullAnswer(const ExchangeMessage& message) {
+  return message.kind == ExchangeKind::kPush && message.sequence != 0;
+}
+
+// Returns how many records were new. A page of records that were new only here
+// is not passed on: others repair their tables by pulls as well, and hundreds
+// of pending updates would delay the fresh ones.
+std::size_t ApplyUpdates(StepContext& context, const ExchangeMessage& message) {
   MembershipState& state = context.state;
-  if (message.kind != ExchangeKind::kPush || message.sequence == 0)
-    return;
-  const bool full = IsFullPage(message);
-  if (full)
-    state.next_member_pull_at =
-        std::min(state.next_member_pull_at, context.now + Seconds(1));
-  else if (!state.joining)
-    ReturnMembers(context, sender, message);
-  if (!state.joining || message.sequence != state.join_sequence)
-    return;
-  state.joining = full;
-  state.next_join_at = context.now;
+  const std::size_t queued = state.updates.size();
+  std::size_t changed = 0;
+  for (const MemberUpdate& update : message.members)
+    changed += ApplyUpdate(context, update) ? 1 : 0;
+  if (IsPullAnswer(message) && changed >= kManyRecords) {
+    const auto first =
+        state.updates.begin() + static_cast<std::ptrdiff_t>(queued);
+    // An update of this node itself stays: it refutes something.
+    const auto last = std::remove_if(
+        first, state.updates.end(),
+        [](const PendingUpdate& update) { return update.member != 0; });
+    state.updates.erase(last, state.updates.end());
+  }
+  return changed;
 }
 
 void OnMessage(StepContext& context, const ExchangeMessage& message) {
   MembershipState& state = context.state;
   if (message.sender == state.members[0].record.vm.name)
     return;
-  for (const MemberUpdate& update : message.members)
-    ApplyUpdate(context, update);
+  const std::size_t changed = ApplyUpdates(context, message);
   RaiseFloor(context, message.configuration_version);
   const std::optional<std::size_t> sender = FindIndex(state, message.sender);
   // A message of an earlier process of the sender, or of an unknown sender:
@@ -78,7 +84,8 @@
     for (const ItemVersion& item : message.items)
       ApplyItem(context, item, message.sender);
   }
-  OnPullAnswer(context, *sender, message);
+  if (IsPullAnswer(message))
+    OnPullAnswer(context, message, changed);
   DispatchMessage(context, *sender, message);
   CompareDigests(context, *sender, message);
   if (message.kind != ExchangeKind::kPing &&
