--- a/Libraries/LibMembership/include/cicadadrum/membership/membership.h
+++ b/Libraries/LibMembership/include/cicadadrum/membership/membership.h
@@ -32,7 +32,9 @@
   Duration direct_timeout = Milliseconds(250);
   Duration probe_timeout = Milliseconds(600);  // Direct and indirect together.
   Duration suspicion_timeout = Milliseconds(1200);
-  std::size_t helpers = 3;          // Members asked for an indirect probe.
+  // Members asked for an indirect probe. At 2% loss, 3 left 165 false suspicions
+  // per hour at 1,600 nodes; the requests cost only when a probe fails.
+  std::size_t helpers = 5;
   std::size_t push_fanout = 3;      // Peers told of a change at once.
   std::size_t urgent_updates = 12;  // On a push of deaths and refutations.
   std::size_t max_updates = 6;      // Member updates on a probe message.
