--- a/Tests/LibSteering/test_pool.cc
+++ b/Tests/LibSteering/test_pool.cc
@@ -108,6 +108,16 @@
     CHECK(count <= 3);
 }
 
+// Guards against a bulk part that takes the slots that short work leaves.
+TEST_CASE("bulk does not take the last two free slots of a server") {
+  PoolFixture fixture(2, 5);
+  for (int i = 0; i < 6; ++i)
+    fixture.Request(fixture.Ask(RequestClass::kRoutine));
+  CHECK(Grants(fixture.Request(fixture.Ask(RequestClass::kBulk))).empty());
+  CHECK(Grants(fixture.Request(fixture.Ask(RequestClass::kRoutine))).size() ==
+        1);
+}
+
 // Guards against one customer's burst shutting out the others.
 TEST_CASE("a customer with one request overtakes another one's burst") {
   PoolFixture fixture(1, 1);
@@ -273,6 +283,20 @@
     const auto bad = Grants(
         fixture.Request(fixture.Ask(RequestClass::kRoutine, "c", kCrasher)));
     REQUIRE(bad.size() == 1);
+    // The innocent request runs on all servers, also on the one that crashes.
+    std::vector<SlotGrant> innocent;
+    std::uint64_t beside = 0;
+    while (beside == 0) {
+      innocent.push_back(Grants(fixture.Request(fixture.Ask(
+                                    RequestClass::kRoutine, "c", kInnocent)))
+                             .at(0));
+      if (innocent.back().server == bad[0].server)
+        beside = innocent.back().lease;
+    }
+    for (const SlotGrant& grant : innocent) {
+      if (grant.lease != beside)
+        fixture.Return(grant.lease);
+    }
     // A second one waits, because suspects run one at a time.
     const SlotAsk second = fixture.Ask(RequestClass::kRoutine, "c", kCrasher);
     if (crash > 0)
@@ -282,15 +306,17 @@
     actions = fixture.Return(bad[0].lease, AttemptOutcome::kConnectionLost);
     for (const PoolAction& action : actions)
       blocked = blocked || std::holds_alternative<FingerprintBlocked>(action);
+    fixture.Return(beside, AttemptOutcome::kConnectionLost);
+    CHECK(fixture.pool.suspects.contains(kInnocent));
     const auto good = Grants(
         fixture.Request(fixture.Ask(RequestClass::kRoutine, "c", kInnocent)));
     fixture.Return(good.at(0).lease);
+    CHECK(!fixture.pool.suspects.contains(kInnocent));
   }
   CHECK(blocked);
   CHECK(Refusal(fixture.Request(
             fixture.Ask(RequestClass::kRoutine, "c", kCrasher))) ==
         RefusalReason::kBlocked);
-  CHECK(!fixture.pool.suspects.contains(kInnocent));
 }
 
 // Guards against two owners granting twice the slots of a server.
--- a/Tests/LibSteering/test_step.cc
+++ b/Tests/LibSteering/test_step.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "cicadadrum/steering/entry_state.h"
 
 namespace cicadadrum {
@@ -112,4 +114,100 @@
   }
 }
 
+// Guards against an urgent request waiting for a slow server, against hedges
+// beyond their budget, and against the loser running on.
+TEST_CASE("a late urgent request is hedged within the budget") {
+  Fixture fixture;
+  std::uint64_t id = 1;
+  for (; id <= 40; ++id) {
+    fixture.Arrive(id, RequestClass::kUrgent);
+    fixture.now += Milliseconds(10);
+    fixture.Run(BackendAnswered{id, 1, AttemptOutcome::kAnswered, {}});
+  }
+  const std::uint64_t late = id++;
+  const Actions first = fixture.Arrive(late, RequestClass::kUrgent);
+  fixture.now += Milliseconds(60);
+  const Actions hedged = fixture.Run(TimerExpired{});
+  const auto* second = FindAction<SendToBackend>(hedged);
+  REQUIRE(second != nullptr);
+  CHECK(second->attempt == 2);
+  CHECK(second->server != FindAction<SendToBackend>(first)->server);
+  const Actions answered =
+      fixture.Run(BackendAnswered{late, 2, AttemptOutcome::kAnswered, {}});
+  REQUIRE(FindAction<CancelAtBackend>(answered) != nullptr);
+  CHECK(FindAction<CancelAtBackend>(answered)->attempt == 1);
+  // 42 requests earned two hedges and one is spent.
+  for (int i = 0; i < 3; ++i)
+    fixture.Arrive(id++, RequestClass::kUrgent);
+  fixture.now += Milliseconds(30);
+  const Actions actions = fixture.Run(TimerExpired{});
+  CHECK(std::count_if(actions.begin(), actions.end(), [](const Action& action) {
+          return std::holds_alternative<SendToBackend>(action);
+        }) == 1);
+}
+
+// Guards against retries that add to an overload (8: refusals for lack of
+// capacity shrink the budget).
+TEST_CASE("refusals shrink the retry budget") {
+  Fixture fixture;
+  std::vector<BackendServer> servers = fixture.state.servers;
+  fixture.Arrive(1, RequestClass::kUrgent);
+  const double earned = fixture.state.retry_budget.tokens;
+  for (BackendServer& server : servers)
+    server.leaving = true;
+  fixture.Run(ServersChanged{servers});
+  for (std::uint64_t id = 2; id < 200; ++id)
+    fixture.Arrive(id, RequestClass::kUrgent);
+  const double before = fixture.state.retry_budget.tokens;
+  fixture.Arrive(200, RequestClass::kUrgent);
+  CHECK(fixture.state.retry_budget.tokens - before < earned / 10);
+}
+
+// Guards against a request that crashed servers elsewhere running here, and
+// against an older item undoing a newer one.
+TEST_CASE("a blocked fingerprint is refused until a newer item allows it") {
+  Fixture fixture;
+  const auto answer = [&fixture](std::uint64_t id) {
+    return fixture.Run(RequestArrived{.request = id,
+                                      .customer = "roads",
+                                      .service = "status-board",
+                                      .request_class = RequestClass::kUrgent,
+                                      .fingerprint = 9,
+                                      .deadline = fixture.now + Seconds(1)});
+  };
+  fixture.Run(BlockedItemsReceived{{{.fingerprint = 9, .version = 2}}});
+  fixture.Run(BlockedItemsReceived{{{9, 1, false}}});
+  const Actions refused = answer(1);
+  REQUIRE(FindAction<AnswerCaller>(refused) != nullptr);
+  CHECK(FindAction<AnswerCaller>(refused)->reason == RefusalReason::kBlocked);
+  CHECK(FindAction<AnswerCaller>(refused)->verdict == Verdict::kNotRun);
+  CHECK(ExportBlockedItems(fixture.state) ==
+        std::vector<BlockedItem>{{9, 2, true}});
+  fixture.Run(BlockedItemsReceived{{{9, 3, false}}});
+  CHECK(FindAction<SendToBackend>(answer(2)) != nullptr);
+}
+
+// Guards against a new owner that never learns of the leases that are held.
+TEST_CASE("a new owner asks for leases and an entry VM reports its own") {
+  Fixture fixture;
+  fixture.Run(MembersChanged{
+      {fixture.state.self, {.name = "entry-2", .region = "cusco"}}});
+  const Actions arrived = fixture.Arrive(1, RequestClass::kUrgent);
+  const PoolKey pool{"cusco", "status-board"};
+  if (PoolOwner(fixture.state, pool) == "entry-1") {
+    REQUIRE(FindAction<AskForLeases>(arrived) != nullptr);
+    CHECK(FindAction<AskForLeases>(arrived)->entries ==
+          std::vector<std::string>{"entry-2"});
+  }
+  if (FindAction<SendToBackend>(arrived) == nullptr)
+    fixture.Run(SlotGranted{1, 1, 77, "sb-1", "127.0.0.1:1"});
+  const Actions reported = fixture.Run(PeerAskedLeases{pool, "entry-2"});
+  REQUIRE(FindAction<ReportLeases>(reported) != nullptr);
+  CHECK(FindAction<ReportLeases>(reported)->leases.size() == 1);
+  const Actions ended =
+      fixture.Run(BackendAnswered{1, 1, AttemptOutcome::kAnswered, {}});
+  REQUIRE(FindAction<ReturnToPoolOwner>(ended) != nullptr);
+  CHECK(FindAction<ReturnToPoolOwner>(ended)->owner == "entry-2");
+}
+
 }  // namespace cicadadrum
