LibMembership: Test that a mark outlives the entry VM that accepted it

A mark accepted while the table is down is written by the readers when its acceptor has died; no test showed it. The public header is formatted and states the times of a probe.

--- a/Libraries/LibMembership/include/cicadadrum/membership/membership.h
+++ b/Libraries/LibMembership/include/cicadadrum/membership/membership.h
@@ -27,13 +27,14 @@
 
 struct MembershipOptions {
   Duration probe_period = Seconds(1);
-  // Twice the longest round trip between regions (110 ms), and as much again
-  // for the two round trips of an indirect probe.
+  // Twice the longest round trip between regions (110 ms), then 350 ms for the
+  // two round trips of an indirect probe.
   Duration direct_timeout = Milliseconds(250);
   Duration probe_timeout = Milliseconds(600);  // Direct and indirect together.
   Duration suspicion_timeout = Milliseconds(1200);
-  // Members asked for an indirect probe. At 2% loss, 3 left 165 false suspicions
-  // per hour at 1,600 nodes; the requests cost only when a probe fails.
+  // Members asked for an indirect probe. At 2% loss, 3 left 165 false
+  // suspicions per hour at 1,600 nodes; the requests cost only when a probe
+  // fails.
   std::size_t helpers = 5;
   std::size_t push_fanout = 3;      // Peers told of a change at once.
   std::size_t urgent_updates = 12;  // On a push of deaths and refutations.
--- a/Tests/LibMembership/test_membership.cc
+++ b/Tests/LibMembership/test_membership.cc
@@ -119,6 +119,24 @@
   CHECK(fleet.counters.reversions == 0);
 }
 
+// Guards against a mark getting lost with the entry VM that accepted it before
+// the table could record it (I6).
+TEST_CASE("a mark reaches the table although its acceptor died") {
+  Fleet fleet = SettledFleet();
+  fleet.store.up = false;
+  DeliverEvent(fleet, 5, LocalChange{{"leaving/sb-7", 3, "leaving"}, {}});
+  RunFleet(fleet, Seconds(5));
+  CHECK(ItemsAgree(fleet));
+  CrashNode(fleet, 5);
+  RunFleet(fleet, Seconds(60));
+  CHECK(fleet.store.marks.empty());
+  fleet.store.up = true;
+  RunFleet(fleet, Seconds(12));
+  REQUIRE(fleet.store.marks.contains("leaving/sb-7"));
+  CHECK(fleet.store.marks.at("leaving/sb-7").version == 3);
+  CHECK(ItemsAgree(fleet));
+}
+
 // Guards against a planned restart of every entry VM losing the version, while
 // the store is down.
 TEST_CASE("a rolling restart during a store outage keeps the version") {
