--- a/Libraries/LibSteering/include/cicadadrum/steering/pool.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/pool.h
@@ -219,7 +219,10 @@
 
 struct Pool {
   PoolKey key;
-  std::vector<PoolServer> servers;                    // Positions don't change.
+  // Positions don't change.
+  // FIXME: The position of a server that was removed is not used again, so the
+  // vector grows with each new server until the owner changes.
+  std::vector<PoolServer> servers;
   std::map<std::string, std::uint32_t> server_index;  // By name.
   std::set<ServerRank> free_servers;  // Have a free slot for short work.
   std::set<ServerRank> free_servers_for_bulk;
@@ -235,7 +238,9 @@
   std::array<ClassQueue, kRequestClassCount> queues;  // One per class.
   std::deque<std::uint64_t> suspect_asks;             // May name removed asks.
   std::uint32_t suspects_running = 0;                 // Invariant: at most 1.
-  std::map<std::uint64_t, CrashSuspect> suspects;     // By fingerprint.
+  // By fingerprint.
+  // FIXME: A suspect that never comes back stays until the owner changes.
+  std::map<std::uint64_t, CrashSuspect> suspects;
   std::map<std::string, CustomerUse> customers;
   std::array<Duration, kRequestClassCount> usual{};  // Median latency; 0 if
                                                      // unknown.
