--- a/Libraries/LibEntry/entry_core.cc
+++ b/Libraries/LibEntry/entry_core.cc
@@ -89,7 +89,7 @@
              std::function<void(const ForwardedAnswer&)> respond) {
         TakeForwarded(sender, request, std::move(respond));
       };
-  BOOST_LEAF_CHECK(peers_.Listen(std::move(handlers)));
+  BOOST_LEAF_CHECK(peers_.Listen(handlers));
   platform_.SetObserver([this](bool up) { Dispatch(TableChanged{up}); });
   fleet_.Start();
   PollServers();
@@ -209,7 +209,13 @@
 }
 
 void EntryCore::Perform(const AskPoolOwner& action) {
-  peers_.AskForSlot(action, [this](const Event& event) { Dispatch(event); });
+  const TimePoint asked_at = loop_.Now();
+  peers_.AskForSlot(action, [this, action, asked_at](const Event& event) {
+    const auto held = held_.find(action.request);
+    if (held != held_.end())
+      EndHop(held->second, "slot request", asked_at, action.owner);
+    Dispatch(event);
+  });
 }
 
 void EntryCore::Perform(const CancelAtPoolOwner& action) {
@@ -252,10 +258,12 @@
                                FormatTraceparent(found->second.context));
   backends_.Send(
       action, request,
-      [this, action](AttemptOutcome outcome, HttpResponse response) {
+      [this, action, sent_at = loop_.Now()](AttemptOutcome outcome,
+                                            HttpResponse response) {
         const auto held = held_.find(action.request);
         if (held == held_.end())
           return;
+        EndHop(held->second, "backend attempt", sent_at, action.server);
         const bool whole = VerdictOf(outcome) == Verdict::kRan ||
                            outcome == AttemptOutcome::kShed;
         if (!whole)
@@ -327,6 +335,20 @@
   return next == nullptr ? "" : next->caller_address;
 }
 
+void EntryCore::EndHop(const HeldRequest& held,
+                       const std::string& name,
+                       TimePoint began,
+                       const std::string& peer) {
+  Span span{.context = ChildContext(held.context, random_),
+            .parent_span = held.context.span,
+            .name = name};
+  span.duration_microseconds = (loop_.Now() - began).count();
+  span.start_unix_microseconds =
+      UnixMicroseconds() - span.duration_microseconds;
+  span.attributes = {{"entry", settings_.self.name}, {"peer", peer}};
+  spans_.Write(span);
+}
+
 void EntryCore::EndSpan(const HeldRequest& held, const AnswerCaller& answer) {
   Span span{.context = held.context,
             .parent_span = held.parent ? held.parent->span : 0,
--- a/Libraries/LibEntry/entry_core.h
+++ b/Libraries/LibEntry/entry_core.h
@@ -88,6 +88,11 @@
   std::vector<BackendServer> OwnedServers() const;
   std::string PeerAddress(const std::string& entry) const;
   std::string NextEntryAddress() const;
+  // Writes the span of one hop, which ends now.
+  void EndHop(const HeldRequest& held,
+              const std::string& name,
+              TimePoint began,
+              const std::string& peer);
   void EndSpan(const HeldRequest& held, const AnswerCaller& answer);
   HttpResponse MakeResponse(HeldRequest& held, const AnswerCaller& answer);
 
--- a/Libraries/LibEntry/entry_server.cc
+++ b/Libraries/LibEntry/entry_server.cc
@@ -3,6 +3,7 @@
 #include "cicadadrum/entry/entry_server.h"
 
 #include <capnp/message.h>
+#include <sys/resource.h>
 
 #include "caller_protocol.h"
 #include "cicadadrum/base/hash.h"
@@ -68,6 +69,7 @@
   void HandleClose(std::uint64_t id);
   HttpResponse Lookup(const HttpRequest& request);
   HttpResponse Status();
+  HttpResponse RenderMetrics();
   void ChangeMark(std::uint64_t id, const HttpRequest& request);
 };
 
@@ -88,9 +90,7 @@
   if (request.path == "/v1/status")
     return server.Respond(id, Status());
   if (request.path == "/metrics")
-    return server.Respond(
-        id, {.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
-             .body = core.metrics().Render()});
+    return server.Respond(id, RenderMetrics());
   if (request.path == "/healthz")
     return server.Respond(id, {.body = "ok\n"});
   if (request.path == "/readyz") {
@@ -165,6 +165,32 @@
       });
 }
 
+HttpResponse EntryServer::Impl::RenderMetrics() {
+  const EntryState& state = core.state();
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec) / 1e6;
+  };
+  Metrics& metrics = core.metrics();
+  metrics.SetGauge("process_cpu_seconds", "",
+                   seconds(usage.ru_utime) + seconds(usage.ru_stime));
+  metrics.SetGauge("process_max_resident_bytes", "",
+                   static_cast<double>(usage.ru_maxrss) * 1024);
+  metrics.SetGauge("cicadadrum_configuration_version", "",
+                   static_cast<double>(state.configuration.version));
+  metrics.SetGauge("cicadadrum_live_entries", "",
+                   static_cast<double>(state.live.size()));
+  metrics.SetGauge("cicadadrum_requests_in_progress", "",
+                   static_cast<double>(state.requests.size()));
+  metrics.SetGauge("cicadadrum_ready", "", IsReady(state) ? 1 : 0);
+  metrics.SetGauge("cicadadrum_http_malformed", "",
+                   static_cast<double>(server.counters().malformed));
+  return {.headers = {{"Content-Type", "text/plain; version=0.0.4"}},
+          .body = metrics.Render()};
+}
+
 HttpResponse EntryServer::Impl::Status() {
   const EntryState& state = core.state();
   capnp::MallocMessageBuilder message;
--- a/Libraries/LibEntry/fleet_link.cc
+++ b/Libraries/LibEntry/fleet_link.cc
@@ -98,7 +98,7 @@
 void FleetLink::ChangeMark(
     const std::string& server,
     bool leaving,
-    std::function<void(std::uint64_t sequence, bool recorded)> done) {
+    const std::function<void(std::uint64_t sequence, bool recorded)>& done) {
   const std::string key = MarkKey(server);
   const HeldItem* held = FindItem(state_, key);
   const std::uint64_t former = held == nullptr ? 0 : held->version;
--- a/Libraries/LibEntry/fleet_link.h
+++ b/Libraries/LibEntry/fleet_link.h
@@ -47,7 +47,7 @@
   void ChangeMark(
       const std::string& server,
       bool leaving,
-      std::function<void(std::uint64_t sequence, bool recorded)> done);
+      const std::function<void(std::uint64_t sequence, bool recorded)>& done);
 
   // Tells all entry VMs that a request is blocked, or no longer blocked.
   void SpreadBlocked(const BlockedItem& item);
--- a/Libraries/LibEntry/peer_link.cc
+++ b/Libraries/LibEntry/peer_link.cc
@@ -58,7 +58,7 @@
                                       std::move(configuration_version))),
       client_(kj_loop_, peer_settings_) {}
 
-boost::leaf::result<void> PeerLink::Listen(PeerLinkHandlers handlers) {
+boost::leaf::result<void> PeerLink::Listen(const PeerLinkHandlers& handlers) {
   PeerHandlers server_handlers;
   server_handlers.request_slot = [handlers](const PeerInfo& /*sender*/,
                                             const PoolKey& pool,
--- a/Libraries/LibEntry/peer_link.h
+++ b/Libraries/LibEntry/peer_link.h
@@ -42,7 +42,7 @@
            std::function<std::uint64_t()> configuration_version,
            std::function<std::string(const std::string& entry)> find_address);
 
-  boost::leaf::result<void> Listen(PeerLinkHandlers handlers);
+  boost::leaf::result<void> Listen(const PeerLinkHandlers& handlers);
   void RefuseNewWork();
 
   // `done` gets SlotGranted or SlotRefused.
--- a/Libraries/LibEntry/platform_link.cc
+++ b/Libraries/LibEntry/platform_link.cc
@@ -166,10 +166,11 @@
       });
 }
 
-void PlatformLink::WriteLeavingMark(const std::string& server,
-                                    std::uint64_t sequence,
-                                    bool leaving,
-                                    std::function<void(bool recorded)> done) {
+void PlatformLink::WriteLeavingMark(
+    const std::string& server,
+    std::uint64_t sequence,
+    bool leaving,
+    const std::function<void(bool recorded)>& done) {
   const std::string key = std::string(kLeavingPrefix) + server;
   store_.ReadRow(
       key, kReadTimeout,
--- a/Libraries/LibEntry/platform_link.h
+++ b/Libraries/LibEntry/platform_link.h
@@ -46,7 +46,7 @@
   void WriteLeavingMark(const std::string& server,
                         std::uint64_t sequence,
                         bool leaving,
-                        std::function<void(bool recorded)> done);
+                        const std::function<void(bool recorded)>& done);
 
   void WriteClaimRows(const WriteClaims& write,
                       std::function<void(const WriteAnswered&)> done);
