LibSteering: Let servers of a pool with bulk only recover

After a crash a server starts with a limit of one slot and grows by the work it finishes; bulk never takes the last two slots, so in a pool with bulk only the server stayed cold, and the parts of its uploads waited for it. Ruled out: suspects and the substitute server (the parts were queued, not refused). Conclusion: a server whose limit is below the slots kept from bulk takes one part at a time if the pool has no short work. The test failed before.

--- a/Libraries/LibSteering/pool_servers.cc
+++ b/Libraries/LibSteering/pool_servers.cc
@@ -59,9 +59,20 @@
   return 500 * twice / server.usable;
 }
 
-bool HasBulkSlot(const PoolServer& server) {
+bool HasShortWork(const Pool& pool) {
+  return std::any_of(
+      pool.usual.begin(),
+      pool.usual.begin() + static_cast<std::size_t>(RequestClass::kBulk),
+      [](Duration usual) { return usual != Duration{}; });
+}
+
+bool HasBulkSlot(const Pool& pool, const PoolServer& server) {
   const std::uint32_t kept =
       std::min(kSlotsKeptFromBulk, server.description.slots - 1);
+  // A server with a reduced limit recovers by the work it finishes. Where there
+  // is only bulk, that has to be bulk.
+  if (server.usable <= kept && !HasShortWork(pool))
+    return server.leases.empty() && server.usable > 0;
   return server.leases.size() + kept < server.usable;
 }
 
@@ -167,7 +178,7 @@
   server.usable = UsableSlots(pool, server, now);
   pool.usable_slots += server.usable;
   server.ranked = server.leases.size() < server.usable;
-  server.ranked_for_bulk = server.ranked && HasBulkSlot(server);
+  server.ranked_for_bulk = server.ranked && HasBulkSlot(pool, server);
   server.ranked_as_slow =
       server.state == ServerState::kSlow && server.listed &&
       server.leases.size() < std::max(1U, server.description.slots / 2);
--- a/Tests/LibSteering/test_pool.cc
+++ b/Tests/LibSteering/test_pool.cc
@@ -406,4 +406,32 @@
   CHECK(grants[0].server == "s1");
 }
 
+// Guards against a server that never recovers in a pool with bulk only: its
+// limit of one slot was below the slots kept from bulk, and the uploads that
+// belong to it did not end.
+TEST_CASE("a cold server of a pool with bulk only takes bulk") {
+  PoolFixture fixture(2);
+  const auto part = [&] {
+    SlotAsk ask = fixture.Ask(RequestClass::kBulk);
+    ask.preferred = "s0";
+    ask.only_preferred = true;
+    return Grants(fixture.Request(ask));
+  };
+  PoolServer& server = fixture.pool.servers[fixture.pool.server_index.at("s0")];
+  while (server.state != ServerState::kDown) {
+    const auto grants = part();
+    REQUIRE(grants.size() == 1);
+    fixture.Return(grants[0].lease, AttemptOutcome::kConnectionRefused);
+  }
+  fixture.now += Seconds(60);
+  for (int i = 0; i < 200 && server.state != ServerState::kReady; ++i) {
+    const auto grants = part();
+    REQUIRE(grants.size() == 1);
+    fixture.now += Milliseconds(200);
+    fixture.Return(grants[0].lease, AttemptOutcome::kAnswered,
+                   Milliseconds(200));
+  }
+  CHECK(server.state == ServerState::kReady);
+}
+
 }  // namespace cicadadrum
