LibSteering: Choose regions by the split under the shift cap

Cause: a request that its own region refused or could not serve went to another region at once, so nothing in the entry VM bound a shift of traffic to its cap.

--- a/Libraries/LibBench/deployments.cc
+++ b/Libraries/LibBench/deployments.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::uint32_t kEntriesPerRegion = 3;
+// As in Settings/.
+constexpr std::uint32_t kShiftCapPercent = 10;
+constexpr Duration kShiftWindow = Seconds(30);
 
 struct ServiceSize {
   std::string name;
@@ -68,6 +71,8 @@
   deployment.domain_delay = size.domain_delay;
   deployment.region_delay = size.region_delay;
   deployment.link_megabits_per_second = size.link_megabits;
+  deployment.shift_cap_percent = kShiftCapPercent;
+  deployment.shift_window = kShiftWindow;
   for (const std::string& region : size.regions) {
     deployment.regions.push_back({region, {region + "-a", region + "-b"}});
     for (std::uint32_t i = 0; i < kEntriesPerRegion; ++i)
--- a/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
@@ -15,6 +15,7 @@
 #include "cicadadrum/claim/claim.h"
 #include "cicadadrum/model/configuration.h"
 #include "cicadadrum/model/deployment.h"
+#include "cicadadrum/shift/split.h"
 #include "cicadadrum/steering/events.h"
 #include "cicadadrum/steering/pool.h"
 
@@ -75,6 +76,13 @@
   Duration delay{};        // Running 95th percentile of urgent attempts.
 };
 
+// The split of one service, with the load it is measured against.
+struct ServiceTraffic {
+  SplitState split;
+  std::uint64_t arrivals = 0;  // Since the last step.
+  std::uint64_t load = 0;      // Moving average.
+};
+
 struct EntryState {
   EntryVm self;
   Deployment deployment;
@@ -96,6 +104,8 @@
   std::set<std::pair<TimePoint, std::uint64_t>>
       timers;  // Deadlines and hedge times of requests.
   std::map<std::uint64_t, BlockedItem> blocked;  // By fingerprint.
+  std::map<std::string, ServiceTraffic> splits;  // By service.
+  TimePoint next_split_at;
   ClaimState claims;
   bool stopping = false;
   // New requests are accepted until then, so that callers can move first.
--- a/Libraries/LibSteering/request_flow.cc
+++ b/Libraries/LibSteering/request_flow.cc
@@ -11,6 +11,7 @@
 #include "budgets.h"
 #include "pool_flow.h"
 #include "routing.h"
+#include "split_flow.h"
 
 namespace cicadadrum {
 
@@ -262,6 +263,7 @@
     return Refuse(arrived.request, RefusalVerdictOf(state, arrived), reason,
                   Seconds(1), actions);
   EarnRetryTokens(state.retry_budget);
+  CountForSplit(state, arrived.service);
   Request& request = state.requests[arrived.request];
   request.arrived = arrived;
   request.arrived_at = now;
--- a/Libraries/LibSteering/routing.cc
+++ b/Libraries/LibSteering/routing.cc
@@ -36,6 +36,14 @@
                      });
 }
 
+// A retry and all parts of an upload have the same point, so that they stay in
+// one region while the split does not move them.
+std::uint64_t SplitPoint(const RequestArrived& arrived) {
+  if (arrived.affinity != 0)
+    return arrived.affinity;
+  return HashBytes(std::to_string(arrived.request));
+}
+
 }  // namespace
 
 std::optional<PoolKey> ChoosePool(const EntryState& state,
@@ -43,6 +51,18 @@
   const Plan* plan = FindPlan(state.configuration, request.arrived.customer);
   if (plan == nullptr)
     return std::nullopt;
+  const auto traffic = state.splits.find(request.arrived.service);
+  if (traffic != state.splits.end()) {
+    const auto region =
+        PickRegion(traffic->second.split, request.arrived.service,
+                   SplitPoint(request.arrived));
+    if (!region)
+      return std::nullopt;
+    if (std::find(plan->regions.begin(), plan->regions.end(), *region) !=
+        plan->regions.end())
+      return PoolKey{*region, request.arrived.service};
+  }
+  // The plan excludes the region of the split, or there is no split.
   std::vector<std::string> usable;
   for (const std::string& region : plan->regions) {
     if (HasUsableServer(state, region, request.arrived.service))
--- a/Libraries/LibSteering/routing.h
+++ b/Libraries/LibSteering/routing.h
@@ -10,9 +10,10 @@
 
 namespace cicadadrum {
 
-// Returns the pool the request should use: of this entry VM's region if it has
-// a server that isn't leaving and the plan allows it, otherwise of another
-// allowed region. `avoid` lists regions that were tried.
+// Returns the pool the request should use: in the region that the split under
+// the shift cap picks. Nothing if that region is lost: the request then waits
+// for the split to move or is refused. A customer whose plan excludes the
+// region always uses the same allowed region with a server that isn't leaving.
 std::optional<PoolKey> ChoosePool(const EntryState& state,
                                   const Request& request);
 
--- a/Libraries/LibSteering/step.cc
+++ b/Libraries/LibSteering/step.cc
@@ -6,6 +6,7 @@
 #include "cicadadrum/steering/entry_state.h"
 #include "pool_flow.h"
 #include "request_flow.h"
+#include "split_flow.h"
 
 namespace cicadadrum {
 
@@ -110,6 +111,7 @@
   state.live = {self};
   state.claims.self = self.name;
   state.claims.incarnation = incarnation;
+  StartSplits(state);
   return state;
 }
 
@@ -137,6 +139,7 @@
           TimePoint now,
           Actions& actions) {
   std::visit(EventHandler{state, now, actions}, event);
+  AdvanceSplits(state, now, actions);
   if (now >= state.stop_at && state.requests.empty() && !state.stop_reported) {
     state.stop_reported = true;
     actions.push_back(Stopped{});
--- a/Meta/cicadadrumConfig.cmake
+++ b/Meta/cicadadrumConfig.cmake
@@ -1,3 +1,7 @@
 include(CMakeFindDependencyMacro)
+find_dependency(Boost 1.81 COMPONENTS program_options)
 find_dependency(CapnProto)
+find_dependency(spdlog)
+find_dependency(PkgConfig)
+pkg_check_modules(LIBEVENT REQUIRED IMPORTED_TARGET libevent)
 include(${CMAKE_CURRENT_LIST_DIR}/cicadadrumTargets.cmake)
