--- a/Libraries/LibBase/hash.cc
+++ b/Libraries/LibBase/hash.cc
@@ -3,6 +3,8 @@
 #include "cicadadrum/base/hash.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -13,6 +15,13 @@
   return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+std::string FormatHex(std::uint64_t number) {
+  std::array<char, 17> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016llx",
+                static_cast<unsigned long long>(number));
+  return digits.data();
+}
+
 std::uint64_t RendezvousScore(std::string_view key,
                               std::string_view candidate) {
   return HashBytes(candidate, HashBytes(key));
--- a/Libraries/LibBase/include/cicadadrum/base/hash.h
+++ b/Libraries/LibBase/include/cicadadrum/base/hash.h
@@ -14,6 +14,9 @@
 // Returns the 64-bit XXH3 hash of `bytes`.
 std::uint64_t HashBytes(std::string_view bytes, std::uint64_t seed = 0);
 
+// Returns the number as 16 hexadecimal digits.
+std::string FormatHex(std::uint64_t number);
+
 // Returns the rendezvous (highest random weight) score of `candidate` for
 // `key`.
 std::uint64_t RendezvousScore(std::string_view key, std::string_view candidate);
--- a/Libraries/LibClaim/request_key.cc
+++ b/Libraries/LibClaim/request_key.cc
@@ -4,9 +4,10 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 #include <vector>
 
+#include "cicadadrum/base/hash.h"
+
 namespace cicadadrum {
 
 namespace {
@@ -82,11 +83,7 @@
 }
 
 std::string FormatIncarnation(const Incarnation& incarnation) {
-  std::array<char, 2 * kHexDigits + 1> digits{};
-  std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(incarnation.high),
-                static_cast<unsigned long long>(incarnation.low));
-  return digits.data();
+  return FormatHex(incarnation.high) + FormatHex(incarnation.low);
 }
 
 }  // namespace cicadadrum
--- a/Libraries/LibFakeBackend/fake_backend.cc
+++ b/Libraries/LibFakeBackend/fake_backend.cc
@@ -5,7 +5,6 @@
 #include <capnp/message.h>
 
 #include <charconv>
-#include <cstdio>
 #include <map>
 
 #include "cicadadrum/base/hash.h"
@@ -26,13 +25,6 @@
 constexpr Duration kCrashTime = Seconds(2);
 constexpr std::uint64_t kMaxPartBytes = 1'048'576;
 
-std::string HexHash(std::string_view bytes) {
-  std::array<char, 17> digits{};
-  std::snprintf(digits.data(), digits.size(), "%016llx",
-                static_cast<unsigned long long>(HashBytes(bytes)));
-  return digits.data();
-}
-
 std::uint64_t ReadNumber(std::string_view text) {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -175,7 +167,7 @@
   echo.setService(options.server.service);
   echo.setTarget(request.target);
   echo.setBodyBytes(request.body.size());
-  echo.setBodyHash(HexHash(request.body));
+  echo.setBodyHash(FormatHex(HashBytes(request.body)));
   echo.setKey(
       std::string(FindField(request.headers, "Cicadadrum-Request-Key")));
   return Json(200, EncodeJson(echo.asReader()));
--- a/Libraries/LibMembership/items.cc
+++ b/Libraries/LibMembership/items.cc
@@ -141,12 +141,7 @@
 }  // namespace
 
 std::string BodyHash(std::string_view body) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  const std::uint64_t hash = HashBytes(body);
-  std::string text;
-  for (int shift = 60; shift >= 0; shift -= 4)
-    text.push_back(kDigits[(hash >> shift) & 15U]);
-  return text;
+  return FormatHex(HashBytes(body));
 }
 
 std::size_t ItemBucket(std::string_view key) {
--- a/Libraries/LibProgram/include/cicadadrum/program/program.h
+++ b/Libraries/LibProgram/include/cicadadrum/program/program.h
@@ -56,6 +56,9 @@
     int argc,
     const char* const* argv);
 
+// Returns the options of a daemon: --settings and --check.
+boost::program_options::options_description DaemonOptions();
+
 // Writes the error to standard error and returns the exit code for it.
 ExitCode ReportError(const ProgramInfo& info, const Error& error);
 
--- a/Libraries/LibProgram/program.cc
+++ b/Libraries/LibProgram/program.cc
@@ -60,6 +60,14 @@
   return parsed;
 }
 
+po::options_description DaemonOptions() {
+  po::options_description options("Options");
+  options.add_options()("settings", po::value<std::string>()->required(),
+                        "settings file, JSON with comments");
+  options.add_options()("check", "validate the settings and exit");
+  return options;
+}
+
 ExitCode ReportError(const ProgramInfo& info, const Error& error) {
   std::cerr << info.name << ": " << NameOf(error.code) << ": " << error.detail
             << '\n';
--- a/Libraries/LibSteering/routing.cc
+++ b/Libraries/LibSteering/routing.cc
@@ -14,16 +14,6 @@
 // A leaving backend server receives no new work after this time.
 constexpr Duration kLeavingBound = Seconds(5);
 
-bool HasUsableServer(const EntryState& state,
-                     const std::string& region,
-                     const std::string& service) {
-  return std::any_of(state.servers.begin(), state.servers.end(),
-                     [&](const BackendServer& server) {
-                       return server.region == region &&
-                              server.service == service && !server.leaving;
-                     });
-}
-
 // Whether the pool of the region has refused the request. An attempt that was
 // sent and failed says something about its server only; a retry on another
 // server of the same pool saves the delay between regions, and the pool knows
@@ -46,6 +36,16 @@
 
 }  // namespace
 
+bool HasUsableServer(const EntryState& state,
+                     const std::string& region,
+                     const std::string& service) {
+  return std::any_of(state.servers.begin(), state.servers.end(),
+                     [&](const BackendServer& server) {
+                       return server.region == region &&
+                              server.service == service && !server.leaving;
+                     });
+}
+
 std::optional<PoolKey> ChoosePool(const EntryState& state,
                                   const Request& request) {
   const Plan* plan = FindPlan(state.configuration, request.arrived.customer);
--- a/Libraries/LibSteering/routing.h
+++ b/Libraries/LibSteering/routing.h
@@ -10,6 +10,11 @@
 
 namespace cicadadrum {
 
+// Whether the region has a server of the service that isn't leaving.
+bool HasUsableServer(const EntryState& state,
+                     const std::string& region,
+                     const std::string& service);
+
 // Returns the pool the request should use: in the region that the split under
 // the shift cap picks. Nothing if that region is lost: the request then waits
 // for the split to move or is refused. A customer whose plan excludes the
--- a/Libraries/LibSteering/split_flow.cc
+++ b/Libraries/LibSteering/split_flow.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <set>
 
+#include "routing.h"
+
 namespace cicadadrum {
 
 namespace {
@@ -16,16 +18,6 @@
 // counted against the cap.
 constexpr std::uint64_t kLoadUnit = 1000;
 
-bool HasServer(const EntryState& state,
-               const std::string& region,
-               const std::string& service) {
-  return std::any_of(state.servers.begin(), state.servers.end(),
-                     [&](const BackendServer& server) {
-                       return server.region == region &&
-                              server.service == service && !server.leaving;
-                     });
-}
-
 bool HasLiveEntry(const EntryState& state, const std::string& region) {
   return std::any_of(
       state.live.begin(), state.live.end(),
@@ -38,7 +30,7 @@
                                   const std::string& service) {
   std::set<std::string> lost;
   for (const Region& region : state.deployment.regions) {
-    if (!HasServer(state, region.name, service) ||
+    if (!HasUsableServer(state, region.name, service) ||
         !HasLiveEntry(state, region.name))
       lost.insert(region.name);
   }
--- a/Libraries/LibTelemetry/trace.cc
+++ b/Libraries/LibTelemetry/trace.cc
@@ -2,9 +2,9 @@
 
 #include "cicadadrum/telemetry/trace.h"
 
-#include <array>
+#include "cicadadrum/base/hash.h"
+
 #include <charconv>
-#include <cstdio>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -25,13 +25,6 @@
   return number;
 }
 
-std::string FormatHex(std::uint64_t number) {
-  std::array<char, 17> digits{};
-  std::snprintf(digits.data(), digits.size(), "%016llx",
-                static_cast<unsigned long long>(number));
-  return digits.data();
-}
-
 }  // namespace
 
 std::optional<TraceContext> ParseTraceparent(std::string_view text) {
--- a/Services/FakeBackend/main.cc
+++ b/Services/FakeBackend/main.cc
@@ -43,15 +43,10 @@
 }  // namespace cicadadrum
 
 int main(int argc, char** argv) {
-  namespace po = boost::program_options;
   const cicadadrum::ProgramInfo info{"fake-backend",
                                      "stands in for backend servers"};
-  po::options_description options("Options");
-  options.add_options()("settings", po::value<std::string>()->required(),
-                        "settings file, JSON with comments");
-  options.add_options()("check", "validate the settings and exit");
-  const auto parsed =
-      cicadadrum::ParseCommandLine(info, options, {}, argc, argv);
+  const auto parsed = cicadadrum::ParseCommandLine(
+      info, cicadadrum::DaemonOptions(), {}, argc, argv);
   if (parsed.exit)
     return static_cast<int>(*parsed.exit);
   return cicadadrum::RunProgram(info,
--- a/Utilities/Control/lists.cc
+++ b/Utilities/Control/lists.cc
@@ -9,7 +9,6 @@
 #include <capnp/message.h>
 
 #include <array>
-#include <cstdio>
 
 #include "cicadadrum/base/error.h"
 #include "cicadadrum/base/hash.h"
@@ -34,13 +33,6 @@
   std::string body_hash;
 };
 
-std::string HexHash(std::string_view bytes) {
-  std::array<char, 17> digits{};
-  std::snprintf(digits.data(), digits.size(), "%016llx",
-                static_cast<unsigned long long>(HashBytes(bytes)));
-  return digits.data();
-}
-
 leaf::error_id Unavailable(const std::string& what) {
   return leaf::new_error(
       Error{ErrorCode::kUnavailable, "the platform did not answer: " + what});
@@ -167,7 +159,8 @@
                                         std::uint64_t base,
                                         const std::string& author) {
   const std::string body = FormatConfiguration(lists);
-  const Pointer next{.version = base + 1, .body_hash = HexHash(body)};
+  const Pointer next{.version = base + 1,
+                     .body_hash = FormatHex(HashBytes(body))};
   BOOST_LEAF_AUTO(current, ReadPointer(loop, deployment));
   if (current.version == next.version && current.body_hash == next.body_hash)
     return next.version;
--- a/Utilities/Demonstration/load.cc
+++ b/Utilities/Demonstration/load.cc
@@ -5,8 +5,6 @@
 
 #include <capnp/message.h>
 
-#include <cstdio>
-
 #include "cicadadrum/base/hash.h"
 #include "cicadadrum/configuration/json.h"
 #include "schemas/backend.capnp.h"
@@ -17,13 +15,6 @@
 
 constexpr Duration kUploadDeadline = Seconds(60);
 
-std::string HexHash(std::string_view bytes) {
-  std::array<char, 17> digits{};
-  std::snprintf(digits.data(), digits.size(), "%016llx",
-                static_cast<unsigned long long>(HashBytes(bytes)));
-  return digits.data();
-}
-
 // Whether the answer is the whole answer to this request.
 bool IsOwnAnswer(const CallerRequest& request, const CallerAnswer& answer) {
   capnp::MallocMessageBuilder message;
@@ -31,7 +22,7 @@
       answer.response.body, "answer", ErrorCode::kInvalidMessage, message);
   return echo && answer.response.status == 200 &&
          request.target == echo->getTarget().cStr() &&
-         HexHash(request.body) == echo->getBodyHash().cStr() &&
+         FormatHex(HashBytes(request.body)) == echo->getBodyHash().cStr() &&
          answer.key == echo->getKey().cStr();
 }
 
