LibStore: Call attempts by the name that the other libraries use

Cause: LibStore said try where LibModel, LibSteering and the design page say attempt. Conclusion: one word for one thing.

--- a/Libraries/LibStore/connections.cc
+++ b/Libraries/LibStore/connections.cc
@@ -38,12 +38,13 @@
 
 // A server error other than "unavailable" doesn't tell whether the request took
 // effect.
-TryOutcome OutcomeOf(int status) {
+StoreAttemptOutcome OutcomeOf(int status) {
   if (status == 0)
-    return TryOutcome::kNotSent;
+    return StoreAttemptOutcome::kNotSent;
   if (status == HTTP_SERVUNAVAIL)
-    return TryOutcome::kRefused;
-  return status >= HTTP_INTERNAL ? TryOutcome::kLost : TryOutcome::kAnswered;
+    return StoreAttemptOutcome::kRefused;
+  return status >= HTTP_INTERNAL ? StoreAttemptOutcome::kLost
+                                 : StoreAttemptOutcome::kAnswered;
 }
 
 std::string TakeBody(evhttp_request* request) {
@@ -121,7 +122,7 @@
     return;
   // evhttp freed the request.
   connection.request = nullptr;
-  done(next.id, TryOutcome::kNotSent, {});
+  done(next.id, StoreAttemptOutcome::kNotSent, {});
 }
 
 void Connections::Impl::Pump() {
@@ -141,7 +142,7 @@
                                evhttp_request* request) {
   connection.request = nullptr;
   StoreHttpResponse response;
-  TryOutcome outcome = TryOutcome::kLost;
+  StoreAttemptOutcome outcome = StoreAttemptOutcome::kLost;
   if (request != nullptr) {
     response.status = evhttp_request_get_response_code(request);
     response.body = TakeBody(request);
--- a/Libraries/LibStore/connections.h
+++ b/Libraries/LibStore/connections.h
@@ -33,7 +33,7 @@
   // Called with the outcome of request `id`. kAnswered comes with any status
   // below 500.
   using Done = std::function<void(std::uint64_t id,
-                                  TryOutcome outcome,
+                                  StoreAttemptOutcome outcome,
                                   const StoreHttpResponse& response)>;
 
   Connections(event_base* base,
--- a/Libraries/LibStore/include/cicadadrum/store/policy.h
+++ b/Libraries/LibStore/include/cicadadrum/store/policy.h
@@ -2,10 +2,10 @@
 // breaker and rate limits. Free functions over plain structs, no input or
 // output.
 //
-// A call is one operation for a caller; it consists of tries. A try that got no
-// answer may have taken effect. Writes are idempotent, by token or by content,
-// so they may be tried again, but a call whose tries all failed is kUncertain
-// and not kFailed if one of them may have taken effect.
+// A call is one operation for a caller; it consists of attempts. An attempt
+// that got no answer may have taken effect. Writes are idempotent, by token or
+// by content, so they may be tried again, but a call whose attempts all failed
+// is kUncertain and not kFailed if one of them may have taken effect.
 
 #ifndef CICADADRUM_STORE_POLICY_H_
 #define CICADADRUM_STORE_POLICY_H_
@@ -32,8 +32,8 @@
   });
 };
 
-// How one try ended.
-enum class TryOutcome : std::uint8_t {
+// How one attempt ended.
+enum class StoreAttemptOutcome : std::uint8_t {
   kAnswered,  // A whole response other than those below.
   kRefused,   // The platform refused it without effect (status 503).
   kNotSent,   // No byte of the request was sent.
@@ -41,19 +41,20 @@
 };
 
 template <>
-struct EnumNames<TryOutcome> {
-  static constexpr auto kTable = std::to_array<EnumName<TryOutcome>>({
-      {TryOutcome::kAnswered, "answered"},
-      {TryOutcome::kRefused, "refused"},
-      {TryOutcome::kNotSent, "not-sent"},
-      {TryOutcome::kLost, "lost"},
+struct EnumNames<StoreAttemptOutcome> {
+  static constexpr auto kTable = std::to_array<EnumName<StoreAttemptOutcome>>({
+      {StoreAttemptOutcome::kAnswered, "answered"},
+      {StoreAttemptOutcome::kRefused, "refused"},
+      {StoreAttemptOutcome::kNotSent, "not-sent"},
+      {StoreAttemptOutcome::kLost, "lost"},
   });
 };
 
 enum class StoreCallOutcome : std::uint8_t {
-  kAnswered,   // The response of the last try holds.
-  kFailed,     // No try had an effect.
-  kUncertain,  // A try of a write may have taken effect or may do so later.
+  kAnswered,   // The response of the last attempt holds.
+  kFailed,     // No attempt had an effect.
+  kUncertain,  // An attempt of a write may have taken effect or may do so
+               // later.
 };
 
 template <>
@@ -81,14 +82,14 @@
 };
 
 struct StorePolicy {
-  Duration try_timeout = Seconds(1);
-  std::uint32_t max_tries = 4;
+  Duration attempt_timeout = Seconds(1);
+  std::uint32_t max_attempts = 4;
   Duration backoff = Milliseconds(50);  // Doubles with each retry; the wait is
                                         // random between 0 and it.
   Duration max_backoff = Seconds(1);
   double retry_tokens_per_call = 0.1;
   double max_retry_tokens = 10;
-  std::uint32_t failures_to_open = 5;  // Tries that failed in a row.
+  std::uint32_t failures_to_open = 5;  // Attempts that failed in a row.
   Duration open_time = Seconds(2);     // Until a probe.
   // This entry VM's share of what the platform serves: about two thousand reads
   // and several hundred writes a second for 9 to 11 entry VMs.
@@ -106,26 +107,26 @@
   TimePoint deadline = kNever;
 };
 
-struct TryEnded {
+struct AttemptEnded {
   std::uint64_t call = 0;
-  std::uint32_t number = 0;  // Of the try; others than the current one are
+  std::uint32_t number = 0;  // Of the attempt; others than the current one are
                              // dropped.
-  TryOutcome outcome = TryOutcome::kLost;
+  StoreAttemptOutcome outcome = StoreAttemptOutcome::kLost;
 };
 
 struct StoreTimerExpired {};
 
-using StoreEvent = std::variant<CallAsked, TryEnded, StoreTimerExpired>;
+using StoreEvent = std::variant<CallAsked, AttemptEnded, StoreTimerExpired>;
 
 // --- Actions ---
 
-struct SendTry {
+struct SendAttempt {
   std::uint64_t call = 0;
   std::uint32_t number = 0;
 };
 
-// Stop waiting for the current try.
-struct AbandonTry {
+// Stop waiting for the current attempt.
+struct AbandonAttempt {
   std::uint64_t call = 0;
 };
 
@@ -143,8 +144,8 @@
   TimePoint at = kNever;
 };
 
-using StoreAction =
-    std::variant<SendTry, AbandonTry, EndCall, PlatformChanged, StoreWake>;
+using StoreAction = std::
+    variant<SendAttempt, AbandonAttempt, EndCall, PlatformChanged, StoreWake>;
 using StoreActions = std::vector<StoreAction>;
 
 // --- State ---
@@ -152,15 +153,16 @@
 struct StoreCall {
   StoreAccess access = StoreAccess::kRead;
   TimePoint deadline = kNever;
-  std::uint32_t tries = 0;
-  bool trying = false;
-  bool probe = false;             // The try under way decides the breaker.
-  bool may_have_effect = false;   // A write's try was lost.
-  TimePoint wait_until = kNever;  // If trying, when the try is given up;
-                                  // otherwise when the next one may start.
+  std::uint32_t attempts = 0;
+  bool attempting = false;
+  bool probe = false;            // The attempt under way decides the breaker.
+  bool may_have_effect = false;  // A write's attempt was lost.
+  TimePoint wait_until =
+      kNever;  // If an attempt is under way, when the attempt is given up;
+               // otherwise when the next one may start.
 };
 
-// Tokens for tries of one access. They may be owed by at most one try.
+// Tokens for attempts of one access. They may be owed by at most one attempt.
 struct RateBucket {
   double tokens = 0;
   TimePoint filled_at;
--- a/Libraries/LibStore/policy.cc
+++ b/Libraries/LibStore/policy.cc
@@ -30,7 +30,7 @@
   bucket.filled_at = now;
 }
 
-// Returns when the next try of this access may start.
+// Returns when the next attempt of this access may start.
 TimePoint NextToken(StoreState& state, StoreAccess access, TimePoint now) {
   const double missing = 1 - BucketOf(state, access).tokens;
   if (missing <= 0)
@@ -45,10 +45,10 @@
          StoreActions& actions) {
   const StoreCall call = state.calls.at(id);
   state.calls.erase(id);
-  if (call.trying)
-    actions.push_back(AbandonTry{id});
+  if (call.attempting)
+    actions.push_back(AbandonAttempt{id});
   // A probe that ended without a result leaves the question to the next one.
-  if (call.probe && call.trying)
+  if (call.probe && call.attempting)
     state.breaker.state = BreakerState::kOpen;
   actions.push_back(EndCall{id, outcome});
 }
@@ -57,7 +57,7 @@
 void GiveUp(StoreState& state, std::uint64_t id, StoreActions& actions) {
   const StoreCall& call = state.calls.at(id);
   const bool effect = call.may_have_effect ||
-                      (call.trying && call.access == StoreAccess::kWrite);
+                      (call.attempting && call.access == StoreAccess::kWrite);
   End(state, id,
       effect ? StoreCallOutcome::kUncertain : StoreCallOutcome::kFailed,
       actions);
@@ -88,10 +88,10 @@
   breaker.open_until = now + state.policy.open_time;
 }
 
-// Returns a random wait before the next try ("full jitter"), so that entry VMs
-// don't retry in step.
-Duration BackoffFor(StoreState& state, std::uint32_t tries) {
-  const std::uint32_t doublings = std::min<std::uint32_t>(tries - 1, 16);
+// Returns a random wait before the next attempt ("full jitter"), so that entry
+// VMs don't retry in step.
+Duration BackoffFor(StoreState& state, std::uint32_t attempts) {
+  const std::uint32_t doublings = std::min<std::uint32_t>(attempts - 1, 16);
   const Duration longest = std::min<Duration>(
       state.policy.backoff * (1LL << doublings), state.policy.max_backoff);
   return Microseconds(static_cast<std::int64_t>(RandomBelow(
@@ -103,29 +103,30 @@
                    TimePoint now,
                    StoreActions& actions) {
   StoreCall& call = state.calls.at(id);
-  if (call.tries >= state.policy.max_tries || state.retry_tokens < 1)
+  if (call.attempts >= state.policy.max_attempts || state.retry_tokens < 1)
     return GiveUp(state, id, actions);
   state.retry_tokens -= 1;
-  call.wait_until = now + BackoffFor(state, call.tries);
+  call.wait_until = now + BackoffFor(state, call.attempts);
 }
 
-void ApplyTry(StoreState& state,
-              const TryEnded& ended,
-              TimePoint now,
-              StoreActions& actions) {
+void ApplyAttempt(StoreState& state,
+                  const AttemptEnded& ended,
+                  TimePoint now,
+                  StoreActions& actions) {
   const auto found = state.calls.find(ended.call);
-  if (found == state.calls.end() || !found->second.trying ||
-      found->second.tries != ended.number)
+  if (found == state.calls.end() || !found->second.attempting ||
+      found->second.attempts != ended.number)
     return;
   StoreCall& call = found->second;
-  call.trying = false;
+  call.attempting = false;
   const bool probe = call.probe;
   call.probe = false;
-  if (ended.outcome == TryOutcome::kAnswered) {
+  if (ended.outcome == StoreAttemptOutcome::kAnswered) {
     CountSuccess(state, actions);
     return End(state, ended.call, StoreCallOutcome::kAnswered, actions);
   }
-  if (ended.outcome == TryOutcome::kLost && call.access == StoreAccess::kWrite)
+  if (ended.outcome == StoreAttemptOutcome::kLost &&
+      call.access == StoreAccess::kWrite)
     call.may_have_effect = true;
   CountFailure(state, probe, now, actions);
   RetryOrGiveUp(state, ended.call, now, actions);
@@ -146,20 +147,21 @@
       .access = asked.access, .deadline = asked.deadline, .wait_until = now};
 }
 
-// Gives up tries and calls whose time is over.
+// Gives up attempts and calls whose time is over.
 void ExpireCalls(StoreState& state, TimePoint now, StoreActions& actions) {
   std::vector<std::uint64_t> due;
   for (const auto& [id, call] : state.calls) {
-    if (call.deadline <= now || (call.trying && call.wait_until <= now))
+    if (call.deadline <= now || (call.attempting && call.wait_until <= now))
       due.push_back(id);
   }
   for (const std::uint64_t id : due) {
     const StoreCall& call = state.calls.at(id);
-    if (call.trying && call.wait_until <= now && call.deadline > now) {
-      actions.push_back(AbandonTry{id});
-      ApplyTry(state, {id, call.tries, TryOutcome::kLost}, now, actions);
+    if (call.attempting && call.wait_until <= now && call.deadline > now) {
+      actions.push_back(AbandonAttempt{id});
+      ApplyAttempt(state, {id, call.attempts, StoreAttemptOutcome::kLost}, now,
+                   actions);
     } else {
-      if (call.trying)
+      if (call.attempting)
         CountFailure(state, call.probe, now, actions);
       GiveUp(state, id, actions);
     }
@@ -172,33 +174,33 @@
          (breaker.state == BreakerState::kOpen && now >= breaker.open_until);
 }
 
-void StartTry(StoreState& state,
-              std::uint64_t id,
-              StoreCall& call,
-              TimePoint now,
-              StoreActions& actions) {
+void StartAttempt(StoreState& state,
+                  std::uint64_t id,
+                  StoreCall& call,
+                  TimePoint now,
+                  StoreActions& actions) {
   BucketOf(state, call.access).tokens -= 1;
   if (state.breaker.state == BreakerState::kOpen) {
     state.breaker.state = BreakerState::kProbing;
     call.probe = true;
   }
-  ++call.tries;
-  call.trying = true;
-  call.wait_until = std::min(call.deadline, now + state.policy.try_timeout);
-  actions.push_back(SendTry{id, call.tries});
+  ++call.attempts;
+  call.attempting = true;
+  call.wait_until = std::min(call.deadline, now + state.policy.attempt_timeout);
+  actions.push_back(SendAttempt{id, call.attempts});
 }
 
-// Starts the tries that may start, in the order the calls were asked. Calls
+// Starts the attempts that may start, in the order the calls were asked. Calls
 // fail at once while the breaker is open.
-void StartTries(StoreState& state, TimePoint now, StoreActions& actions) {
+void StartAttempts(StoreState& state, TimePoint now, StoreActions& actions) {
   std::vector<std::uint64_t> blocked;
   for (auto& [id, call] : state.calls) {
-    if (call.trying || call.wait_until > now)
+    if (call.attempting || call.wait_until > now)
       continue;
     if (!MayPass(state, now))
       blocked.push_back(id);
     else if (NextToken(state, call.access, now) <= now)
-      StartTry(state, id, call, now, actions);
+      StartAttempt(state, id, call, now, actions);
   }
   for (const std::uint64_t id : blocked)
     GiveUp(state, id, actions);
@@ -208,7 +210,7 @@
   TimePoint at = kNever;
   for (const auto& [id, call] : state.calls) {
     TimePoint next = std::min(call.deadline, call.wait_until);
-    if (!call.trying && call.wait_until <= now)
+    if (!call.attempting && call.wait_until <= now)
       next = std::min(call.deadline, NextToken(state, call.access, now));
     at = std::min(at, next);
   }
@@ -229,12 +231,12 @@
                StoreActions& actions) {
   Fill(state, StoreAccess::kRead, now);
   Fill(state, StoreAccess::kWrite, now);
-  if (const auto* ended = std::get_if<TryEnded>(&event))
-    ApplyTry(state, *ended, now, actions);
+  if (const auto* ended = std::get_if<AttemptEnded>(&event))
+    ApplyAttempt(state, *ended, now, actions);
   if (const auto* asked = std::get_if<CallAsked>(&event))
     Admit(state, *asked, now, actions);
   ExpireCalls(state, now, actions);
-  StartTries(state, now, actions);
+  StartAttempts(state, now, actions);
   const TimePoint wake = NextWake(state, now);
   if (wake != kNever)
     actions.push_back(StoreWake{wake});
--- a/Libraries/LibStore/store_calls.cc
+++ b/Libraries/LibStore/store_calls.cc
@@ -15,9 +15,9 @@
                    settings.max_connections,
                    settings.max_response_bytes,
                    [this](std::uint64_t id,
-                          TryOutcome outcome,
+                          StoreAttemptOutcome outcome,
                           const StoreHttpResponse& response) {
-                     EndTry(id, outcome, response);
+                     EndAttempt(id, outcome, response);
                    }) {
   apply_ = event_new(
       base, -1, 0,
@@ -51,35 +51,35 @@
   }
 }
 
-void StoreCalls::SendOne(const SendTry& send) {
+void StoreCalls::SendOne(const SendAttempt& send) {
   PendingCall& call = calls_.at(send.call);
-  call.try_id = next_try_++;
-  tries_[call.try_id] = send;
-  connections_.Send(call.try_id, call.request);
+  call.attempt_id = next_attempt_++;
+  attempts_[call.attempt_id] = send;
+  connections_.Send(call.attempt_id, call.request);
 }
 
-void StoreCalls::CancelOne(const AbandonTry& abandon) {
-  const std::uint64_t id = calls_.at(abandon.call).try_id;
-  tries_.erase(id);
+void StoreCalls::CancelOne(const AbandonAttempt& abandon) {
+  const std::uint64_t id = calls_.at(abandon.call).attempt_id;
+  attempts_.erase(id);
   connections_.Cancel(id);
 }
 
-void StoreCalls::EndTry(std::uint64_t id,
-                        TryOutcome outcome,
-                        const StoreHttpResponse& response) {
-  const auto found = tries_.find(id);
-  if (found == tries_.end())
+void StoreCalls::EndAttempt(std::uint64_t id,
+                            StoreAttemptOutcome outcome,
+                            const StoreHttpResponse& response) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end())
     return;
-  const SendTry sent = found->second;
-  tries_.erase(found);
+  const SendAttempt sent = found->second;
+  attempts_.erase(found);
   calls_.at(sent.call).response = response;
-  Step(TryEnded{sent.call, sent.number, outcome});
+  Step(AttemptEnded{sent.call, sent.number, outcome});
 }
 
 void StoreCalls::Apply(const StoreAction& action) {
-  if (const auto* send = std::get_if<SendTry>(&action))
+  if (const auto* send = std::get_if<SendAttempt>(&action))
     SendOne(*send);
-  else if (const auto* abandon = std::get_if<AbandonTry>(&action))
+  else if (const auto* abandon = std::get_if<AbandonAttempt>(&action))
     CancelOne(*abandon);
   else if (const auto* end = std::get_if<EndCall>(&action))
     EndOne(*end);
--- a/Libraries/LibStore/store_calls.h
+++ b/Libraries/LibStore/store_calls.h
@@ -48,26 +48,26 @@
   struct PendingCall {
     StoreHttpRequest request;
     Response done;
-    StoreHttpResponse response;  // Of the last try.
-    std::uint64_t try_id = 0;    // Of the last try.
+    StoreHttpResponse response;    // Of the last attempt.
+    std::uint64_t attempt_id = 0;  // Of the last attempt.
   };
 
   void Step(const StoreEvent& event);
   void ApplyActions();
   void Apply(const StoreAction& action);
-  void SendOne(const SendTry& send);
-  void CancelOne(const AbandonTry& abandon);
-  void EndTry(std::uint64_t id,
-              TryOutcome outcome,
-              const StoreHttpResponse& response);
+  void SendOne(const SendAttempt& send);
+  void CancelOne(const AbandonAttempt& abandon);
+  void EndAttempt(std::uint64_t id,
+                  StoreAttemptOutcome outcome,
+                  const StoreHttpResponse& response);
   void EndOne(const EndCall& end);
   void SetTimer(TimePoint at);
 
   StoreState state_;
   std::map<std::uint64_t, PendingCall> calls_;  // Until EndCall is applied.
   std::uint64_t next_call_ = 1;
-  std::map<std::uint64_t, SendTry> tries_;  // At Connections.
-  std::uint64_t next_try_ = 1;
+  std::map<std::uint64_t, SendAttempt> attempts_;  // At Connections.
+  std::uint64_t next_attempt_ = 1;
   std::deque<StoreAction> actions_;  // To be applied, oldest first.
   std::function<void(bool up)> observer_;
   event* timer_ = nullptr;
--- a/Tests/LibStore/test_policy.cc
+++ b/Tests/LibStore/test_policy.cc
@@ -36,16 +36,16 @@
 
 }  // namespace
 
-// Guards against "failed" for a write whose lost try may have taken effect.
-TEST_CASE("a lost write is uncertain although later tries are refused") {
+// Guards against "failed" for a write whose lost attempt may have taken effect.
+TEST_CASE("a lost write is uncertain although later attempts are refused") {
   Fixture fixture;
-  fixture.state.policy.max_tries = 2;
-  CHECK(All<SendTry>(fixture.Ask(1, StoreAccess::kWrite)).size() == 1);
-  fixture.Run(TryEnded{1, 1, TryOutcome::kLost});
+  fixture.state.policy.max_attempts = 2;
+  CHECK(All<SendAttempt>(fixture.Ask(1, StoreAccess::kWrite)).size() == 1);
+  fixture.Run(AttemptEnded{1, 1, StoreAttemptOutcome::kLost});
   fixture.now += Seconds(1);
-  CHECK(All<SendTry>(fixture.Run(StoreTimerExpired{}))[0].number == 2);
-  const auto ended =
-      All<EndCall>(fixture.Run(TryEnded{1, 2, TryOutcome::kRefused}));
+  CHECK(All<SendAttempt>(fixture.Run(StoreTimerExpired{}))[0].number == 2);
+  const auto ended = All<EndCall>(
+      fixture.Run(AttemptEnded{1, 2, StoreAttemptOutcome::kRefused}));
   REQUIRE(ended.size() == 1);
   CHECK(ended[0].outcome == StoreCallOutcome::kUncertain);
 }
@@ -54,36 +54,38 @@
 // one that is up again.
 TEST_CASE("the breaker fails calls at once and probes with one call") {
   Fixture fixture;
-  fixture.state.policy.max_tries = 1;
+  fixture.state.policy.max_attempts = 1;
   for (std::uint64_t id = 1; id <= 5; ++id) {
     fixture.Ask(id, StoreAccess::kRead);
-    fixture.Run(TryEnded{id, 1, TryOutcome::kRefused});
+    fixture.Run(AttemptEnded{id, 1, StoreAttemptOutcome::kRefused});
   }
   const StoreActions refused = fixture.Ask(6, StoreAccess::kRead);
-  CHECK(All<SendTry>(refused).empty());
+  CHECK(All<SendAttempt>(refused).empty());
   CHECK(All<EndCall>(refused)[0].outcome == StoreCallOutcome::kFailed);
   fixture.now += fixture.state.policy.open_time;
-  CHECK(All<SendTry>(fixture.Ask(7, StoreAccess::kRead)).size() == 1);
-  CHECK(All<SendTry>(fixture.Ask(8, StoreAccess::kRead)).empty());
-  const StoreActions up = fixture.Run(TryEnded{7, 1, TryOutcome::kAnswered});
+  CHECK(All<SendAttempt>(fixture.Ask(7, StoreAccess::kRead)).size() == 1);
+  CHECK(All<SendAttempt>(fixture.Ask(8, StoreAccess::kRead)).empty());
+  const StoreActions up =
+      fixture.Run(AttemptEnded{7, 1, StoreAttemptOutcome::kAnswered});
   CHECK(All<PlatformChanged>(up)[0].up);
-  CHECK(All<SendTry>(fixture.Ask(9, StoreAccess::kRead)).size() == 1);
+  CHECK(All<SendAttempt>(fixture.Ask(9, StoreAccess::kRead)).size() == 1);
 }
 
-// Guards against a call without an end or with two, against a second try beside
-// the first, and against more tries than the rates and the retry budget allow.
+// Guards against a call without an end or with two, against a second attempt
+// beside the first, and against more attempts than the rates and the retry
+// budget allow.
 TEST_CASE("any sequence ends every call once within the rates") {
   CHECK(rc::check([](const std::vector<std::uint16_t>& choices) {
     Fixture fixture;
     std::map<std::uint64_t, std::uint32_t> under_way;
     std::set<std::uint64_t> ended;
     std::uint64_t asked = 0;
-    std::size_t tries = 0;
+    std::size_t attempts = 0;
     const auto apply = [&](const StoreActions& actions) {
-      for (const SendTry& send : All<SendTry>(actions)) {
+      for (const SendAttempt& send : All<SendAttempt>(actions)) {
         RC_ASSERT(!ended.contains(send.call));
         under_way[send.call] = send.number;
-        ++tries;
+        ++attempts;
       }
       for (const EndCall& end : All<EndCall>(actions))
         RC_ASSERT(ended.insert(end.call).second);
@@ -95,8 +97,8 @@
       } else if (choice % 3 == 1 && !under_way.empty()) {
         const auto [call, number] = *under_way.begin();
         under_way.erase(call);
-        apply(fixture.Run(
-            TryEnded{call, number, static_cast<TryOutcome>(choice / 3 % 4)}));
+        apply(fixture.Run(AttemptEnded{
+            call, number, static_cast<StoreAttemptOutcome>(choice / 3 % 4)}));
       } else {
         apply(fixture.Run(StoreTimerExpired{}));
       }
@@ -106,9 +108,9 @@
         static_cast<double>((fixture.now - TimePoint(Seconds(10))).count()) /
         1e6;
     const double burst = policy.writes_per_second * 0.25;
-    RC_ASSERT(static_cast<double>(tries) <=
+    RC_ASSERT(static_cast<double>(attempts) <=
               burst + policy.writes_per_second * seconds + 1);
-    RC_ASSERT(static_cast<double>(tries) <=
+    RC_ASSERT(static_cast<double>(attempts) <=
               static_cast<double>(asked) * 1.1 + policy.max_retry_tokens);
     fixture.now += Seconds(6);
     apply(fixture.Run(StoreTimerExpired{}));
