LibLoop: Keep a server without free descriptors running

Cause: a trial with 800 connections to an entry VM ended its process. The callback for a failed accept took the argument of evhttp's own callback for the server. It now finds the server by its listener. The entry VM limits its descriptors, which bounds connections and with them the bodies that evhttp buffers before a handler runs. Conclusion: a test takes all descriptors away and gives them back.

--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -105,6 +105,7 @@
   CloseHandler on_close;
   evhttp* http = nullptr;
   evhttp_bound_socket* socket = nullptr;
+  evconnlistener* listener = nullptr;  // Of `socket`.
   std::unique_ptr<Timer> resume_accept;
   std::map<std::uint64_t, Pending>
       pending;  // Nodes of a map keep their address.
@@ -113,6 +114,7 @@
   std::unique_ptr<Timer> flush_timer;
   HttpServerCounters counters;
 
+  static std::map<evconnlistener*, Impl*>& Listeners();
   void Accept(evhttp_request* source);
   void WatchClose(Pending& entry);
   void CountSent();
@@ -168,6 +170,13 @@
   entry.closed_event = nullptr;
 }
 
+// The error callback of a listener gets the argument of evhttp's own callback,
+// so the server is found by its listener.
+std::map<evconnlistener*, HttpServer::Impl*>& HttpServer::Impl::Listeners() {
+  static std::map<evconnlistener*, Impl*> listeners;
+  return listeners;
+}
+
 HttpServer::HttpServer(EventLoop& loop,
                        const HttpServerOptions& options,
                        RequestHandler on_request,
@@ -188,6 +197,7 @@
 }
 
 HttpServer::~HttpServer() {
+  Impl::Listeners().erase(impl_->listener);
   for (auto& [id, entry] : impl_->pending) {
     Impl::ForgetClose(entry);
     evhttp_connection* connection =
@@ -209,8 +219,10 @@
   evconnlistener* listener = evhttp_bound_socket_get_listener(impl_->socket);
   impl_->resume_accept = std::make_unique<Timer>(
       impl_->loop, [listener] { evconnlistener_enable(listener); });
-  const auto accept_failed = [](evconnlistener* failed, void* argument) {
-    auto* impl = static_cast<Impl*>(argument);
+  impl_->listener = listener;
+  Impl::Listeners()[listener] = impl_.get();
+  const auto accept_failed = [](evconnlistener* failed, void* /*argument*/) {
+    Impl* impl = Impl::Listeners().at(failed);
     evconnlistener_disable(failed);
     impl->resume_accept->Schedule(impl->loop.Now() + kAcceptPause);
   };
@@ -222,6 +234,7 @@
   if (impl_->socket == nullptr)
     return;
   impl_->resume_accept.reset();
+  Impl::Listeners().erase(impl_->listener);
   evhttp_del_accept_socket(impl_->http, impl_->socket);
   impl_->socket = nullptr;
 }
--- a/Services/EntryServer/main.cc
+++ b/Services/EntryServer/main.cc
@@ -1,5 +1,8 @@
 // cicadadrum-entry: the daemon of every entry VM.
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <iostream>
@@ -29,6 +32,20 @@
           (static_cast<std::uint64_t>(device()) << 32) | device()};
 }
 
+// Descriptors for connections to peers, backend servers and the platform.
+constexpr rlim_t kOwnDescriptors = 512;
+
+// evhttp 2.1 buffers bodies before a handler runs and has no limit of its own
+// on connections. The limit of descriptors bounds them, and with them the
+// memory of all bodies; the server pauses accepting while none is free.
+void LimitConnections(std::uint32_t max_connections) {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur =
+      std::min<rlim_t>(limit.rlim_max, max_connections + kOwnDescriptors);
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 leaf::result<ExitCode> Run(const po::variables_map& values) {
   BOOST_LEAF_AUTO(settings,
                   LoadEntrySettings(values["settings"].as<std::string>()));
@@ -43,6 +60,7 @@
     return ExitCode::kSuccess;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  LimitConnections(settings.max_connections);
   EventLoop loop;
   EntryServer server(loop, settings, NewIncarnation());
   BOOST_LEAF_CHECK(server.Start());
--- a/Tests/LibLoop/test_http.cc
+++ b/Tests/LibLoop/test_http.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -164,4 +165,31 @@
     CHECK((request.path == "/good" || request.path == "/"));
 }
 
+// Guards against a process that ends, or never accepts again, when it has no
+// descriptor left: the callback for a failed accept once used the argument of
+// another callback.
+TEST_CASE("a server without free descriptors accepts again later") {
+  Fixture fixture;
+  const int waiting = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in target{.sin_family = AF_INET,
+                     .sin_port = htons(ParseAddress(fixture.address)->port)};
+  inet_pton(AF_INET, "127.0.0.1", &target.sin_addr);
+  REQUIRE(connect(waiting, reinterpret_cast<const sockaddr*>(&target),
+                  sizeof(target)) == 0);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit none{.rlim_cur = 0, .rlim_max = before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &none);
+  Timer stop(fixture.loop, [&] { fixture.loop.Stop(); });
+  stop.Schedule(fixture.loop.Now() + Milliseconds(20));
+  fixture.loop.Run();
+  setrlimit(RLIMIT_NOFILE, &before);
+  fixture.on_request = [&](std::uint64_t id) {
+    fixture.server.Respond(id, {});
+  };
+  CHECK(fixture.Call(fixture.address, {.target = "/"}).first ==
+        HttpOutcome::kAnswered);
+  close(waiting);
+}
+
 }  // namespace cicadadrum
