LibEntry: Look response fields up in one list

Cause: for each field of each response the list of hop-by-hop fields was built anew, and a list of one field was built for each comparison with it. The cost was not measured. Conclusion: the same fields are left out, case is ignored as before.

--- a/Libraries/LibEntry/entry_core.cc
+++ b/Libraries/LibEntry/entry_core.cc
@@ -28,12 +28,10 @@
 // Fields of a backend server's response that apply to its connection and are
 // not passed on.
 bool IsHopField(std::string_view name) {
-  const HttpFields hop = {{"Connection", ""},     {"Transfer-Encoding", ""},
-                          {"Content-Length", ""}, {"Keep-Alive", ""},
-                          {kShedField, ""},       {"Date", ""}};
-  return std::any_of(hop.begin(), hop.end(), [&](const auto& field) {
-    return FindField({{std::string(name), "1"}}, field.first) == "1";
-  });
+  static const HttpFields hop = {
+      {"Connection", "1"}, {"Transfer-Encoding", "1"}, {"Content-Length", "1"},
+      {"Keep-Alive", "1"}, {kShedField, "1"},          {"Date", "1"}};
+  return !FindField(hop, name).empty();
 }
 
 }  // namespace
