--- /dev/null
+++ b/Libraries/LibFleet/delivery.cc
@@ -0,0 +1,296 @@
+// The fake network and store: how the actions of a node become deliveries.
+
+#include "delivery.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace cicadadrum {
+
+namespace {
+
+constexpr Duration kLocalDelay = Microseconds(200);  // Inside a failure domain.
+constexpr Duration kStoreService = Milliseconds(2);
+constexpr Duration kStoreTimeout = Seconds(1);
+
+std::size_t NodeNumber(const std::string& name) {
+  return std::stoul(name.substr(name.find('-') + 1));
+}
+
+bool IsCut(const Fleet& fleet, std::size_t from, std::size_t to) {
+  return std::any_of(
+      fleet.cuts.begin(), fleet.cuts.end(),
+      [&](const NetworkCut& cut) { return cut.from[from] && cut.to[to]; });
+}
+
+Duration NetworkDelay(Fleet& fleet, std::size_t from, std::size_t to) {
+  const FleetNode& a = fleet.nodes[from];
+  const FleetNode& b = fleet.nodes[to];
+  Duration delay = fleet.options.region_delay;
+  if (a.failure_domain == b.failure_domain)
+    delay = kLocalDelay;
+  else if (a.region == b.region)
+    delay = fleet.options.domain_delay;
+  // Up to a tenth more, so that messages overtake each other.
+  return delay +
+         Microseconds(static_cast<std::int64_t>(RandomBelow(
+             fleet.random, static_cast<std::uint64_t>(delay.count()) / 10)));
+}
+
+// Returns the delay of a message that gets through, or nothing.
+std::optional<Duration> Transmit(Fleet& fleet,
+                                 std::size_t from,
+                                 std::size_t to) {
+  if (IsCut(fleet, from, to) ||
+      (fleet.options.loss > 0 && RandomUnit(fleet.random) < fleet.options.loss))
+    return std::nullopt;
+  return NetworkDelay(fleet, from, to);
+}
+
+void CountExchange(Fleet& fleet,
+                   std::size_t from,
+                   std::size_t to,
+                   const ExchangeMessage& message) {
+  if (!fleet.options.count_bytes)
+    return;
+  const auto start = fleet.options.measure_time
+                         ? std::chrono::steady_clock::now()
+                         : std::chrono::steady_clock::time_point{};
+  const std::uint64_t bytes = EncodedBytes(message) + kCallOverhead;
+  if (fleet.options.measure_time)
+    fleet.counters.encode_nanoseconds +=
+        std::chrono::nanoseconds(std::chrono::steady_clock::now() - start)
+            .count();
+  const auto kind = static_cast<std::size_t>(TrafficKindOf(message.kind));
+  TrafficCount& sender = fleet.nodes[from].traffic[kind];
+  ++sender.messages_out;
+  sender.bytes_out += bytes;
+  if (!fleet.nodes[to].up)
+    return;
+  TrafficCount& receiver = fleet.nodes[to].traffic[kind];
+  receiver.bytes_in += bytes;
+  receiver.bytes_out += kReturnOverhead;
+  sender.bytes_in += kReturnOverhead;
+}
+
+void CountPair(Fleet& fleet,
+               std::size_t from,
+               std::size_t to,
+               std::uint64_t asked,
+               std::uint64_t answered) {
+  constexpr auto kKind = static_cast<std::size_t>(TrafficKind::kFetch);
+  TrafficCount& asker = fleet.nodes[from].traffic[kKind];
+  TrafficCount& answerer = fleet.nodes[to].traffic[kKind];
+  ++asker.messages_out;
+  asker.bytes_out += asked;
+  asker.bytes_in += answered;
+  answerer.bytes_in += asked;
+  answerer.bytes_out += answered;
+}
+
+void DeliverLater(Fleet& fleet,
+                  std::size_t node,
+                  std::uint64_t run,
+                  Duration delay,
+                  MembershipEvent event) {
+  auto delivery = std::make_unique<FleetDelivery>();
+  delivery->event = std::move(event);
+  Schedule(fleet, {.at = fleet.now + delay,
+                   .node = node,
+                   .run = run,
+                   .delivery = std::move(delivery)});
+}
+
+void PerformSend(Fleet& fleet, std::size_t from, const SendMessage& send) {
+  const std::size_t to = NodeNumber(send.to);
+  CountExchange(fleet, from, to, send.message);
+  int copies = 1;
+  if (fleet.options.duplication > 0 &&
+      RandomUnit(fleet.random) < fleet.options.duplication)
+    copies = 2;
+  for (int copy = 0; copy < copies; ++copy) {
+    if (const std::optional<Duration> delay = Transmit(fleet, from, to))
+      DeliverLater(fleet, to, 0, *delay, MessageReceived{send.message});
+  }
+}
+
+void CountStore(Fleet& fleet, std::size_t node, std::uint64_t content) {
+  TrafficCount& count =
+      fleet.nodes[node].traffic[static_cast<std::size_t>(TrafficKind::kStore)];
+  ++count.messages_out;
+  count.bytes_out += kHttpRequest;
+  count.bytes_in += kHttpAnswer + content;
+}
+
+// Returns the time of a call to the store, or nothing if it does not answer.
+std::optional<Duration> StoreDelay(Fleet& fleet, std::size_t node) {
+  if (!fleet.store.up || IsCut(fleet, node, 0) || IsCut(fleet, 0, node))
+    return std::nullopt;
+  return NetworkDelay(fleet, node, 0) + NetworkDelay(fleet, 0, node) +
+         kStoreService;
+}
+
+void PerformRead(Fleet& fleet, std::size_t node, const ReadVersionRow& read) {
+  FleetStore& store = fleet.store;
+  const std::uint64_t run = fleet.nodes[node].run;
+  ++store.row_reads;
+  const std::optional<Duration> delay = StoreDelay(fleet, node);
+  if (!delay) {
+    DeliverLater(fleet, node, run, kStoreTimeout, StoreReadFailed{});
+    return;
+  }
+  StoreRowRead answer{.with_marks = read.with_marks};
+  if (!store.configurations.empty())
+    answer.items.push_back(store.serves_old ? store.configurations.front()
+                                            : store.configurations.back());
+  if (read.with_marks) {
+    for (const auto& [key, mark] : store.marks)
+      answer.items.push_back(mark);
+  }
+  CountStore(fleet, node, 60 * answer.items.size());
+  DeliverLater(fleet, node, run, *delay, std::move(answer));
+}
+
+void FetchFromStore(Fleet& fleet, std::size_t node, const FetchItem& fetch) {
+  ++fleet.store.body_reads;
+  const std::uint64_t run = fleet.nodes[node].run;
+  ItemFetched answer{.key = fetch.key, .version = fetch.version};
+  const std::optional<Duration> delay = StoreDelay(fleet, node);
+  const auto body = fleet.store.bodies.find(fetch.hash);
+  if (delay && body != fleet.store.bodies.end()) {
+    answer.found = true;
+    answer.body = body->second;
+  }
+  CountStore(fleet, node, answer.body.size());
+  DeliverLater(fleet, node, run, delay.value_or(kStoreTimeout),
+               std::move(answer));
+}
+
+void FetchFromPeer(Fleet& fleet, std::size_t node, const FetchItem& fetch) {
+  const std::size_t peer = NodeNumber(fetch.peer);
+  const std::optional<Duration> delay = Transmit(fleet, node, peer);
+  if (!delay)
+    return;
+  auto delivery = std::make_unique<FleetDelivery>();
+  delivery->is_fetch = true;
+  delivery->fetch = {.origin = node,
+                     .origin_run = fleet.nodes[node].run,
+                     .key = fetch.key,
+                     .version = fetch.version};
+  Schedule(fleet, {.at = fleet.now + *delay,
+                   .node = peer,
+                   .delivery = std::move(delivery)});
+}
+
+void PerformWrite(Fleet& fleet, std::size_t node, const WriteMark& write) {
+  const std::optional<Duration> delay = StoreDelay(fleet, node);
+  MarkWritten answer{.item = write.item, .recorded = delay.has_value()};
+  if (delay) {
+    ItemVersion& row = fleet.store.marks[write.item.key];
+    if (write.item.version > row.version) {
+      row = write.item;
+      row.value = NameOf(MarkValue::kLeavingRecorded);
+    }
+    answer.recorded = row.version == write.item.version;
+  }
+  DeliverLater(fleet, node, fleet.nodes[node].run,
+               delay.value_or(kStoreTimeout), std::move(answer));
+}
+
+void NoteChange(Fleet& fleet, const MemberChanged& change) {
+  const MemberUpdate& record = change.record;
+  const FleetNode& subject = fleet.nodes[NodeNumber(record.vm.name)];
+  if (!subject.up || subject.paused || !fleet.cuts.empty() ||
+      record.incarnation < subject.state.members[0].record.incarnation)
+    return;
+  const auto key =
+      std::make_tuple(record.vm.name, record.incarnation, record.sequence);
+  if (record.state == MemberState::kSuspect)
+    fleet.counters.false_suspicions.insert(key);
+  if (record.state == MemberState::kDead)
+    fleet.counters.false_deaths.insert(key);
+}
+
+void NoteAdoption(Fleet& fleet, std::size_t node, const ItemAdopted& adopted) {
+  std::uint64_t& version = fleet.nodes[node].adopted[adopted.item.key];
+  if (adopted.item.version < version)
+    ++fleet.counters.reversions;
+  version = adopted.item.version;
+}
+
+struct ActionHandler {
+  Fleet& fleet;
+  std::size_t node;
+
+  void operator()(const SendMessage& action) const {
+    PerformSend(fleet, node, action);
+  }
+  void operator()(const MemberChanged& action) const {
+    NoteChange(fleet, action);
+  }
+  void operator()(const IsolationChanged& /*action*/) const {}
+  void operator()(const ItemAdopted& action) const {
+    NoteAdoption(fleet, node, action);
+  }
+  void operator()(const FetchItem& action) const {
+    if (action.source == FetchSource::kStore)
+      FetchFromStore(fleet, node, action);
+    else
+      FetchFromPeer(fleet, node, action);
+  }
+  void operator()(const ReadVersionRow& action) const {
+    PerformRead(fleet, node, action);
+  }
+  void operator()(const WriteMark& action) const {
+    PerformWrite(fleet, node, action);
+  }
+  void operator()(const MembershipWake& action) const {
+    ScheduleWake(fleet, node, action.at);
+  }
+};
+
+}  // namespace
+
+bool IsLater(const ScheduledDelivery& a, const ScheduledDelivery& b) {
+  return std::tie(a.at, a.order) > std::tie(b.at, b.order);
+}
+
+void Schedule(Fleet& fleet, ScheduledDelivery delivery) {
+  delivery.order = fleet.next_order++;
+  fleet.queue.push_back(std::move(delivery));
+  std::push_heap(fleet.queue.begin(), fleet.queue.end(), IsLater);
+}
+
+void ScheduleWake(Fleet& fleet, std::size_t node, TimePoint at) {
+  if (at == kNever || fleet.nodes[node].wake_at == at)
+    return;
+  fleet.nodes[node].wake_at = at;
+  Schedule(fleet, {.at = std::max(at, fleet.now),
+                   .node = node,
+                   .run = fleet.nodes[node].run});
+}
+
+void PerformActions(Fleet& fleet,
+                    std::size_t node,
+                    const MembershipActions& actions) {
+  for (const MembershipAction& action : actions)
+    std::visit(ActionHandler{fleet, node}, action);
+}
+
+void AnswerFetch(Fleet& fleet, std::size_t node, const FetchAsked& fetch) {
+  const HeldItem* held = FindItem(fleet.nodes[node].state, fetch.key);
+  ItemFetched answer{.key = fetch.key, .version = fetch.version};
+  if (held != nullptr && held->version == fetch.version) {
+    answer.found = true;
+    answer.body = held->body;
+  }
+  CountPair(fleet, fetch.origin, node, kCallOverhead + 80,
+            kReturnOverhead + 60 + answer.body.size());
+  if (const std::optional<Duration> delay = Transmit(fleet, node, fetch.origin))
+    DeliverLater(fleet, fetch.origin, fetch.origin_run, *delay,
+                 std::move(answer));
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibFleet/include/cicadadrum/fleet/traffic.h
@@ -0,0 +1,82 @@
+// Counts of messages and bytes by kind.
+
+#ifndef CICADADRUM_FLEET_TRAFFIC_H_
+#define CICADADRUM_FLEET_TRAFFIC_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "cicadadrum/base/enum_names.h"
+#include "cicadadrum/membership/events.h"
+
+namespace cicadadrum {
+
+enum class TrafficKind : std::uint8_t {
+  kPing,
+  kAck,
+  kPingRequest,
+  kPush,
+  kPull,
+  kFetch,
+  kStore,
+};
+
+constexpr std::size_t kTrafficKindCount = 7;
+
+template <>
+struct EnumNames<TrafficKind> {
+  static constexpr auto kTable = std::to_array<EnumName<TrafficKind>>({
+      {TrafficKind::kPing, "ping"},
+      {TrafficKind::kAck, "ack"},
+      {TrafficKind::kPingRequest, "ping-request"},
+      {TrafficKind::kPush, "push"},
+      {TrafficKind::kPull, "pull"},
+      {TrafficKind::kFetch, "fetch"},
+      {TrafficKind::kStore, "store"},
+  });
+};
+
+struct TrafficCount {
+  std::uint64_t messages_out = 0;
+  std::uint64_t bytes_out = 0;
+  std::uint64_t bytes_in = 0;
+};
+
+using TrafficTotals = std::array<TrafficCount, kTrafficKindCount>;
+
+constexpr TrafficKind TrafficKindOf(ExchangeKind kind) {
+  switch (kind) {
+    case ExchangeKind::kPing:
+      return TrafficKind::kPing;
+    case ExchangeKind::kAck:
+      return TrafficKind::kAck;
+    case ExchangeKind::kPingRequest:
+      return TrafficKind::kPingRequest;
+    case ExchangeKind::kPush:
+      return TrafficKind::kPush;
+    case ExchangeKind::kPull:
+      return TrafficKind::kPull;
+  }
+  return TrafficKind::kPing;
+}
+
+// Bytes that one call of `exchange` costs besides its parameters. From the
+// caller: the RPC envelope of the call (112), the Finish message (40) and two
+// TCP/IP headers with timestamps (104). To the caller: the Return message with
+// a header (140) and one TCP/IP header (52).
+constexpr std::uint64_t kCallOverhead = 256;
+constexpr std::uint64_t kReturnOverhead = 192;
+
+// Bytes of an HTTP request and of the answer without its content, with TCP/IP
+// headers.
+constexpr std::uint64_t kHttpRequest = 300;
+constexpr std::uint64_t kHttpAnswer = 350;
+
+// Returns the bytes of the parameters of `exchange` in the flat encoding that
+// the RPC system sends.
+std::uint64_t EncodedBytes(const ExchangeMessage& message);
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_FLEET_TRAFFIC_H_
--- /dev/null
+++ b/Libraries/LibFleet/observe.cc
@@ -0,0 +1,89 @@
+// Questions about a fleet: agreement, detection, memory.
+
+#include <algorithm>
+
+#include "cicadadrum/fleet/fleet.h"
+
+namespace cicadadrum {
+
+namespace {
+
+template <typename Predicate>
+bool AllUp(const Fleet& fleet, Predicate holds) {
+  return std::all_of(
+      fleet.nodes.begin(), fleet.nodes.end(),
+      [&](const FleetNode& node) { return !node.up || holds(node); });
+}
+
+std::size_t HeapBytes(const std::string& text) {
+  // A string of up to 15 characters needs no block of its own.
+  return text.capacity() > 15 ? text.capacity() + 1 : 0;
+}
+
+std::size_t MemberBytes(const Member& member) {
+  const EntryVm& vm = member.record.vm;
+  // The index has one node per name: a link, the name, the number, a hash.
+  constexpr std::size_t kIndexNode = 64;
+  return sizeof(Member) + kIndexNode + 2 * HeapBytes(vm.name) +
+         HeapBytes(vm.region) + HeapBytes(vm.failure_domain) +
+         HeapBytes(vm.caller_address) + HeapBytes(vm.peer_address);
+}
+
+}  // namespace
+
+bool InForceEverywhere(const Fleet& fleet, std::uint64_t version) {
+  return AllUp(fleet, [version](const FleetNode& node) {
+    return InForceVersion(node.state) == version;
+  });
+}
+
+bool MembersAgree(const Fleet& fleet) {
+  return AllUp(fleet, [&](const FleetNode& observer) {
+    return std::all_of(
+        fleet.nodes.begin(), fleet.nodes.end(), [&](const FleetNode& node) {
+          const Member* member = FindMember(observer.state, node.vm.name);
+          const bool live = member != nullptr && IsLive(member->record.state);
+          return live == node.up;
+        });
+  });
+}
+
+bool ItemsAgree(const Fleet& fleet) {
+  const auto first =
+      std::find_if(fleet.nodes.begin(), fleet.nodes.end(),
+                   [](const FleetNode& node) { return node.up; });
+  return AllUp(fleet, [&](const FleetNode& node) {
+    const auto same = [](const auto& a, const auto& b) {
+      return a.first == b.first && a.second.version == b.second.version &&
+             a.second.value == b.second.value;
+    };
+    return std::equal(node.state.items.begin(), node.state.items.end(),
+                      first->state.items.begin(), first->state.items.end(),
+                      same);
+  });
+}
+
+bool HeldDeadEverywhere(const Fleet& fleet, std::size_t node) {
+  const std::string& name = fleet.nodes[node].vm.name;
+  return AllUp(fleet, [&](const FleetNode& observer) {
+    const Member* member = FindMember(observer.state, name);
+    return member == nullptr || !IsLive(member->record.state);
+  });
+}
+
+std::size_t StateBytes(const MembershipState& state) {
+  std::size_t bytes = sizeof(MembershipState);
+  for (const Member& member : state.members)
+    bytes += MemberBytes(member);
+  bytes += (state.members.capacity() - state.members.size()) * sizeof(Member);
+  bytes += state.probe_order.capacity() * sizeof(std::size_t);
+  bytes += state.updates.capacity() * sizeof(PendingUpdate);
+  constexpr std::size_t kTreeNode = 40;
+  for (const auto& [key, item] : state.items)
+    bytes += kTreeNode + sizeof(std::string) + sizeof(HeldItem) +
+             HeapBytes(key) + HeapBytes(item.value) + HeapBytes(item.body);
+  bytes += state.suspicions.size() * (kTreeNode + sizeof(Suspicion));
+  return bytes;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Utilities/FleetBench/scenarios.cc
@@ -0,0 +1,251 @@
+// Scenarios of the fleet bench.
+
+#include "scenarios.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cicadadrum {
+
+namespace {
+
+constexpr Duration kSettle = Seconds(12);
+constexpr Duration kLimit = Seconds(120);
+constexpr int kChanges = 5;
+constexpr int kKills = 9;
+
+Fleet SettledFleet(const FleetOptions& options) {
+  Fleet fleet = MakeFleet(options);
+  PublishConfiguration(fleet);
+  StartSettled(fleet);
+  RunFleet(fleet, kSettle);
+  return fleet;
+}
+
+Duration Median(std::vector<Duration> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+std::uint64_t NodeBytes(const FleetNode& node) {
+  std::uint64_t bytes = 0;
+  for (const TrafficCount& count : node.traffic)
+    bytes += count.bytes_in + count.bytes_out;
+  return bytes;
+}
+
+double InSeconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
+void ClearCounters(Fleet& fleet) {
+  fleet.counters = {};
+  fleet.store.row_reads = 0;
+  fleet.store.body_reads = 0;
+  for (FleetNode& node : fleet.nodes)
+    node.traffic = {};
+}
+
+std::uint64_t StoreReads(const Fleet& fleet) {
+  return fleet.store.row_reads + fleet.store.body_reads;
+}
+
+// Plays the changes and restarts of a window in order of time.
+void PlayDay(Fleet& fleet, Duration window) {
+  const Duration change_period =
+      Microseconds(kMicrosecondsPerDay / kChangesPerDay);
+  const Duration restart_period =
+      Microseconds(kMicrosecondsPerDay / kRestartsPerDay);
+  const TimePoint end = fleet.now + window;
+  TimePoint change_at = fleet.now + change_period / 2;
+  TimePoint restart_at = fleet.now + restart_period / 2;
+  while (true) {
+    const TimePoint next = std::min(change_at, restart_at);
+    if (next > end)
+      break;
+    RunFleet(fleet, next - fleet.now);
+    if (change_at <= restart_at) {
+      PublishConfiguration(fleet);
+      change_at += change_period;
+      continue;
+    }
+    const std::size_t node = RandomBelow(fleet.random, fleet.nodes.size());
+    LeaveNode(fleet, node);
+    RunFleet(fleet, Seconds(2));
+    StartNode(fleet, node);
+    restart_at += restart_period;
+  }
+  RunFleet(fleet, end - fleet.now);
+}
+
+bool DomainHeldDead(const Fleet& fleet, std::size_t domain) {
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (fleet.nodes[i].failure_domain == domain &&
+        !HeldDeadEverywhere(fleet, i))
+      return false;
+  }
+  return true;
+}
+
+void CrashDomain(Fleet& fleet, std::size_t domain) {
+  for (std::size_t i = 0; i < fleet.nodes.size(); ++i) {
+    if (fleet.nodes[i].failure_domain == domain)
+      CrashNode(fleet, i);
+  }
+}
+
+}  // namespace
+
+FleetOptions OptionsForSize(std::size_t nodes,
+                            Duration region_delay,
+                            std::uint64_t seed) {
+  FleetOptions options{
+      .nodes = nodes, .region_delay = region_delay, .seed = seed};
+  if (nodes >= 1600) {
+    options.regions = 11;
+    options.failure_domains = 39;
+  } else if (nodes >= 100) {
+    options.regions = nodes >= 400 ? 8 : 5;
+    options.failure_domains = nodes >= 400 ? 24 : 12;
+  }
+  return options;
+}
+
+SpreadFigures MeasureSpread(FleetOptions options, bool domain_lost) {
+  options.count_bytes = false;
+  Fleet fleet = SettledFleet(options);
+  std::vector<Duration> times;
+  for (int i = 0; i < kChanges; ++i) {
+    const std::size_t domain = static_cast<std::size_t>(i) + 1;
+    if (domain_lost)
+      CrashDomain(fleet, domain);
+    const std::uint64_t version = PublishConfiguration(fleet);
+    times.push_back(RunFleetUntil(fleet, kLimit, [version](const Fleet& f) {
+      return InForceEverywhere(f, version);
+    }));
+    for (std::size_t n = 0; n < fleet.nodes.size(); ++n) {
+      if (!fleet.nodes[n].up)
+        StartNode(fleet, n);
+    }
+    // A random part spreads the changes over the readers' phases.
+    RunFleet(fleet, (domain_lost ? Seconds(15) : Seconds(3)) +
+                        Milliseconds(static_cast<std::int64_t>(
+                            RandomBelow(fleet.random, 1000))));
+  }
+  return {.median = Median(times),
+          .longest = *std::max_element(times.begin(), times.end())};
+}
+
+DayFigures MeasureDay(FleetOptions options, Duration window) {
+  options.measure_time = true;
+  Fleet fleet = SettledFleet(options);
+  ClearCounters(fleet);
+  PlayDay(fleet, window);
+  DayFigures figures{.window = window,
+                     .store_reads = StoreReads(fleet),
+                     .false_suspicions = fleet.counters.false_suspicions.size(),
+                     .false_deaths = fleet.counters.false_deaths.size(),
+                     .steps = fleet.counters.steps};
+  figures.step_seconds =
+      static_cast<double>(fleet.counters.step_nanoseconds) / 1e9;
+  figures.encode_seconds =
+      static_cast<double>(fleet.counters.encode_nanoseconds) / 1e9;
+  for (const FleetNode& node : fleet.nodes) {
+    figures.state_bytes = std::max(figures.state_bytes, StateBytes(node.state));
+    figures.largest_bytes_per_second =
+        std::max(figures.largest_bytes_per_second,
+                 static_cast<double>(NodeBytes(node)) / InSeconds(window));
+    for (std::size_t k = 0; k < kTrafficKindCount; ++k) {
+      figures.traffic[k].messages_out += node.traffic[k].messages_out;
+      figures.traffic[k].bytes_out += node.traffic[k].bytes_out;
+      figures.traffic[k].bytes_in += node.traffic[k].bytes_in;
+    }
+  }
+  return figures;
+}
+
+DetectionFigures MeasureDetection(const FleetOptions& options) {
+  FleetOptions quiet = options;
+  quiet.count_bytes = false;
+  Fleet fleet = SettledFleet(quiet);
+  std::vector<Duration> times;
+  for (int i = 0; i < kKills; ++i) {
+    const std::size_t victim = RandomBelow(fleet.random, fleet.nodes.size());
+    CrashNode(fleet, victim);
+    times.push_back(RunFleetUntil(fleet, kLimit, [victim](const Fleet& f) {
+      return HeldDeadEverywhere(f, victim);
+    }));
+    StartNode(fleet, victim);
+    RunFleet(fleet, Seconds(8));
+  }
+  constexpr std::size_t kDomain = 2;
+  CrashDomain(fleet, kDomain);
+  const Duration domain = RunFleetUntil(
+      fleet, kLimit, [](const Fleet& f) { return DomainHeldDead(f, kDomain); });
+  return {.node_median = Median(times),
+          .node_longest = *std::max_element(times.begin(), times.end()),
+          .domain = domain};
+}
+
+StormFigures MeasureStorm(FleetOptions options) {
+  Fleet fleet = SettledFleet(options);
+  fleet.store.up = false;
+  ClearCounters(fleet);
+  StartAll(fleet);
+  StormFigures figures;
+  std::uint64_t reads = 0;
+  const auto run_second = [&] {
+    RunFleet(fleet, Seconds(1));
+    figures.reads_per_second =
+        std::max(figures.reads_per_second,
+                 static_cast<double>(StoreReads(fleet) - reads));
+    reads = StoreReads(fleet);
+  };
+  const TimePoint start = fleet.now;
+  figures.members = kLimit;
+  for (int second = 1; second <= 30; ++second) {
+    run_second();
+    if (figures.members == kLimit && MembersAgree(fleet))
+      figures.members = Seconds(second);
+  }
+  fleet.store.up = true;
+  figures.ready = RunFleetUntil(
+      fleet, kLimit, [](const Fleet& f) { return InForceEverywhere(f, 1); });
+  reads = std::min(reads, StoreReads(fleet));
+  run_second();
+  std::uint64_t bytes = 0;
+  for (const FleetNode& node : fleet.nodes)
+    bytes += NodeBytes(node);
+  figures.bytes_per_second = static_cast<double>(bytes) /
+                             static_cast<double>(fleet.nodes.size()) /
+                             InSeconds(fleet.now - start);
+  return figures;
+}
+
+NaiveFigures MeasureNaive(const FleetOptions& options) {
+  constexpr Duration kService = Microseconds(500);  // 2,000 reads per second.
+  constexpr double kPollBytes = kHttpRequest + kHttpAnswer + 60;
+  Random random{.state = options.seed};
+  std::vector<Duration> polls;
+  for (std::size_t i = 0; i < options.nodes; ++i)
+    polls.push_back(Microseconds(
+        static_cast<std::int64_t>(RandomBelow(random, 1'000'000))));
+  // Every poll finds the new version and is followed by a fetch of the body.
+  std::vector<Duration> arrivals = polls;
+  for (const Duration poll : polls)
+    arrivals.push_back(poll + options.region_delay * 2);
+  std::sort(arrivals.begin(), arrivals.end());
+  Duration free_at{};
+  for (const Duration arrival : arrivals)
+    free_at = std::max(free_at, arrival) + kService;
+  const double changes_per_second = static_cast<double>(kChangesPerDay) / 86400;
+  const double body =
+      kHttpRequest + kHttpAnswer + static_cast<double>(options.body_bytes);
+  return {.in_force = free_at + options.region_delay * 2,
+          .reads_per_second =
+              static_cast<double>(options.nodes) * (1 + changes_per_second),
+          .bytes_per_second = kPollBytes + changes_per_second * body};
+}
+
+}  // namespace cicadadrum
