--- a/Libraries/LibMembership/exchange.cc
+++ b/Libraries/LibMembership/exchange.cc
@@ -28,8 +28,9 @@
 constexpr std::size_t kMembersPerPage = 64;  // About 9 KB.
 constexpr std::size_t kItemsPerPage = 32;
 
-// A new process tells its own record on every message for this long, so that
-// no receiver meets a sender it cannot answer.
+// A new process tells its own record on every message for this long, and
+// others tell theirs to it: until its table is whole, a process that cannot
+// answer a probe would be suspected.
 constexpr Duration kIntroduction = Seconds(30);
 
 // Member updates usually reach all nodes within about 16 messages (4 s); a
@@ -81,6 +82,16 @@
          fold(state.member_buckets);
 }
 
+// A receiver that does not know the sender has no address to answer to.
+void AddOwnRecord(const MembershipState& state, ExchangeMessage& message) {
+  const MemberUpdate& self = state.members[0].record;
+  const bool named = std::any_of(
+      message.members.begin(), message.members.end(),
+      [&](const MemberUpdate& u) { return u.vm.name == self.vm.name; });
+  if (!named)
+    message.members.push_back(self);
+}
+
 void AddMembersPage(StepContext& context,
                     std::string_view digests,
                     ExchangeMessage& answer) {
@@ -178,18 +189,18 @@
                           .digest = Digest(state)};
   message.members = TakeUpdates(
       state, max_updates > 0 ? max_updates : state.options.max_updates);
-  const bool named = std::any_of(
-      message.members.begin(), message.members.end(),
-      [&](const MemberUpdate& u) { return u.vm.name == self.vm.name; });
-  if (!named && context.now - state.started_at < kIntroduction)
-    message.members.push_back(WireRecord(state.members[0]));
+  if (context.now - state.started_at < kIntroduction)
+    AddOwnRecord(state, message);
   return message;
 }
 
 void SendToMember(StepContext& context,
                   std::size_t index,
                   ExchangeMessage message) {
-  const EntryVm& vm = context.state.members[index].record.vm;
+  const Member& member = context.state.members[index];
+  if (context.now - member.changed_at < kIntroduction)
+    AddOwnRecord(context.state, message);
+  const EntryVm& vm = member.record.vm;
   context.actions.emplace_back(SendMessage{.to = vm.name,
                                            .address = vm.peer_address,
                                            .message = std::move(message)});
--- a/Utilities/FleetBench/scenarios.cc
+++ b/Utilities/FleetBench/scenarios.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration kSettle = Seconds(12);
+// New processes send longer messages for 30 s.
+constexpr Duration kIntroductions = Seconds(20);
 constexpr Duration kLimit = Seconds(120);
 constexpr int kChanges = 5;
 constexpr int kKills = 9;
@@ -140,6 +142,7 @@
 DayFigures MeasureDay(FleetOptions options, Duration window) {
   options.measure_time = true;
   Fleet fleet = SettledFleet(options);
+  RunFleet(fleet, kIntroductions);
   ClearCounters(fleet);
   PlayDay(fleet, window);
   DayFigures figures{.window = window,
