LibLoop: Give each response to its own request

Cause: evhttp's client reads bytes behind a response as the response to the next request on that connection. Ruled out: checking the input buffer after evhttp's callback; evhttp has then already taken the bytes. The client now parses with http_parser on bufferevents, checks an echoed header, and closes a connection on any byte nobody asked for.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -1,187 +1,335 @@
-// HTTP/1.1 client on evhttp. Each connection carries one request at a time.
+// HTTP/1.1 client on bufferevents. Each connection carries one request at a
+// time.
 
 #include "cicadadrum/loop/http_client.h"
 
 #include <event2/buffer.h>
-#include <event2/http.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
+#include <charconv>
 #include <map>
 #include <vector>
 
 #include "cicadadrum/loop/address.h"
-#include "http_fields.h"
+#include "http_parser_state.h"
 
 namespace cicadadrum {
 
 namespace {
 
-evhttp_cmd_type ToCommand(HttpMethod method) {
-  switch (method) {
-    case HttpMethod::kGet:
-      return EVHTTP_REQ_GET;
-    case HttpMethod::kHead:
-      return EVHTTP_REQ_HEAD;
-    case HttpMethod::kPost:
-      return EVHTTP_REQ_POST;
-    case HttpMethod::kPut:
-      return EVHTTP_REQ_PUT;
-    case HttpMethod::kDelete:
-      return EVHTTP_REQ_DELETE;
+// Time by which a kept connection is given up before the server's announced
+// idle timeout, so that a request does not cross the server's close.
+constexpr Duration kKeepAliveMargin = Seconds(1);
+
+timeval ToTimeval(Duration duration) {
+  return {.tv_sec = duration.count() / 1'000'000,
+          .tv_usec = duration.count() % 1'000'000};
+}
+
+void SetSocketOptions(evutil_socket_t fd, Duration unacknowledged_timeout) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  const auto timeout =
+      static_cast<unsigned>(unacknowledged_timeout.count() / 1000);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+std::string SerializeHead(const std::string& address,
+                          const HttpRequest& request) {
+  std::string head;
+  head.reserve(512);
+  head.append(NameOf(request.method)).append(" ").append(request.target);
+  head.append(" HTTP/1.1\r\n");
+  if (FindField(request.headers, "Host").empty())
+    head.append("Host: ").append(address).append("\r\n");
+  for (const auto& [name, value] : request.headers)
+    head.append(name).append(": ").append(value).append("\r\n");
+  const bool has_body =
+      !request.body.empty() || request.method == HttpMethod::kPost ||
+      request.method == HttpMethod::kPut;
+  if (has_body) {
+    head.append("Content-Length: ");
+    head.append(std::to_string(request.body.size())).append("\r\n");
   }
-  return EVHTTP_REQ_GET;
+  return head.append("\r\n");
+}
+
+// Returns the time in a "timeout=N" parameter of a Keep-Alive header.
+Duration KeepAliveTime(const HttpResponse& response, Duration fallback) {
+  const std::string_view value = FindField(response.headers, "Keep-Alive");
+  const std::size_t at = value.find("timeout=");
+  if (at == std::string_view::npos)
+    return fallback;
+  const std::string_view digits = value.substr(at + 8);
+  std::int64_t seconds = 0;
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (parsed.ec != std::errc())
+    return fallback;
+  return std::min(fallback, Seconds(seconds) - kKeepAliveMargin);
 }
 
 }  // namespace
 
 struct HttpClient::Impl {
+  struct Call;
+
+  // Invariant: either `call` is set, or the connection is in its peer's `idle`.
+  struct Connection {
+    Impl* client = nullptr;
+    std::string address;
+    bufferevent* bev = nullptr;
+    Call* call = nullptr;
+    ResponseParser parser;
+    bool connected = false;
+    bool skipped_response = false;  // It carried a response for nobody.
+    TimePoint usable_until;         // While idle.
+  };
+
   struct Peer {
-    std::vector<evhttp_connection*> idle;
-    std::uint32_t open =
-        0;  // Invariant: idle connections plus those in `calls`.
+    std::vector<Connection*> idle;  // The most recently used one is last.
+    std::uint32_t open = 0;  // Invariant: idle connections plus busy ones.
   };
 
   struct Call {
-    Impl* client = nullptr;
     std::uint64_t id = 0;
     std::string address;
-    evhttp_connection* connection = nullptr;
+    std::string echo;  // Expected value of the echoed header.
+    bool head_request = false;
+    Connection* connection = nullptr;
     Callback callback;
-    std::unique_ptr<Timer> deadline;
-    bool failed =
-        false;  // evhttp reported an error after the connection was made.
-    HttpOutcome outcome = HttpOutcome::kLost;
-    HttpResponse response;
+    std::unique_ptr<Timer> timer;
   };
 
-  Impl(EventLoop& event_loop, const HttpClientOptions& client_options)
-      : loop(event_loop), options(client_options) {}
+  Impl(EventLoop& event_loop, HttpClientOptions client_options)
+      : loop(event_loop), options(std::move(client_options)) {}
 
   EventLoop& loop;
   HttpClientOptions options;
   std::map<std::string, Peer> peers;
   std::map<std::uint64_t, Call> calls;  // Nodes of a map keep their address.
   std::uint64_t next_id = 1;
+  HttpClientCounters counters;
 
-  evhttp_connection* TakeConnection(const std::string& address);
+  Connection* TakeIdle(Peer& peer);
+  Connection* Open(const std::string& address, Peer& peer);
   void Start(Call& call, const HttpRequest& request);
-  void Complete(std::uint64_t id,
-                HttpOutcome outcome,
-                HttpResponse response,
-                bool reusable);
+  void Complete(Connection& connection, HttpOutcome outcome);
   void CompleteSoon(Call& call, HttpOutcome outcome);
-  void ReleaseConnection(const Call& call, bool reusable);
-  static void OnDone(evhttp_request* request, void* argument);
-  static void OnError(evhttp_request_error error, void* argument);
+  void ExpireCall(std::uint64_t id);
+  void Read(Connection& connection);
+  bool IsOwnResponse(const Connection& connection) const;
+  void Finish(Connection& connection);
+  void HandleEvent(Connection& connection, short what);
+  void Keep(Connection& connection, Duration usable);
+  void Close(Connection& connection);
 };
 
-evhttp_connection* HttpClient::Impl::TakeConnection(
-    const std::string& address) {
-  Peer& peer = peers[address];
-  if (!peer.idle.empty()) {
-    evhttp_connection* connection = peer.idle.back();
-    peer.idle.pop_back();
-    return connection;
+HttpClient::Impl::Connection* HttpClient::Impl::TakeIdle(Peer& peer) {
+  while (!peer.idle.empty()) {
+    Connection* connection = peer.idle.back();
+    if (loop.Now() < connection->usable_until) {
+      peer.idle.pop_back();
+      return connection;
+    }
+    Close(*connection);
   }
+  return nullptr;
+}
+
+HttpClient::Impl::Connection* HttpClient::Impl::Open(const std::string& address,
+                                                     Peer& peer) {
   const auto target = ParseAddress(address);
   if (!target || peer.open >= options.max_connections_per_address)
     return nullptr;
-  evhttp_connection* connection = evhttp_connection_base_new(
-      loop.base(), nullptr, target->host.c_str(), target->port);
-  evhttp_connection_set_max_body_size(
-      connection, static_cast<ev_ssize_t>(options.max_response_bytes));
-  evhttp_connection_set_timeout(connection, options.idle_timeout_seconds);
+  const evutil_socket_t fd =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_storage storage{};
+  int length = sizeof(storage);
+  const std::string text = target->host + ":" + std::to_string(target->port);
+  if (fd < 0 ||
+      evutil_parse_sockaddr_port(
+          text.c_str(), reinterpret_cast<sockaddr*>(&storage), &length) != 0) {
+    if (fd >= 0)
+      evutil_closesocket(fd);
+    return nullptr;
+  }
+  SetSocketOptions(fd, options.unacknowledged_timeout);
+  auto* connection = new Connection{.client = this, .address = address};
+  connection->parser.max_body_bytes = options.max_response_bytes;
+  // Deferred, so that a connect that fails at once is not reported before the
+  // call is attached to the connection.
+  connection->bev = bufferevent_socket_new(
+      loop.base(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  const auto readable = [](bufferevent* /*bev*/, void* argument) {
+    auto* source = static_cast<Connection*>(argument);
+    source->client->Read(*source);
+  };
+  const auto changed = [](bufferevent* /*bev*/, short what, void* argument) {
+    auto* source = static_cast<Connection*>(argument);
+    source->client->HandleEvent(*source, what);
+  };
+  bufferevent_setcb(connection->bev, readable, nullptr, changed, connection);
+  const timeval connect_time = ToTimeval(options.connect_timeout);
+  bufferevent_set_timeouts(connection->bev, nullptr, &connect_time);
+  bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
   ++peer.open;
+  ++counters.connections;
+  bufferevent_socket_connect(connection->bev,
+                             reinterpret_cast<sockaddr*>(&storage), length);
   return connection;
 }
 
-// evhttp reports a connection that was never made by calling OnDone with a
-// request without a status and without calling OnError first.
-void HttpClient::Impl::OnDone(evhttp_request* request, void* argument) {
-  Call& call = *static_cast<Call*>(argument);
-  const int status =
-      request == nullptr ? 0 : evhttp_request_get_response_code(request);
-  if (status == 0) {
-    const bool connected = call.failed || request == nullptr;
-    return call.client->CompleteSoon(
-        call, connected ? HttpOutcome::kLost : HttpOutcome::kNotConnected);
+void HttpClient::Impl::Start(Call& call, const HttpRequest& request) {
+  Connection& connection = *call.connection;
+  ResetParser(connection.parser, call.head_request);
+  connection.skipped_response = false;
+  connection.call = &call;
+  const std::string head = SerializeHead(call.address, request);
+  evbuffer* output = bufferevent_get_output(connection.bev);
+  evbuffer_add(output, head.data(), head.size());
+  evbuffer_add(output, request.body.data(), request.body.size());
+}
+
+// Bytes on an idle connection belong to no request.
+void HttpClient::Impl::Read(Connection& connection) {
+  if (connection.call == nullptr) {
+    ++counters.surplus;
+    return Close(connection);
+  }
+  evbuffer* input = bufferevent_get_input(connection.bev);
+  while (evbuffer_get_length(input) > 0) {
+    const std::size_t size = evbuffer_get_contiguous_space(input);
+    const auto* bytes =
+        reinterpret_cast<const char*>(evbuffer_pullup(input, size));
+    std::size_t consumed = 0;
+    const ParseProgress progress =
+        ParseBytes(connection.parser, bytes, size, consumed);
+    evbuffer_drain(input, consumed);
+    if (progress == ParseProgress::kMalformed)
+      return Complete(connection, HttpOutcome::kLost);
+    if (progress == ParseProgress::kNeedMore)
+      continue;
+    if (IsOwnResponse(connection))
+      return Finish(connection);
+    ++counters.surplus;
+    connection.skipped_response = true;
+    ResetParser(connection.parser, connection.call->head_request);
   }
-  call.response = {
-      .status = static_cast<std::uint16_t>(status),
-      .headers = ReadFields(evhttp_request_get_input_headers(request)),
-      .body = DrainBuffer(evhttp_request_get_input_buffer(request))};
-  call.client->CompleteSoon(call, HttpOutcome::kAnswered);
 }
 
-void HttpClient::Impl::OnError(evhttp_request_error /*error*/, void* argument) {
-  static_cast<Call*>(argument)->failed = true;
+// A success without the echoed header is not trusted either; an error that a
+// server answers before it has read the header may lack it.
+bool HttpClient::Impl::IsOwnResponse(const Connection& connection) const {
+  if (options.echoed_header.empty())
+    return true;
+  const HttpResponse& response = connection.parser.response;
+  const std::string_view echo =
+      FindField(response.headers, options.echoed_header);
+  if (echo.empty())
+    return response.status >= 300;
+  return echo == connection.call->echo;
 }
 
-// Callbacks run from the timer and not from evhttp's own stack, which still
-// uses the connection.
-void HttpClient::Impl::CompleteSoon(Call& call, HttpOutcome outcome) {
-  call.outcome = outcome;
-  const std::uint64_t id = call.id;
-  call.deadline = std::make_unique<Timer>(loop, [this, id] {
-    Call& done = calls.at(id);
-    Complete(id, done.outcome, std::move(done.response),
-             done.outcome == HttpOutcome::kAnswered);
-  });
-  call.deadline->Schedule(loop.Now());
+void HttpClient::Impl::Finish(Connection& connection) {
+  Complete(connection, HttpOutcome::kAnswered);
 }
 
-void HttpClient::Impl::Start(Call& call, const HttpRequest& request) {
-  evhttp_request* outgoing = evhttp_request_new(OnDone, &call);
-  evhttp_request_set_error_cb(outgoing, OnError);
-  evkeyvalq* headers = evhttp_request_get_output_headers(outgoing);
-  evhttp_add_header(headers, "Host", call.address.c_str());
-  WriteFields(request.headers, headers);
-  evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(),
-               request.body.size());
-  const int started =
-      evhttp_make_request(call.connection, outgoing, ToCommand(request.method),
-                          request.target.c_str());
-  if (started != 0)
-    CompleteSoon(call, HttpOutcome::kNotConnected);
-}
-
-void HttpClient::Impl::ReleaseConnection(const Call& call, bool reusable) {
-  if (call.connection == nullptr)
-    return;
-  Peer& peer = peers[call.address];
-  if (reusable) {
-    peer.idle.push_back(call.connection);
+void HttpClient::Impl::HandleEvent(Connection& connection, short what) {
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    connection.connected = true;
+    bufferevent_set_timeouts(connection.bev, nullptr, nullptr);
     return;
   }
+  if (connection.call == nullptr)
+    return Close(connection);
+  if (!connection.connected)
+    return Complete(connection, HttpOutcome::kNotConnected);
+  const bool closed = (what & BEV_EVENT_EOF) != 0;
+  if (closed && ParseEnd(connection.parser) == ParseProgress::kComplete) {
+    connection.parser.reusable = false;
+    if (IsOwnResponse(connection))
+      return Finish(connection);
+  }
+  Complete(connection, HttpOutcome::kLost);
+}
+
+void HttpClient::Impl::Keep(Connection& connection, Duration usable) {
+  connection.usable_until = loop.Now() + usable;
+  peers[connection.address].idle.push_back(&connection);
+}
+
+void HttpClient::Impl::Close(Connection& connection) {
+  Peer& peer = peers[connection.address];
+  std::erase(peer.idle, &connection);
   --peer.open;
-  evhttp_connection_free(call.connection);
+  bufferevent_free(connection.bev);
+  delete &connection;
 }
 
-void HttpClient::Impl::Complete(std::uint64_t id,
-                                HttpOutcome outcome,
-                                HttpResponse response,
-                                bool reusable) {
-  const auto found = calls.find(id);
-  if (found == calls.end())
-    return;
-  const Callback callback = std::move(found->second.callback);
-  // The timer whose callback runs now must live until it returns.
-  const std::unique_ptr<Timer> timer = std::move(found->second.deadline);
-  ReleaseConnection(found->second, reusable);
-  calls.erase(found);
+// Ends the call of a connection, which is kept if nothing speaks against it.
+void HttpClient::Impl::Complete(Connection& connection, HttpOutcome outcome) {
+  Call& call = *connection.call;
+  const Callback callback = std::move(call.callback);
+  const std::unique_ptr<Timer> timer = std::move(call.timer);
+  HttpResponse response;
+  if (outcome == HttpOutcome::kAnswered)
+    response = std::move(connection.parser.response);
+  const std::size_t unread =
+      evbuffer_get_length(bufferevent_get_input(connection.bev));
+  const std::size_t unsent =
+      evbuffer_get_length(bufferevent_get_output(connection.bev));
+  if (unread > 0)
+    ++counters.surplus;
+  const bool reusable = outcome == HttpOutcome::kAnswered &&
+                        connection.parser.reusable &&
+                        !connection.skipped_response && unread == 0 &&
+                        unsent == 0;
+  connection.call = nullptr;
+  calls.erase(call.id);
+  if (reusable)
+    Keep(connection, KeepAliveTime(response, options.idle_timeout));
+  else
+    Close(connection);
   callback(outcome, std::move(response));
 }
 
+void HttpClient::Impl::CompleteSoon(Call& call, HttpOutcome outcome) {
+  const std::uint64_t id = call.id;
+  call.timer = std::make_unique<Timer>(loop, [this, id, outcome] {
+    const auto found = calls.find(id);
+    if (found == calls.end())
+      return;
+    const Callback callback = std::move(found->second.callback);
+    const std::unique_ptr<Timer> timer = std::move(found->second.timer);
+    calls.erase(found);
+    callback(outcome, {});
+  });
+  call.timer->Schedule(loop.Now());
+}
+
+// A connection that was never made did not carry the request.
+void HttpClient::Impl::ExpireCall(std::uint64_t id) {
+  Connection& connection = *calls.at(id).connection;
+  Complete(connection, connection.connected ? HttpOutcome::kTimedOut
+                                            : HttpOutcome::kNotConnected);
+}
+
 HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
     : impl_(std::make_unique<Impl>(loop, options)) {}
 
 HttpClient::~HttpClient() {
   for (auto& [id, call] : impl_->calls) {
     if (call.connection != nullptr)
-      evhttp_connection_free(call.connection);
+      impl_->Close(*call.connection);
   }
   for (auto& [address, peer] : impl_->peers) {
-    for (evhttp_connection* connection : peer.idle)
-      evhttp_connection_free(connection);
+    while (!peer.idle.empty())
+      impl_->Close(*peer.idle.back());
   }
 }
 
@@ -190,21 +338,25 @@
                                TimePoint deadline,
                                Callback callback) {
   const std::uint64_t id = impl_->next_id++;
+  ++impl_->counters.requests;
   Impl::Call& call = impl_->calls[id];
-  call.client = impl_.get();
   call.id = id;
   call.address = address;
   call.callback = std::move(callback);
-  call.connection = impl_->TakeConnection(address);
+  call.head_request = request.method == HttpMethod::kHead;
+  if (!impl_->options.echoed_header.empty())
+    call.echo = FindField(request.headers, impl_->options.echoed_header);
+  Impl::Peer& peer = impl_->peers[address];
+  call.connection = impl_->TakeIdle(peer);
+  if (call.connection == nullptr)
+    call.connection = impl_->Open(address, peer);
   if (call.connection == nullptr) {
     impl_->CompleteSoon(call, HttpOutcome::kNoConnection);
     return id;
   }
-  call.deadline =
-      std::make_unique<Timer>(impl_->loop, [impl = impl_.get(), id] {
-        impl->Complete(id, HttpOutcome::kTimedOut, {}, false);
-      });
-  call.deadline->Schedule(deadline);
+  call.timer = std::make_unique<Timer>(
+      impl_->loop, [impl = impl_.get(), id] { impl->ExpireCall(id); });
+  call.timer->Schedule(deadline);
   impl_->Start(call, request);
   return id;
 }
@@ -213,8 +365,19 @@
   const auto found = impl_->calls.find(id);
   if (found == impl_->calls.end())
     return;
-  impl_->ReleaseConnection(found->second, false);
+  if (found->second.connection != nullptr)
+    impl_->Close(*found->second.connection);
   impl_->calls.erase(found);
 }
 
+void HttpClient::CloseIdle(const std::string& address) {
+  Impl::Peer& peer = impl_->peers[address];
+  while (!peer.idle.empty())
+    impl_->Close(*peer.idle.back());
+}
+
+const HttpClientCounters& HttpClient::counters() const {
+  return impl_->counters;
+}
+
 }  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibLoop/http_parser_state.cc
@@ -0,0 +1,110 @@
+// Parses HTTP/1.1 responses with http_parser.
+
+#include "http_parser_state.h"
+
+namespace cicadadrum {
+
+namespace {
+
+constexpr std::uint16_t kFirstFinalStatus = 200;
+
+ResponseParser& StateOf(http_parser* parser) {
+  return *static_cast<ResponseParser*>(parser->data);
+}
+
+int OnField(http_parser* parser, const char* at, std::size_t length) {
+  ResponseParser& state = StateOf(parser);
+  if (state.in_value || state.response.headers.empty())
+    state.response.headers.emplace_back();
+  state.in_value = false;
+  state.response.headers.back().first.append(at, length);
+  return 0;
+}
+
+int OnValue(http_parser* parser, const char* at, std::size_t length) {
+  ResponseParser& state = StateOf(parser);
+  state.in_value = true;
+  state.response.headers.back().second.append(at, length);
+  return 0;
+}
+
+// The value 1 tells the parser that no body follows.
+int OnHeadersComplete(http_parser* parser) {
+  ResponseParser& state = StateOf(parser);
+  state.response.status = static_cast<std::uint16_t>(parser->status_code);
+  return state.head_request ? 1 : 0;
+}
+
+int OnBody(http_parser* parser, const char* at, std::size_t length) {
+  ResponseParser& state = StateOf(parser);
+  if (state.response.body.size() + length > state.max_body_bytes) {
+    state.too_large = true;
+    return 1;
+  }
+  state.response.body.append(at, length);
+  return 0;
+}
+
+int OnMessageComplete(http_parser* parser) {
+  ResponseParser& state = StateOf(parser);
+  // An interim response, for example 100 Continue, precedes the final one.
+  if (state.response.status < kFirstFinalStatus) {
+    state.response = {};
+    state.in_value = false;
+    return 0;
+  }
+  state.complete = true;
+  state.reusable = http_should_keep_alive(parser) != 0;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+const http_parser_settings& ParserSettings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_header_field = OnField;
+    made.on_header_value = OnValue;
+    made.on_headers_complete = OnHeadersComplete;
+    made.on_body = OnBody;
+    made.on_message_complete = OnMessageComplete;
+    return made;
+  }();
+  return settings;
+}
+
+ParseProgress ProgressOf(const ResponseParser& state) {
+  if (state.complete)
+    return ParseProgress::kComplete;
+  const auto error = HTTP_PARSER_ERRNO(&state.parser);
+  return error == HPE_OK && !state.too_large ? ParseProgress::kNeedMore
+                                             : ParseProgress::kMalformed;
+}
+
+}  // namespace
+
+void ResetParser(ResponseParser& state, bool head_request) {
+  http_parser_init(&state.parser, HTTP_RESPONSE);
+  state.parser.data = &state;
+  state.response = {};
+  state.in_value = false;
+  state.complete = false;
+  state.too_large = false;
+  state.reusable = false;
+  state.head_request = head_request;
+}
+
+ParseProgress ParseBytes(ResponseParser& state,
+                         const char* bytes,
+                         std::size_t size,
+                         std::size_t& consumed) {
+  consumed = http_parser_execute(&state.parser, &ParserSettings(), bytes, size);
+  return ProgressOf(state);
+}
+
+ParseProgress ParseEnd(ResponseParser& state) {
+  http_parser_execute(&state.parser, &ParserSettings(), nullptr, 0);
+  return state.complete ? ParseProgress::kComplete : ParseProgress::kMalformed;
+}
+
+}  // namespace cicadadrum
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -1,4 +1,7 @@
-// HTTP/1.1 client on evhttp with kept and bounded connections.
+// HTTP/1.1 client on bufferevents with kept and bounded connections.
+//
+// evhttp's client reads bytes that follow a response as the response to the
+// next request, so responses are parsed with http_parser instead.
 
 #ifndef CICADADRUM_LOOP_HTTP_CLIENT_H_
 #define CICADADRUM_LOOP_HTTP_CLIENT_H_
@@ -38,8 +41,21 @@
 struct HttpClientOptions {
   std::uint32_t max_connections_per_address = 64;
   std::uint64_t max_response_bytes = 8'388'608;
-  int connect_timeout_seconds = 2;
-  int idle_timeout_seconds = 50;
+  Duration connect_timeout = Seconds(2);
+  // An idle connection older than this is closed instead of used again. A
+  // shorter time in the server's Keep-Alive header goes first.
+  Duration idle_timeout = Seconds(50);
+  // A connection on which sent bytes stay unacknowledged for this long is lost.
+  Duration unacknowledged_timeout = Seconds(10);
+  // Header whose value a server repeats in its response. A response with
+  // another value belongs to another request and is skipped. Empty for none.
+  std::string echoed_header;
+};
+
+struct HttpClientCounters {
+  std::uint64_t connections = 0;  // Opened.
+  std::uint64_t requests = 0;
+  std::uint64_t surplus = 0;  // Responses or bytes that nobody asked for.
 };
 
 class HttpClient {
@@ -63,6 +79,11 @@
   // unknown id is ignored.
   void Cancel(std::uint64_t id);
 
+  // Closes the idle connections to `address`.
+  void CloseIdle(const std::string& address);
+
+  const HttpClientCounters& counters() const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/Tests/LibLoop/scripted_server.h
@@ -0,0 +1,118 @@
+// A server on loopback that answers each request with the next of a list of
+// byte strings, well-formed or not.
+
+#ifndef CICADADRUM_TESTS_LIBLOOP_SCRIPTED_SERVER_H_
+#define CICADADRUM_TESTS_LIBLOOP_SCRIPTED_SERVER_H_
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "cicadadrum/loop/event_loop.h"
+
+namespace cicadadrum {
+
+// What the server does with one request.
+struct ScriptedAnswer {
+  std::string bytes;
+  bool then_close = false;
+  bool then_reset = false;
+};
+
+class ScriptedServer {
+ public:
+  ScriptedServer(EventLoop& loop, std::vector<ScriptedAnswer> answers)
+      : answers_(std::move(answers)), loop_(loop) {
+    sockaddr_in any{.sin_family = AF_INET, .sin_port = 0};
+    any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const auto accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
+                           sockaddr* /*peer*/, int /*length*/, void* argument) {
+      static_cast<ScriptedServer*>(argument)->Accept(fd);
+    };
+    listener_ =
+        evconnlistener_new_bind(loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE,
+                                -1, reinterpret_cast<sockaddr*>(&any),
+                                static_cast<int>(sizeof(any)));
+    sockaddr_in bound{};
+    socklen_t length = sizeof(bound);
+    getsockname(evconnlistener_get_fd(listener_),
+                reinterpret_cast<sockaddr*>(&bound), &length);
+    address_ = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+  }
+
+  ~ScriptedServer() {
+    for (bufferevent* connection : connections_)
+      bufferevent_free(connection);
+    evconnlistener_free(listener_);
+  }
+
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  const std::string& address() const { return address_; }
+  std::size_t connection_count() const { return accepted_; }
+
+  // Writes bytes to the newest connection without being asked.
+  void WriteUnasked(const std::string& bytes) {
+    bufferevent_write(connections_.back(), bytes.data(), bytes.size());
+  }
+
+ private:
+  void Accept(evutil_socket_t fd) {
+    ++accepted_;
+    bufferevent* connection =
+        bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    const auto readable = [](bufferevent* source, void* argument) {
+      static_cast<ScriptedServer*>(argument)->Answer(source);
+    };
+    const auto ended = [](bufferevent* source, short /*what*/, void* argument) {
+      static_cast<ScriptedServer*>(argument)->Forget(source);
+    };
+    bufferevent_setcb(connection, readable, nullptr, ended, this);
+    bufferevent_enable(connection, EV_READ | EV_WRITE);
+    connections_.push_back(connection);
+  }
+
+  void Answer(bufferevent* connection) {
+    evbuffer* input = bufferevent_get_input(connection);
+    if (evbuffer_search(input, "\r\n\r\n", 4, nullptr).pos < 0)
+      return;
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (next_ == answers_.size())
+      return;
+    const ScriptedAnswer& answer = answers_[next_++];
+    // Written to the socket at once, so that a close right after it follows the
+    // bytes.
+    const evutil_socket_t fd = bufferevent_getfd(connection);
+    send(fd, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+    if (answer.then_reset) {
+      const linger reset{.l_onoff = 1, .l_linger = 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    }
+    if (answer.then_close || answer.then_reset)
+      Forget(connection);
+  }
+
+  void Forget(bufferevent* connection) {
+    std::erase(connections_, connection);
+    bufferevent_free(connection);
+  }
+
+  std::vector<ScriptedAnswer> answers_;
+  std::size_t next_ = 0;
+  std::size_t accepted_ = 0;
+  EventLoop& loop_;
+  evconnlistener* listener_ = nullptr;
+  std::vector<bufferevent*> connections_;
+  std::string address_;
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_TESTS_LIBLOOP_SCRIPTED_SERVER_H_
