--- a/Libraries/LibConfiguration/include/cicadadrum/configuration/json.h
+++ b/Libraries/LibConfiguration/include/cicadadrum/configuration/json.h
@@ -37,6 +37,25 @@
   return message.getRoot<T>().asReader();
 }
 
+// Decodes a message of another system, which may hold keys that this one does
+// not know. Wrong types are refused. Error: `code`.
+boost::leaf::result<void> DecodeForeignJson(const std::string& text,
+                                            const std::string& source,
+                                            ErrorCode code,
+                                            capnp::StructSchema schema,
+                                            capnp::MessageBuilder& message);
+
+template <typename T>
+boost::leaf::result<typename T::Reader> DecodeForeignJsonAs(
+    const std::string& text,
+    const std::string& source,
+    ErrorCode code,
+    capnp::MessageBuilder& message) {
+  BOOST_LEAF_CHECK(DecodeForeignJson(text, source, code,
+                                     capnp::Schema::from<T>(), message));
+  return message.getRoot<T>().asReader();
+}
+
 // Encodes a struct as JSON text. 64-bit integers become strings, as Cap'n
 // Proto's JSON mapping has them.
 std::string EncodeJson(capnp::DynamicStruct::Reader value);
--- a/Libraries/LibConfiguration/json.cc
+++ b/Libraries/LibConfiguration/json.cc
@@ -198,6 +198,20 @@
   return {};
 }
 
+boost::leaf::result<void> DecodeForeignJson(const std::string& text,
+                                            const std::string& source,
+                                            ErrorCode code,
+                                            capnp::StructSchema schema,
+                                            capnp::MessageBuilder& message) {
+  const capnp::JsonCodec codec;
+  auto root = message.initRoot<capnp::DynamicStruct>(schema);
+  const auto failure = kj::runCatchingExceptions(
+      [&] { codec.decode(kj::ArrayPtr(text.data(), text.size()), root); });
+  KJ_IF_MAYBE (exception, failure)
+    return Fail(code, source, exception->getDescription().cStr());
+  return {};
+}
+
 std::string EncodeJson(capnp::DynamicStruct::Reader value) {
   capnp::JsonCodec codec;
   codec.setPrettyPrint(true);
--- /dev/null
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -0,0 +1,166 @@
+// Follows one table of a store that keeps versioned rows: reads it whole once,
+// then asks for changes, and reads it whole again when the store has forgotten
+// the changes in between.
+//
+// The calls are paced, because every call has a price and the rows change more
+// often than anybody needs to know.
+
+#ifndef CICADADRUM_DISCOVERY_TABLE_H_
+#define CICADADRUM_DISCOVERY_TABLE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cicadadrum/base/enum_names.h"
+#include "cicadadrum/base/random.h"
+#include "cicadadrum/base/time.h"
+
+namespace cicadadrum::discovery {
+
+struct TableOptions {
+  std::string table;
+  // Least time from one answer to the next call for changes.
+  Duration period = Seconds(1);
+  // How long the store may keep a call for changes open.
+  Duration wait = Seconds(3);
+  Duration timeout = Seconds(1);  // Of a call, beside `wait`.
+  Duration shortest_backoff = Milliseconds(100);
+  Duration longest_backoff = Seconds(1);
+  // Rows that vanish while the store comes back are kept this long, because
+  // their writers may still be there and write them again.
+  Duration return_grace = Milliseconds(2200);
+};
+
+struct TableRow {
+  std::string key;
+  std::string value;  // Decoded bytes.
+  std::uint64_t version = 0;
+  bool removed = false;
+};
+
+// --- Events ---
+
+enum class TableFailure : std::uint8_t {
+  kHistoryLost,  // The changes since the version are not available.
+  kRefused,      // The store answered and did nothing.
+  kNoAnswer,
+};
+
+// The time of the last TableWake has come.
+struct TableTick {};
+
+struct TableAnswered {
+  std::uint64_t call = 0;
+  std::vector<TableRow> rows;
+  std::uint64_t version = 0;  // Of the store at this answer.
+  bool more = false;          // Only part of the table was read.
+};
+
+struct TableFailed {
+  std::uint64_t call = 0;
+  TableFailure failure = TableFailure::kNoAnswer;
+};
+
+using TableEvent = std::variant<TableTick, TableAnswered, TableFailed>;
+
+// --- Actions ---
+
+// Read rows from the key `from` on.
+struct ReadTable {
+  std::uint64_t call = 0;  // Never used again.
+  std::string from;        // Empty for the first row.
+  Duration timeout{};
+};
+
+// Ask for the rows that changed after `after`.
+struct FollowTable {
+  std::uint64_t call = 0;
+  std::uint64_t after = 0;
+  Duration wait{};
+  Duration timeout{};  // Of the whole call.
+};
+
+// Rows that are new or changed, and keys that are gone. `first` marks the first
+// whole read of this process.
+struct RowsChanged {
+  std::vector<TableRow> rows;
+  bool first = false;
+};
+
+// The store was found out of reach or back.
+struct StoreReach {
+  bool reachable = true;
+};
+
+struct TableWake {
+  TimePoint at = kNever;
+};
+
+using TableAction =
+    std::variant<ReadTable, FollowTable, RowsChanged, StoreReach, TableWake>;
+using TableActions = std::vector<TableAction>;
+
+// --- State ---
+
+enum class TablePhase : std::uint8_t { kUnread, kFollowing };
+
+struct TableState {
+  TableOptions options;
+  Random random;
+  TablePhase phase = TablePhase::kUnread;
+  bool ever_read = false;
+  std::uint64_t version = 0;  // Followed up to here.
+  // Invariant: the keys that were given out as present, with their versions.
+  std::map<std::string, std::uint64_t> known;
+  std::vector<TableRow> pages;  // Of the whole read under way.
+  std::uint64_t pages_version = 0;
+  std::uint64_t next_call = 1;
+  std::uint64_t open_call = 0;  // 0 if none.
+  TimePoint next_at{};
+  std::uint32_t failures = 0;  // In a row.
+  bool reachable = true;
+  TimePoint failing_since{};
+  TimePoint grace_until{};                        // After the store's return.
+  std::map<std::string, std::uint64_t> vanished;  // Removals held back.
+  TimePoint last_answer_at{};
+};
+
+TableState MakeTableState(TableOptions options, std::uint64_t seed);
+
+// Applies one event and appends the actions that follow, the last of which is
+// always a TableWake. The first event is a TableTick.
+void StepTable(TableState& state,
+               const TableEvent& event,
+               TimePoint now,
+               TableActions& actions);
+
+}  // namespace cicadadrum::discovery
+
+namespace cicadadrum {
+
+template <>
+struct EnumNames<discovery::TableFailure> {
+  static constexpr auto kTable =
+      std::to_array<EnumName<discovery::TableFailure>>({
+          {discovery::TableFailure::kHistoryLost, "history-lost"},
+          {discovery::TableFailure::kRefused, "refused"},
+          {discovery::TableFailure::kNoAnswer, "no-answer"},
+      });
+};
+
+template <>
+struct EnumNames<discovery::TablePhase> {
+  static constexpr auto kTable =
+      std::to_array<EnumName<discovery::TablePhase>>({
+          {discovery::TablePhase::kUnread, "unread"},
+          {discovery::TablePhase::kFollowing, "following"},
+      });
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_DISCOVERY_TABLE_H_
--- a/Libraries/LibEntry/fleet_link.cc
+++ b/Libraries/LibEntry/fleet_link.cc
@@ -6,7 +6,7 @@
 
 #include "cicadadrum/base/error.h"
 #include "cicadadrum/telemetry/log.h"
-#include "peer_codec.h"
+#include "cicadadrum/node/peer_codec.h"
 
 namespace cicadadrum {
 
--- /dev/null
+++ b/Libraries/LibNode/fleet_node.cc
@@ -0,0 +1,222 @@
+// Drives LibMembership over LibPeer.
+
+#include "cicadadrum/node/fleet_node.h"
+
+#include <deque>
+
+#include "cicadadrum/loop/kj_event_port.h"
+#include "cicadadrum/node/peer_codec.h"
+#include "cicadadrum/peer/peer_client.h"
+#include "cicadadrum/peer/peer_server.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// A lost message is repaired by the next probe, so its call need not live
+// longer.
+constexpr Duration kMessageDeadline = Seconds(1);
+constexpr Duration kFetchDeadline = Seconds(1);
+
+// Only their addresses are known.
+std::vector<EntryVm> SeedEntries(const FleetNodeSettings& settings) {
+  std::vector<EntryVm> seeds;
+  for (const std::string& address : settings.seeds) {
+    if (address != settings.self.peer_address)
+      seeds.push_back({.name = address, .peer_address = address});
+  }
+  return seeds;
+}
+
+}  // namespace
+
+struct FleetNode::Impl {
+  Impl(EventLoop& event_loop,
+       const FleetNodeSettings& node_settings,
+       FleetNodeHandlers node_handlers);
+
+  void Run(const MembershipEvent& event);
+  PeerSettings MakePeerSettings();
+  PeerHandlers MakePeerHandlers();
+  std::optional<PeerItem> FindPeerItem(const std::string& key,
+                                       std::uint64_t version) const;
+
+  void Perform(const SendMessage& action);
+  void Perform(const MemberChanged& action);
+  void Perform(const IsolationChanged& action);
+  void Perform(const ItemAdopted& action);
+  void Perform(const FetchItem& action);
+  void Perform(const ReadVersionRow& action);
+  void Perform(const WriteMark& action);
+  void Perform(const MembershipWake& action);
+
+  EventLoop& loop;
+  FleetNodeSettings settings;
+  FleetNodeHandlers handlers;
+  KjLoop kj_loop;
+  PeerClient client;
+  std::unique_ptr<PeerServer> server;
+  MembershipState state;
+  Timer timer;
+  std::deque<MembershipEvent> events;  // Raised while another one is handled.
+  bool handling = false;
+};
+
+FleetNode::Impl::Impl(EventLoop& event_loop,
+                      const FleetNodeSettings& node_settings,
+                      FleetNodeHandlers node_handlers)
+    : loop(event_loop),
+      settings(node_settings),
+      handlers(std::move(node_handlers)),
+      kj_loop(loop.base()),
+      client(kj_loop, MakePeerSettings()),
+      state(MakeMembershipState(settings.self,
+                                settings.incarnation.high,
+                                SeedEntries(settings),
+                                settings.incarnation.low,
+                                loop.Now())),
+      timer(loop, [this] { Run(Tick{}); }) {}
+
+PeerSettings FleetNode::Impl::MakePeerSettings() {
+  PeerSettings peer;
+  peer.name = settings.self.name;
+  peer.incarnation = settings.incarnation;
+  peer.configuration_version = [this] { return InForceVersion(state); };
+  peer.now = [this] { return loop.Now(); };
+  peer.seed = settings.incarnation.low;
+  return peer;
+}
+
+// Slots, leases and forwarded requests belong to pool owners; a node without
+// pools refuses them by not answering.
+PeerHandlers FleetNode::Impl::MakePeerHandlers() {
+  PeerHandlers made;
+  made.request_slot = [](const PeerInfo&, const PoolKey&, const SlotAsk&) {};
+  made.cancel_slot = [](const PoolKey&, const std::string&, std::uint64_t) {};
+  made.return_slot = [](const PeerInfo&, const SlotReturn&) {};
+  made.ask_leases = [](const PeerInfo&, const PoolKey&) {};
+  made.report_leases = [](const PeerInfo&, const LeasesReport&) {};
+  made.execute = [](std::uint64_t, const PeerInfo&, const ForwardedRequest&) {};
+  made.cancel_execute = [](std::uint64_t) {};
+  made.exchange = [this](const PeerInfo& sender, const PeerExchange& exchange) {
+    Run(MessageReceived{FromPeerExchange(sender, exchange)});
+  };
+  made.fetch_item = [this](const PeerInfo& /*sender*/, const std::string& key,
+                           std::uint64_t version) {
+    return FindPeerItem(key, version);
+  };
+  return made;
+}
+
+std::optional<PeerItem> FleetNode::Impl::FindPeerItem(
+    const std::string& key,
+    std::uint64_t version) const {
+  const HeldItem* held = FindItem(state, key);
+  if (held == nullptr || held->version != version)
+    return std::nullopt;
+  return PeerItem{key, held->version, held->body};
+}
+
+// An event that an action raises is handled after the action's own event, so
+// that the last MembershipWake is of the newest state.
+void FleetNode::Impl::Run(const MembershipEvent& event) {
+  events.push_back(event);
+  if (handling)
+    return;
+  handling = true;
+  while (!events.empty()) {
+    MembershipActions actions;
+    StepMembership(state, events.front(), loop.Now(), actions);
+    events.pop_front();
+    for (const MembershipAction& action : actions)
+      std::visit([this](const auto& present) { Perform(present); }, action);
+  }
+  handling = false;
+}
+
+void FleetNode::Impl::Perform(const SendMessage& action) {
+  client.Exchange(action.address, ToPeerExchange(action.message),
+                  loop.Now() + kMessageDeadline,
+                  [](const CallResult<Acknowledged>& /*result*/) {});
+}
+
+void FleetNode::Impl::Perform(const MemberChanged& /*action*/) {
+  handlers.members_changed(LiveMembers(state, loop.Now()));
+}
+
+void FleetNode::Impl::Perform(const IsolationChanged& /*action*/) {
+  handlers.members_changed(LiveMembers(state, loop.Now()));
+}
+
+void FleetNode::Impl::Perform(const ItemAdopted& action) {
+  if (action.item.key == kConfigurationKey)
+    return handlers.configuration_adopted(action.item.version, action.body);
+  handlers.item_adopted(action.item);
+}
+
+// Bodies come from peers only; the store's rows reach the node by Announce.
+void FleetNode::Impl::Perform(const FetchItem& action) {
+  if (action.source == FetchSource::kStore)
+    return Run(ItemFetched{action.key, action.version, false, {}});
+  client.FetchItem(
+      action.address, action.key, action.version, loop.Now() + kFetchDeadline,
+      [this, action](const CallResult<std::optional<PeerItem>>& result) {
+        const bool found =
+            result.outcome == CallOutcome::kAnswered && result.value;
+        Run(ItemFetched{action.key, action.version, found,
+                        found ? result.value->value : std::string()});
+      });
+}
+
+void FleetNode::Impl::Perform(const ReadVersionRow& /*action*/) {
+  Run(StoreReadFailed{});
+}
+
+void FleetNode::Impl::Perform(const WriteMark& action) {
+  Run(MarkWritten{.item = action.item, .recorded = false});
+}
+
+void FleetNode::Impl::Perform(const MembershipWake& action) {
+  timer.Schedule(action.at);
+}
+
+FleetNode::FleetNode(EventLoop& loop,
+                     const FleetNodeSettings& settings,
+                     FleetNodeHandlers handlers)
+    : impl_(std::make_unique<Impl>(loop, settings, std::move(handlers))) {}
+
+FleetNode::~FleetNode() = default;
+
+boost::leaf::result<void> FleetNode::Start() {
+  BOOST_LEAF_ASSIGN(
+      impl_->server,
+      PeerServer::Listen(impl_->kj_loop, impl_->settings.self.peer_address,
+                         impl_->MakePeerSettings(), impl_->MakePeerHandlers()));
+  impl_->Run(Tick{});
+  return {};
+}
+
+void FleetNode::Leave() {
+  impl_->Run(LeaveRequested{});
+}
+
+void FleetNode::AnnounceConfiguration(std::uint64_t version,
+                                      const std::string& body) {
+  impl_->Run(LocalChange{
+      .item = {std::string(kConfigurationKey), version, BodyHash(body)},
+      .body = body});
+}
+
+void FleetNode::AnnounceItem(const ItemVersion& item) {
+  impl_->Run(LocalChange{.item = item});
+}
+
+std::vector<EntryVm> FleetNode::LiveEntries() const {
+  return LiveMembers(impl_->state, impl_->loop.Now());
+}
+
+const MembershipState& FleetNode::state() const {
+  return impl_->state;
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
@@ -0,0 +1,64 @@
+// One entry VM as a member of the fleet: drives LibMembership over LibPeer.
+
+#ifndef CICADADRUM_NODE_FLEET_NODE_H_
+#define CICADADRUM_NODE_FLEET_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/leaf.hpp>
+
+#include "cicadadrum/loop/event_loop.h"
+#include "cicadadrum/membership/membership.h"
+#include "cicadadrum/peer/messages.h"
+
+namespace cicadadrum {
+
+struct FleetNodeSettings {
+  EntryVm self;
+  Incarnation incarnation;
+  std::vector<std::string> seeds;  // Peer addresses; may name this entry VM.
+};
+
+struct FleetNodeHandlers {
+  // The live entry VMs, this one first.
+  std::function<void(const std::vector<EntryVm>&)> members_changed;
+  // A newer configuration, from a peer or from Announce.
+  std::function<void(std::uint64_t version, const std::string& body)>
+      configuration_adopted;
+  // Another entry VM announced an item with this prefix.
+  std::function<void(const ItemVersion&)> item_adopted;
+};
+
+class FleetNode {
+ public:
+  FleetNode(EventLoop& loop,
+            const FleetNodeSettings& settings,
+            FleetNodeHandlers handlers);
+  ~FleetNode();
+  FleetNode(const FleetNode&) = delete;
+  FleetNode& operator=(const FleetNode&) = delete;
+
+  // Errors: kAddressInvalid, kBindFailed.
+  boost::leaf::result<void> Start();
+
+  // Tells the peers that this entry VM stops.
+  void Leave();
+
+  void AnnounceConfiguration(std::uint64_t version, const std::string& body);
+  void AnnounceItem(const ItemVersion& item);
+
+  std::vector<EntryVm> LiveEntries() const;
+  const MembershipState& state() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_NODE_FLEET_NODE_H_
--- a/Libraries/LibEntry/peer_codec.h
+++ b/Libraries/LibNode/include/cicadadrum/node/peer_codec.h
@@ -1,7 +1,7 @@
 // Conversion between the messages of LibMembership and of LibPeer.
 
-#ifndef CICADADRUM_ENTRY_PEER_CODEC_H_
-#define CICADADRUM_ENTRY_PEER_CODEC_H_
+#ifndef CICADADRUM_NODE_PEER_CODEC_H_
+#define CICADADRUM_NODE_PEER_CODEC_H_
 
 #include "cicadadrum/membership/events.h"
 #include "cicadadrum/peer/messages.h"
@@ -16,4 +16,4 @@
 
 }  // namespace cicadadrum
 
-#endif  // CICADADRUM_ENTRY_PEER_CODEC_H_
+#endif  // CICADADRUM_NODE_PEER_CODEC_H_
--- a/Libraries/LibEntry/peer_codec.cc
+++ b/Libraries/LibNode/peer_codec.cc
@@ -1,6 +1,6 @@
 // Conversion between the messages of LibMembership and of LibPeer.
 
-#include "peer_codec.h"
+#include "cicadadrum/node/peer_codec.h"
 
 namespace cicadadrum {
 
--- /dev/null
+++ b/Libraries/LibRouting/choice.cc
@@ -0,0 +1,180 @@
+// The cost of a server for a request.
+
+#include "choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "observations.h"
+
+namespace cicadadrum::routing {
+
+namespace {
+
+// Work on an object that the server has handled recently, as a share of the
+// work on one it has not.
+constexpr double kKnownObjectShare = 0.45;
+constexpr Duration kObjectMemory = Seconds(20);
+
+// Share of the work by which rendezvous hashing spreads the costs of equal
+// servers for one object.
+constexpr double kAffinityShare = 0.5;
+
+// Share of the work that a full server costs before anything waits, which
+// spreads work over free servers.
+constexpr double kOccupancyShare = 0.3;
+
+// Cost of leaving the failure domain and the region, in ms. It stands for the
+// round trip and the bytes on shared links.
+constexpr double kOtherDomainMs = 3;
+constexpr double kOtherRegionMs = 60;
+
+// Costs of a server that fails every request, in multiples of the work.
+constexpr double kFailureWeight = 6;
+
+// A load report loses half of its weight in this time.
+constexpr double kReportHalfLifeMs = 250;
+
+constexpr double kDefaultWorkShare = 0.5;  // Of the latency objective.
+
+bool MayUseRegion(const Route& route, const std::string& region) {
+  return route.home_regions.empty() ||
+         std::find(route.home_regions.begin(), route.home_regions.end(),
+                   region) != route.home_regions.end();
+}
+
+bool WasTried(const RequestState& request, const Server& server) {
+  return std::find(request.tried.begin(), request.tried.end(),
+                   server.entry.id) != request.tried.end();
+}
+
+bool MayUse(const RoutingState& state,
+            const RequestState& request,
+            Server& server,
+            TimePoint now) {
+  return server.entry.phase == ServerPhase::kReady &&
+         server.rests_until <= now && !WasTried(request, server) &&
+         !state.evacuated.contains(server.entry.failure_domain) &&
+         MayUseRegion(request.route, server.region) &&
+         HasColdAllowance(state, server, now);
+}
+
+// Requests at the server: those of this entry VM are known; those of others are
+// estimated from the last report, which ages.
+double EstimateOccupancy(const Server& server, TimePoint now) {
+  if (!server.report)
+    return server.in_flight;
+  const double reported = server.report->running + server.report->waiting;
+  const double others = std::max(0.0, reported - server.in_flight_at_report);
+  const double age_ms = ToMs(now - server.reported_at);
+  return server.in_flight + others * std::exp2(-age_ms / kReportHalfLifeMs);
+}
+
+double DistanceMs(const RoutingState& state, const Server& server) {
+  if (server.region != state.options.region)
+    return kOtherRegionMs;
+  return server.entry.failure_domain == state.options.failure_domain
+             ? 0
+             : kOtherDomainMs;
+}
+
+bool KnowsObject(const Server& server, std::uint64_t object, TimePoint now) {
+  const auto found = server.objects.find(object);
+  return found != server.objects.end() && now - found->second < kObjectMemory;
+}
+
+// A number in [0, 1) that is the same at every entry VM.
+double AffinityOf(std::uint64_t object, std::uint64_t server_hash) {
+  Random mixed{.state = object ^ (server_hash * 0x9e3779b97f4a7c15ULL)};
+  return RandomUnit(mixed);
+}
+
+double WorkFactor(const Server& server, TimePoint now) {
+  double factor = ValueAt(server.slowness, 1, now);
+  if (server.report) {
+    const double age_ms = ToMs(now - server.reported_at);
+    const double weight = std::exp2(-age_ms / kReportHalfLifeMs);
+    factor *= 1 + (server.report->work_factor - 1) * weight;
+  }
+  return std::max(0.2, factor);
+}
+
+struct Cost {
+  double total_ms = 0;
+  double expected_ms = 0;
+};
+
+Cost CostOf(const RoutingState& state,
+            const RequestState& request,
+            const Server& server,
+            double work_ms,
+            TimePoint now) {
+  const double factor = WorkFactor(server, now);
+  const double slots = std::max<std::uint32_t>(server.entry.slots, 1);
+  const double occupancy = EstimateOccupancy(server, now);
+  const double waiting = std::max(0.0, occupancy + 1 - slots);
+  const double queue_ms = waiting / slots * work_ms * factor;
+  double own_ms = work_ms * factor;
+  double affinity_ms = 0;
+  if (request.route.sticky) {
+    if (KnowsObject(server, request.object, now))
+      own_ms *= kKnownObjectShare;
+    affinity_ms =
+        AffinityOf(request.object, server.hash) * work_ms * kAffinityShare;
+  }
+  const double spread_ms =
+      std::min(1.0, occupancy / slots) * work_ms * kOccupancyShare;
+  const double failure_ms =
+      ValueAt(server.failures, 0, now) * work_ms * kFailureWeight;
+  return {.total_ms = DistanceMs(state, server) + queue_ms + own_ms +
+                      affinity_ms + spread_ms + failure_ms,
+          .expected_ms = queue_ms + own_ms};
+}
+
+}  // namespace
+
+double WorkMilliseconds(const RoutingState& state,
+                        const RequestState& request) {
+  const auto service = state.services.find(request.service);
+  if (service != state.services.end()) {
+    const auto found = service->second.work_ms.find(request.route.name);
+    if (found != service->second.work_ms.end())
+      return found->second.value;
+  }
+  return ToMs(request.route.latency_objective) * kDefaultWorkShare;
+}
+
+Choice ChooseServer(RoutingState& state,
+                    const RequestState& request,
+                    TimePoint now) {
+  Choice best;
+  const auto service = state.services.find(request.service);
+  if (service == state.services.end())
+    return best;
+  const double work_ms = WorkMilliseconds(state, request);
+  Cost best_cost;
+  for (const std::string& id : service->second.servers) {
+    Server& server = state.servers.at(id);
+    if (!MayUse(state, request, server, now))
+      continue;
+    const Cost cost = CostOf(state, request, server, work_ms, now);
+    if (best.server != nullptr && cost.total_ms >= best_cost.total_ms)
+      continue;
+    best.server = &server;
+    best_cost = cost;
+  }
+  if (best.server == nullptr)
+    return best;
+  const Server& server = *best.server;
+  best.expected = FromMs(best_cost.expected_ms);
+  best.inputs.cost_ms = best_cost.total_ms;
+  best.inputs.in_flight = server.in_flight;
+  best.inputs.slowness = ValueAt(server.slowness, 1, now);
+  if (server.report) {
+    best.inputs.reported = server.report->running + server.report->waiting;
+    best.inputs.report_age_ms = (now - server.reported_at).count() / 1000;
+  }
+  return best;
+}
+
+}  // namespace cicadadrum::routing
--- /dev/null
+++ b/Libraries/LibRouting/choice.h
@@ -0,0 +1,27 @@
+// Which server gets an attempt.
+
+#ifndef CICADADRUM_ROUTING_CHOICE_H_
+#define CICADADRUM_ROUTING_CHOICE_H_
+
+#include "cicadadrum/routing/routing.h"
+
+namespace cicadadrum::routing {
+
+struct Choice {
+  Server* server = nullptr;  // Null if no server may take the request.
+  ChoiceInputs inputs;
+  Duration expected{};  // Until the response, without the cost of distance.
+};
+
+// Returns the cheapest server of the request's service that it was not sent to
+// before.
+Choice ChooseServer(RoutingState& state,
+                    const RequestState& request,
+                    TimePoint now);
+
+// Returns the expected work of a request on the route at an average server.
+double WorkMilliseconds(const RoutingState& state, const RequestState& request);
+
+}  // namespace cicadadrum::routing
+
+#endif  // CICADADRUM_ROUTING_CHOICE_H_
--- /dev/null
+++ b/Libraries/LibRouting/configuration.cc
@@ -0,0 +1,47 @@
+// Look-up of routes.
+
+#include "cicadadrum/routing/configuration.h"
+
+#include <algorithm>
+
+namespace cicadadrum::routing {
+
+RouteTable MakeRouteTable(RoutingConfiguration configuration) {
+  RouteTable table{.configuration = std::move(configuration)};
+  const std::vector<Route>& routes = table.configuration.routes;
+  for (std::size_t i = 0; i < routes.size(); ++i)
+    table.by_host[routes[i].host].push_back(i);
+  for (auto& [host, indices] : table.by_host) {
+    std::stable_sort(indices.begin(), indices.end(),
+                     [&](std::size_t a, std::size_t b) {
+                       return routes[a].prefix.size() > routes[b].prefix.size();
+                     });
+  }
+  return table;
+}
+
+const Route* FindRoute(const RouteTable& table,
+                       std::string_view host,
+                       std::string_view path) {
+  const auto found =
+      table.by_host.find(std::string(host.substr(0, host.find(':'))));
+  if (found == table.by_host.end())
+    return nullptr;
+  for (const std::size_t index : found->second) {
+    const Route& route = table.configuration.routes[index];
+    if (path.starts_with(route.prefix))
+      return &route;
+  }
+  return nullptr;
+}
+
+const ServiceRule* FindService(const RouteTable& table,
+                               std::string_view service) {
+  for (const ServiceRule& rule : table.configuration.services) {
+    if (rule.name == service)
+      return &rule;
+  }
+  return nullptr;
+}
+
+}  // namespace cicadadrum::routing
--- /dev/null
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -0,0 +1,103 @@
+// The request core: which server gets a request, when it is sent again, and
+// when it is refused.
+//
+// Each entry VM chooses by itself. A server's cost is the time until it would
+// answer; rendezvous hashing of object and server decides between near equals,
+// so that all entry VMs keep an object on the same few servers.
+
+#ifndef CICADADRUM_ROUTING_ROUTING_H_
+#define CICADADRUM_ROUTING_ROUTING_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "cicadadrum/base/random.h"
+#include "cicadadrum/base/time.h"
+#include "cicadadrum/routing/events.h"
+
+namespace cicadadrum::routing {
+
+// Bounds that hold for the whole fleet; each entry VM keeps its share of them.
+struct FleetBounds {
+  double retry_ratio = 0.2;  // Retries to requests of a service.
+  double retry_extra = 0;    // Retries beyond the ratio.
+  Duration retry_window = Seconds(10);
+  double cold_load_factor = 1;  // Times the rate a cold server tolerates.
+  double cold_extra = 0;        // Requests a second beyond it.
+};
+
+struct RoutingOptions {
+  std::string name;  // Of this entry VM.
+  std::string region;
+  std::string failure_domain;
+  std::map<std::string, std::string> region_of;  // By failure domain.
+  FleetBounds bounds;
+};
+
+// A request that has no answer yet.
+struct RequestState {
+  Route route;  // As configured when the request arrived.
+  std::string service;
+  std::uint64_t object = 0;  // A random number if the caller named none.
+  std::uint64_t fingerprint = 0;
+  TimePoint arrived_at;
+  TimePoint caller_deadline;
+  TimePoint deadline;  // The route's timeout or the caller's, whichever first.
+  std::uint32_t attempts = 0;  // Sent so far.
+  std::vector<std::string> tried;
+  Verdict verdict = Verdict::kNotRun;  // Of the attempts that have ended.
+  bool attempting = false;
+  std::string server;  // Of the current attempt.
+  TimePoint sent_at;
+  Duration expected{};  // Time within which the attempt should end.
+};
+
+// Time that responses of one service take, from this entry VM's observations.
+struct ServiceState {
+  std::vector<std::string> servers;  // Ids, in the order they were first seen.
+  // By name of the route.
+  std::unordered_map<std::string, DecayingValue> work_ms;
+  std::deque<std::pair<TimePoint, bool>> sends;  // True for a retry.
+  std::uint32_t retries_in_window = 0;
+  std::uint32_t requests_in_window = 0;
+};
+
+struct RoutingState {
+  RoutingOptions options;
+  Random random;
+  RouteTable table;
+  bool servers_known = false;
+  bool stopping = false;
+  std::unordered_map<std::string, Server> servers;  // By id.
+  std::unordered_map<std::string, ServiceState> services;
+  std::set<std::string> evacuated;  // Failure domains.
+  std::vector<std::string> members;
+  std::unordered_map<std::uint64_t, RequestState> requests;
+  std::set<std::pair<TimePoint, std::uint64_t>> deadlines;
+  // Progress of the weighted split of each route with several shares.
+  std::unordered_map<std::string, std::vector<double>> split_credit;
+  std::unordered_map<std::uint64_t, std::uint32_t> crashes;  // By fingerprint.
+  std::set<std::uint64_t> blocked;
+};
+
+RoutingState MakeRoutingState(RoutingOptions options, std::uint64_t seed);
+
+// Applies one event at time `now` and appends the actions that follow, the last
+// of which is always a WakeAt.
+void StepRouting(RoutingState& state,
+                 const RoutingEvent& event,
+                 TimePoint now,
+                 RoutingActions& actions);
+
+// Whether the entry VM can serve callers.
+bool IsReady(const RoutingState& state);
+
+}  // namespace cicadadrum::routing
+
+#endif  // CICADADRUM_ROUTING_ROUTING_H_
--- /dev/null
+++ b/Libraries/LibRouting/observations.cc
@@ -0,0 +1,199 @@
+// Learning from attempts, cold servers and the retry budget.
+
+#include "observations.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "choice.h"
+#include "cicadadrum/base/hash.h"
+
+namespace cicadadrum::routing {
+
+namespace {
+
+constexpr double kHalfLifeMs = 2000;  // Of observations without samples.
+
+constexpr double kSlownessWeight = 0.25;
+constexpr double kFailureWeight = 0.3;
+constexpr double kWorkWeight = 0.05;
+constexpr double kMaxSlowness = 20;
+
+// A server that could not be reached rests for this long, doubled with each
+// failure in a row.
+constexpr Duration kShortestRest = Milliseconds(250);
+constexpr Duration kLongestRest = Seconds(4);
+constexpr std::uint32_t kFailuresToRest = 2;
+
+// Other entry VMs may believe in a smaller fleet for a moment, so not all of a
+// shared bound is used.
+constexpr double kShareMargin = 0.75;
+
+constexpr Duration kColdWindow = Milliseconds(1050);
+
+constexpr std::size_t kMaxObjectsPerServer = 256;
+
+double MemberCount(const RoutingState& state) {
+  return static_cast<double>(std::max<std::size_t>(state.members.size(), 1));
+}
+
+// Position of this entry VM among the live ones in the server's rendezvous
+// order.
+std::size_t RankForServer(const RoutingState& state, const Server& server) {
+  const std::uint64_t own =
+      RendezvousScore(server.entry.id, state.options.name);
+  std::size_t rank = 0;
+  for (const std::string& member : state.members) {
+    if (RendezvousScore(server.entry.id, member) > own)
+      ++rank;
+  }
+  return rank;
+}
+
+void ForgetOld(std::deque<TimePoint>& times, TimePoint before) {
+  while (!times.empty() && times.front() <= before)
+    times.pop_front();
+}
+
+void Rest(Server& server, TimePoint now) {
+  const std::uint32_t doublings =
+      std::min<std::uint32_t>(server.failures_in_row, 6);
+  const Duration rest =
+      std::min(kLongestRest, kShortestRest * (1 << doublings));
+  server.rests_until = now + rest;
+}
+
+// Observed times say how slow the server is beside the others, not how long its
+// queue was, so they are compared with what was expected.
+void ObserveTime(RoutingState& state,
+                 Server& server,
+                 const RequestState& request,
+                 TimePoint now) {
+  const double took_ms = ToMs(now - request.sent_at);
+  const double expected_ms = std::max(1.0, ToMs(request.expected));
+  AddSample(server.slowness, 1, std::min(kMaxSlowness, took_ms / expected_ms),
+            kSlownessWeight, now);
+  DecayingValue& work =
+      state.services[request.service].work_ms[request.route.name];
+  if (work.value == 0)
+    work.value = WorkMilliseconds(state, request);
+  work.value += (took_ms - work.value) * kWorkWeight;
+  work.at = now;
+}
+
+}  // namespace
+
+double ValueAt(const DecayingValue& decaying, double neutral, TimePoint now) {
+  const double age_ms = ToMs(now - decaying.at);
+  return neutral +
+         (decaying.value - neutral) * std::exp2(-age_ms / kHalfLifeMs);
+}
+
+void AddSample(DecayingValue& decaying,
+               double neutral,
+               double sample,
+               double weight,
+               TimePoint now) {
+  const double present = ValueAt(decaying, neutral, now);
+  decaying.value = present + (sample - present) * weight;
+  decaying.at = now;
+}
+
+bool HasColdAllowance(const RoutingState& state,
+                      Server& server,
+                      TimePoint now) {
+  if (now >= server.cold_until)
+    return true;
+  const ServiceRule* rule = FindService(state.table, server.entry.service);
+  if (rule == nullptr)
+    return false;
+  const FleetBounds& bounds = state.options.bounds;
+  const double fleet =
+      (rule->cold_requests_per_second * bounds.cold_load_factor +
+       bounds.cold_extra) *
+      kShareMargin;
+  const double own = std::floor(fleet / MemberCount(state));
+  ForgetOld(server.recent_sends, now - kColdWindow);
+  const auto sent = static_cast<double>(server.recent_sends.size());
+  if (own >= 1)
+    return sent < own;
+  // The bound is too small for every entry VM, so only some may use the server.
+  return sent < 1 &&
+         static_cast<double>(RankForServer(state, server)) < std::floor(fleet);
+}
+
+void CountSend(ServiceState& service,
+               const FleetBounds& bounds,
+               bool retry,
+               TimePoint now) {
+  service.sends.emplace_back(now, retry);
+  ++(retry ? service.retries_in_window : service.requests_in_window);
+  while (service.sends.front().first <= now - bounds.retry_window) {
+    const bool old_retry = service.sends.front().second;
+    --(old_retry ? service.retries_in_window : service.requests_in_window);
+    service.sends.pop_front();
+  }
+}
+
+bool HasRetryAllowance(RoutingState& state,
+                       const std::string& service,
+                       TimePoint now) {
+  const FleetBounds& bounds = state.options.bounds;
+  const ServiceState& present = state.services[service];
+  (void)now;
+  const double allowed =
+      present.requests_in_window * bounds.retry_ratio * kShareMargin +
+      bounds.retry_extra * kShareMargin / MemberCount(state);
+  return present.retries_in_window + 1 <= allowed;
+}
+
+void ObserveSend(Server& server, const RequestState& request, TimePoint now) {
+  ++server.in_flight;
+  ForgetOld(server.recent_sends, now - kColdWindow);
+  server.recent_sends.push_back(now);
+  if (!request.route.sticky)
+    return;
+  if (server.objects.size() >= kMaxObjectsPerServer)
+    server.objects.clear();
+  server.objects[request.object] = now;
+}
+
+void ObserveEnd(RoutingState& state,
+                Server& server,
+                const RequestState& request,
+                const AttemptEnded& end,
+                TimePoint now) {
+  if (server.in_flight > 0)
+    --server.in_flight;
+  if (end.report) {
+    server.report = end.report;
+    server.reported_at = now;
+    server.in_flight_at_report = server.in_flight;
+  }
+  if (end.cold_left > Duration::zero())
+    server.cold_until = std::max(server.cold_until, now + end.cold_left);
+  switch (end.outcome) {
+    case ServerOutcome::kSucceeded:
+      server.failures_in_row = 0;
+      AddSample(server.failures, 0, 0, kFailureWeight, now);
+      return ObserveTime(state, server, request, now);
+    case ServerOutcome::kFailed:
+    case ServerOutcome::kRejected:
+    case ServerOutcome::kInvalid:
+      AddSample(server.failures, 0, 1, kFailureWeight, now);
+      return;
+    case ServerOutcome::kWrongServer:
+      server.rests_until = now + kLongestRest;
+      return;
+    case ServerOutcome::kNotSent:
+    case ServerOutcome::kLost:
+    case ServerOutcome::kTimedOut:
+      AddSample(server.failures, 0, 1, kFailureWeight, now);
+      if (++server.failures_in_row >= kFailuresToRest ||
+          end.outcome == ServerOutcome::kNotSent)
+        Rest(server, now);
+      return;
+  }
+}
+
+}  // namespace cicadadrum::routing
--- /dev/null
+++ b/Libraries/LibRouting/observations.h
@@ -0,0 +1,56 @@
+// What the entry VM learns of servers from its own attempts, and its share of
+// the fleet's bounds.
+
+#ifndef CICADADRUM_ROUTING_OBSERVATIONS_H_
+#define CICADADRUM_ROUTING_OBSERVATIONS_H_
+
+#include "cicadadrum/routing/routing.h"
+
+namespace cicadadrum::routing {
+
+constexpr double ToMs(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000;
+}
+
+constexpr Duration FromMs(double milliseconds) {
+  return Duration(static_cast<std::int64_t>(milliseconds * 1000));
+}
+
+// Returns the value, moved towards `neutral` by the time since its last sample.
+double ValueAt(const DecayingValue& decaying, double neutral, TimePoint now);
+
+// Mixes a sample in with the given weight.
+void AddSample(DecayingValue& decaying,
+               double neutral,
+               double sample,
+               double weight,
+               TimePoint now);
+
+// Whether this entry VM may send another request to the server now. Always true
+// for a server that is not cold.
+bool HasColdAllowance(const RoutingState& state, Server& server, TimePoint now);
+
+// Counts a request that was sent, or a retry.
+void CountSend(ServiceState& service,
+               const FleetBounds& bounds,
+               bool retry,
+               TimePoint now);
+
+// Whether this entry VM's share of the retry budget allows another retry.
+bool HasRetryAllowance(RoutingState& state,
+                       const std::string& service,
+                       TimePoint now);
+
+// Notes that an attempt was sent to the server.
+void ObserveSend(Server& server, const RequestState& request, TimePoint now);
+
+// Notes how an attempt ended.
+void ObserveEnd(RoutingState& state,
+                Server& server,
+                const RequestState& request,
+                const AttemptEnded& end,
+                TimePoint now);
+
+}  // namespace cicadadrum::routing
+
+#endif  // CICADADRUM_ROUTING_OBSERVATIONS_H_
--- /dev/null
+++ b/Libraries/LibRouting/routing.cc
@@ -0,0 +1,316 @@
+// Requests from arrival to answer.
+
+#include "cicadadrum/routing/routing.h"
+
+#include <algorithm>
+
+#include "choice.h"
+#include "cicadadrum/base/hash.h"
+#include "observations.h"
+#include "server_table.h"
+
+namespace cicadadrum::routing {
+
+namespace {
+
+// The caller gets its answer this long before it gives up.
+constexpr Duration kAnswerMargin = Milliseconds(20);
+
+// Least time for which another attempt is worth its retry.
+constexpr Duration kShortestAttempt = Milliseconds(20);
+
+// Equal requests that crash this many servers are blocked.
+constexpr std::uint32_t kCrashesToBlock = 3;
+
+constexpr Duration kShortestRetryAfter = Milliseconds(100);
+constexpr Duration kLongestRetryAfter = Seconds(2);
+
+void Refuse(RoutingState& state,
+            std::uint64_t id,
+            RefusalReason reason,
+            Duration retry_after,
+            RoutingActions& actions) {
+  const auto found = state.requests.find(id);
+  RefuseRequest refusal{
+      .request = id, .reason = reason, .retry_after = retry_after};
+  if (found != state.requests.end()) {
+    refusal.verdict = found->second.verdict;
+    state.deadlines.erase({found->second.deadline, id});
+    state.requests.erase(found);
+  }
+  actions.emplace_back(refusal);
+}
+
+// Picks the service by smooth weighted round robin, which keeps the shares
+// exact over short spans.
+std::string PickService(RoutingState& state, const Route& route) {
+  if (route.shares.size() == 1)
+    return route.shares.front().service;
+  std::vector<double>& credit = state.split_credit[route.name];
+  if (credit.size() != route.shares.size())
+    credit.assign(route.shares.size(), 0);
+  double total = 0;
+  for (std::size_t i = 0; i < credit.size(); ++i) {
+    credit[i] += route.shares[i].weight;
+    total += route.shares[i].weight;
+  }
+  const auto best = static_cast<std::size_t>(
+      std::max_element(credit.begin(), credit.end()) - credit.begin());
+  credit[best] -= total;
+  return route.shares[best].service;
+}
+
+Duration SuggestRetryAfter(Duration expected, Duration remaining) {
+  const Duration wanted =
+      std::clamp(expected / 2, kShortestRetryAfter, kLongestRetryAfter);
+  return std::min(wanted, std::max(remaining / 3, kShortestRetryAfter));
+}
+
+// Sends the request to the cheapest server, or refuses it.
+void Dispatch(RoutingState& state,
+              std::uint64_t id,
+              RefusalReason if_none,
+              TimePoint now,
+              RoutingActions& actions) {
+  RequestState& request = state.requests.at(id);
+  const Choice choice = ChooseServer(state, request, now);
+  const Duration remaining = request.deadline - now;
+  if (choice.server == nullptr)
+    return Refuse(state, id, if_none, SuggestRetryAfter(Seconds(1), remaining),
+                  actions);
+  if (choice.expected > remaining)
+    return Refuse(state, id, RefusalReason::kOverloaded,
+                  SuggestRetryAfter(choice.expected, remaining), actions);
+  Server& server = *choice.server;
+  CountSend(state.services[request.service], state.options.bounds,
+            request.attempts > 0, now);
+  ++request.attempts;
+  request.attempting = true;
+  request.server = server.entry.id;
+  request.tried.push_back(server.entry.id);
+  request.sent_at = now;
+  request.expected = choice.expected;
+  ObserveSend(server, request, now);
+  actions.emplace_back(SendAttempt{.request = id,
+                                   .attempt = request.attempts,
+                                   .server = server.entry.id,
+                                   .address = server.entry.address,
+                                   .deadline = request.deadline,
+                                   .server_time = remaining,
+                                   .inputs = choice.inputs});
+}
+
+void Apply(RoutingState& state,
+           const RequestArrived& event,
+           TimePoint now,
+           RoutingActions& actions) {
+  if (!IsReady(state) && !state.stopping)
+    return Refuse(state, event.request, RefusalReason::kNotReady,
+                  kShortestRetryAfter, actions);
+  const Route* route = FindRoute(state.table, event.host, event.path);
+  if (route == nullptr)
+    return Refuse(state, event.request, RefusalReason::kNoRoute, {}, actions);
+  if (state.blocked.contains(event.fingerprint))
+    return Refuse(state, event.request, RefusalReason::kBlocked, {}, actions);
+  RequestState request{
+      .route = *route,
+      .service = PickService(state, *route),
+      .object = event.object ? HashBytes(route->name, *event.object)
+                             : NextRandom(state.random),
+      .fingerprint = event.fingerprint,
+      .arrived_at = now,
+      .caller_deadline = now + event.remaining,
+      .deadline =
+          now + std::min(event.remaining - kAnswerMargin, route->timeout)};
+  state.deadlines.emplace(request.deadline, event.request);
+  state.requests.emplace(event.request, std::move(request));
+  Dispatch(state, event.request, RefusalReason::kNoServer, now, actions);
+}
+
+Server* FindServer(RoutingState& state, const std::string& id) {
+  const auto found = state.servers.find(id);
+  return found == state.servers.end() ? nullptr : &found->second;
+}
+
+void ForgetAttempt(RoutingState& state, RequestState& request) {
+  request.attempting = false;
+  Server* server = FindServer(state, request.server);
+  if (server != nullptr && server->in_flight > 0)
+    --server->in_flight;
+}
+
+void Apply(RoutingState& state,
+           const CallerGone& event,
+           TimePoint /*now*/,
+           RoutingActions& actions) {
+  const auto found = state.requests.find(event.request);
+  if (found == state.requests.end())
+    return;
+  RequestState& request = found->second;
+  if (request.attempting) {
+    actions.emplace_back(CancelAttempt{event.request, request.attempts});
+    ForgetAttempt(state, request);
+  }
+  state.deadlines.erase({request.deadline, event.request});
+  state.requests.erase(found);
+}
+
+// A server that is lost while it runs a request may have been crashed by it.
+void CountCrash(RoutingState& state,
+                const RequestState& request,
+                RoutingActions& actions) {
+  if (++state.crashes[request.fingerprint] < kCrashesToBlock)
+    return;
+  if (state.blocked.insert(request.fingerprint).second)
+    actions.emplace_back(SpreadBlockedFingerprint{request.fingerprint});
+}
+
+RefusalReason ReasonAfter(ServerOutcome outcome) {
+  switch (outcome) {
+    case ServerOutcome::kRejected:
+    case ServerOutcome::kWrongServer:
+      return RefusalReason::kRejected;
+    case ServerOutcome::kNotSent:
+      return RefusalReason::kUnreachable;
+    case ServerOutcome::kTimedOut:
+      return RefusalReason::kTimedOut;
+    default:
+      return RefusalReason::kFailed;
+  }
+}
+
+bool MayRetry(RoutingState& state,
+              std::uint64_t id,
+              const RequestState& request,
+              TimePoint now) {
+  (void)id;
+  const bool repeatable =
+      request.verdict == Verdict::kNotRun || IsIdempotent(request.route.kind);
+  return repeatable && request.attempts < request.route.attempts &&
+         now + kShortestAttempt < request.deadline &&
+         !state.blocked.contains(request.fingerprint) &&
+         HasRetryAllowance(state, request.service, now);
+}
+
+void Apply(RoutingState& state,
+           const AttemptEnded& event,
+           TimePoint now,
+           RoutingActions& actions) {
+  const auto found = state.requests.find(event.request);
+  if (found == state.requests.end() ||
+      found->second.attempts != event.attempt || !found->second.attempting)
+    return;
+  RequestState& request = found->second;
+  request.attempting = false;
+  if (Server* server = FindServer(state, request.server))
+    ObserveEnd(state, *server, request, event, now);
+  if (event.outcome == ServerOutcome::kSucceeded ||
+      event.outcome == ServerOutcome::kFailed) {
+    if (event.outcome == ServerOutcome::kSucceeded)
+      state.crashes.erase(request.fingerprint);
+    actions.emplace_back(DeliverResponse{event.request, request.server});
+    state.deadlines.erase({request.deadline, event.request});
+    state.requests.erase(found);
+    return;
+  }
+  if (!ProvesNotRun(event.outcome))
+    request.verdict = Verdict::kMayHaveRun;
+  if (event.outcome == ServerOutcome::kLost)
+    CountCrash(state, request, actions);
+  const RefusalReason reason = ReasonAfter(event.outcome);
+  if (MayRetry(state, event.request, request, now))
+    return Dispatch(state, event.request, reason, now, actions);
+  Refuse(state, event.request, reason,
+         SuggestRetryAfter(request.expected, request.caller_deadline - now),
+         actions);
+}
+
+void Apply(RoutingState& state,
+           const ConfigurationAdopted& event,
+           TimePoint /*now*/,
+           RoutingActions& /*actions*/) {
+  if (event.configuration.version <= state.table.configuration.version)
+    return;
+  state.table = MakeRouteTable(event.configuration);
+}
+
+void Apply(RoutingState& state,
+           const ServersChanged& event,
+           TimePoint now,
+           RoutingActions& /*actions*/) {
+  UpdateServers(state, event, now);
+}
+
+void Apply(RoutingState& state,
+           const EvacuationsChanged& event,
+           TimePoint now,
+           RoutingActions& /*actions*/) {
+  UpdateEvacuations(state, event, now);
+}
+
+void Apply(RoutingState& state,
+           const MembersChanged& event,
+           TimePoint /*now*/,
+           RoutingActions& /*actions*/) {
+  state.members = event.entries;
+}
+
+void Apply(RoutingState& state,
+           const FingerprintBlocked& event,
+           TimePoint /*now*/,
+           RoutingActions& /*actions*/) {
+  state.blocked.insert(event.fingerprint);
+}
+
+void Apply(RoutingState& state,
+           const StopRequested& /*event*/,
+           TimePoint /*now*/,
+           RoutingActions& /*actions*/) {
+  state.stopping = true;
+}
+
+void Apply(RoutingState& state,
+           const TimerExpired& /*event*/,
+           TimePoint now,
+           RoutingActions& actions) {
+  while (!state.deadlines.empty() && state.deadlines.begin()->first <= now) {
+    const std::uint64_t id = state.deadlines.begin()->second;
+    RequestState& request = state.requests.at(id);
+    if (request.attempting) {
+      actions.emplace_back(CancelAttempt{id, request.attempts});
+      request.verdict = Verdict::kMayHaveRun;
+      ForgetAttempt(state, request);
+    }
+    Refuse(state, id, RefusalReason::kTimedOut, {}, actions);
+  }
+}
+
+}  // namespace
+
+RoutingState MakeRoutingState(RoutingOptions options, std::uint64_t seed) {
+  RoutingState state;
+  state.members = {options.name};
+  state.options = std::move(options);
+  state.random.state = seed;
+  return state;
+}
+
+void StepRouting(RoutingState& state,
+                 const RoutingEvent& event,
+                 TimePoint now,
+                 RoutingActions& actions) {
+  std::visit([&](const auto& present) { Apply(state, present, now, actions); },
+             event);
+  if (state.stopping && state.requests.empty())
+    actions.emplace_back(Drained{});
+  const TimePoint at =
+      state.deadlines.empty() ? kNever : state.deadlines.begin()->first;
+  actions.emplace_back(WakeAt{at});
+}
+
+bool IsReady(const RoutingState& state) {
+  return !state.stopping && state.servers_known &&
+         state.table.configuration.version != 0;
+}
+
+}  // namespace cicadadrum::routing
--- /dev/null
+++ b/Libraries/LibRouting/server_table.cc
@@ -0,0 +1,91 @@
+// Adds, updates and removes servers.
+
+#include "server_table.h"
+
+#include <algorithm>
+#include <set>
+
+#include "cicadadrum/base/hash.h"
+
+namespace cicadadrum::routing {
+
+namespace {
+
+void Remove(RoutingState& state, const std::string& id) {
+  const auto found = state.servers.find(id);
+  if (found == state.servers.end())
+    return;
+  std::erase(state.services[found->second.entry.service].servers, id);
+  state.servers.erase(found);
+}
+
+std::string RegionOf(const RoutingState& state, const std::string& domain) {
+  const auto found = state.options.region_of.find(domain);
+  return found == state.options.region_of.end() ? std::string() : found->second;
+}
+
+// A start under the same id holds nothing of what was observed before.
+bool IsSameStart(const ServerEntry& a, const ServerEntry& b) {
+  return a.born_unix_ms == b.born_unix_ms && a.service == b.service &&
+         a.address == b.address;
+}
+
+void Add(RoutingState& state, const ServerEntry& entry, TimePoint now) {
+  const auto found = state.servers.find(entry.id);
+  if (found != state.servers.end()) {
+    if (entry.row_version < found->second.entry.row_version)
+      return;
+    if (!IsSameStart(found->second.entry, entry))
+      Remove(state, entry.id);
+  }
+  Server& server = state.servers[entry.id];
+  if (server.entry.id.empty()) {
+    server.hash = HashBytes(entry.id);
+    server.region = RegionOf(state, entry.failure_domain);
+    state.services[entry.service].servers.push_back(entry.id);
+  }
+  server.entry = entry;
+  server.cold_until = std::max(server.cold_until, now + entry.cold_left);
+}
+
+}  // namespace
+
+void UpdateServers(RoutingState& state,
+                   const ServersChanged& event,
+                   TimePoint now) {
+  if (event.whole) {
+    std::set<std::string> present;
+    for (const ServerEntry& entry : event.present)
+      present.insert(entry.id);
+    std::vector<std::string> absent;
+    for (const auto& [id, server] : state.servers) {
+      if (!present.contains(id))
+        absent.push_back(id);
+    }
+    for (const std::string& id : absent)
+      Remove(state, id);
+    state.servers_known = true;
+  }
+  for (const std::string& id : event.gone)
+    Remove(state, id);
+  for (const ServerEntry& entry : event.present)
+    Add(state, entry, now);
+}
+
+void UpdateEvacuations(RoutingState& state,
+                       const EvacuationsChanged& event,
+                       TimePoint now) {
+  std::set<std::string> evacuated(event.failure_domains.begin(),
+                                  event.failure_domains.end());
+  for (auto& [id, server] : state.servers) {
+    const std::string& domain = server.entry.failure_domain;
+    if (!state.evacuated.contains(domain) || evacuated.contains(domain))
+      continue;
+    const ServiceRule* rule = FindService(state.table, server.entry.service);
+    if (rule != nullptr)
+      server.cold_until = std::max(server.cold_until, now + rule->cold_time);
+  }
+  state.evacuated = std::move(evacuated);
+}
+
+}  // namespace cicadadrum::routing
