LibRouting, LibDiscovery: Split regions under the cap, keep removed rows removed

Cause: (1) SHIFT: 27 to 49 in 100 requests changed region in the first 2 s, because each went to its cheapest server. (2) DRAIN: a feed that held a heartbeat and the removal of one row brought the server back. (3) LOST: a stopping VM took requests until its end. Ruled out for (2): the pace of the feed (gaps of 0.91 s in the log). Now LibShift's split follows the cheapest regions under the cap, uploads weigh their bytes, the last change of a row counts, requests late in a stop are refused as not run.

--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -36,6 +36,13 @@
                   .timeout = state.options.wait + state.options.timeout});
 }
 
+// A feed may hold several changes of one row, of which the last one counts.
+void ReplaceRow(std::vector<TableRow>& rows, const TableRow& row) {
+  std::erase_if(rows,
+                [&](const TableRow& other) { return other.key == row.key; });
+  rows.push_back(row);
+}
+
 // Adds the row to `changed` unless it must wait for the end of the grace.
 void TakeRow(TableState& state,
              const TableRow& row,
@@ -47,7 +54,7 @@
     if (version == row.version)
       return;
     version = row.version;
-    changed.push_back(row);
+    ReplaceRow(changed, row);
     return;
   }
   if (!state.known.contains(row.key))
@@ -57,7 +64,7 @@
     return;
   }
   state.known.erase(row.key);
-  changed.push_back(row);
+  ReplaceRow(changed, row);
 }
 
 // Rows that a whole read lacks are gone.
--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -26,7 +26,7 @@
 // round of the loop.
 constexpr Duration kAcceptPause = Milliseconds(100);
 
-constexpr Duration kMaxFlushTime = Seconds(1);
+constexpr Duration kMaxFlushTime = Milliseconds(500);
 
 constexpr auto kMethods =
     std::to_array<std::pair<evhttp_cmd_type, HttpMethod>>({
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
@@ -58,7 +58,7 @@
   void Abort(std::uint64_t id);
 
   // Calls `callback` once all responses have been handed to the kernel, at most
-  // after one second.
+  // after half a second.
   void WhenFlushed(std::function<void()> callback);
 
   const HttpServerCounters& counters() const;
--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -4,8 +4,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <string_view>
 
 #include "observations.h"
+#include "region_shares.h"
 
 namespace cicadadrum::routing {
 
@@ -24,10 +27,12 @@
 // spreads work over free servers.
 constexpr double kOccupancyShare = 0.3;
 
-// Cost of leaving the failure domain and the region, in ms. It stands for the
-// round trip and the bytes on shared links.
+// Cost of leaving the failure domain and the region, in ms: the round trip, and
+// the bytes on links that all traffic shares.
 constexpr double kOtherDomainMs = 3;
 constexpr double kOtherRegionMs = 60;
+constexpr double kOtherDomainMsPerKilobyte = 2;
+constexpr double kOtherRegionMsPerKilobyte = 6;
 
 // Costs of a server that fails every request, in multiples of the work.
 constexpr double kFailureWeight = 6;
@@ -70,12 +75,15 @@
   return server.in_flight + others * std::exp2(-age_ms / kReportHalfLifeMs);
 }
 
-double DistanceMs(const RoutingState& state, const Server& server) {
+double DistanceMs(const RoutingState& state,
+                  const RequestState& request,
+                  const Server& server) {
+  const double kilobytes = static_cast<double>(request.body_bytes) / 1024;
   if (server.region != state.options.region)
-    return kOtherRegionMs;
-  return server.entry.failure_domain == state.options.failure_domain
-             ? 0
-             : kOtherDomainMs;
+    return kOtherRegionMs + kilobytes * kOtherRegionMsPerKilobyte;
+  if (server.entry.failure_domain != state.options.failure_domain)
+    return kOtherDomainMs + kilobytes * kOtherDomainMsPerKilobyte;
+  return 0;
 }
 
 bool KnowsObject(const Server& server, std::uint64_t object, TimePoint now) {
@@ -126,11 +134,30 @@
       std::min(1.0, occupancy / slots) * work_ms * kOccupancyShare;
   const double failure_ms =
       ValueAt(server.failures, 0, now) * work_ms * kFailureWeight;
-  return {.total_ms = DistanceMs(state, server) + queue_ms + own_ms +
+  return {.total_ms = DistanceMs(state, request, server) + queue_ms + own_ms +
                       affinity_ms + spread_ms + failure_ms,
           .expected_ms = queue_ms + own_ms};
 }
 
+struct Candidate {
+  Server* server = nullptr;
+  Cost cost;
+};
+
+Choice Describe(const Candidate& candidate, TimePoint now) {
+  const Server& server = *candidate.server;
+  Choice choice{.server = candidate.server,
+                .inputs = {.cost_ms = candidate.cost.total_ms,
+                           .in_flight = server.in_flight,
+                           .slowness = ValueAt(server.slowness, 1, now)},
+                .expected = FromMs(candidate.cost.expected_ms)};
+  if (server.report) {
+    choice.inputs.reported = server.report->running + server.report->waiting;
+    choice.inputs.report_age_ms = (now - server.reported_at).count() / 1000;
+  }
+  return choice;
+}
+
 }  // namespace
 
 double WorkMilliseconds(const RoutingState& state,
@@ -147,34 +174,27 @@
 Choice ChooseServer(RoutingState& state,
                     const RequestState& request,
                     TimePoint now) {
-  Choice best;
   const auto service = state.services.find(request.service);
   if (service == state.services.end())
-    return best;
+    return {};
   const double work_ms = WorkMilliseconds(state, request);
-  Cost best_cost;
+  std::map<std::string_view, Candidate> by_region;
   for (const std::string& id : service->second.servers) {
     Server& server = state.servers.at(id);
     if (!MayUse(state, request, server, now))
       continue;
     const Cost cost = CostOf(state, request, server, work_ms, now);
-    if (best.server != nullptr && cost.total_ms >= best_cost.total_ms)
-      continue;
-    best.server = &server;
-    best_cost = cost;
-  }
-  if (best.server == nullptr)
-    return best;
-  const Server& server = *best.server;
-  best.expected = FromMs(best_cost.expected_ms);
-  best.inputs.cost_ms = best_cost.total_ms;
-  best.inputs.in_flight = server.in_flight;
-  best.inputs.slowness = ValueAt(server.slowness, 1, now);
-  if (server.report) {
-    best.inputs.reported = server.report->running + server.report->waiting;
-    best.inputs.report_age_ms = (now - server.reported_at).count() / 1000;
+    Candidate& best = by_region[server.region];
+    if (best.server == nullptr || cost.total_ms < best.cost.total_ms)
+      best = {&server, cost};
   }
-  return best;
+  if (by_region.empty())
+    return {};
+  RegionCosts costs;
+  for (const auto& [region, candidate] : by_region)
+    costs.emplace_back(region, candidate.cost.total_ms);
+  const std::string region = PickRegionFor(state, request, costs, now);
+  return Describe(by_region.at(region), now);
 }
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -28,7 +28,8 @@
   // Hash of the object that the request concerns, if the caller named one. The
   // same object on another route is another one.
   std::optional<std::uint64_t> object;
-  Duration remaining{};           // Until the caller gives up.
+  Duration remaining{};  // Until the caller gives up.
+  std::uint64_t body_bytes = 0;
   std::uint64_t fingerprint = 0;  // Equal for repeats of the same request.
 };
 
@@ -71,7 +72,11 @@
   std::uint64_t fingerprint = 0;
 };
 
-struct StopRequested {};
+// The process is to stop. Requests are still taken until `accept_until`,
+// because callers need a moment to learn of it.
+struct StopRequested {
+  TimePoint accept_until{};
+};
 
 struct TimerExpired {};
 
@@ -100,6 +105,7 @@
   kFailed,       // An attempt ended without a usable response.
   kTimedOut,     // The route's time or the caller's is over.
   kBlocked,      // Equal requests have crashed servers.
+  kStopping,     // The entry VM stops.
 };
 
 }  // namespace cicadadrum::routing
@@ -120,6 +126,7 @@
           {routing::RefusalReason::kFailed, "failed"},
           {routing::RefusalReason::kTimedOut, "timed-out"},
           {routing::RefusalReason::kBlocked, "blocked"},
+          {routing::RefusalReason::kStopping, "stopping"},
       });
 };
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -20,6 +20,7 @@
 #include "cicadadrum/base/random.h"
 #include "cicadadrum/base/time.h"
 #include "cicadadrum/routing/events.h"
+#include "cicadadrum/shift/split.h"
 
 namespace cicadadrum::routing {
 
@@ -30,6 +31,10 @@
   Duration retry_window = Seconds(10);
   double cold_load_factor = 1;  // Times the rate a cold server tolerates.
   double cold_extra = 0;        // Requests a second beyond it.
+  // Share of a region's requests that may change the region in which they run
+  // from one window to the next.
+  double max_shift = 0.15;
+  Duration shift_window = Seconds(2);
 };
 
 struct RoutingOptions {
@@ -46,6 +51,7 @@
   std::string service;
   std::uint64_t object = 0;  // A random number if the caller named none.
   std::uint64_t fingerprint = 0;
+  std::uint64_t body_bytes = 0;
   TimePoint arrived_at;
   TimePoint caller_deadline;
   TimePoint deadline;  // The route's timeout or the caller's, whichever first.
@@ -68,12 +74,26 @@
   std::uint32_t requests_in_window = 0;
 };
 
+// Where requests of each route and service would run if every one went to its
+// cheapest server, and the split that follows it under the shift cap.
+struct RegionShares {
+  SplitState split;  // Its services are named "route service".
+  // Decayed counts by region.
+  std::map<std::string, std::map<std::string, double>> wanted;
+  TimePoint next_advance{};
+  // Requests sent elsewhere than the split says, of those in the last window.
+  double overrides = 0;
+  double requests = 0;
+};
+
 struct RoutingState {
   RoutingOptions options;
   Random random;
   RouteTable table;
   bool servers_known = false;
   bool stopping = false;
+  TimePoint accept_until{};  // While stopping.
+  RegionShares shares;
   std::unordered_map<std::string, Server> servers;  // By id.
   std::unordered_map<std::string, ServiceState> services;
   std::set<std::string> evacuated;  // Failure domains.
--- /dev/null
+++ b/Libraries/LibRouting/region_shares.cc
@@ -0,0 +1,172 @@
+// Follows the cheapest regions with the split of LibShift.
+
+#include "region_shares.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace cicadadrum::routing {
+
+namespace {
+
+// AdvanceSplit is to be called at least 32 times a window.
+constexpr Duration kAdvancePeriod = Milliseconds(50);
+
+// Counts of wanted regions lose half of their weight in this time.
+constexpr double kWantedHalfLifeMs = 1000;
+
+// A request may leave the split if that makes it this much faster, ...
+constexpr double kOverrideMs = 150;
+// ... but only this share of the requests may.
+constexpr double kMaxOverrides = 0.03;
+
+std::set<std::string> RegionsOf(const RoutingState& state) {
+  std::set<std::string> regions;
+  for (const auto& [domain, region] : state.options.region_of)
+    regions.insert(region);
+  return regions;
+}
+
+Split ToSplit(const std::map<std::string, double>& weights) {
+  double total = 0;
+  for (const auto& [region, weight] : weights)
+    total += weight;
+  Split split;
+  std::uint32_t left = kWholeSplit;
+  std::string largest;
+  for (const auto& [region, weight] : weights) {
+    const auto parts = static_cast<std::uint32_t>(weight / total * kWholeSplit);
+    split[region] = std::min(parts, left);
+    left -= split[region];
+    if (largest.empty() || split[region] > split[largest])
+      largest = region;
+  }
+  split[largest] += left;
+  return split;
+}
+
+// Before anything is observed, a region takes what it would if every region had
+// the same demand: its own up to its share of the slots, and the rest where
+// there are more slots than that.
+Split InitialSplit(const RoutingState& state, const std::string& service) {
+  std::map<std::string, double> slots;
+  double total = 0;
+  const auto found = state.services.find(service);
+  if (found != state.services.end()) {
+    for (const std::string& id : found->second.servers) {
+      const Server& server = state.servers.at(id);
+      slots[server.region] += server.entry.slots;
+      total += server.entry.slots;
+    }
+  }
+  const std::string& own = state.options.region;
+  const auto regions =
+      static_cast<double>(std::max<std::size_t>(RegionsOf(state).size(), 1));
+  const double demand = total / regions;
+  if (total == 0 || slots[own] >= demand)
+    return {{own, kWholeSplit}};
+  std::map<std::string, double> weights{{own, slots[own]}};
+  double spare = 0;
+  for (const auto& [region, count] : slots)
+    spare += std::max(0.0, count - demand);
+  for (const auto& [region, count] : slots) {
+    if (region != own && spare > 0)
+      weights[region] =
+          (demand - slots[own]) * std::max(0.0, count - demand) / spare;
+  }
+  return ToSplit(weights);
+}
+
+void Prepare(RoutingState& state) {
+  SplitState& split = state.shares.split;
+  if (!split.regions.empty())
+    return;
+  const FleetBounds& bounds = state.options.bounds;
+  const std::set<std::string> regions = RegionsOf(state);
+  split.self_region = state.options.region;
+  split.regions.assign(regions.begin(), regions.end());
+  split.limits = MakeShiftLimits(
+      static_cast<std::uint32_t>(std::lround(bounds.max_shift * 100)),
+      bounds.shift_window);
+}
+
+// A route that moves to another service starts like the other routes there.
+Split StartingSplit(const RoutingState& state, const RequestState& request) {
+  const std::string suffix = " " + request.service;
+  for (const auto& [name, present] : state.shares.split.services) {
+    if (name.ends_with(suffix))
+      return present.current;
+  }
+  return InitialSplit(state, request.service);
+}
+
+void Advance(RegionShares& shares, TimePoint now) {
+  if (now < shares.next_advance)
+    return;
+  const double age_ms =
+      static_cast<double>(
+          (now - shares.next_advance + kAdvancePeriod).count()) /
+      1000;
+  shares.next_advance = now + kAdvancePeriod;
+  const double kept = std::exp2(-age_ms / kWantedHalfLifeMs);
+  shares.overrides *= kept;
+  shares.requests *= kept;
+  std::map<std::string, std::uint64_t> loads;
+  for (auto& [name, wanted] : shares.wanted) {
+    double total = 0;
+    for (auto& [region, count] : wanted) {
+      count *= kept;
+      total += count;
+    }
+    loads[name] = 1;
+    if (total < 1)
+      continue;
+    SplitTarget target{.target = ToSplit(wanted)};
+    for (const std::string& region : shares.split.regions)
+      target.ceiling[region] = kWholeSplit;
+    shares.split.targets[name] = std::move(target);
+  }
+  AdvanceSplit(shares.split, loads, now);
+}
+
+const std::pair<std::string, double>* Find(const RegionCosts& costs,
+                                           const std::string& region) {
+  for (const auto& cost : costs) {
+    if (cost.first == region)
+      return &cost;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+std::string PickRegionFor(RoutingState& state,
+                          const RequestState& request,
+                          const RegionCosts& costs,
+                          TimePoint now) {
+  RegionShares& shares = state.shares;
+  Prepare(state);
+  const std::string name = request.route.name + " " + request.service;
+  if (!shares.split.services.contains(name))
+    shares.split.services[name].current = StartingSplit(state, request);
+  const auto& cheapest = *std::min_element(
+      costs.begin(), costs.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  shares.wanted[name][cheapest.first] += 1;
+  shares.requests += 1;
+  Advance(shares, now);
+  const auto picked = PickRegion(shares.split, name, request.object);
+  const auto* split_cost = picked ? Find(costs, *picked) : nullptr;
+  // A region without a usable server is no matter of the split.
+  if (split_cost == nullptr)
+    return cheapest.first;
+  const bool much_slower = split_cost->second > cheapest.second + kOverrideMs;
+  if (much_slower && shares.overrides + 1 <= shares.requests * kMaxOverrides) {
+    shares.overrides += 1;
+    return cheapest.first;
+  }
+  return split_cost->first;
+}
+
+}  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -107,6 +107,9 @@
   if (!IsReady(state) && !state.stopping)
     return Refuse(state, event.request, RefusalReason::kNotReady,
                   kShortestRetryAfter, actions);
+  if (state.stopping && now >= state.accept_until)
+    return Refuse(state, event.request, RefusalReason::kStopping,
+                  kShortestRetryAfter, actions);
   const Route* route = FindRoute(state.table, event.host, event.path);
   if (route == nullptr)
     return Refuse(state, event.request, RefusalReason::kNoRoute, {}, actions);
@@ -118,6 +121,7 @@
       .object = event.object ? HashBytes(route->name, *event.object)
                              : NextRandom(state.random),
       .fingerprint = event.fingerprint,
+      .body_bytes = event.body_bytes,
       .arrived_at = now,
       .caller_deadline = now + event.remaining,
       .deadline =
@@ -263,10 +267,11 @@
 }
 
 void Apply(RoutingState& state,
-           const StopRequested& /*event*/,
+           const StopRequested& event,
            TimePoint /*now*/,
            RoutingActions& /*actions*/) {
   state.stopping = true;
+  state.accept_until = event.accept_until;
 }
 
 void Apply(RoutingState& state,
--- a/Libraries/LibTelemetry/event_log.cc
+++ b/Libraries/LibTelemetry/event_log.cc
@@ -8,7 +8,7 @@
 #include <spdlog/sinks/base_sink.h>
 #include <unistd.h>
 
-#include <cmath>
+#include <iterator>
 
 namespace cicadadrum {
 
@@ -106,7 +106,7 @@
 
 LogLine& LogLine::Real(std::string_view key, double value) {
   AppendKey(fields_, key);
-  fields_.append(std::to_string(std::round(value * 100) / 100));
+  fmt::format_to(std::back_inserter(fields_), "{:.2f}", value);
   return *this;
 }
 
--- /dev/null
+++ b/Tests/LibDiscovery/test_table.cc
@@ -0,0 +1,180 @@
+// Tests of following a table of the store.
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <utility>
+
+#include "cicadadrum/discovery/table.h"
+
+namespace cicadadrum::discovery {
+
+namespace {
+
+constexpr TimePoint kStart{Seconds(100)};
+
+struct TableFixture {
+  TableState state = MakeTableState({.table = "servers"}, 1);
+  TimePoint now = kStart;
+  std::optional<ReadTable> read;
+  std::optional<FollowTable> follow;
+  std::vector<TableRow> rows;  // Of all RowsChanged since the last Take.
+  bool first = false;
+  TimePoint wake = kNever;
+  std::vector<bool> reach;
+
+  void Step(const TableEvent& event) {
+    TableActions actions;
+    StepTable(state, event, now, actions);
+    for (const TableAction& action : actions) {
+      if (const auto* call = std::get_if<ReadTable>(&action))
+        read = *call;
+      if (const auto* call = std::get_if<FollowTable>(&action))
+        follow = *call;
+      if (const auto* changed = std::get_if<RowsChanged>(&action)) {
+        rows.insert(rows.end(), changed->rows.begin(), changed->rows.end());
+        first = first || changed->first;
+      }
+      if (const auto* reached = std::get_if<StoreReach>(&action))
+        reach.push_back(reached->reachable);
+      if (const auto* due = std::get_if<TableWake>(&action))
+        wake = due->at;
+    }
+  }
+
+  std::vector<TableRow> Take() { return std::exchange(rows, {}); }
+
+  // Lets time pass until the next call starts.
+  void Wait() {
+    now = std::max(now, wake);
+    Step(TableTick{});
+  }
+
+  void AnswerRead(std::vector<TableRow> answer,
+                  std::uint64_t version,
+                  bool more = false) {
+    Step(TableAnswered{read->call, std::move(answer), version, more});
+  }
+
+  void AnswerFollow(std::vector<TableRow> answer, std::uint64_t version) {
+    Wait();
+    Step(TableAnswered{follow->call, std::move(answer), version, false});
+  }
+
+  void FailFollow(TableFailure failure) {
+    Wait();
+    Step(TableFailed{follow->call, failure});
+  }
+
+  void ReadWhole(std::vector<TableRow> answer, std::uint64_t version) {
+    Step(TableTick{});
+    AnswerRead(std::move(answer), version);
+  }
+};
+
+TableRow Put(const std::string& key, std::uint64_t version) {
+  return {.key = key, .value = "value", .version = version};
+}
+
+TableRow Removal(const std::string& key, std::uint64_t version) {
+  return {.key = key, .version = version, .removed = true};
+}
+
+}  // namespace
+
+TEST_CASE("a table is read whole once and then followed") {
+  TableFixture table;
+  table.Step(TableTick{});
+  REQUIRE(table.read);
+  table.AnswerRead({Put("a", 1), Put("b", 2)}, 5, /*more=*/true);
+  CHECK(table.Take().empty());
+  CHECK(table.read->from == std::string("b\0", 2));
+  table.AnswerRead({Put("c", 3)}, 6);
+  CHECK(table.Take().size() == 3);
+  CHECK(table.first);
+  table.Wait();
+  REQUIRE(table.follow);
+  // Changes between the pages must not be missed.
+  CHECK(table.follow->after == 5);
+}
+
+// Guards against bringing a removed row back: a server that was removed in the
+// same feed as its last heartbeat got requests until the process ended.
+TEST_CASE("the last of several changes of a row counts") {
+  TableFixture table;
+  table.ReadWhole({Put("a", 1)}, 1);
+  table.Take();
+  table.AnswerFollow({Put("a", 2), Removal("a", 3)}, 3);
+  const auto rows = table.Take();
+  REQUIRE(rows.size() == 1);
+  CHECK(rows[0].removed);
+  table.AnswerFollow({Put("a", 4), Removal("a", 5), Put("a", 6)}, 6);
+  const auto again = table.Take();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].version == 6);
+}
+
+// Guards against missing what changed while the history was lost.
+TEST_CASE("lost history leads to a whole read that reports what is gone") {
+  TableFixture table;
+  table.ReadWhole({Put("a", 1), Put("b", 2)}, 2);
+  table.Take();
+  table.FailFollow(TableFailure::kHistoryLost);
+  table.AnswerRead({Put("b", 2), Put("c", 9)}, 10);
+  const auto rows = table.Take();
+  REQUIRE(rows.size() == 2);
+  CHECK(rows[0].key == "c");
+  CHECK(rows[1].key == "a");
+  CHECK(rows[1].removed);
+}
+
+// Guards against dropping live servers whose entries lapsed while the store
+// was away, and against keeping those that don't come back.
+TEST_CASE("rows that vanish as the store returns are kept for a while") {
+  TableFixture table;
+  table.ReadWhole({Put("a", 1), Put("b", 2)}, 2);
+  table.Take();
+  const TimePoint outage = table.now;
+  while (table.now < outage + Seconds(4))
+    table.FailFollow(TableFailure::kNoAnswer);
+  CHECK(table.reach == std::vector<bool>{false});
+  table.AnswerFollow({Removal("a", 3), Removal("b", 4)}, 4);
+  const TimePoint returned = table.now;
+  CHECK(table.reach == std::vector<bool>{false, true});
+  CHECK(table.Take().empty());
+  table.AnswerFollow({Put("a", 5)}, 5);
+  CHECK(table.Take().size() == 1);
+  table.now = returned + Milliseconds(2300);
+  table.Step(TableTick{});
+  const auto rows = table.Take();
+  REQUIRE(rows.size() == 1);
+  CHECK(rows[0].key == "b");
+  CHECK(rows[0].removed);
+}
+
+// Guards against calls beyond the store's rate and against a wait that lasts
+// longer than the bound on leaving servers.
+TEST_CASE("calls are paced and failures back off within a second") {
+  TableFixture table;
+  table.ReadWhole({Put("a", 1)}, 1);
+  CHECK(table.wake == table.now + Seconds(1));
+  for (int i = 0; i < 20; ++i) {
+    table.FailFollow(TableFailure::kRefused);
+    CHECK(table.wake > table.now);
+    CHECK(table.wake <= table.now + Seconds(1));
+  }
+}
+
+TEST_CASE("the answer to an earlier call is dropped") {
+  TableFixture table;
+  table.ReadWhole({Put("a", 1)}, 1);
+  table.Take();
+  table.Wait();
+  const std::uint64_t old_call = table.follow->call;
+  table.Step(TableFailed{old_call, TableFailure::kNoAnswer});
+  table.Wait();
+  table.Step(TableAnswered{old_call, {Put("a", 9)}, 9, false});
+  CHECK(table.Take().empty());
+}
+
+}  // namespace cicadadrum::discovery
