LibRouting: Keep an object on one server and spill when the wait costs more

Ruled out: a time limit on what a server remembers (97 to 107 ms for gaps of 0.5 to 4.5 s). The estimates of known and fresh work are learnt apart, the fresh one mostly from longer samples.

--- a/Libraries/LibConfiguration/include/cicadadrum/configuration/json.h
+++ b/Libraries/LibConfiguration/include/cicadadrum/configuration/json.h
@@ -51,8 +51,8 @@
     const std::string& source,
     ErrorCode code,
     capnp::MessageBuilder& message) {
-  BOOST_LEAF_CHECK(DecodeForeignJson(text, source, code,
-                                     capnp::Schema::from<T>(), message));
+  BOOST_LEAF_CHECK(
+      DecodeForeignJson(text, source, code, capnp::Schema::from<T>(), message));
   return message.getRoot<T>().asReader();
 }
 
--- a/Libraries/LibEntry/fleet_link.cc
+++ b/Libraries/LibEntry/fleet_link.cc
@@ -5,8 +5,8 @@
 #include <charconv>
 
 #include "cicadadrum/base/error.h"
-#include "cicadadrum/telemetry/log.h"
 #include "cicadadrum/node/peer_codec.h"
+#include "cicadadrum/telemetry/log.h"
 
 namespace cicadadrum {
 
--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -48,9 +48,9 @@
     head.append("Host: ").append(address).append("\r\n");
   for (const auto& [name, value] : request.headers)
     head.append(name).append(": ").append(value).append("\r\n");
-  const bool has_body =
-      !request.body.empty() || request.method == HttpMethod::kPost ||
-      request.method == HttpMethod::kPut;
+  const bool has_body = !request.body.empty() ||
+                        request.method == HttpMethod::kPost ||
+                        request.method == HttpMethod::kPut;
   if (has_body) {
     head.append("Content-Length: ");
     head.append(std::to_string(request.body.size())).append("\r\n");
@@ -285,10 +285,9 @@
       evbuffer_get_length(bufferevent_get_output(connection.bev));
   if (unread > 0)
     ++counters.surplus;
-  const bool reusable = outcome == HttpOutcome::kAnswered &&
-                        connection.parser.reusable &&
-                        !connection.skipped_response && unread == 0 &&
-                        unsent == 0;
+  const bool reusable =
+      outcome == HttpOutcome::kAnswered && connection.parser.reusable &&
+      !connection.skipped_response && unread == 0 && unsent == 0;
   connection.call = nullptr;
   calls.erase(call.id);
   if (reusable)
--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "observations.h"
 #include "region_shares.h"
@@ -17,11 +18,23 @@
 // Until both have been observed: work on an object that the server has handled
 // recently, as a share of the work on one it has not.
 constexpr double kKnownObjectShare = 0.45;
-constexpr Duration kObjectMemory = Seconds(20);
+
+// Servers of a region that are to know an object: the first ones in its
+// rendezvous order, which is the same at every entry VM. A server keeps a few
+// dozen objects, so an object that goes everywhere is known nowhere.
+constexpr std::size_t kServersPerObject = 1;
+
+// Another server counts as one that knows the object this long after this entry
+// VM sent it there.
+constexpr Duration kObjectMemory = Seconds(6);
+
+// Work that a server does because it does not know the object keeps others
+// waiting too, so it is charged this many times beside the request's own wait.
+constexpr double kFreshWorkCharge = 0;
 
 // Share of the work by which rendezvous hashing spreads the costs of equal
 // servers for one object.
-constexpr double kAffinityShare = 0.5;
+constexpr double kAffinityShare = 1.2;
 
 // Share of the work that a full server costs before anything waits, which
 // spreads work over free servers.
@@ -134,26 +147,43 @@
   return work;
 }
 
+struct Candidate {
+  Server* server = nullptr;
+  double affinity = 0;     // Smaller for a server that the object prefers.
+  bool preferred = false;  // One of the servers that are to know the object.
+};
+
 struct Cost {
   double total_ms = 0;
   double expected_ms = 0;
   bool waits = false;
-  bool object_known = false;
+  Familiarity familiarity = Familiarity::kFresh;
 };
 
+Familiarity FamiliarityOf(const RequestState& request,
+                          const Candidate& candidate,
+                          TimePoint now) {
+  if (!request.route.sticky)
+    return Familiarity::kFresh;
+  if (KnowsObject(*candidate.server, request.object, now))
+    return Familiarity::kKnown;
+  return candidate.preferred ? Familiarity::kShared : Familiarity::kFresh;
+}
+
 Cost CostOf(const RoutingState& state,
             const RequestState& request,
-            const Server& server,
+            const Candidate& candidate,
             const Work& work,
             TimePoint now) {
+  const Server& server = *candidate.server;
   const double factor = WorkFactor(server, now);
   const double slots = std::max<std::uint32_t>(server.entry.slots, 1);
   const double occupancy = EstimateOccupancy(server, now);
   const double waiting = std::max(0.0, occupancy + 1 - slots);
   // Most of what waits concerns known objects.
   const double queue_ms = waiting / slots * work.known_ms * factor;
-  const bool known =
-      request.route.sticky && KnowsObject(server, request.object, now);
+  const Familiarity familiarity = FamiliarityOf(request, candidate, now);
+  const bool known = familiarity != Familiarity::kFresh;
   const double own_ms = (known ? work.known_ms : work.fresh_ms) * factor;
   const double affinity_ms = request.route.sticky
                                  ? AffinityOf(request.object, server.hash) *
@@ -167,23 +197,45 @@
                       affinity_ms + spread_ms + failure_ms,
           .expected_ms = queue_ms + own_ms,
           .waits = waiting > 0,
-          .object_known = known};
+          .familiarity = familiarity};
 }
 
-struct Candidate {
-  Server* server = nullptr;
-  Cost cost;
-};
+std::map<std::string, std::vector<Candidate>> CandidatesByRegion(
+    RoutingState& state,
+    const RequestState& request,
+    const ServiceState& service,
+    TimePoint now) {
+  std::map<std::string, std::vector<Candidate>> by_region;
+  for (const std::string& id : service.servers) {
+    Server& server = state.servers.at(id);
+    if (MayUse(state, request, server, now))
+      by_region[server.region].push_back(
+          {&server, AffinityOf(request.object, server.hash)});
+  }
+  return by_region;
+}
 
-Choice Describe(const Candidate& candidate, TimePoint now) {
-  const Server& server = *candidate.server;
-  Choice choice{.server = candidate.server,
-                .inputs = {.cost_ms = candidate.cost.total_ms,
+void MarkPreferred(std::vector<Candidate>& candidates) {
+  const std::size_t count = std::min(kServersPerObject, candidates.size());
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                    candidates.end(),
+                    [](const Candidate& a, const Candidate& b) {
+                      return a.affinity < b.affinity;
+                    });
+  for (std::size_t i = 0; i < count; ++i)
+    candidates[i].preferred = true;
+}
+
+Choice Describe(Server& server, const Cost& cost, TimePoint now) {
+  Choice choice{.server = &server,
+                .inputs = {.familiarity = cost.familiarity,
+                           .cost_ms = cost.total_ms,
                            .in_flight = server.in_flight,
                            .slowness = ValueAt(server.slowness, 1, now)},
-                .expected = FromMs(candidate.cost.expected_ms),
-                .waits = candidate.cost.waits,
-                .object_known = candidate.cost.object_known};
+                .expected = FromMs(cost.expected_ms),
+                .waits = cost.waits,
+                .familiarity = cost.familiarity};
   if (server.report) {
     choice.inputs.reported = server.report->running + server.report->waiting;
     choice.inputs.report_age_ms = (now - server.reported_at).count() / 1000;
@@ -200,23 +252,24 @@
   if (service == state.services.end())
     return {};
   const Work work = WorkOf(state, request);
-  std::map<std::string_view, Candidate> by_region;
-  for (const std::string& id : service->second.servers) {
-    Server& server = state.servers.at(id);
-    if (!MayUse(state, request, server, now))
-      continue;
-    const Cost cost = CostOf(state, request, server, work, now);
-    Candidate& best = by_region[server.region];
-    if (best.server == nullptr || cost.total_ms < best.cost.total_ms)
-      best = {&server, cost};
+  RegionCosts costs;
+  std::map<std::string, std::pair<Server*, Cost>> best_of;
+  for (auto& [region, candidates] :
+       CandidatesByRegion(state, request, service->second, now)) {
+    MarkPreferred(candidates);
+    std::pair<Server*, Cost>& best = best_of[region];
+    for (const Candidate& candidate : candidates) {
+      const Cost cost = CostOf(state, request, candidate, work, now);
+      if (best.first == nullptr || cost.total_ms < best.second.total_ms)
+        best = {candidate.server, cost};
+    }
+    costs.emplace_back(region, best.second.total_ms);
   }
-  if (by_region.empty())
+  if (costs.empty())
     return {};
-  RegionCosts costs;
-  for (const auto& [region, candidate] : by_region)
-    costs.emplace_back(region, candidate.cost.total_ms);
-  const std::string region = PickRegionFor(state, request, costs, now);
-  return Describe(by_region.at(region), now);
+  const auto& [server, cost] =
+      best_of.at(PickRegionFor(state, request, costs, now));
+  return Describe(*server, cost, now);
 }
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/choice.h
+++ b/Libraries/LibRouting/choice.h
@@ -12,7 +12,7 @@
   ChoiceInputs inputs;
   Duration expected{};  // Until the response, without the cost of distance.
   bool waits = false;   // Other requests are ahead of it.
-  bool object_known = false;  // The server has handled the object recently.
+  Familiarity familiarity = Familiarity::kFresh;
 };
 
 // Returns the cheapest server of the request's service that it was not sent to
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -134,8 +134,34 @@
 
 namespace cicadadrum::routing {
 
+// What is believed of a server's knowledge of an object.
+enum class Familiarity : std::uint8_t {
+  kFresh,   // It has probably not handled the object recently.
+  kShared,  // It is one of the servers to which all entry VMs send the object.
+  kKnown,   // This entry VM has just sent the object there.
+};
+
+}  // namespace cicadadrum::routing
+
+namespace cicadadrum {
+
+template <>
+struct EnumNames<routing::Familiarity> {
+  static constexpr auto kTable = std::to_array<EnumName<routing::Familiarity>>({
+      {routing::Familiarity::kFresh, "fresh"},
+      {routing::Familiarity::kShared, "shared"},
+      {routing::Familiarity::kKnown, "known"},
+  });
+};
+
+}  // namespace cicadadrum
+
+namespace cicadadrum::routing {
+
 // What decided the choice of a server, for the log.
 struct ChoiceInputs {
+  std::uint64_t object = 0;  // Hash of the object that the request concerns.
+  Familiarity familiarity = Familiarity::kFresh;
   double cost_ms = 0;
   std::uint32_t in_flight = 0;
   std::uint32_t reported = 0;       // Running and waiting, as the server said.
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -61,8 +61,8 @@
   bool attempting = false;
   std::string server;  // Of the current attempt.
   TimePoint sent_at;
-  Duration expected{};        // Time within which the attempt should end.
-  bool object_known = false;  // By the server of the current attempt.
+  Duration expected{};  // Time within which the attempt should end.
+  Familiarity familiarity = Familiarity::kFresh;  // Of the current attempt.
 };
 
 // Mean time that a server works on a request, without waiting.
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -21,6 +21,7 @@
 constexpr double kShortestWorkMs = 1;
 // Of the latency objective: the mean work on a route is taken to be no longer.
 constexpr double kLongestWorkShare = 2;
+constexpr double kLongestFreshRatio = 2;
 
 // A server that could not be reached rests for this long, doubled with each
 // failure in a row.
@@ -71,9 +72,10 @@
 void AddWork(WorkEstimate& work,
              double expected_work_ms,
              double ratio,
+             double usual_weight,
              double longest_ms) {
   ++work.samples;
-  const double weight = std::max(kWorkWeight, 1.0 / work.samples);
+  const double weight = std::max(usual_weight, 1.0 / work.samples);
   const double present =
       work.milliseconds > 0 ? work.milliseconds : expected_work_ms;
   work.milliseconds =
@@ -100,12 +102,29 @@
   if (WasSaturated(server, end))
     return AddSample(server.slowness, 1, ratio, kSlownessWeight / 2, now);
   RouteWork& work = state.services[request.service].work[request.route.name];
-  WorkEstimate& estimate = request.object_known ? work.known : work.fresh;
-  const double before = estimate.milliseconds;
-  AddWork(estimate, expected_ms, ratio,
-          ToMs(request.route.latency_objective) * kLongestWorkShare);
-  const double corrected =
-      before > 0 ? ratio * before / estimate.milliseconds : 1;
+  const double longest_ms =
+      ToMs(request.route.latency_objective) * kLongestWorkShare;
+  double corrected = ratio;
+  switch (request.familiarity) {
+    case Familiarity::kKnown: {
+      const double before = work.known.milliseconds;
+      AddWork(work.known, expected_ms, ratio, kWorkWeight, longest_ms);
+      corrected = before > 0 ? ratio * before / work.known.milliseconds : 1;
+      break;
+    }
+    case Familiarity::kFresh: {
+      // Many of these objects are known there after all, thanks to other entry
+      // VMs, so shorter times count less than longer ones.
+      const double before = work.fresh.milliseconds;
+      AddWork(work.fresh, expected_ms, std::min(ratio, kLongestFreshRatio),
+              ratio > 1 ? kWorkWeight * 2 : kWorkWeight / 5, longest_ms);
+      corrected = before > 0 ? ratio * before / work.fresh.milliseconds : 1;
+      break;
+    }
+    case Familiarity::kShared:
+      // It may have been the first request for the object there.
+      return AddSample(server.slowness, 1, ratio, kSlownessWeight / 4, now);
+  }
   AddSample(server.slowness, 1, corrected, kSlownessWeight, now);
 }
 
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -91,7 +91,7 @@
   request.tried.push_back(server.entry.id);
   request.sent_at = now;
   request.expected = choice.expected;
-  request.object_known = choice.object_known;
+  request.familiarity = choice.familiarity;
   ObserveSend(server, request, now);
   actions.emplace_back(SendAttempt{.request = id,
                                    .attempt = request.attempts,
@@ -100,6 +100,7 @@
                                    .deadline = request.deadline,
                                    .server_time = remaining,
                                    .inputs = choice.inputs});
+  std::get<SendAttempt>(actions.back()).inputs.object = request.object;
 }
 
 void Apply(RoutingState& state,
--- a/Tests/LibLoop/scripted_server.h
+++ b/Tests/LibLoop/scripted_server.h
@@ -35,10 +35,9 @@
                            sockaddr* /*peer*/, int /*length*/, void* argument) {
       static_cast<ScriptedServer*>(argument)->Accept(fd);
     };
-    listener_ =
-        evconnlistener_new_bind(loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE,
-                                -1, reinterpret_cast<sockaddr*>(&any),
-                                static_cast<int>(sizeof(any)));
+    listener_ = evconnlistener_new_bind(
+        loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+        reinterpret_cast<sockaddr*>(&any), static_cast<int>(sizeof(any)));
     sockaddr_in bound{};
     socklen_t length = sizeof(bound);
     getsockname(evconnlistener_get_fd(listener_),
