--- a/Libraries/LibNode/fleet_node.cc
+++ b/Libraries/LibNode/fleet_node.cc
@@ -4,7 +4,6 @@
 
 #include <deque>
 
-#include "cicadadrum/loop/kj_event_port.h"
 #include "cicadadrum/node/peer_codec.h"
 #include "cicadadrum/peer/peer_client.h"
 #include "cicadadrum/peer/peer_server.h"
@@ -32,6 +31,7 @@
 
 struct FleetNode::Impl {
   Impl(EventLoop& event_loop,
+       KjLoop& rpc_loop,
        const FleetNodeSettings& node_settings,
        FleetNodeHandlers node_handlers);
 
@@ -53,7 +53,7 @@
   EventLoop& loop;
   FleetNodeSettings settings;
   FleetNodeHandlers handlers;
-  KjLoop kj_loop;
+  KjLoop& kj_loop;
   PeerClient client;
   std::unique_ptr<PeerServer> server;
   MembershipState state;
@@ -63,12 +63,13 @@
 };
 
 FleetNode::Impl::Impl(EventLoop& event_loop,
+                      KjLoop& rpc_loop,
                       const FleetNodeSettings& node_settings,
                       FleetNodeHandlers node_handlers)
     : loop(event_loop),
       settings(node_settings),
       handlers(std::move(node_handlers)),
-      kj_loop(loop.base()),
+      kj_loop(rpc_loop),
       client(kj_loop, MakePeerSettings()),
       state(MakeMembershipState(settings.self,
                                 settings.incarnation.high,
@@ -181,9 +182,13 @@
 }
 
 FleetNode::FleetNode(EventLoop& loop,
+                     KjLoop& kj_loop,
                      const FleetNodeSettings& settings,
                      FleetNodeHandlers handlers)
-    : impl_(std::make_unique<Impl>(loop, settings, std::move(handlers))) {}
+    : impl_(std::make_unique<Impl>(loop,
+                                   kj_loop,
+                                   settings,
+                                   std::move(handlers))) {}
 
 FleetNode::~FleetNode() = default;
 
--- a/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
+++ b/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
@@ -12,6 +12,7 @@
 #include <boost/leaf.hpp>
 
 #include "cicadadrum/loop/event_loop.h"
+#include "cicadadrum/loop/kj_event_port.h"
 #include "cicadadrum/membership/membership.h"
 #include "cicadadrum/peer/messages.h"
 
@@ -35,7 +36,9 @@
 
 class FleetNode {
  public:
+  // `kj_loop` runs on `loop`; both must outlive the node.
   FleetNode(EventLoop& loop,
+            KjLoop& kj_loop,
             const FleetNodeSettings& settings,
             FleetNodeHandlers handlers);
   ~FleetNode();
--- /dev/null
+++ b/Tests/Platform/stand_ins.cc
@@ -0,0 +1,222 @@
+// The store and the servers of the platform's tests.
+
+#include "stand_ins.h"
+
+#include <kj/encoding.h>
+
+#include <algorithm>
+
+#include "headers.h"
+
+namespace cicadadrum::platform {
+
+namespace {
+
+std::string Listen(HttpServer& server) {
+  const auto port = server.Listen("127.0.0.1:0");
+  return "127.0.0.1:" + std::to_string(port.value());
+}
+
+std::string EncodeBase64(const std::string& bytes) {
+  return kj::encodeBase64(
+             kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()),
+                          bytes.size()))
+      .cStr();
+}
+
+std::string QueryValue(const HttpRequest& request, std::string_view name) {
+  return std::string(FindField(request.query, name));
+}
+
+HttpResponse Json(std::string body) {
+  return {.headers = {{"Content-Type", "application/json"}},
+          .body = std::move(body)};
+}
+
+}  // namespace
+
+StoreStandIn::StoreStandIn(EventLoop& loop)
+    : loop_(loop),
+      server_(
+          loop,
+          {},
+          [this](std::uint64_t id, const HttpRequest& request) {
+            Handle(id, request);
+          },
+          [this](std::uint64_t id) {
+            std::erase_if(waiting_, [id](const Waiting& waiting) {
+              return waiting.id == id;
+            });
+            server_.Abort(id);
+          }),
+      address_(Listen(server_)) {}
+
+void StoreStandIn::Record(Change change) {
+  change.version = ++version_;
+  if (change.removed)
+    rows_.erase({change.table, change.key});
+  else
+    rows_[{change.table, change.key}] = change;
+  history_.push_back(std::move(change));
+  WakeWaiting();
+}
+
+void StoreStandIn::Put(const std::string& table,
+                       const std::string& key,
+                       const std::string& value) {
+  Record({.table = table, .key = key, .value = value});
+}
+
+void StoreStandIn::Remove(const std::string& table, const std::string& key) {
+  Record({.table = table, .key = key, .removed = true});
+}
+
+void StoreStandIn::ForgetHistory() {
+  history_.clear();
+  history_begin_ = version_;
+}
+
+void StoreStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
+  ++calls_;
+  if (mood_ == StoreMood::kSilent)
+    return;
+  if (mood_ == StoreMood::kRefuses)
+    return server_.Respond(id, {.status = 503});
+  const std::string table = QueryValue(request, "table");
+  if (request.path == kReadRowsPath)
+    return AnswerRead(id, table);
+  const std::uint64_t after = std::stoull(QueryValue(request, "after"));
+  if (after < history_begin_)
+    return server_.Respond(id, {.status = 410});
+  if (HasChanges(table, after))
+    return AnswerFeed(id, table, after);
+  Waiting waiting{.id = id, .table = table, .after = after};
+  waiting.timer = std::make_unique<Timer>(loop_, [this, id, table, after] {
+    AnswerFeed(id, table, after);
+    std::erase_if(waiting_,
+                  [id](const Waiting& other) { return other.id == id; });
+  });
+  waiting.timer->Schedule(
+      loop_.Now() + Milliseconds(std::stoll(QueryValue(request, "wait_ms"))));
+  waiting_.push_back(std::move(waiting));
+}
+
+void StoreStandIn::AnswerRead(std::uint64_t id, const std::string& table) {
+  std::string rows;
+  for (const auto& [name, row] : rows_) {
+    if (row.table != table)
+      continue;
+    rows += (rows.empty() ? "" : ",") + std::string("{\"key\":\"") + row.key +
+            "\",\"value\":\"" + EncodeBase64(row.value) +
+            "\",\"rowVersion\":" + std::to_string(row.version) + "}";
+  }
+  server_.Respond(
+      id, Json("{\"rows\":[" + rows + "],\"hasMore\":false,\"rowVersion\":" +
+               std::to_string(version_) + ",\"now_ms\":1}"));
+}
+
+bool StoreStandIn::HasChanges(const std::string& table,
+                              std::uint64_t after) const {
+  return std::any_of(history_.begin(), history_.end(),
+                     [&](const Change& change) {
+                       return change.table == table && change.version > after;
+                     });
+}
+
+void StoreStandIn::AnswerFeed(std::uint64_t id,
+                              const std::string& table,
+                              std::uint64_t after) {
+  std::string rows;
+  for (const Change& change : history_) {
+    if (change.table != table || change.version <= after)
+      continue;
+    rows += (rows.empty() ? "" : ",") + std::string("{\"key\":\"") +
+            change.key + "\",\"value\":\"" + EncodeBase64(change.value) +
+            "\",\"removed\":" + (change.removed ? "true" : "false") +
+            ",\"rowVersion\":" + std::to_string(change.version) + "}";
+  }
+  server_.Respond(id, Json("{\"rows\":[" + rows + "],\"rowVersion\":" +
+                           std::to_string(version_) + "}"));
+}
+
+void StoreStandIn::WakeWaiting() {
+  std::vector<Waiting> ready;
+  for (auto& waiting : waiting_) {
+    if (HasChanges(waiting.table, waiting.after))
+      ready.push_back(std::move(waiting));
+  }
+  std::erase_if(waiting_, [](const Waiting& waiting) {
+    return waiting.timer == nullptr;
+  });
+  for (const Waiting& waiting : ready)
+    AnswerFeed(waiting.id, waiting.table, waiting.after);
+}
+
+ServerStandIn::ServerStandIn(EventLoop& loop, std::string id)
+    : id_(std::move(id)),
+      server_(
+          loop,
+          {},
+          [this](std::uint64_t request_id, const HttpRequest& request) {
+            Handle(request_id, request);
+          },
+          [this](std::uint64_t request_id) {
+            ++left_;
+            server_.Abort(request_id);
+          }),
+      address_(Listen(server_)) {}
+
+std::string ServerStandIn::Row(const std::string& state, double cold_ms) const {
+  return "{\"service\":\"desk\",\"address\":\"" + address_ +
+         "\",\"failureDomain\":\"north-a\",\"version\":\"v1\",\"slots\":4,"
+         "\"state\":\"" +
+         state + "\",\"coldLeftMilliseconds\":" + std::to_string(cold_ms) +
+         ",\"sequence\":4}";
+}
+
+void ServerStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
+  requests_.push_back(request);
+  const std::string request_id(FindField(request.headers, kRequestId));
+  HttpResponse response{.headers = {{std::string(kRequestId), request_id}}};
+  if (FindField(request.headers, kExpectedServer) != id_) {
+    response.status = 421;
+    return server_.Respond(id, response);
+  }
+  if (mood_ == ServerMood::kSheds) {
+    response.status = 503;
+    response.headers.emplace_back(kNotRun, "1");
+    return server_.Respond(id, response);
+  }
+  ran_.push_back(request_id);
+  if (mood_ == ServerMood::kHangs)
+    return;
+  if (mood_ == ServerMood::kBareError)
+    response.status = 503;
+  if (mood_ == ServerMood::kAnswers)
+    response.headers.emplace_back(kSeal, "seal-of-" + request_id);
+  response.headers.emplace_back(kServerLoad, "1,0,4,100");
+  response.body = "answer to " + request_id;
+  server_.Respond(id, response);
+}
+
+std::string ConfigurationBody(std::uint64_t version,
+                              const std::string& prefix) {
+  const std::string common =
+      "\"host\":\"host\",\"timeoutMilliseconds\":1000,"
+      "\"latencyObjectiveMilliseconds\":300,\"priority\":1,"
+      "\"service\":\"desk\",\"attempts\":2,\"sticky\":true,"
+      "\"homeRegions\":[]";
+  return "{\"version\":" + std::to_string(version) +
+         ",\"routes\":[{\"name\":\"r1\",\"prefix\":\"" + prefix +
+         "\",\"kind\":\"safe\"," + common +
+         "},{\"name\":\"r2\",\"prefix\":\"/write/\",\"kind\":\"unsafe\"," +
+         common +
+         "}],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
+         "\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false,"
+         "\"coldStartSeconds\":3.0,\"coldRequestsPerSecond\":10.0}],"
+         "\"limits\":{\"headerBytes\":16384,\"bodyBytes\":67108864,"
+         "\"headerTimeoutMilliseconds\":3000,\"idleTimeoutMilliseconds\":"
+         "15000}}";
+}
+
+}  // namespace cicadadrum::platform
--- /dev/null
+++ b/Tests/Platform/stand_ins.h
@@ -0,0 +1,122 @@
+// Stand-ins of the platform's store and of backend servers, and a caller, all
+// on the loop of the test.
+
+#ifndef CICADADRUM_TESTS_PLATFORM_STAND_INS_H_
+#define CICADADRUM_TESTS_PLATFORM_STAND_INS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cicadadrum/loop/event_loop.h"
+#include "cicadadrum/loop/http_client.h"
+#include "cicadadrum/loop/http_server.h"
+
+namespace cicadadrum::platform {
+
+// What the store does with calls.
+enum class StoreMood : std::uint8_t {
+  kAnswers,
+  kRefuses,  // 503
+  kSilent,   // No answer at all.
+};
+
+// Rows with versions and a feed whose history can be forgotten.
+class StoreStandIn {
+ public:
+  explicit StoreStandIn(EventLoop& loop);
+
+  const std::string& address() const { return address_; }
+  std::uint64_t calls() const { return calls_; }
+
+  void Put(const std::string& table,
+           const std::string& key,
+           const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+  void ForgetHistory();
+  void SetMood(StoreMood mood) { mood_ = mood; }
+
+ private:
+  struct Change {
+    std::string table;
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+    bool removed = false;
+  };
+
+  struct Waiting {
+    std::uint64_t id = 0;
+    std::string table;
+    std::uint64_t after = 0;
+    std::unique_ptr<Timer> timer;
+  };
+
+  void Handle(std::uint64_t id, const HttpRequest& request);
+  void AnswerRead(std::uint64_t id, const std::string& table);
+  void AnswerFeed(std::uint64_t id,
+                  const std::string& table,
+                  std::uint64_t after);
+  bool HasChanges(const std::string& table, std::uint64_t after) const;
+  void WakeWaiting();
+  void Record(Change change);
+
+  EventLoop& loop_;
+  HttpServer server_;
+  std::string address_;
+  std::map<std::pair<std::string, std::string>, Change> rows_;
+  std::vector<Change> history_;
+  std::uint64_t version_ = 0;
+  std::uint64_t history_begin_ = 0;
+  std::vector<Waiting> waiting_;
+  StoreMood mood_ = StoreMood::kAnswers;
+  std::uint64_t calls_ = 0;
+};
+
+// What a server does with the next requests.
+enum class ServerMood : std::uint8_t {
+  kAnswers,
+  kSheds,      // 503 with proof that the request has not run.
+  kUnsealed,   // 200 that is not the server's own.
+  kHangs,      // Runs the request and never answers.
+  kBareError,  // 503 without proof.
+};
+
+class ServerStandIn {
+ public:
+  ServerStandIn(EventLoop& loop, std::string id);
+
+  const std::string& id() const { return id_; }
+  const std::string& address() const { return address_; }
+
+  // The row that the server writes about itself.
+  std::string Row(const std::string& state, double cold_ms = 0) const;
+
+  void SetMood(ServerMood mood) { mood_ = mood; }
+  // Ids of the requests that ran, in order.
+  const std::vector<std::string>& ran() const { return ran_; }
+  const std::vector<HttpRequest>& requests() const { return requests_; }
+  std::size_t left() const { return left_; }
+
+ private:
+  void Handle(std::uint64_t id, const HttpRequest& request);
+
+  std::string id_;
+  HttpServer server_;
+  std::string address_;
+  ServerMood mood_ = ServerMood::kAnswers;
+  std::vector<std::string> ran_;
+  std::vector<HttpRequest> requests_;
+  std::size_t left_ = 0;  // Callers that closed before the answer.
+};
+
+// A configuration with one idempotent and one non-idempotent route.
+std::string ConfigurationBody(std::uint64_t version,
+                              const std::string& prefix = "/read/");
+
+}  // namespace cicadadrum::platform
+
+#endif  // CICADADRUM_TESTS_PLATFORM_STAND_INS_H_
