LibExplain: Tell what happened to a request from the logs

Cause: on-call engineers have only logs; the steps of a request, what the entry VM believed before them and the cause had to be joined by hand.

--- /dev/null
+++ b/Libraries/LibExplain/explain.cc
@@ -0,0 +1,183 @@
+// Reads structured logs and tells the story of a request.
+
+#include "cicadadrum/explain/explain.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace cicadadrum {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// What the reason of a refusal means for the one who asks.
+constexpr auto kCauses = std::to_array<
+    std::pair<std::string_view, std::string_view>>({
+    {"not-ready",
+     "the entry VM knew no configuration or no servers yet; see its store and "
+     "member records"},
+    {"no-route", "no route of the configuration in force matched the request"},
+    {"no-server",
+     "every server of the service was draining, evacuated, resting or cold"},
+    {"overloaded",
+     "even the cheapest server could not have answered before the deadline"},
+    {"rejected",
+     "servers proved that they had not run the request, and no attempt or no "
+     "retry budget was left"},
+    {"unreachable", "no connection to a server could be made"},
+    {"failed",
+     "an attempt ended without a whole answer of the server's own after it was "
+     "sent, so the request may have run"},
+    {"timed-out",
+     "the route's timeout or the caller's deadline was over before the server "
+     "answered"},
+    {"blocked", "equal requests had crashed several servers"},
+    {"stopping", "the entry VM was being stopped"},
+});
+
+std::string ToText(const Json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+std::string FieldOf(const LogRecord& record, const std::string& name) {
+  const auto found = record.fields.find(name);
+  return found == record.fields.end() ? std::string() : found->second;
+}
+
+std::string DescribeCause(const std::vector<LogRecord>& steps) {
+  const LogRecord& last = steps.back();
+  if (last.event == "caller-left")
+    return "the caller closed its connection after " +
+           FieldOf(last, "held_ms") + " ms";
+  if (last.event == "attempt-ended") {
+    const std::string outcome = FieldOf(last, "outcome");
+    if (outcome == "succeeded" || outcome == "failed")
+      return "server " + FieldOf(last, "server") + " answered " +
+             FieldOf(last, "status") + " after " + FieldOf(last, "took_ms") +
+             " ms";
+    return "the last attempt ended as " + outcome +
+           "; the record of the answer was dropped or is in another log";
+  }
+  const std::string reason = FieldOf(last, "reason");
+  for (const auto& [name, text] : kCauses) {
+    if (reason == name)
+      return std::string(text);
+  }
+  return "no known cause: " + reason;
+}
+
+// The key under which only the newest belief counts.
+std::string BeliefKey(const LogRecord& record) {
+  if (record.part == "server")
+    return "server " + FieldOf(record, "server");
+  if (record.part == "store")
+    return "store " + FieldOf(record, "table");
+  if (record.part == "evacuation")
+    return "evacuation " + FieldOf(record, "failure_domain");
+  if (record.part == "configuration" || record.part == "member" ||
+      record.part == "program")
+    return record.part;
+  return {};
+}
+
+bool Concerns(const std::string& belief, const std::vector<LogRecord>& steps) {
+  if (!belief.starts_with("server "))
+    return true;
+  return std::any_of(steps.begin(), steps.end(), [&](const LogRecord& step) {
+    return belief == "server " + FieldOf(step, "server");
+  });
+}
+
+}  // namespace
+
+std::optional<LogRecord> ParseLogRecord(std::string_view line) {
+  const std::size_t begin = line.find('{');
+  if (begin == std::string_view::npos)
+    return std::nullopt;
+  const Json json = Json::parse(line.substr(begin), nullptr,
+                                /*allow_exceptions=*/false);
+  if (!json.is_object() || !json.contains("event") || !json.contains("part"))
+    return std::nullopt;
+  LogRecord record;
+  for (const auto& [key, value] : json.items()) {
+    if (key == "unix_ms" && value.is_number_integer())
+      record.unix_ms = value.get<std::int64_t>();
+    else if (key == "steady_ms" && value.is_number_integer())
+      record.steady_ms = value.get<std::int64_t>();
+    else if (key == "entry")
+      record.entry = ToText(value);
+    else if (key == "part")
+      record.part = ToText(value);
+    else if (key == "event")
+      record.event = ToText(value);
+    else
+      record.fields[key] = ToText(value);
+  }
+  return record;
+}
+
+std::vector<LogRecord> ReadLog(std::istream& input) {
+  std::vector<LogRecord> records;
+  std::string line;
+  while (std::getline(input, line)) {
+    if (auto record = ParseLogRecord(line))
+      records.push_back(std::move(*record));
+  }
+  return records;
+}
+
+RequestStory ExplainRequest(const std::vector<LogRecord>& records,
+                            std::string_view request) {
+  RequestStory story;
+  std::size_t end = 0;
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    if (FieldOf(records[i], "request") != request)
+      continue;
+    story.steps.push_back(records[i]);
+    end = i;
+  }
+  if (story.steps.empty())
+    return story;
+  // Each entry VM's records keep their own order, so clocks are not compared.
+  std::map<std::string, std::size_t> newest;
+  const std::string& entry = story.steps.back().entry;
+  for (std::size_t i = 0; i < end; ++i) {
+    if (records[i].entry != entry)
+      continue;
+    const std::string key = BeliefKey(records[i]);
+    if (!key.empty() && Concerns(key, story.steps))
+      newest[key] = i;
+  }
+  for (const auto& [key, index] : newest)
+    story.beliefs.push_back(records[index]);
+  story.cause = DescribeCause(story.steps);
+  return story;
+}
+
+std::map<std::string, std::uint64_t> CountRecords(
+    const std::vector<LogRecord>& records) {
+  std::map<std::string, std::uint64_t> counts;
+  for (const LogRecord& record : records) {
+    std::string name = record.part + " " + record.event;
+    for (const char* detail : {"reason", "outcome", "phase"}) {
+      const std::string value = FieldOf(record, detail);
+      if (!value.empty())
+        name += " " + value;
+    }
+    ++counts[name];
+  }
+  return counts;
+}
+
+std::string FormatRecord(const LogRecord& record) {
+  std::string text = std::to_string(record.unix_ms) + " " + record.entry + " " +
+                     record.part + " " + record.event;
+  for (const auto& [key, value] : record.fields)
+    text += " " + key + "=" + value;
+  return text;
+}
+
+}  // namespace cicadadrum
--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -204,8 +204,8 @@
   evbuffer* input = bufferevent_get_input(connection.bev);
   while (evbuffer_get_length(input) > 0) {
     const std::size_t size = evbuffer_get_contiguous_space(input);
-    const auto* bytes =
-        reinterpret_cast<const char*>(evbuffer_pullup(input, size));
+    const auto* bytes = reinterpret_cast<const char*>(
+        evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
     std::size_t consumed = 0;
     const ParseProgress progress =
         ParseBytes(connection.parser, bytes, size, consumed);
--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -34,7 +34,7 @@
 
 // Share of the work by which rendezvous hashing spreads the costs of equal
 // servers for one object.
-constexpr double kAffinityShare = 1.2;
+constexpr double kAffinityShare = 2.5;
 
 // Share of the work that a full server costs before anything waits, which
 // spreads work over free servers.
--- /dev/null
+++ b/Tests/LibExplain/test_explain.cc
@@ -0,0 +1,62 @@
+// Tests of finding a request's story in logs.
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+#include "cicadadrum/explain/explain.h"
+
+namespace cicadadrum {
+
+namespace {
+
+// The wall clock of entry-1 jumps back between its records.
+constexpr auto kLog = R"(
+noise of another program
+  12.5 entry-1 {"unix_ms":9000,"steady_ms":10,"entry":"entry-1","part":"server","event":"listed","server":"s-1","phase":"ready"}
+{"unix_ms":9001,"steady_ms":11,"entry":"entry-1","part":"server","event":"listed","server":"s-2","phase":"ready"}
+{"unix_ms":4000,"steady_ms":12,"entry":"entry-1","part":"server","event":"listed","server":"s-1","phase":"draining"}
+{"unix_ms":9002,"steady_ms":5,"entry":"entry-2","part":"server","event":"gone","server":"s-1"}
+{"unix_ms":4001,"steady_ms":13,"entry":"entry-1","part":"store","event":"lost","table":"servers"}
+{"unix_ms":4002,"steady_ms":14,"entry":"entry-1","part":"request","event":"attempt-ended","request":"r1","server":"s-1","outcome":"lost"}
+{"unix_ms":4003,"steady_ms":15,"entry":"entry-1","part":"request","event":"refused","request":"r1","reason":"failed","verdict":"may-have-run"}
+{"unix_ms":4004,"steady_ms":16,"entry":"entry-1","part":"store","event":"regained","table":"servers"}
+{"unix_ms":4005,"steady_ms":17,"entry":"entry-1","part":"request","event":"caller-left","request":"r2","held_ms":310.5}
+{broken
+)";
+
+std::vector<LogRecord> Records() {
+  std::istringstream input(kLog);
+  return ReadLog(input);
+}
+
+}  // namespace
+
+TEST_CASE("a story has the steps, the beliefs before them and the cause") {
+  const RequestStory story = ExplainRequest(Records(), "r1");
+  REQUIRE(story.steps.size() == 2);
+  CHECK(story.steps[1].event == "refused");
+  CHECK(story.cause.find("may have run") != std::string::npos);
+  // Of s-1 the newest record of the same entry VM, and nothing of s-2 or of
+  // what came later.
+  REQUIRE(story.beliefs.size() == 2);
+  CHECK(story.beliefs[0].fields.at("phase") == "draining");
+  CHECK(story.beliefs[1].event == "lost");
+}
+
+TEST_CASE("a caller that left is named as the cause") {
+  const RequestStory story = ExplainRequest(Records(), "r2");
+  CHECK(story.cause.find("310.5") != std::string::npos);
+}
+
+TEST_CASE("a request that no record names has no steps") {
+  CHECK(ExplainRequest(Records(), "r3").steps.empty());
+}
+
+TEST_CASE("records are counted by reason") {
+  const auto counts = CountRecords(Records());
+  CHECK(counts.at("request refused failed") == 1);
+  CHECK(counts.at("server listed ready") == 2);
+}
+
+}  // namespace cicadadrum
--- /dev/null
+++ b/Utilities/Explain/main.cc
@@ -0,0 +1,80 @@
+// cicadadrum-explain: tells what happened to a request, from the logs of the
+// entry VMs.
+
+#include <fstream>
+#include <iostream>
+
+#include "cicadadrum/explain/explain.h"
+#include "cicadadrum/program/program.h"
+
+namespace cicadadrum {
+
+namespace {
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+
+po::options_description Options() {
+  po::options_description options("Options");
+  options.add_options()("request", po::value<std::string>(),
+                        "id of the request; without it, counts are printed")(
+      "log", po::value<std::vector<std::string>>(),
+      "log files; standard input without any");
+  return options;
+}
+
+leaf::result<std::vector<LogRecord>> ReadLogs(const po::variables_map& values) {
+  if (!values.contains("log"))
+    return ReadLog(std::cin);
+  std::vector<LogRecord> records;
+  for (const auto& path : values["log"].as<std::vector<std::string>>()) {
+    std::ifstream file(path);
+    if (!file)
+      return leaf::new_error(
+          Error{ErrorCode::kFileUnreadable, path + ": can't be read"});
+    std::vector<LogRecord> more = ReadLog(file);
+    records.insert(records.end(), more.begin(), more.end());
+  }
+  return records;
+}
+
+leaf::result<ExitCode> Run(const po::variables_map& values) {
+  BOOST_LEAF_AUTO(records, ReadLogs(values));
+  if (!values.contains("request")) {
+    for (const auto& [name, count] : CountRecords(records))
+      std::cout << count << " " << name << "\n";
+    return ExitCode::kSuccess;
+  }
+  const std::string request = values["request"].as<std::string>();
+  const RequestStory story = ExplainRequest(records, request);
+  if (story.steps.empty()) {
+    std::cout << "no record names request " << request
+              << "; a lines-dropped record would say whether one was left "
+                 "out\n";
+    return ExitCode::kFailure;
+  }
+  std::cout << "request " << request << ": " << story.cause << "\n\nsteps\n";
+  for (const LogRecord& step : story.steps)
+    std::cout << "  " << FormatRecord(step) << "\n";
+  std::cout << "\nbelieved by " << story.steps.back().entry << "\n";
+  for (const LogRecord& belief : story.beliefs)
+    std::cout << "  " << FormatRecord(belief) << "\n";
+  return ExitCode::kSuccess;
+}
+
+}  // namespace
+
+}  // namespace cicadadrum
+
+int main(int argc, char** argv) {
+  const cicadadrum::ProgramInfo info{
+      "cicadadrum-explain", "tells what happened to a request, from logs"};
+  boost::program_options::positional_options_description positional;
+  positional.add("request", 1).add("log", -1);
+  const auto parsed = cicadadrum::ParseCommandLine(info, cicadadrum::Options(),
+                                                   positional, argc, argv);
+  if (parsed.exit)
+    return static_cast<int>(*parsed.exit);
+  return cicadadrum::RunProgram(info,
+                                [&] { return cicadadrum::Run(parsed.values); });
+}
