--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -86,6 +86,8 @@
     Call* call = nullptr;
     ResponseParser parser;
     bool connected = false;
+    bool reused = false;            // For the present call.
+    bool received = false;          // Any byte, for the present call.
     bool skipped_response = false;  // It carried a response for nobody.
     TimePoint usable_until;         // While idle.
   };
@@ -134,6 +136,7 @@
     Connection* connection = peer.idle.back();
     if (loop.Now() < connection->usable_until) {
       peer.idle.pop_back();
+      connection->reused = true;
       return connection;
     }
     Close(*connection);
@@ -188,6 +191,7 @@
   Connection& connection = *call.connection;
   ResetParser(connection.parser, call.head_request);
   connection.skipped_response = false;
+  connection.received = false;
   connection.call = &call;
   const std::string head = SerializeHead(call.address, request);
   evbuffer* output = bufferevent_get_output(connection.bev);
@@ -201,6 +205,7 @@
     ++counters.surplus;
     return Close(connection);
   }
+  connection.received = true;
   evbuffer* input = bufferevent_get_input(connection.bev);
   while (evbuffer_get_length(input) > 0) {
     const std::size_t size = evbuffer_get_contiguous_space(input);
@@ -255,7 +260,8 @@
     if (IsOwnResponse(connection))
       return Finish(connection);
   }
-  Complete(connection, HttpOutcome::kLost);
+  const bool unused = connection.reused && !connection.received;
+  Complete(connection, unused ? HttpOutcome::kLostUnused : HttpOutcome::kLost);
 }
 
 void HttpClient::Impl::Keep(Connection& connection, Duration usable) {
@@ -346,7 +352,8 @@
   if (!impl_->options.echoed_header.empty())
     call.echo = FindField(request.headers, impl_->options.echoed_header);
   Impl::Peer& peer = impl_->peers[address];
-  call.connection = impl_->TakeIdle(peer);
+  if (!request.fresh_connection)
+    call.connection = impl_->TakeIdle(peer);
   if (call.connection == nullptr)
     call.connection = impl_->Open(address, peer);
   if (call.connection == nullptr) {
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -22,9 +22,11 @@
   kNotConnected,  // No connection was made, so no byte of the request was sent.
   kNoConnection,  // The bound on connections to this address is reached;
                   // nothing was sent.
-  kLost,      // The connection ended or the response was malformed after the
-              // request was sent.
-  kTimedOut,  // No whole response within the time; the connection was closed.
+  kLost,        // The connection ended or the response was malformed after the
+                // request was sent.
+  kLostUnused,  // A kept connection ended before any byte of a response; the
+                // server may have closed it while it was idle.
+  kTimedOut,    // No whole response within the time; the connection was closed.
 };
 
 template <>
@@ -34,6 +36,7 @@
       {HttpOutcome::kNotConnected, "not-connected"},
       {HttpOutcome::kNoConnection, "no-connection"},
       {HttpOutcome::kLost, "lost"},
+      {HttpOutcome::kLostUnused, "lost-unused"},
       {HttpOutcome::kTimedOut, "timed-out"},
   });
 };
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
@@ -41,6 +41,8 @@
   HttpFields query;  // Decoded.
   HttpFields headers;
   std::string body;
+  // The client sends it on a connection of its own and keeps none for it.
+  bool fresh_connection = false;
 };
 
 struct HttpResponse {
--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -44,8 +44,8 @@
 // the bytes on links that all traffic shares.
 constexpr double kOtherDomainMs = 3;
 constexpr double kOtherRegionMs = 60;
-constexpr double kOtherDomainMsPerKilobyte = 2;
-constexpr double kOtherRegionMsPerKilobyte = 6;
+constexpr double kOtherDomainMsPerKilobyte = 4;
+constexpr double kOtherRegionMsPerKilobyte = 10;
 
 // Costs of a server that fails every request, in multiples of the work.
 constexpr double kFailureWeight = 6;
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -172,10 +172,11 @@
 struct SendAttempt {
   std::uint64_t request = 0;
   std::uint32_t attempt = 0;
-  std::string server;      // Id.
-  std::string address;     // IP:port.
-  TimePoint deadline;      // Of the whole request.
-  Duration server_time{};  // What is left for the server.
+  std::string server;             // Id.
+  std::string address;            // IP:port.
+  TimePoint deadline;             // Of the whole request.
+  Duration server_time{};         // What is left for the server.
+  bool fresh_connection = false;  // Kept connections are not trusted.
   ChoiceInputs inputs;
 };
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -83,6 +83,9 @@
   std::vector<std::string> servers;  // Ids, in the order they were first seen.
   std::unordered_map<std::string, RouteWork> work;  // By name of the route.
   std::deque<std::pair<TimePoint, bool>> sends;     // True for a retry.
+  // Its servers drop kept connections without notice; requests that may not be
+  // repeated go over new ones until then.
+  TimePoint distrust_kept_until{};
   std::uint32_t retries_in_window = 0;
   std::uint32_t requests_in_window = 0;
 };
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -64,6 +64,7 @@
   kWrongServer,  // Another server has the address now.
   kNotSent,      // No connection, so no byte was sent.
   kLost,         // The connection ended without a whole response.
+  kLostUnused,   // A kept connection ended before any byte of a response.
   kInvalid,      // A response that is not the server's own whole answer.
   kTimedOut,     // Given up after it was sent.
 };
@@ -82,6 +83,7 @@
           {routing::ServerOutcome::kWrongServer, "wrong-server"},
           {routing::ServerOutcome::kNotSent, "not-sent"},
           {routing::ServerOutcome::kLost, "lost"},
+          {routing::ServerOutcome::kLostUnused, "lost-unused"},
           {routing::ServerOutcome::kInvalid, "invalid"},
           {routing::ServerOutcome::kTimedOut, "timed-out"},
       });
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -33,6 +33,9 @@
 // shared bound is used.
 constexpr double kShareMargin = 0.75;
 
+// How long kept connections to a service are not trusted after one was lost.
+constexpr Duration kDistrustTime = Seconds(5);
+
 constexpr Duration kColdWindow = Milliseconds(1050);
 
 constexpr std::size_t kMaxObjectsPerServer = 256;
@@ -232,6 +235,10 @@
     case ServerOutcome::kWrongServer:
       server.rests_until = now + kLongestRest;
       return;
+    case ServerOutcome::kLostUnused:
+      state.services[request.service].distrust_kept_until = now + kDistrustTime;
+      AddSample(server.failures, 0, 1, kFailureWeight / 3, now);
+      return;
     case ServerOutcome::kNotSent:
     case ServerOutcome::kLost:
     case ServerOutcome::kTimedOut:
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -93,13 +93,17 @@
   request.expected = choice.expected;
   request.familiarity = choice.familiarity;
   ObserveSend(server, request, now);
-  actions.emplace_back(SendAttempt{.request = id,
-                                   .attempt = request.attempts,
-                                   .server = server.entry.id,
-                                   .address = server.entry.address,
-                                   .deadline = request.deadline,
-                                   .server_time = remaining,
-                                   .inputs = choice.inputs});
+  actions.emplace_back(
+      SendAttempt{.request = id,
+                  .attempt = request.attempts,
+                  .server = server.entry.id,
+                  .address = server.entry.address,
+                  .deadline = request.deadline,
+                  .server_time = remaining,
+                  .fresh_connection =
+                      !IsIdempotent(request.route.kind) &&
+                      now < state.services[request.service].distrust_kept_until,
+                  .inputs = choice.inputs});
   std::get<SendAttempt>(actions.back()).inputs.object = request.object;
 }
 
--- a/Tests/LibRouting/test_requests.cc
+++ b/Tests/LibRouting/test_requests.cc
@@ -144,6 +144,29 @@
   CHECK(fixture.sent.size() == 31);
 }
 
+// Guards against losing writes one after another to servers that drop idle
+// connections, and against taking such a loss for a crash.
+TEST_CASE("a lost kept connection sends later writes over new ones") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  fixture.Arrive("write", 1);
+  CHECK(!fixture.sent.back().fresh_connection);
+  fixture.End(ServerOutcome::kLostUnused);
+  REQUIRE(fixture.refused.size() == 1);
+  CHECK(fixture.refused[0].verdict == Verdict::kMayHaveRun);
+  fixture.Arrive("write", 2);
+  CHECK(fixture.sent.back().fresh_connection);
+  fixture.Arrive("read", 3);
+  CHECK(!fixture.sent.back().fresh_connection);
+  for (int i = 0; i < 3; ++i) {
+    fixture.Arrive("write", 1);
+    fixture.End(ServerOutcome::kLostUnused);
+  }
+  CHECK(fixture.spread.empty());
+  fixture.now += Seconds(6);
+  fixture.Arrive("write", 2);
+  CHECK(!fixture.sent.back().fresh_connection);
+}
+
 TEST_CASE("a stopping entry VM refuses late requests and ends when idle") {
   RoutingFixture fixture({MakeServer("s1")});
   fixture.Arrive("read");
