--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -156,6 +156,7 @@
 struct Cost {
   double total_ms = 0;
   double expected_ms = 0;
+  double work_ms = 0;
   bool waits = false;
   Familiarity familiarity = Familiarity::kFresh;
 };
@@ -196,6 +197,7 @@
   return {.total_ms = DistanceMs(state, request, server) + queue_ms + own_ms +
                       affinity_ms + spread_ms + failure_ms,
           .expected_ms = queue_ms + own_ms,
+          .work_ms = known ? work.known_ms : work.fresh_ms,
           .waits = waiting > 0,
           .familiarity = familiarity};
 }
@@ -234,6 +236,7 @@
                            .in_flight = server.in_flight,
                            .slowness = ValueAt(server.slowness, 1, now)},
                 .expected = FromMs(cost.expected_ms),
+                .work_ms = cost.work_ms,
                 .waits = cost.waits,
                 .familiarity = cost.familiarity};
   if (server.report) {
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -62,6 +62,9 @@
   std::string server;  // Of the current attempt.
   TimePoint sent_at;
   Duration expected{};  // Time within which the attempt should end.
+  // What the expectation was made of; samples are taken in proportion to it.
+  double expected_work_ms = 0;
+  double expected_slowness = 1;
   Familiarity familiarity = Familiarity::kFresh;  // Of the current attempt.
 };
 
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -21,7 +21,6 @@
 constexpr double kShortestWorkMs = 1;
 // Of the latency objective: the mean work on a route is taken to be no longer.
 constexpr double kLongestWorkShare = 2;
-constexpr double kLongestFreshRatio = 2;
 
 // A server that could not be reached rests for this long, doubled with each
 // failure in a row.
@@ -70,19 +69,11 @@
   server.rests_until = now + rest;
 }
 
-// The expected time holds the work, so a sample corrects the estimate of the
-// work by how far the expectation was off. The first samples count most.
-void AddWork(WorkEstimate& work,
-             double expected_work_ms,
-             double ratio,
-             double usual_weight,
-             double longest_ms) {
+// The first samples count most.
+void AddWork(WorkEstimate& work, double sample_ms, double usual_weight) {
   ++work.samples;
   const double weight = std::max(usual_weight, 1.0 / work.samples);
-  const double present =
-      work.milliseconds > 0 ? work.milliseconds : expected_work_ms;
-  work.milliseconds =
-      std::min(longest_ms, present * (1 + (ratio - 1) * weight));
+  work.milliseconds += (sample_ms - work.milliseconds) * weight;
 }
 
 // Requests that other entry VMs sent may have been ahead of this one, so its
@@ -92,8 +83,9 @@
          end.report->running >= server.entry.slots;
 }
 
-// What remains after the estimate of the work is corrected tells how slow the
-// server is beside the others.
+// How far the expectation was off is put down to the work and to the server.
+// Samples are absolute, because many requests are under way with an expectation
+// that was made before the estimates last changed.
 void ObserveTime(RoutingState& state,
                  Server& server,
                  const RequestState& request,
@@ -101,34 +93,29 @@
                  TimePoint now) {
   const double took_ms = std::max(kShortestWorkMs, ToMs(now - request.sent_at));
   const double expected_ms = std::max(kShortestWorkMs, ToMs(request.expected));
-  const double ratio = std::min(kMaxSlowness, took_ms / expected_ms);
+  const double ratio = took_ms / expected_ms;
+  const double slowness =
+      std::min(kMaxSlowness, request.expected_slowness * ratio);
   if (WasSaturated(server, end))
-    return AddSample(server.slowness, 1, ratio, kSlownessWeight / 2, now);
-  RouteWork& work = state.services[request.service].work[request.route.name];
+    return AddSample(server.slowness, 1, slowness, kSlownessWeight / 2, now);
   const double longest_ms =
       ToMs(request.route.latency_objective) * kLongestWorkShare;
-  double corrected = ratio;
+  const double work_ms = std::min(longest_ms, request.expected_work_ms * ratio);
+  RouteWork& work = state.services[request.service].work[request.route.name];
   switch (request.familiarity) {
-    case Familiarity::kKnown: {
-      const double before = work.known.milliseconds;
-      AddWork(work.known, expected_ms, ratio, kWorkWeight, longest_ms);
-      corrected = before > 0 ? ratio * before / work.known.milliseconds : 1;
-      break;
-    }
-    case Familiarity::kFresh: {
+    case Familiarity::kKnown:
+      AddWork(work.known, work_ms, kWorkWeight);
+      return AddSample(server.slowness, 1, slowness, kSlownessWeight, now);
+    case Familiarity::kFresh:
       // Many of these objects are known there after all, thanks to other entry
       // VMs, so shorter times count less than longer ones.
-      const double before = work.fresh.milliseconds;
-      AddWork(work.fresh, expected_ms, std::min(ratio, kLongestFreshRatio),
-              ratio > 1 ? kWorkWeight * 2 : kWorkWeight / 5, longest_ms);
-      corrected = before > 0 ? ratio * before / work.fresh.milliseconds : 1;
-      break;
-    }
+      AddWork(work.fresh, work_ms,
+              ratio > 1 ? kWorkWeight * 2 : kWorkWeight / 5);
+      return AddSample(server.slowness, 1, slowness, kSlownessWeight, now);
     case Familiarity::kShared:
       // It may have been the first request for the object there.
-      return AddSample(server.slowness, 1, ratio, kSlownessWeight / 4, now);
+      return AddSample(server.slowness, 1, slowness, kSlownessWeight / 4, now);
   }
-  AddSample(server.slowness, 1, corrected, kSlownessWeight, now);
 }
 
 }  // namespace
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -91,6 +91,8 @@
   request.tried.push_back(server.entry.id);
   request.sent_at = now;
   request.expected = choice.expected;
+  request.expected_work_ms = choice.work_ms;
+  request.expected_slowness = choice.inputs.slowness;
   request.familiarity = choice.familiarity;
   ObserveSend(server, request, now);
   actions.emplace_back(
