Tests/Soak: Run the real programs under faults from outside

New: cicadadrum-soak starts entry VMs as processes, puts proxies before the store and the servers (delay, silence, one way, reset), kills, stops and pauses processes, replaces servers, changes configurations, and checks at most once, 'not run', own answers and recovery.

--- /dev/null
+++ b/Tests/PlatformStandIns/fault_proxy.cc
@@ -0,0 +1,166 @@
+// Relays bytes between two bufferevents and harms them on request.
+
+#include "fault_proxy.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <set>
+
+namespace cicadadrum {
+
+namespace {
+
+constexpr Duration kDelay = Milliseconds(150);
+
+void ResetOnClose(bufferevent* connection) {
+  const linger reset{.l_onoff = 1, .l_linger = 0};
+  setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &reset,
+             sizeof(reset));
+}
+
+}  // namespace
+
+struct FaultProxy::Impl {
+  struct Pair {
+    Impl* proxy = nullptr;
+    bufferevent* caller = nullptr;
+    bufferevent* server = nullptr;
+    std::unique_ptr<Timer> delayed;
+  };
+
+  Impl(EventLoop& event_loop, const std::string& target);
+
+  void Accept(evutil_socket_t fd);
+  void Relay(Pair& pair);
+  void Move(bufferevent* from, bufferevent* to);
+  void End(Pair* pair, bool reset);
+
+  EventLoop& loop;
+  sockaddr_storage target{};
+  int target_length = sizeof(target);
+  evconnlistener* listener = nullptr;
+  std::string address;
+  ProxyMode mode = ProxyMode::kPass;
+  std::set<Pair*> pairs;
+};
+
+FaultProxy::Impl::Impl(EventLoop& event_loop, const std::string& target_text)
+    : loop(event_loop) {
+  evutil_parse_sockaddr_port(target_text.c_str(),
+                             reinterpret_cast<sockaddr*>(&target),
+                             &target_length);
+  sockaddr_in any{.sin_family = AF_INET};
+  any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const auto accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
+                         sockaddr* /*peer*/, int /*length*/, void* argument) {
+    static_cast<Impl*>(argument)->Accept(fd);
+  };
+  listener = evconnlistener_new_bind(
+      loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+      reinterpret_cast<sockaddr*>(&any), static_cast<int>(sizeof(any)));
+  sockaddr_in bound{};
+  socklen_t length = sizeof(bound);
+  getsockname(evconnlistener_get_fd(listener),
+              reinterpret_cast<sockaddr*>(&bound), &length);
+  address = "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
+}
+
+void FaultProxy::Impl::Accept(evutil_socket_t fd) {
+  auto* pair = new Pair{.proxy = this};
+  constexpr int kOptions = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
+  pair->caller = bufferevent_socket_new(loop.base(), fd, kOptions);
+  pair->server = bufferevent_socket_new(loop.base(), -1, kOptions);
+  pairs.insert(pair);
+  if (mode == ProxyMode::kReset)
+    return End(pair, true);
+  const auto readable = [](bufferevent* /*source*/, void* argument) {
+    auto* present = static_cast<Pair*>(argument);
+    present->proxy->Relay(*present);
+  };
+  const auto ended = [](bufferevent* /*source*/, short what, void* argument) {
+    auto* present = static_cast<Pair*>(argument);
+    if ((what & BEV_EVENT_CONNECTED) != 0)
+      return;
+    // What has arrived is passed on before the end is.
+    present->proxy->Relay(*present);
+    present->proxy->End(present, (what & BEV_EVENT_ERROR) != 0);
+  };
+  for (bufferevent* side : {pair->caller, pair->server}) {
+    bufferevent_setcb(side, readable, nullptr, ended, pair);
+    bufferevent_enable(side, EV_READ | EV_WRITE);
+  }
+  bufferevent_socket_connect(pair->server, reinterpret_cast<sockaddr*>(&target),
+                             target_length);
+}
+
+void FaultProxy::Impl::Move(bufferevent* from, bufferevent* to) {
+  evbuffer_add_buffer(bufferevent_get_output(to), bufferevent_get_input(from));
+}
+
+void FaultProxy::Impl::Relay(Pair& pair) {
+  if (mode == ProxyMode::kSilent)
+    return;
+  if (mode == ProxyMode::kDelay && pair.delayed == nullptr) {
+    pair.delayed = std::make_unique<Timer>(loop, [this, present = &pair] {
+      Move(present->caller, present->server);
+      Move(present->server, present->caller);
+    });
+  }
+  if (mode == ProxyMode::kDelay)
+    return pair.delayed->Schedule(loop.Now() + kDelay);
+  Move(pair.caller, pair.server);
+  if (mode != ProxyMode::kOneWay)
+    Move(pair.server, pair.caller);
+}
+
+void FaultProxy::Impl::End(Pair* pair, bool reset) {
+  // What is still in the output buffers must leave before the sockets close.
+  for (bufferevent* side : {pair->caller, pair->server}) {
+    if (reset)
+      ResetOnClose(side);
+    else
+      bufferevent_flush(side, EV_WRITE, BEV_FINISHED);
+    evbuffer* output = bufferevent_get_output(side);
+    if (!reset && bufferevent_getfd(side) >= 0)
+      evbuffer_write(output, bufferevent_getfd(side));
+    bufferevent_free(side);
+  }
+  pairs.erase(pair);
+  delete pair;
+}
+
+FaultProxy::FaultProxy(EventLoop& loop, const std::string& target)
+    : impl_(std::make_unique<Impl>(loop, target)) {}
+
+FaultProxy::~FaultProxy() {
+  while (!impl_->pairs.empty())
+    impl_->End(*impl_->pairs.begin(), true);
+  evconnlistener_free(impl_->listener);
+}
+
+const std::string& FaultProxy::address() const {
+  return impl_->address;
+}
+
+void FaultProxy::SetMode(ProxyMode mode) {
+  impl_->mode = mode;
+  if (mode == ProxyMode::kReset) {
+    while (!impl_->pairs.empty())
+      impl_->End(*impl_->pairs.begin(), true);
+    return;
+  }
+  for (Impl::Pair* pair : impl_->pairs)
+    impl_->Relay(*pair);
+}
+
+ProxyMode FaultProxy::mode() const {
+  return impl_->mode;
+}
+
+}  // namespace cicadadrum
--- a/Tests/Platform/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -166,6 +166,12 @@
           }),
       address_(Listen(server_)) {}
 
+std::string ServerStandIn::RowAt(const std::string& address,
+                                 const std::string& state) const {
+  std::string row = Row(state);
+  return row.replace(row.find(address_), address_.size(), address);
+}
+
 std::string ServerStandIn::Row(const std::string& state, double cold_ms) const {
   return "{\"service\":\"desk\",\"address\":\"" + address_ +
          "\",\"failureDomain\":\"north-a\",\"version\":\"v1\",\"slots\":4,"
--- a/Tests/Platform/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -1,8 +1,8 @@
 // Stand-ins of the platform's store and of backend servers, and a caller, all
 // on the loop of the test.
 
-#ifndef CICADADRUM_TESTS_PLATFORM_STAND_INS_H_
-#define CICADADRUM_TESTS_PLATFORM_STAND_INS_H_
+#ifndef CICADADRUM_TESTS_PLATFORMSTANDINS_STAND_INS_H_
+#define CICADADRUM_TESTS_PLATFORMSTANDINS_STAND_INS_H_
 
 #include <cstdint>
 #include <functional>
@@ -94,6 +94,8 @@
 
   // The row that the server writes about itself.
   std::string Row(const std::string& state, double cold_ms = 0) const;
+  // The same with the address of a proxy before it.
+  std::string RowAt(const std::string& address, const std::string& state) const;
 
   void SetMood(ServerMood mood) { mood_ = mood; }
   // Ids of the requests that ran, in order.
@@ -119,4 +121,4 @@
 
 }  // namespace cicadadrum::platform
 
-#endif  // CICADADRUM_TESTS_PLATFORM_STAND_INS_H_
+#endif  // CICADADRUM_TESTS_PLATFORMSTANDINS_STAND_INS_H_
--- /dev/null
+++ b/Tests/Soak/fleet.cc
@@ -0,0 +1,140 @@
+// Starts, signals and restarts the entry VMs' processes.
+
+#include "fleet.h"
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+
+namespace cicadadrum::platform {
+
+namespace {
+
+constexpr Duration kRestartDelay = Milliseconds(300);
+
+// Ports below those that the kernel gives to outgoing connections, so that a
+// restarted process finds its own ones free.
+constexpr std::uint16_t kFirstPort = 12000;
+constexpr std::uint16_t kPortCount = 18000;
+
+bool IsFree(std::uint16_t port) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(port)};
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const bool free =
+      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  close(fd);
+  return free;
+}
+
+// Returns an address that no earlier call has returned.
+std::string FreeAddress() {
+  static auto next = static_cast<std::uint16_t>(getpid() * 97 % kPortCount);
+  do {
+    next = static_cast<std::uint16_t>((next + 1) % kPortCount);
+  } while (!IsFree(static_cast<std::uint16_t>(kFirstPort + next)));
+  return "127.0.0.1:" + std::to_string(kFirstPort + next);
+}
+
+std::string Quote(const std::string& key, const std::string& value) {
+  return "  \"" + key + "\": \"" + value + "\",\n";
+}
+
+}  // namespace
+
+Fleet::Fleet(EventLoop& loop,
+             const std::string& program,
+             const std::string& folder,
+             const std::string& store_address,
+             std::size_t count)
+    : program_(program), entries_(count) {
+  // The peer port is that of the seeds, so all entry VMs share the port and
+  // differ in the address.
+  const std::string first = FreeAddress();
+  const std::string peer_port = first.substr(first.rfind(':'));
+  std::string seeds;
+  for (std::size_t i = 0; i < std::min<std::size_t>(count, 3); ++i)
+    seeds += (i == 0 ? "" : ", ") + std::string("\"127.0.0.") +
+             std::to_string(i + 2) + ":1\"";
+  for (std::size_t i = 0; i < count; ++i) {
+    EntryProcess& entry = entries_[i];
+    entry.name = "entry-" + std::to_string(i + 1);
+    entry.settings_path = folder + "/" + entry.name + ".json";
+    entry.caller_address = FreeAddress();
+    entry.readiness_address = FreeAddress();
+    entry.store = std::make_unique<FaultProxy>(loop, store_address);
+    std::ofstream file(entry.settings_path);
+    file << "{\n"
+         << Quote("name", entry.name) << Quote("region", "north")
+         << Quote("failureDomain", "north-a")
+         << Quote("callerAddress", entry.caller_address)
+         << Quote("readinessAddress", entry.readiness_address)
+         << Quote("lookupAddress", FreeAddress())
+         << Quote("peerAddress", "127.0.0." + std::to_string(i + 2) + peer_port)
+         << Quote("storeAddress", entry.store->address()) << "  \"seeds\": ["
+         << seeds << "],\n"
+         << "  \"failureDomains\": [{\"failureDomain\": \"north-a\", "
+            "\"region\": \"north\"}],\n"
+         << "  \"bounds\": {\"retryBudgetExtra\": 60, \"stopSeconds\": 3}\n}\n";
+  }
+}
+
+Fleet::~Fleet() {
+  for (EntryProcess& entry : entries_) {
+    if (entry.pid == 0)
+      continue;
+    kill(entry.pid, SIGKILL);
+    waitpid(entry.pid, nullptr, 0);
+  }
+}
+
+void Fleet::Start(EntryProcess& entry) {
+  entry.start_at = kNever;
+  const std::string log_path = entry.settings_path + ".log";
+  entry.pid = fork();
+  if (entry.pid != 0)
+    return;
+  const int log =
+      open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  dup2(log, STDOUT_FILENO);
+  dup2(log, STDERR_FILENO);
+  execl(program_.c_str(), program_.c_str(), "--settings",
+        entry.settings_path.c_str(), nullptr);
+  _exit(127);
+}
+
+void Fleet::Signal(EntryProcess& entry, int signal_number) {
+  if (entry.pid == 0)
+    return;
+  kill(entry.pid, signal_number);
+  if (signal_number == SIGSTOP)
+    entry.paused = true;
+  if (signal_number == SIGCONT)
+    entry.paused = false;
+}
+
+void Fleet::Advance(TimePoint now) {
+  for (EntryProcess& entry : entries_) {
+    if (entry.paused && now >= entry.resume_at)
+      Signal(entry, SIGCONT);
+    int status = 0;
+    if (entry.pid != 0 && waitpid(entry.pid, &status, WNOHANG) == entry.pid) {
+      entry.pid = 0;
+      entry.paused = false;
+      entry.start_at = now + kRestartDelay;
+      const bool killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+      const bool stopped = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+      if (!killed && !stopped)
+        crashes_.push_back(entry.name);
+    }
+    if (entry.pid == 0 && now >= entry.start_at)
+      Start(entry);
+  }
+}
+
+}  // namespace cicadadrum::platform
--- /dev/null
+++ b/Tests/Soak/main.cc
@@ -0,0 +1,305 @@
+// cicadadrum-soak: runs the real programs of the entry VMs on loopback against
+// stand-ins, injects faults by a seed, and checks what callers and servers see.
+// Ends with 0 only if every promise held.
+
+#include <stdlib.h>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+
+#include "callers.h"
+#include "cicadadrum/program/program.h"
+#include "fleet.h"
+#include "stand_ins.h"
+
+namespace cicadadrum::platform {
+
+namespace {
+
+namespace leaf = boost::leaf;
+namespace po = boost::program_options;
+
+constexpr std::size_t kServers = 5;
+constexpr Duration kStep = Milliseconds(10);
+constexpr Duration kSettleTime = Seconds(6);   // Without faults, at the end.
+constexpr Duration kVerdictTime = Seconds(2);  // Of it, judged for recovery.
+// Share of the requests that must be answered once all faults are over.
+constexpr double kRecoveredShare = 0.95;
+
+enum class Fault : std::uint8_t {
+  kKill,
+  kStop,
+  kPause,
+  kStoreLink,
+  kServerLink,
+  kServerMood,
+  kReplaceServer,
+  kConfiguration,
+  kForgetHistory,
+  kStoreMood,
+};
+
+}  // namespace
+
+}  // namespace cicadadrum::platform
+
+namespace cicadadrum {
+
+template <>
+struct EnumNames<platform::Fault> {
+  static constexpr auto kTable = std::to_array<EnumName<platform::Fault>>({
+      {platform::Fault::kKill, "kill"},
+      {platform::Fault::kStop, "stop"},
+      {platform::Fault::kPause, "pause"},
+      {platform::Fault::kStoreLink, "store-link"},
+      {platform::Fault::kServerLink, "server-link"},
+      {platform::Fault::kServerMood, "server-mood"},
+      {platform::Fault::kReplaceServer, "replace-server"},
+      {platform::Fault::kConfiguration, "configuration"},
+      {platform::Fault::kForgetHistory, "forget-history"},
+      {platform::Fault::kStoreMood, "store-mood"},
+  });
+};
+
+}  // namespace cicadadrum
+
+namespace cicadadrum::platform {
+
+namespace {
+
+struct SoakServer {
+  std::unique_ptr<ServerStandIn> server;
+  std::unique_ptr<FaultProxy> link;
+};
+
+class Soak {
+ public:
+  Soak(const std::string& program,
+       const std::string& folder,
+       std::uint64_t seed,
+       std::size_t entries)
+      : random_{.state = seed},
+        store_(loop_),
+        fleet_(loop_, program, folder, store_.address(), entries),
+        callers_(loop_, seed) {}
+
+  void Run(Duration time);
+  bool Report(std::ostream& out);
+
+ private:
+  void AddServer();
+  void InjectFault();
+  void Heal();
+  void SendRequests();
+  void RunFor(Duration time, bool faults);
+  std::uint64_t Below(std::uint64_t bound) {
+    return RandomBelow(random_, bound);
+  }
+
+  Random random_;
+  EventLoop loop_;
+  StoreStandIn store_;
+  Fleet fleet_;
+  Callers callers_;
+  std::vector<SoakServer> servers_;  // Retired ones too; live ones are last.
+  std::size_t first_live_ = 0;
+  std::uint64_t configuration_ = 1;
+  std::map<Fault, std::uint64_t> faults_;
+  TimePoint next_fault_;
+  TimePoint next_heal_;
+  std::uint64_t settled_sent_ = 0;
+  std::uint64_t settled_good_ = 0;
+};
+
+void Soak::AddServer() {
+  SoakServer added;
+  added.server = std::make_unique<ServerStandIn>(
+      loop_, "s-" + std::to_string(servers_.size()));
+  added.link = std::make_unique<FaultProxy>(loop_, added.server->address());
+  store_.Put("servers", added.server->id(),
+             added.server->RowAt(added.link->address(), "ready"));
+  servers_.push_back(std::move(added));
+}
+
+void Soak::InjectFault() {
+  const auto fault = static_cast<Fault>(Below(EnumNames<Fault>::kTable.size()));
+  ++faults_[fault];
+  EntryProcess& entry = fleet_.entries()[Below(fleet_.entries().size())];
+  const std::size_t live = servers_.size() - first_live_;
+  SoakServer& server = servers_[first_live_ + Below(live)];
+  const auto mode = static_cast<ProxyMode>(1 + Below(4));
+  switch (fault) {
+    case Fault::kKill:
+      return fleet_.Signal(entry, SIGKILL);
+    case Fault::kStop:
+      return fleet_.Signal(entry, SIGTERM);
+    case Fault::kPause:
+      entry.resume_at =
+          loop_.Now() +
+          Milliseconds(200 + static_cast<std::int64_t>(Below(1500)));
+      return fleet_.Signal(entry, SIGSTOP);
+    case Fault::kStoreLink:
+      return entry.store->SetMode(mode);
+    case Fault::kServerLink:
+      return server.link->SetMode(mode);
+    case Fault::kServerMood:
+      return server.server->SetMood(static_cast<ServerMood>(Below(5)));
+    case Fault::kReplaceServer:
+      AddServer();
+      store_.Put("servers", servers_[first_live_].server->id(),
+                 servers_[first_live_].server->RowAt(
+                     servers_[first_live_].link->address(), "draining"));
+      store_.Remove("servers", servers_[first_live_].server->id());
+      ++first_live_;
+      return;
+    case Fault::kConfiguration:
+      return store_.Put("op", "config", ConfigurationBody(++configuration_));
+    case Fault::kForgetHistory:
+      return store_.ForgetHistory();
+    case Fault::kStoreMood:
+      return store_.SetMood(static_cast<StoreMood>(Below(3)));
+  }
+}
+
+void Soak::Heal() {
+  store_.SetMood(StoreMood::kAnswers);
+  for (SoakServer& server : servers_) {
+    server.link->SetMode(ProxyMode::kPass);
+    server.server->SetMood(ServerMood::kAnswers);
+  }
+  for (EntryProcess& entry : fleet_.entries())
+    entry.store->SetMode(ProxyMode::kPass);
+}
+
+// Callers keep using an entry VM until its process is gone.
+void Soak::SendRequests() {
+  for (EntryProcess& entry : fleet_.entries()) {
+    if (entry.pid != 0 && Below(3) == 0)
+      callers_.Send(entry.caller_address);
+  }
+}
+
+void Soak::RunFor(Duration time, bool faults) {
+  const TimePoint end = loop_.Now() + time;
+  Timer timer(loop_, [this] { loop_.Stop(); });
+  while (loop_.Now() < end) {
+    timer.Schedule(loop_.Now() + kStep);
+    loop_.Run();
+    fleet_.Advance(loop_.Now());
+    SendRequests();
+    if (faults && loop_.Now() >= next_fault_) {
+      InjectFault();
+      next_fault_ = loop_.Now() +
+                    Milliseconds(50 + static_cast<std::int64_t>(Below(500)));
+    }
+    if (faults && loop_.Now() >= next_heal_) {
+      Heal();
+      next_heal_ = loop_.Now() +
+                   Milliseconds(1500 + static_cast<std::int64_t>(Below(3000)));
+    }
+  }
+}
+
+void Soak::Run(Duration time) {
+  store_.Put("op", "config", ConfigurationBody(configuration_));
+  for (std::size_t i = 0; i < kServers; ++i)
+    AddServer();
+  for (EntryProcess& entry : fleet_.entries())
+    fleet_.Start(entry);
+  RunFor(Seconds(1), false);
+  RunFor(time, true);
+  Heal();
+  RunFor(kSettleTime - kVerdictTime, false);
+  const std::uint64_t sent = callers_.record().sent;
+  const std::uint64_t good = callers_.record().good;
+  RunFor(kVerdictTime, false);
+  settled_sent_ = callers_.record().sent - sent;
+  settled_good_ = callers_.record().good - good;
+  // Calls that are still open end at their patience.
+  Timer timer(loop_, [this] { loop_.Stop(); });
+  while (callers_.open() > 0) {
+    timer.Schedule(loop_.Now() + kStep);
+    loop_.Run();
+  }
+}
+
+bool Soak::Report(std::ostream& out) {
+  const CallerRecord& record = callers_.record();
+  std::map<std::string, int> runs;
+  for (const SoakServer& server : servers_) {
+    for (const std::string& id : server.server->ran())
+      ++runs[id];
+  }
+  std::vector<std::string> problems;
+  for (const std::string& id : record.writes) {
+    if (runs.contains(id) && runs.at(id) > 1)
+      problems.push_back("write " + id + " ran twice");
+  }
+  for (const std::string& id : record.refused_writes) {
+    if (runs.contains(id))
+      problems.push_back("write " + id + " was refused as not run and ran");
+  }
+  for (const std::string& id : record.wrong)
+    problems.push_back("request " + id + " got another answer than its own");
+  for (const std::string& name : fleet_.crashes())
+    problems.push_back(name + " ended by itself");
+  if (static_cast<double>(settled_good_) <
+      static_cast<double>(settled_sent_) * kRecoveredShare)
+    problems.push_back("after the faults only " +
+                       std::to_string(settled_good_) + " of " +
+                       std::to_string(settled_sent_) + " were served");
+  out << "sent " << record.sent << ", writes " << record.writes.size();
+  for (const auto& [status, count] : record.answers)
+    out << ", " << status << ": " << count;
+  out << "\nfaults";
+  for (const auto& [fault, count] : faults_)
+    out << ", " << NameOf(fault) << " " << count;
+  out << "\n";
+  for (const std::string& problem : problems)
+    out << "BROKEN: " << problem << "\n";
+  return problems.empty();
+}
+
+po::options_description Options() {
+  po::options_description options("Options");
+  options.add_options()("program", po::value<std::string>()->required(),
+                        "cicadadrum-platform to run")(
+      "seed", po::value<std::uint64_t>()->default_value(1),
+      "seed of the faults")(
+      "seconds", po::value<std::int64_t>()->default_value(20),
+      "time with faults")("entries", po::value<std::size_t>()->default_value(4),
+                          "entry VMs, 1 to 200");
+  return options;
+}
+
+leaf::result<ExitCode> Run(const po::variables_map& values) {
+  std::signal(SIGPIPE, SIG_IGN);
+  char folder[] = "/tmp/cicadadrum-soak-XXXXXX";
+  if (mkdtemp(folder) == nullptr)
+    return leaf::new_error(
+        Error{ErrorCode::kFileUnreadable, "can't make a folder in /tmp"});
+  const auto seed = values["seed"].as<std::uint64_t>();
+  Soak soak(values["program"].as<std::string>(), folder, seed,
+            values["entries"].as<std::size_t>());
+  soak.Run(Seconds(values["seconds"].as<std::int64_t>()));
+  const bool held = soak.Report(std::cout);
+  std::cout << "seed " << seed << (held ? ": held" : ": broken")
+            << "; logs are in " << folder << "\n";
+  return held ? ExitCode::kSuccess : ExitCode::kFailure;
+}
+
+}  // namespace
+
+}  // namespace cicadadrum::platform
+
+int main(int argc, char** argv) {
+  const cicadadrum::ProgramInfo info{
+      "cicadadrum-soak", "injects faults into real entry VMs and checks them"};
+  const auto parsed = cicadadrum::ParseCommandLine(
+      info, cicadadrum::platform::Options(), {}, argc, argv);
+  if (parsed.exit)
+    return static_cast<int>(*parsed.exit);
+  return cicadadrum::RunProgram(
+      info, [&] { return cicadadrum::platform::Run(parsed.values); });
+}
