--- a/Libraries/LibEntry/entry_server.cc
+++ b/Libraries/LibEntry/entry_server.cc
@@ -3,12 +3,12 @@
 #include "cicadadrum/entry/entry_server.h"
 
 #include <capnp/message.h>
-#include <sys/resource.h>
 
 #include "caller_protocol.h"
 #include "cicadadrum/configuration/json.h"
 #include "cicadadrum/loop/http_server.h"
 #include "cicadadrum/telemetry/log.h"
+#include "cicadadrum/telemetry/process_metrics.h"
 #include "entry_core.h"
 #include "schemas/http.capnp.h"
 
@@ -146,17 +146,8 @@
 
 HttpResponse EntryServer::Impl::RenderMetrics() {
   const EntryState& state = core.state();
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  const auto seconds = [](const timeval& time) {
-    return static_cast<double>(time.tv_sec) +
-           static_cast<double>(time.tv_usec) / 1e6;
-  };
   Metrics& metrics = core.metrics();
-  metrics.SetGauge("process_cpu_seconds", "",
-                   seconds(usage.ru_utime) + seconds(usage.ru_stime));
-  metrics.SetGauge("process_max_resident_bytes", "",
-                   static_cast<double>(usage.ru_maxrss) * 1024);
+  SetProcessMetrics(metrics);
   metrics.SetGauge("cicadadrum_configuration_version", "",
                    static_cast<double>(state.configuration.version));
   metrics.SetGauge("cicadadrum_live_entries", "",
