--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -129,7 +129,6 @@
   TimePoint failing_since{};
   TimePoint grace_until{};                        // After the store's return.
   std::map<std::string, std::uint64_t> vanished;  // Removals held back.
-  TimePoint last_answer_at{};
 };
 
 TableState MakeTableState(TableOptions options, std::uint64_t seed);
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -15,10 +15,9 @@
 // Failures in a row after which the store counts as out of reach.
 constexpr std::uint32_t kFailuresToReport = 2;
 
-void StartCall(TableState& state, TimePoint now, TableActions& actions) {
+void StartCall(TableState& state, TableActions& actions) {
   state.open_call = state.next_call++;
   state.next_at = kNever;
-  (void)now;
   if (state.phase == TablePhase::kUnread) {
     // A zero byte makes the key the next one after the last row read.
     const std::string from =
@@ -108,7 +107,6 @@
     actions.emplace_back(StoreReach{true});
   state.reachable = true;
   state.failures = 0;
-  state.last_answer_at = now;
 }
 
 void Apply(TableState& state,
@@ -117,7 +115,7 @@
            TableActions& actions) {
   EndGrace(state, now, actions);
   if (state.open_call == 0 && now >= state.next_at)
-    StartCall(state, now, actions);
+    StartCall(state, actions);
 }
 
 void Apply(TableState& state,
@@ -133,7 +131,7 @@
       state.pages_version = event.version;
     state.pages.insert(state.pages.end(), event.rows.begin(), event.rows.end());
     if (event.more && !event.rows.empty())
-      return StartCall(state, now, actions);
+      return StartCall(state, actions);
     // Changes made while the pages were read come with the first feed.
     state.version = state.pages_version;
     state.phase = TablePhase::kFollowing;
@@ -162,7 +160,7 @@
   if (event.failure == TableFailure::kHistoryLost) {
     state.phase = TablePhase::kUnread;
     state.pages.clear();
-    return StartCall(state, now, actions);
+    return StartCall(state, actions);
   }
   if (state.failures++ == 0)
     state.failing_since = now;
--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -125,7 +125,6 @@
   void ExpireCall(std::uint64_t id);
   void Read(Connection& connection);
   bool IsOwnResponse(const Connection& connection) const;
-  void Finish(Connection& connection);
   void HandleEvent(Connection& connection, short what);
   void Keep(Connection& connection, Duration usable);
   void Close(Connection& connection);
@@ -220,7 +219,7 @@
     if (progress == ParseProgress::kNeedMore)
       continue;
     if (IsOwnResponse(connection))
-      return Finish(connection);
+      return Complete(connection, HttpOutcome::kAnswered);
     ++counters.surplus;
     connection.skipped_response = true;
     ResetParser(connection.parser, connection.call->head_request);
@@ -240,10 +239,6 @@
   return echo == connection.call->echo;
 }
 
-void HttpClient::Impl::Finish(Connection& connection) {
-  Complete(connection, HttpOutcome::kAnswered);
-}
-
 void HttpClient::Impl::HandleEvent(Connection& connection, short what) {
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     connection.connected = true;
@@ -258,7 +253,7 @@
   if (closed && ParseEnd(connection.parser) == ParseProgress::kComplete) {
     connection.parser.reusable = false;
     if (IsOwnResponse(connection))
-      return Finish(connection);
+      return Complete(connection, HttpOutcome::kAnswered);
   }
   const bool unused = connection.reused && !connection.received;
   Complete(connection, unused ? HttpOutcome::kLostUnused : HttpOutcome::kLost);
@@ -376,12 +371,6 @@
   impl_->calls.erase(found);
 }
 
-void HttpClient::CloseIdle(const std::string& address) {
-  Impl::Peer& peer = impl_->peers[address];
-  while (!peer.idle.empty())
-    impl_->Close(*peer.idle.back());
-}
-
 const HttpClientCounters& HttpClient::counters() const {
   return impl_->counters;
 }
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -82,9 +82,6 @@
   // unknown id is ignored.
   void Cancel(std::uint64_t id);
 
-  // Closes the idle connections to `address`.
-  void CloseIdle(const std::string& address);
-
   const HttpClientCounters& counters() const;
 
  private:
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -172,12 +172,9 @@
   }
 }
 
-bool HasRetryAllowance(RoutingState& state,
-                       const std::string& service,
-                       TimePoint now) {
+bool HasRetryAllowance(const RoutingState& state, const std::string& service) {
   const FleetBounds& bounds = state.options.bounds;
-  const ServiceState& present = state.services[service];
-  (void)now;
+  const ServiceState& present = state.services.at(service);
   const double allowed =
       present.requests_in_window * bounds.retry_ratio * kShareMargin +
       bounds.retry_extra * kShareMargin / MemberCount(state);
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -37,9 +37,7 @@
                TimePoint now);
 
 // Whether this entry VM's share of the retry budget allows another retry.
-bool HasRetryAllowance(RoutingState& state,
-                       const std::string& service,
-                       TimePoint now);
+bool HasRetryAllowance(const RoutingState& state, const std::string& service);
 
 // Notes that an attempt was sent to the server.
 void ObserveSend(Server& server, const RequestState& request, TimePoint now);
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -73,7 +73,7 @@
               TimePoint now,
               RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
-  const Choice choice = ChooseServer(state, request, now);
+  Choice choice = ChooseServer(state, request, now);
   const Duration remaining = request.deadline - now;
   if (choice.server == nullptr)
     return Refuse(state, id, if_none, SuggestRetryAfter(Seconds(1), remaining),
@@ -94,6 +94,7 @@
   request.expected_work_ms = choice.work_ms;
   request.expected_slowness = choice.inputs.slowness;
   request.familiarity = choice.familiarity;
+  choice.inputs.object = request.object;
   ObserveSend(server, request, now);
   actions.emplace_back(
       SendAttempt{.request = id,
@@ -106,7 +107,6 @@
                       !IsIdempotent(request.route.kind) &&
                       now < state.services[request.service].distrust_kept_until,
                   .inputs = choice.inputs});
-  std::get<SendAttempt>(actions.back()).inputs.object = request.object;
 }
 
 void Apply(RoutingState& state,
@@ -192,17 +192,15 @@
   }
 }
 
-bool MayRetry(RoutingState& state,
-              std::uint64_t id,
+bool MayRetry(const RoutingState& state,
               const RequestState& request,
               TimePoint now) {
-  (void)id;
   const bool repeatable =
       request.verdict == Verdict::kNotRun || IsIdempotent(request.route.kind);
   return repeatable && request.attempts < request.route.attempts &&
          now + kShortestAttempt < request.deadline &&
          !state.blocked.contains(request.fingerprint) &&
-         HasRetryAllowance(state, request.service, now);
+         HasRetryAllowance(state, request.service);
 }
 
 void Apply(RoutingState& state,
@@ -231,7 +229,7 @@
   if (event.outcome == ServerOutcome::kLost)
     CountCrash(state, request, actions);
   const RefusalReason reason = ReasonAfter(event.outcome);
-  if (MayRetry(state, event.request, request, now))
+  if (MayRetry(state, request, now))
     return Dispatch(state, event.request, reason, now, actions);
   Refuse(state, event.request, reason,
          SuggestRetryAfter(request.expected, request.caller_deadline - now),
