--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -83,7 +83,7 @@
 
   // Sends a request and waits for its end.
   std::pair<HttpOutcome, HttpResponse> Call(const std::string& address,
-                                            HttpRequest request) {
+                                            const HttpRequest& request) {
     std::optional<std::pair<HttpOutcome, HttpResponse>> result;
     client.Send(address, request, loop.Now() + kPatience,
                 [&](HttpOutcome outcome, HttpResponse response) {
