LibRouting: Share a cold server's allowance by the fleet that was, not by the one in sight

After all entry VMs lost power each knew only itself and took the whole allowance (0.75 x 21.5 = 16). Ruled out: wrong cold times (the entry VMs knew that it was cold). Now nobody uses a cold server in the first 3 s after a start, the retry budget has no extra in that time, and members that vanish keep their share for 20 s, so that both sides of a cut stay below the bound together. Before: the two new tests fail (25 of 27).

--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -117,6 +117,11 @@
   std::unordered_map<std::string, ServiceState> services;
   std::set<std::string> evacuated;  // Failure domains.
   std::vector<std::string> members;
+  // The largest number of members of the last while. Bounds are shared by it,
+  // because members that are out of reach may go on sending.
+  std::size_t fleet_size = 1;
+  TimePoint fleet_size_at{};
+  TimePoint started_at = kNever;  // Time of the first event.
   std::unordered_map<std::uint64_t, RequestState> requests;
   std::set<std::pair<TimePoint, std::uint64_t>> deadlines;
   // Progress of the weighted split of each route with several shares.
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -39,8 +39,19 @@
 
 constexpr std::size_t kMaxObjectsPerServer = 256;
 
-double MemberCount(const RoutingState& state) {
-  return static_cast<double>(std::max<std::size_t>(state.members.size(), 1));
+// After a start, the other members become known within this time. Until then
+// the number of entry VMs that share a bound is in doubt.
+constexpr Duration kDoubtTime = Seconds(3);
+
+// How long members that have vanished still count.
+constexpr Duration kFleetMemory = Seconds(20);
+
+bool IsFleetInDoubt(const RoutingState& state, TimePoint now) {
+  return now - state.started_at < kDoubtTime;
+}
+
+double FleetSize(const RoutingState& state) {
+  return static_cast<double>(std::max(state.fleet_size, state.members.size()));
 }
 
 // Position of this entry VM among the live ones in the server's rendezvous
@@ -141,6 +152,8 @@
                       TimePoint now) {
   if (now >= server.cold_until)
     return true;
+  if (IsFleetInDoubt(state, now))
+    return false;
   const ServiceRule* rule = FindService(state.table, server.entry.service);
   if (rule == nullptr)
     return false;
@@ -149,7 +162,7 @@
       (rule->cold_requests_per_second * bounds.cold_load_factor +
        bounds.cold_extra) *
       kShareMargin;
-  const double own = std::floor(fleet / MemberCount(state));
+  const double own = std::floor(fleet / FleetSize(state));
   ForgetOld(server.recent_sends, now - kColdWindow);
   const auto sent = static_cast<double>(server.recent_sends.size());
   if (own >= 1)
@@ -172,15 +185,26 @@
   }
 }
 
-bool HasRetryAllowance(const RoutingState& state, const std::string& service) {
+bool HasRetryAllowance(const RoutingState& state,
+                       const std::string& service,
+                       TimePoint now) {
   const FleetBounds& bounds = state.options.bounds;
   const ServiceState& present = state.services.at(service);
+  const double extra =
+      IsFleetInDoubt(state, now) ? 0 : bounds.retry_extra / FleetSize(state);
   const double allowed =
-      present.requests_in_window * bounds.retry_ratio * kShareMargin +
-      bounds.retry_extra * kShareMargin / MemberCount(state);
+      (present.requests_in_window * bounds.retry_ratio + extra) * kShareMargin;
   return present.retries_in_window + 1 <= allowed;
 }
 
+void ObserveFleetSize(RoutingState& state, TimePoint now) {
+  const bool forgotten = now - state.fleet_size_at >= kFleetMemory;
+  if (state.members.size() < state.fleet_size && !forgotten)
+    return;
+  state.fleet_size = state.members.size();
+  state.fleet_size_at = now;
+}
+
 void ObserveSend(Server& server, const RequestState& request, TimePoint now) {
   ++server.in_flight;
   ForgetOld(server.recent_sends, now - kColdWindow);
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -37,7 +37,12 @@
                TimePoint now);
 
 // Whether this entry VM's share of the retry budget allows another retry.
-bool HasRetryAllowance(const RoutingState& state, const std::string& service);
+bool HasRetryAllowance(const RoutingState& state,
+                       const std::string& service,
+                       TimePoint now);
+
+// Notes the number of members after a change.
+void ObserveFleetSize(RoutingState& state, TimePoint now);
 
 // Notes that an attempt was sent to the server.
 void ObserveSend(Server& server, const RequestState& request, TimePoint now);
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -200,7 +200,7 @@
   return repeatable && request.attempts < request.route.attempts &&
          now + kShortestAttempt < request.deadline &&
          !state.blocked.contains(request.fingerprint) &&
-         HasRetryAllowance(state, request.service);
+         HasRetryAllowance(state, request.service, now);
 }
 
 void Apply(RoutingState& state,
@@ -261,9 +261,10 @@
 
 void Apply(RoutingState& state,
            const MembersChanged& event,
-           TimePoint /*now*/,
+           TimePoint now,
            RoutingActions& /*actions*/) {
   state.members = event.entries;
+  ObserveFleetSize(state, now);
 }
 
 void Apply(RoutingState& state,
@@ -311,6 +312,7 @@
                  const RoutingEvent& event,
                  TimePoint now,
                  RoutingActions& actions) {
+  state.started_at = std::min(state.started_at, now);
   std::visit([&](const auto& present) { Apply(state, present, now, actions); },
              event);
   if (state.stopping && state.requests.empty())
--- a/Tests/LibRouting/routing_fixture.h
+++ b/Tests/LibRouting/routing_fixture.h
@@ -71,6 +71,8 @@
                       .cold_requests_per_second = 10}}};
     Step(ConfigurationAdopted{configuration});
     Step(ServersChanged{.present = servers, .whole = true});
+    // The fleet is known from here on.
+    state.started_at = kStart - Seconds(60);
   }
 
   void Step(const RoutingEvent& event) {
--- a/Tests/LibRouting/test_choice.cc
+++ b/Tests/LibRouting/test_choice.cc
@@ -155,6 +155,43 @@
   CHECK(fixture.sent.size() == before + 4);
 }
 
+// Guards against what two hunted days showed: after all entry VMs had lost
+// power each thought itself alone and took the whole allowance of a cold
+// server.
+TEST_CASE("an entry VM that has just started spares cold servers") {
+  ServerEntry cold = MakeServer("s1");
+  cold.cold_left = Seconds(10);
+  RoutingFixture fixture({cold, MakeServer("s22")});
+  fixture.state.started_at = kStart;
+  for (std::uint64_t object = 1; object <= 20; ++object)
+    CHECK(fixture.Serve("read", object, Milliseconds(10)) == "s22");
+  fixture.now = kStart + Seconds(4);
+  std::set<std::string> used;
+  for (std::uint64_t object = 1; object <= 20; ++object)
+    used.insert(fixture.Serve("read", object, Milliseconds(10)));
+  CHECK(used.contains("s1"));
+}
+
+// Guards against both sides of a cut taking the share of the other one.
+TEST_CASE("members that vanish keep their share for a while") {
+  ServerEntry cold = MakeServer("s1");
+  cold.cold_left = Seconds(60);
+  RoutingFixture fixture({cold});
+  fixture.Step(MembersChanged{{"entry-1", "entry-2", "entry-3", "entry-4"}});
+  const auto sent_in_a_second = [&] {
+    const std::size_t before = fixture.sent.size();
+    for (std::uint64_t object = 1; object <= 30; ++object)
+      fixture.Serve("read", object, Milliseconds(30));
+    return fixture.sent.size() - before;
+  };
+  fixture.now += Seconds(2);
+  fixture.Step(MembersChanged{{"entry-1"}});
+  CHECK(sent_in_a_second() <= 3);
+  fixture.now += Seconds(25);
+  fixture.Step(MembersChanged{{"entry-1"}});
+  CHECK(sent_in_a_second() > 3);
+}
+
 TEST_CASE("a split keeps its weights") {
   RoutingFixture fixture({MakeServer("s1")});
   ServerEntry other = MakeServer("t1");
