LibRouting: Remove a charge that was never applied; correct the record

Ruled out: a change of behaviour; the cost is the same expression, with the affinity taken from the candidate.

--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -28,12 +28,9 @@
 // VM sent it there.
 constexpr Duration kObjectMemory = Seconds(6);
 
-// Work that a server does because it does not know the object keeps others
-// waiting too, so it is charged this many times beside the request's own wait.
-constexpr double kFreshWorkCharge = 0;
-
-// Share of the work by which rendezvous hashing spreads the costs of equal
-// servers for one object.
+// Spread of the costs of equal servers for one object, in multiples of the work
+// on a fresh object. It keeps the order in which an object's servers are used,
+// also while the first ones are a little busier than the others.
 constexpr double kAffinityShare = 2.5;
 
 // Share of the work that a full server costs before anything waits, which
@@ -186,10 +183,9 @@
   const Familiarity familiarity = FamiliarityOf(request, candidate, now);
   const bool known = familiarity != Familiarity::kFresh;
   const double own_ms = (known ? work.known_ms : work.fresh_ms) * factor;
-  const double affinity_ms = request.route.sticky
-                                 ? AffinityOf(request.object, server.hash) *
-                                       work.fresh_ms * kAffinityShare
-                                 : 0;
+  const double affinity_ms =
+      request.route.sticky ? candidate.affinity * work.fresh_ms * kAffinityShare
+                           : 0;
   const double spread_ms =
       std::min(1.0, occupancy / slots) * work.known_ms * kOccupancyShare;
   const double failure_ms =
