--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -147,16 +147,16 @@
 // Guards against a promise of "not run" for a request that ran.
 TEST_CASE("only a proof makes a refusal a promise") {
   OneEntry entry;
-  entry.one.SetMood(ServerMood::kSheds);
+  entry.one.SetBehaviour(ServerBehaviour::kSheds);
   const HttpResponse shed =
       entry.Ask(Request("/write/a", "id-1", HttpMethod::kPost));
   CHECK(shed.status == 503);
   CHECK(!FindField(shed.headers, kRetryAfter).empty());
   CHECK(entry.one.ran().empty());
-  entry.one.SetMood(ServerMood::kBareError);
+  entry.one.SetBehaviour(ServerBehaviour::kBareError);
   CHECK(entry.Ask(Request("/write/a", "id-2", HttpMethod::kPost)).status ==
         502);
-  entry.one.SetMood(ServerMood::kUnsealed);
+  entry.one.SetBehaviour(ServerBehaviour::kUnsealed);
   CHECK(entry.Ask(Request("/write/a", "id-3", HttpMethod::kPost)).status ==
         502);
   CHECK(entry.one.ran().size() == 2);
@@ -164,7 +164,7 @@
 
 TEST_CASE("a request is answered at its route's timeout") {
   OneEntry entry;
-  entry.one.SetMood(ServerMood::kHangs);
+  entry.one.SetBehaviour(ServerBehaviour::kHangs);
   const TimePoint before = entry.loop.Now();
   CHECK(entry.Ask(Request("/write/a", "id-1", HttpMethod::kPost)).status ==
         504);
@@ -174,7 +174,7 @@
 
 TEST_CASE("a caller that leaves ends the work at the server") {
   OneEntry entry;
-  entry.one.SetMood(ServerMood::kHangs);
+  entry.one.SetBehaviour(ServerBehaviour::kHangs);
   const std::uint64_t call = entry.client.Send(
       entry.settings.self.caller_address, Request("/read/a", "id-1"),
       entry.loop.Now() + kPatience, [](HttpOutcome, const HttpResponse&) {});
@@ -236,13 +236,13 @@
 
 TEST_CASE("the store's silence changes no belief and calls stay bounded") {
   OneEntry entry;
-  entry.store.SetMood(StoreMood::kRefuses);
+  entry.store.SetBehaviour(StoreBehaviour::kRefuses);
   const std::uint64_t before = entry.store.calls();
   const TimePoint end = entry.loop.Now() + Seconds(2);
   while (entry.loop.Now() < end)
     CHECK(entry.Ask(Request("/read/a", "x")).status == 200);
   CHECK(entry.store.calls() - before <= 2 * 2 * 5);
-  entry.store.SetMood(StoreMood::kAnswers);
+  entry.store.SetBehaviour(StoreBehaviour::kAnswers);
   entry.store.Put("op", "config", ConfigurationBody(9, "/after/"));
   CHECK(entry.WaitUntil(
       [&] { return entry.Ask(Request("/after/a", "y")).status == 200; }));
@@ -304,7 +304,7 @@
   OneEntry entry;
   Settings second = entry.MakeSettings("entry-2");
   StoreStandIn refusing(entry.loop);
-  refusing.SetMood(StoreMood::kRefuses);
+  refusing.SetBehaviour(StoreBehaviour::kRefuses);
   second.store_address = refusing.address();
   Front other(entry.loop, entry.kj_loop, second, {.high = 1, .low = 2});
   REQUIRE(other.Start());
--- a/Tests/PlatformStandIns/fault_proxy.cc
+++ b/Tests/PlatformStandIns/fault_proxy.cc
@@ -1,4 +1,4 @@
-// Relays bytes between two bufferevents and harms them on request.
+// Relays bytes between two bufferevents and delays or drops them on request.
 
 #include "fault_proxy.h"
 
--- a/Tests/PlatformStandIns/fault_proxy.h
+++ b/Tests/PlatformStandIns/fault_proxy.h
@@ -1,4 +1,4 @@
-// A TCP proxy on loopback that harms what passes through it.
+// A TCP proxy on loopback that delays, drops or resets what passes through it.
 
 #ifndef CICADADRUM_TESTS_PLATFORMSTANDINS_FAULT_PROXY_H_
 #define CICADADRUM_TESTS_PLATFORMSTANDINS_FAULT_PROXY_H_
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -78,9 +78,9 @@
 
 void StoreStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
   ++calls_;
-  if (mood_ == StoreMood::kSilent)
+  if (behaviour_ == StoreBehaviour::kSilent)
     return;
-  if (mood_ == StoreMood::kRefuses)
+  if (behaviour_ == StoreBehaviour::kRefuses)
     return server_.Respond(id, {.status = 503});
   const std::string table = QueryValue(request, "table");
   if (request.path == kReadRowsPath)
@@ -188,17 +188,17 @@
     response.status = 421;
     return server_.Respond(id, response);
   }
-  if (mood_ == ServerMood::kSheds) {
+  if (behaviour_ == ServerBehaviour::kSheds) {
     response.status = 503;
     response.headers.emplace_back(kNotRun, "1");
     return server_.Respond(id, response);
   }
   ran_.push_back(request_id);
-  if (mood_ == ServerMood::kHangs)
+  if (behaviour_ == ServerBehaviour::kHangs)
     return;
-  if (mood_ == ServerMood::kBareError)
+  if (behaviour_ == ServerBehaviour::kBareError)
     response.status = 503;
-  if (mood_ == ServerMood::kAnswers)
+  if (behaviour_ == ServerBehaviour::kAnswers)
     response.headers.emplace_back(kSeal, "seal-of-" + request_id);
   response.headers.emplace_back(kServerLoad, "1,0,4,100");
   response.body = "answer to " + request_id;
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -18,7 +18,7 @@
 namespace cicadadrum::platform {
 
 // What the store does with calls.
-enum class StoreMood : std::uint8_t {
+enum class StoreBehaviour : std::uint8_t {
   kAnswers,
   kRefuses,  // 503
   kSilent,   // No answer at all.
@@ -37,7 +37,7 @@
            const std::string& value);
   void Remove(const std::string& table, const std::string& key);
   void ForgetHistory();
-  void SetMood(StoreMood mood) { mood_ = mood; }
+  void SetBehaviour(StoreBehaviour behaviour) { behaviour_ = behaviour; }
 
  private:
   struct Change {
@@ -72,12 +72,12 @@
   std::uint64_t version_ = 0;
   std::uint64_t history_begin_ = 0;
   std::vector<Waiting> waiting_;
-  StoreMood mood_ = StoreMood::kAnswers;
+  StoreBehaviour behaviour_ = StoreBehaviour::kAnswers;
   std::uint64_t calls_ = 0;
 };
 
 // What a server does with the next requests.
-enum class ServerMood : std::uint8_t {
+enum class ServerBehaviour : std::uint8_t {
   kAnswers,
   kSheds,      // 503 with proof that the request has not run.
   kUnsealed,   // 200 that is not the server's own.
@@ -97,7 +97,7 @@
   // The same with the address of a proxy before it.
   std::string RowAt(const std::string& address, const std::string& state) const;
 
-  void SetMood(ServerMood mood) { mood_ = mood; }
+  void SetBehaviour(ServerBehaviour behaviour) { behaviour_ = behaviour; }
   // Ids of the requests that ran, in order.
   const std::vector<std::string>& ran() const { return ran_; }
   const std::vector<HttpRequest>& requests() const { return requests_; }
@@ -109,7 +109,7 @@
   std::string id_;
   HttpServer server_;
   std::string address_;
-  ServerMood mood_ = ServerMood::kAnswers;
+  ServerBehaviour behaviour_ = ServerBehaviour::kAnswers;
   std::vector<std::string> ran_;
   std::vector<HttpRequest> requests_;
   std::size_t left_ = 0;  // Callers that closed before the answer.
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -33,11 +33,11 @@
   kPause,
   kStoreLink,
   kServerLink,
-  kServerMood,
+  kServerBehaviour,
   kReplaceServer,
   kConfiguration,
   kForgetHistory,
-  kStoreMood,
+  kStoreBehaviour,
 };
 
 }  // namespace
@@ -54,11 +54,11 @@
       {platform::Fault::kPause, "pause"},
       {platform::Fault::kStoreLink, "store-link"},
       {platform::Fault::kServerLink, "server-link"},
-      {platform::Fault::kServerMood, "server-mood"},
+      {platform::Fault::kServerBehaviour, "server-behaviour"},
       {platform::Fault::kReplaceServer, "replace-server"},
       {platform::Fault::kConfiguration, "configuration"},
       {platform::Fault::kForgetHistory, "forget-history"},
-      {platform::Fault::kStoreMood, "store-mood"},
+      {platform::Fault::kStoreBehaviour, "store-behaviour"},
   });
 };
 
@@ -143,8 +143,9 @@
       return entry.store->SetMode(mode);
     case Fault::kServerLink:
       return server.link->SetMode(mode);
-    case Fault::kServerMood:
-      return server.server->SetMood(static_cast<ServerMood>(Below(5)));
+    case Fault::kServerBehaviour:
+      return server.server->SetBehaviour(
+          static_cast<ServerBehaviour>(Below(5)));
     case Fault::kReplaceServer:
       AddServer();
       store_.Put("servers", servers_[first_live_].server->id(),
@@ -157,16 +158,16 @@
       return store_.Put("op", "config", ConfigurationBody(++configuration_));
     case Fault::kForgetHistory:
       return store_.ForgetHistory();
-    case Fault::kStoreMood:
-      return store_.SetMood(static_cast<StoreMood>(Below(3)));
+    case Fault::kStoreBehaviour:
+      return store_.SetBehaviour(static_cast<StoreBehaviour>(Below(3)));
   }
 }
 
 void Soak::Heal() {
-  store_.SetMood(StoreMood::kAnswers);
+  store_.SetBehaviour(StoreBehaviour::kAnswers);
   for (SoakServer& server : servers_) {
     server.link->SetMode(ProxyMode::kPass);
-    server.server->SetMood(ServerMood::kAnswers);
+    server.server->SetBehaviour(ServerBehaviour::kAnswers);
   }
   for (EntryProcess& entry : fleet_.entries())
     entry.store->SetMode(ProxyMode::kPass);
