LibLoop: Let the loop pass deferred callbacks before it ends

Ruled out: a leak of the client while the loop runs (only the last connections of a stopped loop were left).

--- a/Libraries/LibLoop/event_loop.cc
+++ b/Libraries/LibLoop/event_loop.cc
@@ -32,6 +32,9 @@
 }
 
 EventLoop::~EventLoop() {
+  // A bufferevent that was freed while one of its callbacks was deferred lives
+  // until the loop has passed that callback.
+  event_base_loop(impl_->base, EVLOOP_NONBLOCK);
   event_base_free(impl_->base);
 }
 
