LibRouting: End requests and weigh load reports in one place each

Cause: read-through. Three places erased a request with its deadline, two computed the weight of a load report. Behaviour is the same.

--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -75,6 +75,11 @@
          HasColdAllowance(state, server, now);
 }
 
+// Weight of the server's last report, which ages. It must have one.
+double ReportWeight(const Server& server, TimePoint now) {
+  return std::exp2(-ToMs(now - server.reported_at) / kReportHalfLifeMs);
+}
+
 // Requests at the server: those of this entry VM are known; those of others are
 // estimated from the last report, which ages.
 double EstimateOccupancy(const Server& server, TimePoint now) {
@@ -82,8 +87,7 @@
     return server.in_flight;
   const double reported = server.report->running + server.report->waiting;
   const double others = std::max(0.0, reported - server.in_flight_at_report);
-  const double age_ms = ToMs(now - server.reported_at);
-  return server.in_flight + others * std::exp2(-age_ms / kReportHalfLifeMs);
+  return server.in_flight + others * ReportWeight(server, now);
 }
 
 double DistanceMs(const RoutingState& state,
@@ -110,11 +114,8 @@
 
 double WorkFactor(const Server& server, TimePoint now) {
   double factor = ValueAt(server.slowness, 1, now);
-  if (server.report) {
-    const double age_ms = ToMs(now - server.reported_at);
-    const double weight = std::exp2(-age_ms / kReportHalfLifeMs);
-    factor *= 1 + (server.report->work_factor - 1) * weight;
-  }
+  if (server.report)
+    factor *= 1 + (server.report->work_factor - 1) * ReportWeight(server, now);
   return std::max(0.2, factor);
 }
 
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -25,6 +25,13 @@
 constexpr Duration kShortestRetryAfter = Milliseconds(100);
 constexpr Duration kLongestRetryAfter = Seconds(2);
 
+using Requests = std::unordered_map<std::uint64_t, RequestState>;
+
+void EndRequest(RoutingState& state, Requests::iterator request) {
+  state.deadlines.erase({request->second.deadline, request->first});
+  state.requests.erase(request);
+}
+
 void Refuse(RoutingState& state,
             std::uint64_t id,
             RefusalReason reason,
@@ -35,8 +42,7 @@
       .request = id, .reason = reason, .retry_after = retry_after};
   if (found != state.requests.end()) {
     refusal.verdict = found->second.verdict;
-    state.deadlines.erase({found->second.deadline, id});
-    state.requests.erase(found);
+    EndRequest(state, found);
   }
   actions.emplace_back(refusal);
 }
@@ -164,8 +170,7 @@
     actions.emplace_back(CancelAttempt{event.request, request.attempts});
     ForgetAttempt(state, request);
   }
-  state.deadlines.erase({request.deadline, event.request});
-  state.requests.erase(found);
+  EndRequest(state, found);
 }
 
 // A server that is lost while it runs a request may have been crashed by it.
@@ -220,9 +225,7 @@
     if (event.outcome == ServerOutcome::kSucceeded)
       state.crashes.erase(request.fingerprint);
     actions.emplace_back(DeliverResponse{event.request, request.server});
-    state.deadlines.erase({request.deadline, event.request});
-    state.requests.erase(found);
-    return;
+    return EndRequest(state, found);
   }
   if (!ProvesNotRun(event.outcome))
     request.verdict = Verdict::kMayHaveRun;
