--- a/Meta/cicadadrum.sh
+++ b/Meta/cicadadrum.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds, runs, tests and measures cicadadrum. Every command installs the packages that are missing.
-# Usage: Meta/cicadadrum.sh build|test|run|bench|lint|generate
+# Usage: Meta/cicadadrum.sh build|test|run|bench|lint|generate|platform|soak
 set -euo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
@@ -44,11 +44,30 @@
   git ls-files '*.cc' | xargs -P 8 -I{} Meta/tidy_file.sh {} "$build" "$cache" "$headers"
 }
 
+play_platform() { # $1: site file, $2: day
+  local bench=$root/../given/kit/more/system/bin/fleetbench
+  if [ ! -x "$bench" ]; then
+    echo "the users' bench is not beside the repository; the tests play the path without it" >&2
+    return 2
+  fi
+  "$bench" run "$1" "${2:-quiet-1}" --why "played by hand"
+}
+
+run_soak() { # $1: first seed, $2: last seed
+  local seed failed=0
+  for seed in $(seq "${1:-1}" "${2:-${1:-1}}"); do
+    "$build/Tests/Soak/cicadadrum-soak" --program "$build/platform/cicadadrum-platform" --seed "$seed" || failed=1
+  done
+  return $failed
+}
+
 case "${1:-}" in
   build) build "$build" ;;
   test) build "$build" && run_tests "$build" ;;
   run) build "$build" && shift && Meta/demonstration.sh "$build" "$@" ;;
   bench) build "$build" && shift && "$build/Utilities/Bench/cicadadrum-bench" "$@" ;;
+  platform) shift && play_platform "$@" ;;
+  soak) build "$build" && shift && run_soak "$@" ;;
   lint) lint ;;
   generate) install_packages capnproto && Meta/generate.sh ;;
   *) sed -n '2,3p' "$0"; exit 2 ;;
--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -298,4 +298,30 @@
             .second.status == 200);
 }
 
+// Guards against an entry VM that knows no servers, or old ones, while the
+// store turns it away.
+TEST_CASE("servers and their changes come from a peer") {
+  OneEntry entry;
+  Settings second = entry.MakeSettings("entry-2");
+  StoreStandIn refusing(entry.loop);
+  refusing.SetMood(StoreMood::kRefuses);
+  second.store_address = refusing.address();
+  Front other(entry.loop, entry.kj_loop, second, {.high = 1, .low = 2});
+  REQUIRE(other.Start());
+  REQUIRE(entry.WaitUntil([&] { return entry.IsReady(second); }));
+  const auto ask = [&] {
+    return entry.Call(second.self.caller_address, Request("/read/a", "x"))
+        .second.status;
+  };
+  CHECK(ask() == 200);
+  entry.store.Put("servers", "s-two", entry.two.Row("ready"));
+  entry.store.Remove("servers", "s-one");
+  CHECK(entry.WaitUntil([&] {
+    const std::size_t before = entry.two.ran().size();
+    return ask() == 200 && entry.two.ran().size() == before + 1;
+  }));
+  entry.store.Put("op", "evacuate/north-a", "{}");
+  CHECK(entry.WaitUntil([&] { return ask() == 503; }));
+}
+
 }  // namespace cicadadrum::platform
