--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -101,6 +101,18 @@
 CAPNP_DECLARE_SCHEMA(f4fb808a20c1e7da);
 CAPNP_DECLARE_SCHEMA(8021b3d217d33f62);
 CAPNP_DECLARE_SCHEMA(d3199c697849d1dc);
+CAPNP_DECLARE_SCHEMA(f5eee43698169619);
+enum class TableFailure_f5eee43698169619: uint16_t {
+  HISTORY_LOST,
+  REFUSED,
+  NO_ANSWER,
+  BEHIND,
+};
+CAPNP_DECLARE_ENUM(TableFailure, f5eee43698169619);
+CAPNP_DECLARE_SCHEMA(fced0cd98014bc97);
+CAPNP_DECLARE_SCHEMA(bab6dc687218ef24);
+CAPNP_DECLARE_SCHEMA(9d272fb0f9de9cbd);
+CAPNP_DECLARE_SCHEMA(81b534d1cfd6de5b);
 CAPNP_DECLARE_SCHEMA(e811a9efa66f67ef);
 CAPNP_DECLARE_SCHEMA(a5946c004b37b4ea);
 CAPNP_DECLARE_SCHEMA(acad6d9e2acfa440);
@@ -121,6 +133,8 @@
 CAPNP_DECLARE_SCHEMA(8098f31b35261bb3);
 CAPNP_DECLARE_SCHEMA(f0ea7392ee39e885);
 CAPNP_DECLARE_SCHEMA(9ffa64bfca9feb6a);
+CAPNP_DECLARE_SCHEMA(81d2515de3a4462f);
+CAPNP_DECLARE_SCHEMA(ea7e7c8dbfc4c898);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -372,6 +386,73 @@
   };
 };
 
+typedef ::capnp::schemas::TableFailure_f5eee43698169619 TableFailure;
+
+struct RowsAsk {
+  RowsAsk() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fced0cd98014bc97, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StoreRow {
+  StoreRow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bab6dc687218ef24, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RowsAnswer {
+  RowsAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    FAILURE,
+    ROWS,
+  };
+  struct Rows;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9d272fb0f9de9cbd, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RowsAnswer::Rows {
+  Rows() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(81b534d1cfd6de5b, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct HeldLease {
   HeldLease() = delete;
 
@@ -441,6 +522,8 @@
   struct AskLeasesResults;
   struct ReportLeasesParams;
   struct ReportLeasesResults;
+  struct FollowRowsParams;
+  struct FollowRowsResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -690,6 +773,36 @@
   };
 };
 
+struct EntryPeer::FollowRowsParams {
+  FollowRowsParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(81d2515de3a4462f, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPeer::FollowRowsResults {
+  FollowRowsResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ea7e7c8dbfc4c898, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Incarnation::Reader {
@@ -2331,9 +2444,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HeldLease::Reader {
+class RowsAsk::Reader {
 public:
-  typedef HeldLease Reads;
+  typedef RowsAsk Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2348,21 +2461,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getLease() const;
-
-  inline bool hasServer() const;
-  inline  ::capnp::Text::Reader getServer() const;
-
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
+  inline bool hasTable() const;
+  inline  ::capnp::Text::Reader getTable() const;
 
-  inline  ::cicadadrum::schema::RequestClass getRequestClass() const;
+  inline bool getWhole() const;
 
-  inline  ::uint64_t getFingerprint() const;
+  inline  ::uint64_t getAfter() const;
 
-  inline  ::int64_t getAgeMicroseconds() const;
+  inline  ::uint64_t getSequence() const;
 
-  inline  ::int64_t getRemainingMicroseconds() const;
+  inline  ::int64_t getWaitMicroseconds() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2376,9 +2484,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HeldLease::Builder {
+class RowsAsk::Builder {
 public:
-  typedef HeldLease Builds;
+  typedef RowsAsk Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2392,34 +2500,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getLease();
-  inline void setLease( ::uint64_t value);
-
-  inline bool hasServer();
-  inline  ::capnp::Text::Builder getServer();
-  inline void setServer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServer();
-
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+  inline bool hasTable();
+  inline  ::capnp::Text::Builder getTable();
+  inline void setTable( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTable(unsigned int size);
+  inline void adoptTable(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTable();
 
-  inline  ::cicadadrum::schema::RequestClass getRequestClass();
-  inline void setRequestClass( ::cicadadrum::schema::RequestClass value);
+  inline bool getWhole();
+  inline void setWhole(bool value);
 
-  inline  ::uint64_t getFingerprint();
-  inline void setFingerprint( ::uint64_t value);
+  inline  ::uint64_t getAfter();
+  inline void setAfter( ::uint64_t value);
 
-  inline  ::int64_t getAgeMicroseconds();
-  inline void setAgeMicroseconds( ::int64_t value);
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
 
-  inline  ::int64_t getRemainingMicroseconds();
-  inline void setRemainingMicroseconds( ::int64_t value);
+  inline  ::int64_t getWaitMicroseconds();
+  inline void setWaitMicroseconds( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2431,9 +2529,9 @@
 };
 
 #if !CAPNP_LITE
-class HeldLease::Pipeline {
+class RowsAsk::Pipeline {
 public:
-  typedef HeldLease Pipelines;
+  typedef RowsAsk Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2447,9 +2545,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class PoolName::Reader {
+class StoreRow::Reader {
 public:
-  typedef PoolName Reads;
+  typedef StoreRow Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2464,11 +2562,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRegion() const;
-  inline  ::capnp::Text::Reader getRegion() const;
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool getRemoved() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2482,9 +2584,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class PoolName::Builder {
+class StoreRow::Builder {
 public:
-  typedef PoolName Builds;
+  typedef StoreRow Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2498,19 +2600,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRegion();
-  inline  ::capnp::Text::Builder getRegion();
-  inline void setRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2522,9 +2630,9 @@
 };
 
 #if !CAPNP_LITE
-class PoolName::Pipeline {
+class StoreRow::Pipeline {
 public:
-  typedef PoolName Pipelines;
+  typedef StoreRow Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2538,9 +2646,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeasesReport::Reader {
+class RowsAnswer::Reader {
 public:
-  typedef LeasesReport Reads;
+  typedef RowsAnswer Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2555,11 +2663,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPool() const;
-  inline  ::cicadadrum::schema::PoolName::Reader getPool() const;
+  inline Which which() const;
+  inline bool isFailure() const;
+  inline  ::cicadadrum::schema::TableFailure getFailure() const;
 
-  inline bool hasLeases() const;
-  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Reader getLeases() const;
+  inline bool isRows() const;
+  inline typename Rows::Reader getRows() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2573,9 +2682,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeasesReport::Builder {
+class RowsAnswer::Builder {
 public:
-  typedef LeasesReport Builds;
+  typedef RowsAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2589,19 +2698,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasPool();
-  inline  ::cicadadrum::schema::PoolName::Builder getPool();
-  inline void setPool( ::cicadadrum::schema::PoolName::Reader value);
-  inline  ::cicadadrum::schema::PoolName::Builder initPool();
-  inline void adoptPool(::capnp::Orphan< ::cicadadrum::schema::PoolName>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::PoolName> disownPool();
+  inline Which which();
+  inline bool isFailure();
+  inline  ::cicadadrum::schema::TableFailure getFailure();
+  inline void setFailure( ::cicadadrum::schema::TableFailure value);
 
-  inline bool hasLeases();
-  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Builder getLeases();
-  inline void setLeases( ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Builder initLeases(unsigned int size);
-  inline void adoptLeases(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>> disownLeases();
+  inline bool isRows();
+  inline typename Rows::Builder getRows();
+  inline typename Rows::Builder initRows();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2613,15 +2717,14 @@
 };
 
 #if !CAPNP_LITE
-class LeasesReport::Pipeline {
+class RowsAnswer::Pipeline {
 public:
-  typedef LeasesReport Pipelines;
+  typedef RowsAnswer Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cicadadrum::schema::PoolName::Pipeline getPool();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2630,59 +2733,456 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class EntryPeer::Client
-    : public virtual ::capnp::Capability::Client {
+class RowsAnswer::Rows::Reader {
 public:
-  typedef EntryPeer Calls;
-  typedef EntryPeer Reads;
+  typedef Rows Reads;
 
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::RequestSlotParams,  ::cicadadrum::schema::EntryPeer::RequestSlotResults> requestSlotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ReturnSlotParams,  ::cicadadrum::schema::EntryPeer::ReturnSlotResults> returnSlotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ExecuteParams,  ::cicadadrum::schema::EntryPeer::ExecuteResults> executeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ExchangeParams,  ::cicadadrum::schema::EntryPeer::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::FetchItemParams,  ::cicadadrum::schema::EntryPeer::FetchItemResults> fetchItemRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::CancelSlotParams,  ::cicadadrum::schema::EntryPeer::CancelSlotResults> cancelSlotRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::AskLeasesParams,  ::cicadadrum::schema::EntryPeer::AskLeasesResults> askLeasesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ReportLeasesParams,  ::cicadadrum::schema::EntryPeer::ReportLeasesResults> reportLeasesRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-protected:
-  Client() = default;
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasChanged() const;
+  inline  ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>::Reader getChanged() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::int64_t getAgeMicroseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::Server
-    : public virtual ::capnp::Capability::Server {
+class RowsAnswer::Rows::Builder {
 public:
-  typedef EntryPeer Serves;
+  typedef Rows Builds;
 
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::cicadadrum::schema::EntryPeer::RequestSlotParams RequestSlotParams;
-  typedef  ::cicadadrum::schema::EntryPeer::RequestSlotResults RequestSlotResults;
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasChanged();
+  inline  ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>::Builder getChanged();
+  inline void setChanged( ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>::Builder initChanged(unsigned int size);
+  inline void adoptChanged(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>> disownChanged();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::int64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RowsAnswer::Rows::Pipeline {
+public:
+  typedef Rows Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HeldLease::Reader {
+public:
+  typedef HeldLease Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLease() const;
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline bool hasCustomer() const;
+  inline  ::capnp::Text::Reader getCustomer() const;
+
+  inline  ::cicadadrum::schema::RequestClass getRequestClass() const;
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::int64_t getAgeMicroseconds() const;
+
+  inline  ::int64_t getRemainingMicroseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HeldLease::Builder {
+public:
+  typedef HeldLease Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getLease();
+  inline void setLease( ::uint64_t value);
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline bool hasCustomer();
+  inline  ::capnp::Text::Builder getCustomer();
+  inline void setCustomer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
+  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+
+  inline  ::cicadadrum::schema::RequestClass getRequestClass();
+  inline void setRequestClass( ::cicadadrum::schema::RequestClass value);
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::int64_t getAgeMicroseconds();
+  inline void setAgeMicroseconds( ::int64_t value);
+
+  inline  ::int64_t getRemainingMicroseconds();
+  inline void setRemainingMicroseconds( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeldLease::Pipeline {
+public:
+  typedef HeldLease Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PoolName::Reader {
+public:
+  typedef PoolName Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRegion() const;
+  inline  ::capnp::Text::Reader getRegion() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PoolName::Builder {
+public:
+  typedef PoolName Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRegion();
+  inline  ::capnp::Text::Builder getRegion();
+  inline void setRegion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PoolName::Pipeline {
+public:
+  typedef PoolName Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LeasesReport::Reader {
+public:
+  typedef LeasesReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool() const;
+  inline  ::cicadadrum::schema::PoolName::Reader getPool() const;
+
+  inline bool hasLeases() const;
+  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Reader getLeases() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeasesReport::Builder {
+public:
+  typedef LeasesReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPool();
+  inline  ::cicadadrum::schema::PoolName::Builder getPool();
+  inline void setPool( ::cicadadrum::schema::PoolName::Reader value);
+  inline  ::cicadadrum::schema::PoolName::Builder initPool();
+  inline void adoptPool(::capnp::Orphan< ::cicadadrum::schema::PoolName>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PoolName> disownPool();
+
+  inline bool hasLeases();
+  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Builder getLeases();
+  inline void setLeases( ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>::Builder initLeases(unsigned int size);
+  inline void adoptLeases(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::HeldLease,  ::capnp::Kind::STRUCT>> disownLeases();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeasesReport::Pipeline {
+public:
+  typedef LeasesReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PoolName::Pipeline getPool();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+class EntryPeer::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef EntryPeer Calls;
+  typedef EntryPeer Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::RequestSlotParams,  ::cicadadrum::schema::EntryPeer::RequestSlotResults> requestSlotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ReturnSlotParams,  ::cicadadrum::schema::EntryPeer::ReturnSlotResults> returnSlotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ExecuteParams,  ::cicadadrum::schema::EntryPeer::ExecuteResults> executeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ExchangeParams,  ::cicadadrum::schema::EntryPeer::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::FetchItemParams,  ::cicadadrum::schema::EntryPeer::FetchItemResults> fetchItemRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::CancelSlotParams,  ::cicadadrum::schema::EntryPeer::CancelSlotResults> cancelSlotRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::AskLeasesParams,  ::cicadadrum::schema::EntryPeer::AskLeasesResults> askLeasesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::ReportLeasesParams,  ::cicadadrum::schema::EntryPeer::ReportLeasesResults> reportLeasesRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cicadadrum::schema::EntryPeer::FollowRowsParams,  ::cicadadrum::schema::EntryPeer::FollowRowsResults> followRowsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class EntryPeer::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef EntryPeer Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::cicadadrum::schema::EntryPeer::RequestSlotParams RequestSlotParams;
+  typedef  ::cicadadrum::schema::EntryPeer::RequestSlotResults RequestSlotResults;
   typedef ::capnp::CallContext<RequestSlotParams, RequestSlotResults> RequestSlotContext;
   virtual ::kj::Promise<void> requestSlot(RequestSlotContext context);
   typedef  ::cicadadrum::schema::EntryPeer::ReturnSlotParams ReturnSlotParams;
@@ -2713,6 +3213,10 @@
   typedef  ::cicadadrum::schema::EntryPeer::ReportLeasesResults ReportLeasesResults;
   typedef ::capnp::CallContext<ReportLeasesParams, ReportLeasesResults> ReportLeasesContext;
   virtual ::kj::Promise<void> reportLeases(ReportLeasesContext context);
+  typedef  ::cicadadrum::schema::EntryPeer::FollowRowsParams FollowRowsParams;
+  typedef  ::cicadadrum::schema::EntryPeer::FollowRowsResults FollowRowsResults;
+  typedef ::capnp::CallContext<FollowRowsParams, FollowRowsResults> FollowRowsContext;
+  virtual ::kj::Promise<void> followRows(FollowRowsContext context);
 
   inline  ::cicadadrum::schema::EntryPeer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3942,9 +4446,184 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::AskLeasesResults::Builder {
+class EntryPeer::AskLeasesResults::Builder {
+public:
+  typedef AskLeasesResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::AskLeasesResults::Pipeline {
+public:
+  typedef AskLeasesResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ReportLeasesParams::Reader {
+public:
+  typedef ReportLeasesParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+  inline bool hasReport() const;
+  inline  ::cicadadrum::schema::LeasesReport::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ReportLeasesParams::Builder {
+public:
+  typedef ReportLeasesParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader();
+  inline  ::cicadadrum::schema::PeerHeader::Builder getHeader();
+  inline void setHeader( ::cicadadrum::schema::PeerHeader::Reader value);
+  inline  ::cicadadrum::schema::PeerHeader::Builder initHeader();
+  inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
+
+  inline bool hasReport();
+  inline  ::cicadadrum::schema::LeasesReport::Builder getReport();
+  inline void setReport( ::cicadadrum::schema::LeasesReport::Reader value);
+  inline  ::cicadadrum::schema::LeasesReport::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::cicadadrum::schema::LeasesReport>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::LeasesReport> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EntryPeer::ReportLeasesParams::Pipeline {
+public:
+  typedef ReportLeasesParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+  inline  ::cicadadrum::schema::LeasesReport::Pipeline getReport();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EntryPeer::ReportLeasesResults::Reader {
+public:
+  typedef ReportLeasesResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHeader() const;
+  inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EntryPeer::ReportLeasesResults::Builder {
 public:
-  typedef AskLeasesResults Builds;
+  typedef ReportLeasesResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3975,9 +4654,9 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::AskLeasesResults::Pipeline {
+class EntryPeer::ReportLeasesResults::Pipeline {
 public:
-  typedef AskLeasesResults Pipelines;
+  typedef ReportLeasesResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3992,9 +4671,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ReportLeasesParams::Reader {
+class EntryPeer::FollowRowsParams::Reader {
 public:
-  typedef ReportLeasesParams Reads;
+  typedef FollowRowsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4012,8 +4691,8 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
-  inline bool hasReport() const;
-  inline  ::cicadadrum::schema::LeasesReport::Reader getReport() const;
+  inline bool hasAsk() const;
+  inline  ::cicadadrum::schema::RowsAsk::Reader getAsk() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4027,9 +4706,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ReportLeasesParams::Builder {
+class EntryPeer::FollowRowsParams::Builder {
 public:
-  typedef ReportLeasesParams Builds;
+  typedef FollowRowsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4050,12 +4729,12 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
-  inline bool hasReport();
-  inline  ::cicadadrum::schema::LeasesReport::Builder getReport();
-  inline void setReport( ::cicadadrum::schema::LeasesReport::Reader value);
-  inline  ::cicadadrum::schema::LeasesReport::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::cicadadrum::schema::LeasesReport>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::LeasesReport> disownReport();
+  inline bool hasAsk();
+  inline  ::cicadadrum::schema::RowsAsk::Builder getAsk();
+  inline void setAsk( ::cicadadrum::schema::RowsAsk::Reader value);
+  inline  ::cicadadrum::schema::RowsAsk::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::cicadadrum::schema::RowsAsk>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::RowsAsk> disownAsk();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4067,16 +4746,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ReportLeasesParams::Pipeline {
+class EntryPeer::FollowRowsParams::Pipeline {
 public:
-  typedef ReportLeasesParams Pipelines;
+  typedef FollowRowsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
-  inline  ::cicadadrum::schema::LeasesReport::Pipeline getReport();
+  inline  ::cicadadrum::schema::RowsAsk::Pipeline getAsk();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4085,9 +4764,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class EntryPeer::ReportLeasesResults::Reader {
+class EntryPeer::FollowRowsResults::Reader {
 public:
-  typedef ReportLeasesResults Reads;
+  typedef FollowRowsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4105,6 +4784,9 @@
   inline bool hasHeader() const;
   inline  ::cicadadrum::schema::PeerHeader::Reader getHeader() const;
 
+  inline bool hasAnswer() const;
+  inline  ::cicadadrum::schema::RowsAnswer::Reader getAnswer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4117,9 +4799,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class EntryPeer::ReportLeasesResults::Builder {
+class EntryPeer::FollowRowsResults::Builder {
 public:
-  typedef ReportLeasesResults Builds;
+  typedef FollowRowsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4140,6 +4822,13 @@
   inline void adoptHeader(::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value);
   inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> disownHeader();
 
+  inline bool hasAnswer();
+  inline  ::cicadadrum::schema::RowsAnswer::Builder getAnswer();
+  inline void setAnswer( ::cicadadrum::schema::RowsAnswer::Reader value);
+  inline  ::cicadadrum::schema::RowsAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::cicadadrum::schema::RowsAnswer>&& value);
+  inline ::capnp::Orphan< ::cicadadrum::schema::RowsAnswer> disownAnswer();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4150,15 +4839,16 @@
 };
 
 #if !CAPNP_LITE
-class EntryPeer::ReportLeasesResults::Pipeline {
+class EntryPeer::FollowRowsResults::Pipeline {
 public:
-  typedef ReportLeasesResults Pipelines;
+  typedef FollowRowsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cicadadrum::schema::PeerHeader::Pipeline getHeader();
+  inline  ::cicadadrum::schema::RowsAnswer::Pipeline getAnswer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5870,133 +6560,455 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t ServerObservation::Builder::getAgeMilliseconds() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint16_t ServerObservation::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setAgeMilliseconds( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerObservation::Reader::getHasReport() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerObservation::Builder::getHasReport() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setHasReport(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ServerObservation::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ServerObservation::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ServerObservation::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ServerObservation::Builder::getWaiting() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setWaiting( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ServerObservation::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ServerObservation::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t ServerObservation::Reader::getWorkPercent() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t ServerObservation::Builder::getWorkPercent() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setWorkPercent( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ObservationsDatagram::Reader::getProtocolVersion() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ObservationsDatagram::Builder::getProtocolVersion() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ObservationsDatagram::Builder::setProtocolVersion( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ObservationsDatagram::Reader::hasObservations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ObservationsDatagram::Builder::hasObservations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Reader ObservationsDatagram::Reader::getObservations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Builder ObservationsDatagram::Builder::getObservations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ObservationsDatagram::Builder::setObservations( ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Builder ObservationsDatagram::Builder::initObservations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ObservationsDatagram::Builder::adoptObservations(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>> ObservationsDatagram::Builder::disownObservations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RowsAsk::Reader::hasTable() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RowsAsk::Builder::hasTable() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RowsAsk::Reader::getTable() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RowsAsk::Builder::getTable() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RowsAsk::Builder::setTable( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RowsAsk::Builder::initTable(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RowsAsk::Builder::adoptTable(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RowsAsk::Builder::disownTable() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool RowsAsk::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool RowsAsk::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RowsAsk::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RowsAsk::Reader::getAfter() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowsAsk::Builder::getAfter() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RowsAsk::Builder::setAfter( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RowsAsk::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowsAsk::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RowsAsk::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RowsAsk::Reader::getWaitMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RowsAsk::Builder::getWaitMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RowsAsk::Builder::setWaitMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoreRow::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoreRow::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoreRow::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoreRow::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StoreRow::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoreRow::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StoreRow::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoreRow::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StoreRow::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void ServerObservation::Builder::setAgeMilliseconds( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline bool StoreRow::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline bool ServerObservation::Reader::getHasReport() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Reader StoreRow::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline bool ServerObservation::Builder::getHasReport() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder StoreRow::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ServerObservation::Builder::setHasReport(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
+inline void StoreRow::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint16_t ServerObservation::Reader::getRunning() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::capnp::Data::Builder StoreRow::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint16_t ServerObservation::Builder::getRunning() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline void StoreRow::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void ServerObservation::Builder::setRunning( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Data> StoreRow::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t ServerObservation::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StoreRow::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t ServerObservation::Builder::getWaiting() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint64_t StoreRow::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServerObservation::Builder::setWaiting( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void StoreRow::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t ServerObservation::Reader::getSlots() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool StoreRow::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t ServerObservation::Builder::getSlots() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool StoreRow::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void ServerObservation::Builder::setSlots( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void StoreRow::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t ServerObservation::Reader::getWorkPercent() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline  ::cicadadrum::schema::RowsAnswer::Which RowsAnswer::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline  ::cicadadrum::schema::RowsAnswer::Which RowsAnswer::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t ServerObservation::Builder::getWorkPercent() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline bool RowsAnswer::Reader::isFailure() const {
+  return which() == RowsAnswer::FAILURE;
 }
-inline void ServerObservation::Builder::setWorkPercent( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline bool RowsAnswer::Builder::isFailure() {
+  return which() == RowsAnswer::FAILURE;
 }
-
-inline  ::uint32_t ObservationsDatagram::Reader::getProtocolVersion() const {
-  return _reader.getDataField< ::uint32_t>(
+inline  ::cicadadrum::schema::TableFailure RowsAnswer::Reader::getFailure() const {
+  KJ_IREQUIRE((which() == RowsAnswer::FAILURE),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::cicadadrum::schema::TableFailure>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ObservationsDatagram::Builder::getProtocolVersion() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::cicadadrum::schema::TableFailure RowsAnswer::Builder::getFailure() {
+  KJ_IREQUIRE((which() == RowsAnswer::FAILURE),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::cicadadrum::schema::TableFailure>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ObservationsDatagram::Builder::setProtocolVersion( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void RowsAnswer::Builder::setFailure( ::cicadadrum::schema::TableFailure value) {
+  _builder.setDataField<RowsAnswer::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, RowsAnswer::FAILURE);
+  _builder.setDataField< ::cicadadrum::schema::TableFailure>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ObservationsDatagram::Reader::hasObservations() const {
+inline bool RowsAnswer::Reader::isRows() const {
+  return which() == RowsAnswer::ROWS;
+}
+inline bool RowsAnswer::Builder::isRows() {
+  return which() == RowsAnswer::ROWS;
+}
+inline typename RowsAnswer::Rows::Reader RowsAnswer::Reader::getRows() const {
+  KJ_IREQUIRE((which() == RowsAnswer::ROWS),
+              "Must check which() before get()ing a union member.");
+  return typename RowsAnswer::Rows::Reader(_reader);
+}
+inline typename RowsAnswer::Rows::Builder RowsAnswer::Builder::getRows() {
+  KJ_IREQUIRE((which() == RowsAnswer::ROWS),
+              "Must check which() before get()ing a union member.");
+  return typename RowsAnswer::Rows::Builder(_builder);
+}
+inline typename RowsAnswer::Rows::Builder RowsAnswer::Builder::initRows() {
+  _builder.setDataField<RowsAnswer::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, RowsAnswer::ROWS);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename RowsAnswer::Rows::Builder(_builder);
+}
+inline bool RowsAnswer::Rows::Reader::hasChanged() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ObservationsDatagram::Builder::hasObservations() {
+inline bool RowsAnswer::Rows::Builder::hasChanged() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Reader ObservationsDatagram::Reader::getObservations() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>::Reader RowsAnswer::Rows::Reader::getChanged() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Builder ObservationsDatagram::Builder::getObservations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>::Builder RowsAnswer::Rows::Builder::getChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ObservationsDatagram::Builder::setObservations( ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void RowsAnswer::Rows::Builder::setChanged( ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Builder ObservationsDatagram::Builder::initObservations(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>::Builder RowsAnswer::Rows::Builder::initChanged(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ObservationsDatagram::Builder::adoptObservations(
-    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void RowsAnswer::Rows::Builder::adoptChanged(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>> ObservationsDatagram::Builder::disownObservations() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>> RowsAnswer::Rows::Builder::disownChanged() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::StoreRow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RowsAnswer::Rows::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowsAnswer::Rows::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RowsAnswer::Rows::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RowsAnswer::Rows::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowsAnswer::Rows::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RowsAnswer::Rows::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RowsAnswer::Rows::Reader::getAgeMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RowsAnswer::Rows::Builder::getAgeMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RowsAnswer::Rows::Builder::setAgeMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldLease::Reader::getLease() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7376,6 +8388,162 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool EntryPeer::FollowRowsParams::Reader::hasHeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::FollowRowsParams::Builder::hasHeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PeerHeader::Reader EntryPeer::FollowRowsParams::Reader::getHeader() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::FollowRowsParams::Builder::getHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PeerHeader::Pipeline EntryPeer::FollowRowsParams::Pipeline::getHeader() {
+  return  ::cicadadrum::schema::PeerHeader::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::FollowRowsParams::Builder::setHeader( ::cicadadrum::schema::PeerHeader::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::FollowRowsParams::Builder::initHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::FollowRowsParams::Builder::adoptHeader(
+    ::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> EntryPeer::FollowRowsParams::Builder::disownHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::FollowRowsParams::Reader::hasAsk() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::FollowRowsParams::Builder::hasAsk() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::RowsAsk::Reader EntryPeer::FollowRowsParams::Reader::getAsk() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::RowsAsk::Builder EntryPeer::FollowRowsParams::Builder::getAsk() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::RowsAsk::Pipeline EntryPeer::FollowRowsParams::Pipeline::getAsk() {
+  return  ::cicadadrum::schema::RowsAsk::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::FollowRowsParams::Builder::setAsk( ::cicadadrum::schema::RowsAsk::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::RowsAsk::Builder EntryPeer::FollowRowsParams::Builder::initAsk() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::FollowRowsParams::Builder::adoptAsk(
+    ::capnp::Orphan< ::cicadadrum::schema::RowsAsk>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::RowsAsk> EntryPeer::FollowRowsParams::Builder::disownAsk() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::FollowRowsResults::Reader::hasHeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::FollowRowsResults::Builder::hasHeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::PeerHeader::Reader EntryPeer::FollowRowsResults::Reader::getHeader() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::FollowRowsResults::Builder::getHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::PeerHeader::Pipeline EntryPeer::FollowRowsResults::Pipeline::getHeader() {
+  return  ::cicadadrum::schema::PeerHeader::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::FollowRowsResults::Builder::setHeader( ::cicadadrum::schema::PeerHeader::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::PeerHeader::Builder EntryPeer::FollowRowsResults::Builder::initHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::FollowRowsResults::Builder::adoptHeader(
+    ::capnp::Orphan< ::cicadadrum::schema::PeerHeader>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::PeerHeader> EntryPeer::FollowRowsResults::Builder::disownHeader() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::PeerHeader>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EntryPeer::FollowRowsResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPeer::FollowRowsResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cicadadrum::schema::RowsAnswer::Reader EntryPeer::FollowRowsResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cicadadrum::schema::RowsAnswer::Builder EntryPeer::FollowRowsResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cicadadrum::schema::RowsAnswer::Pipeline EntryPeer::FollowRowsResults::Pipeline::getAnswer() {
+  return  ::cicadadrum::schema::RowsAnswer::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPeer::FollowRowsResults::Builder::setAnswer( ::cicadadrum::schema::RowsAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cicadadrum::schema::RowsAnswer::Builder EntryPeer::FollowRowsResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPeer::FollowRowsResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::cicadadrum::schema::RowsAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cicadadrum::schema::RowsAnswer> EntryPeer::FollowRowsResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::RowsAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -1,9 +1,12 @@
 // Follows one table of a store that keeps versioned rows: reads it whole once,
-// then asks for changes, and reads it whole again when the store has forgotten
-// the changes in between.
+// then asks for changes, and reads it whole again when the changes in between
+// are forgotten.
 //
-// The calls are paced, because every call has a price and the rows change more
-// often than anybody needs to know.
+// Calls to the store are paced, because each has a price and the rows change
+// more often than anybody needs to know. Most entry VMs ask another one that
+// reads the store for them, and the store itself as soon as that one fails or
+// says that its own knowledge is old. Rows are facts of the store with
+// versions, so they are taken from any source.
 
 #ifndef CICADADRUM_DISCOVERY_TABLE_H_
 #define CICADADRUM_DISCOVERY_TABLE_H_
@@ -36,6 +39,15 @@
   // their writers may still be there and write them again within about 2 s of
   // the return, which is seen up to a back-off and a timeout later.
   Duration return_grace = Milliseconds(1700);
+  // How long a peer may keep a call for changes open, and the time beyond it
+  // after which the call has failed.
+  Duration peer_wait = Milliseconds(300);
+  Duration peer_timeout = Milliseconds(300);
+  // A peer whose rows have not been known to be complete for longer than this
+  // is left for the next source.
+  Duration longest_age = Milliseconds(1300);
+  // For which a peer that failed is not asked.
+  Duration peer_rest = Seconds(2);
 };
 
 struct TableRow {
@@ -51,16 +63,26 @@
   kHistoryLost,  // The changes since the version are not available.
   kRefused,      // The store answered and did nothing.
   kNoAnswer,
+  kBehind,  // A peer knows less than the asker.
 };
 
 // The time of the last TableWake has come.
 struct TableTick {};
 
+// Peers to ask, by name, in this order: some before the store, some after it.
+struct SourcesChanged {
+  std::vector<std::string> before_store;
+  std::vector<std::string> after_store;
+};
+
 struct TableAnswered {
   std::uint64_t call = 0;
   std::vector<TableRow> rows;
   std::uint64_t version = 0;  // Of the store at this answer.
   bool more = false;          // Only part of the table was read.
+  // Of a peer: its number of the last change, and the age of what it knows.
+  std::uint64_t sequence = 0;
+  Duration age{};
 };
 
 struct TableFailed {
@@ -68,21 +90,25 @@
   TableFailure failure = TableFailure::kNoAnswer;
 };
 
-using TableEvent = std::variant<TableTick, TableAnswered, TableFailed>;
+using TableEvent =
+    std::variant<TableTick, SourcesChanged, TableAnswered, TableFailed>;
 
 // --- Actions ---
 
 // Read rows from the key `from` on.
 struct ReadTable {
   std::uint64_t call = 0;  // Never used again.
-  std::string from;        // Empty for the first row.
+  std::string peer;        // Empty for the store.
+  std::string from;        // Empty for the first row; a peer gives all rows.
   Duration timeout{};
 };
 
 // Ask for the rows that changed after `after`.
 struct FollowTable {
   std::uint64_t call = 0;
+  std::string peer;  // Empty for the store.
   std::uint64_t after = 0;
+  std::uint64_t sequence = 0;  // Of the peer's last answer; 0 for none.
   Duration wait{};
   Duration timeout{};  // Of the whole call.
 };
@@ -111,8 +137,21 @@
 
 enum class TablePhase : std::uint8_t { kUnread, kFollowing };
 
+// Where the table is read.
+struct TableSource {
+  std::string peer;         // Empty for the store.
+  TimePoint rests_until{};  // After a failure.
+};
+
 struct TableState {
   TableOptions options;
+  // In the order in which they are tried. The store is always among them.
+  std::vector<TableSource> sources = {{}};
+  std::string asked_peer;     // Of the open call; empty for the store.
+  std::string pages_peer;     // Of the whole read under way.
+  std::string followed_peer;  // Whose `sequence` is known.
+  std::uint64_t sequence = 0;
+  TimePoint peer_answered_at{-Seconds(60)};  // Last answer that was not old.
   Random random;
   TablePhase phase = TablePhase::kUnread;
   bool ever_read = false;
@@ -151,6 +190,7 @@
           {discovery::TableFailure::kHistoryLost, "history-lost"},
           {discovery::TableFailure::kRefused, "refused"},
           {discovery::TableFailure::kNoAnswer, "no-answer"},
+          {discovery::TableFailure::kBehind, "behind"},
       });
 };
 
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -16,24 +16,67 @@
 // Failures in a row after which the store counts as out of reach.
 constexpr std::uint32_t kFailuresToReport = 2;
 
-void StartCall(TableState& state, TableActions& actions) {
+// While peers answer, a store that fails is tried again after this time only.
+constexpr Duration kStoreRestWithPeers = Seconds(2);
+constexpr Duration kPeerMemory = Seconds(1);
+
+// Least time between calls to a peer that answers at once.
+constexpr Duration kPeerPeriod = Milliseconds(20);
+
+TableSource& FirstRested(TableState& state, TimePoint now) {
+  for (TableSource& source : state.sources) {
+    if (source.rests_until <= now)
+      return source;
+  }
+  return *std::min_element(state.sources.begin(), state.sources.end(),
+                           [](const TableSource& a, const TableSource& b) {
+                             return a.rests_until < b.rests_until;
+                           });
+}
+
+TableSource* FindSource(TableState& state, const std::string& peer) {
+  for (TableSource& source : state.sources) {
+    if (source.peer == peer)
+      return &source;
+  }
+  return nullptr;
+}
+
+// Asks the first source that is not resting, or waits for one.
+void StartCall(TableState& state, TimePoint now, TableActions& actions) {
+  const TableSource& source = FirstRested(state, now);
+  if (source.rests_until > now) {
+    state.next_at = source.rests_until;
+    return;
+  }
+  const TableOptions& options = state.options;
+  const bool at_peer = !source.peer.empty();
   state.open_call = state.next_call++;
   state.next_at = kNever;
+  state.asked_peer = source.peer;
+  const Duration timeout = at_peer ? options.peer_timeout : options.timeout;
   if (state.phase == TablePhase::kUnread) {
+    if (state.pages_peer != source.peer)
+      state.pages.clear();
+    state.pages_peer = source.peer;
     // A zero byte makes the key the next one after the last row read.
     const std::string from =
         state.pages.empty() ? std::string()
                             : state.pages.back().key + std::string(1, '\0');
     actions.emplace_back(ReadTable{.call = state.open_call,
+                                   .peer = source.peer,
                                    .from = from,
-                                   .timeout = state.options.timeout});
+                                   .timeout = timeout});
     return;
   }
-  actions.emplace_back(
-      FollowTable{.call = state.open_call,
-                  .after = state.version,
-                  .wait = state.options.wait,
-                  .timeout = state.options.wait + state.options.timeout});
+  const bool is_followed = at_peer && state.followed_peer == source.peer;
+  const Duration wait = at_peer ? options.peer_wait : options.wait;
+  actions.emplace_back(FollowTable{.call = state.open_call,
+                                   .peer = source.peer,
+                                   .after = state.version,
+                                   .sequence = is_followed ? state.sequence : 0,
+                                   .wait = wait,
+                                   .timeout = wait + timeout});
 }
 
 // A feed may hold several changes of one row, of which the last one counts.
@@ -56,19 +99,21 @@
   if (!row.removed) {
     state.vanished.erase(row.key);
     std::uint64_t& version = state.known[row.key];
-    if (version == row.version)
+    // Another source may know an older one.
+    if (version >= row.version)
       return;
     version = row.version;
     changed.push_back(row);
     return;
   }
-  if (!state.known.contains(row.key))
+  const auto known = state.known.find(row.key);
+  if (known == state.known.end() || row.version < known->second)
     return;
   if (now < state.grace_until) {
     state.vanished[row.key] = row.version;
     return;
   }
-  state.known.erase(row.key);
+  state.known.erase(known);
   changed.push_back(row);
 }
 
@@ -121,7 +166,39 @@
            TableActions& actions) {
   EndGrace(state, now, actions);
   if (state.open_call == 0 && now >= state.next_at)
-    StartCall(state, actions);
+    StartCall(state, now, actions);
+}
+
+void Apply(TableState& state,
+           const SourcesChanged& event,
+           TimePoint /*now*/,
+           TableActions& /*actions*/) {
+  std::vector<TableSource> sources;
+  const auto add = [&](const std::string& peer) {
+    const TableSource* known = FindSource(state, peer);
+    sources.push_back(known == nullptr ? TableSource{.peer = peer} : *known);
+  };
+  for (const std::string& peer : event.before_store)
+    add(peer);
+  add({});
+  for (const std::string& peer : event.after_store)
+    add(peer);
+  state.sources = std::move(sources);
+}
+
+// An answer of a peer counts as a failure if what it knows is old or less than
+// what is known here. Returns whether the rows may be used all the same.
+bool CheckPeer(TableState& state, const TableAnswered& event, TimePoint now) {
+  if (state.asked_peer.empty())
+    return true;
+  const bool is_behind = event.version < state.version;
+  if (is_behind || event.age > state.options.longest_age) {
+    if (TableSource* source = FindSource(state, state.asked_peer))
+      source->rests_until = now + state.options.peer_rest;
+  } else {
+    state.peer_answered_at = now;
+  }
+  return !is_behind;
 }
 
 void Apply(TableState& state,
@@ -131,13 +208,21 @@
   if (event.call != state.open_call)
     return;
   state.open_call = 0;
-  NoteSuccess(state, now, actions);
+  state.next_at = now + kPeerPeriod;
+  if (!CheckPeer(state, event, now))
+    return;
+  if (state.asked_peer.empty()) {
+    NoteSuccess(state, now, actions);
+    state.next_at = now + state.options.period;
+  }
+  state.followed_peer = state.asked_peer;
+  state.sequence = event.sequence;
   if (state.phase == TablePhase::kUnread) {
     if (state.pages.empty())
       state.pages_version = event.version;
     state.pages.insert(state.pages.end(), event.rows.begin(), event.rows.end());
     if (event.more && !event.rows.empty())
-      return StartCall(state, actions);
+      return StartCall(state, now, actions);
     // Changes made while the pages were read come with the first feed.
     state.version = state.pages_version;
     state.phase = TablePhase::kFollowing;
@@ -154,7 +239,28 @@
     if (!changed.rows.empty())
       actions.emplace_back(std::move(changed));
   }
-  state.next_at = now + state.options.period;
+}
+
+// Returns for how long the store is not asked after a failure.
+Duration StoreRest(TableState& state, TimePoint now) {
+  if (now - state.peer_answered_at < kPeerMemory)
+    return kStoreRestWithPeers;
+  const std::uint32_t doublings = std::min<std::uint32_t>(state.failures, 5);
+  const Duration longest =
+      std::min(state.options.longest_backoff,
+               state.options.shortest_backoff * (1 << doublings));
+  const auto jitter = static_cast<std::int64_t>(
+      RandomUnit(state.random) * static_cast<double>(longest.count()) / 2);
+  return longest / 2 + Duration(jitter);
+}
+
+void NoteStoreFailure(TableState& state, TimePoint now, TableActions& actions) {
+  if (state.failures++ == 0)
+    state.failing_since = now;
+  if (state.failures == kFailuresToReport && state.reachable) {
+    state.reachable = false;
+    actions.emplace_back(StoreReach{false});
+  }
 }
 
 void Apply(TableState& state,
@@ -167,21 +273,15 @@
   if (event.failure == TableFailure::kHistoryLost) {
     state.phase = TablePhase::kUnread;
     state.pages.clear();
-    return StartCall(state, actions);
+    return StartCall(state, now, actions);
   }
-  if (state.failures++ == 0)
-    state.failing_since = now;
-  if (state.failures == kFailuresToReport && state.reachable) {
-    state.reachable = false;
-    actions.emplace_back(StoreReach{false});
-  }
-  const std::uint32_t doublings = std::min<std::uint32_t>(state.failures, 5);
-  const Duration longest =
-      std::min(state.options.longest_backoff,
-               state.options.shortest_backoff * (1 << doublings));
-  const auto jitter = static_cast<std::int64_t>(
-      RandomUnit(state.random) * static_cast<double>(longest.count()) / 2);
-  state.next_at = now + longest / 2 + Duration(jitter);
+  const bool at_peer = !state.asked_peer.empty();
+  if (!at_peer)
+    NoteStoreFailure(state, now, actions);
+  if (TableSource* source = FindSource(state, state.asked_peer))
+    source->rests_until =
+        now + (at_peer ? state.options.peer_rest : StoreRest(state, now));
+  StartCall(state, now, actions);
 }
 
 }  // namespace
--- a/Libraries/LibEntry/peer_link.cc
+++ b/Libraries/LibEntry/peer_link.cc
@@ -94,6 +94,13 @@
   };
   // The request goes on: its answer is kept for a repeat with the same key.
   server_handlers.cancel_execute = [](std::uint64_t /*call*/) {};
+  // This entry VM follows no tables of rows.
+  server_handlers.follow_rows = [this](std::uint64_t call,
+                                       const PeerInfo& /*sender*/,
+                                       const discovery::RelayAsk& /*ask*/) {
+    server_->AnswerRows(call, {.failure = discovery::TableFailure::kRefused});
+  };
+  server_handlers.drop_rows = [](std::uint64_t /*call*/) {};
   server_handlers.exchange = [handlers](const PeerInfo& sender,
                                         const PeerExchange& exchange) {
     handlers.exchange(sender, exchange);
--- a/Libraries/LibLoop/event_loop.cc
+++ b/Libraries/LibLoop/event_loop.cc
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <ctime>
 
 namespace cicadadrum {
 
@@ -51,6 +52,12 @@
       std::chrono::steady_clock::now());
 }
 
+TimePoint EventLoop::NowWithSuspensions() const {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(Seconds(now.tv_sec) + Microseconds(now.tv_nsec / 1000));
+}
+
 event_base* EventLoop::base() const {
   return impl_->base;
 }
--- a/Libraries/LibLoop/include/cicadadrum/loop/event_loop.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/event_loop.h
@@ -30,6 +30,10 @@
   // origin.
   TimePoint Now() const;
 
+  // The same, but the time for which the VM was suspended counts too, and the
+  // origin is another one.
+  TimePoint NowWithSuspensions() const;
+
   // Returns the libevent base, which stays valid as long as this object.
   event_base* base() const;
 
--- a/Libraries/LibNode/fleet_node.cc
+++ b/Libraries/LibNode/fleet_node.cc
@@ -9,6 +9,7 @@
 #include "cicadadrum/node/peer_codec.h"
 #include "cicadadrum/peer/peer_client.h"
 #include "cicadadrum/peer/peer_server.h"
+#include "row_relays.h"
 
 namespace cicadadrum {
 
@@ -38,6 +39,8 @@
        FleetNodeHandlers node_handlers);
 
   void Run(const MembershipEvent& event);
+  // Returns the peer address of a member, or an empty text.
+  std::string AddressOf(const std::string& entry) const;
   PeerSettings MakePeerSettings();
   PeerHandlers MakePeerHandlers();
   std::optional<PeerItem> FindPeerItem(const std::string& key,
@@ -61,6 +64,7 @@
   MembershipState state;
   Timer timer;
   DatagramSocket datagrams;
+  RowRelays relays;
   std::deque<MembershipEvent> events;  // Raised while another one is handled.
   bool handling = false;
 };
@@ -80,10 +84,23 @@
                                 settings.incarnation.low,
                                 loop.Now())),
       timer(loop, [this] { Run(Tick{}); }),
-      datagrams(loop, [this](std::string_view datagram) {
-        if (const auto observations = DecodeObservations(datagram))
-          handlers.observations_received(*observations);
-      }) {}
+      datagrams(loop,
+                [this](std::string_view datagram) {
+                  if (const auto observations = DecodeObservations(datagram))
+                    handlers.observations_received(*observations);
+                }),
+      relays(loop,
+             settings.incarnation.high,
+             [this](std::uint64_t call, const discovery::RelayAnswer& answer) {
+               server->AnswerRows(call, answer);
+             }) {}
+
+std::string FleetNode::Impl::AddressOf(const std::string& entry) const {
+  const auto index = state.index_of.find(entry);
+  return index == state.index_of.end()
+             ? std::string()
+             : state.members[index->second].record.vm.peer_address;
+}
 
 PeerSettings FleetNode::Impl::MakePeerSettings() {
   PeerSettings peer;
@@ -113,6 +130,11 @@
                            std::uint64_t version) {
     return FindPeerItem(key, version);
   };
+  made.follow_rows = [this](std::uint64_t call, const PeerInfo& /*sender*/,
+                            const discovery::RelayAsk& ask) {
+    relays.Ask(call, ask);
+  };
+  made.drop_rows = [this](std::uint64_t call) { relays.Drop(call); };
   return made;
 }
 
@@ -227,13 +249,40 @@
 void FleetNode::Share(const routing::ShareObservations& share) {
   const std::string datagram = EncodeObservations(share.observations);
   for (const std::string& receiver : share.receivers) {
-    const auto index = impl_->state.index_of.find(receiver);
-    if (index != impl_->state.index_of.end())
-      impl_->datagrams.Send(
-          impl_->state.members[index->second].record.vm.peer_address, datagram);
+    const std::string address = impl_->AddressOf(receiver);
+    if (!address.empty())
+      impl_->datagrams.Send(address, datagram);
   }
 }
 
+void FleetNode::FeedRows(const std::string& table,
+                         const discovery::RelayFed& fed) {
+  impl_->relays.Feed(table, fed);
+}
+
+void FleetNode::AskRows(
+    const std::string& peer,
+    const discovery::RelayAsk& ask,
+    Duration timeout,
+    std::function<void(const discovery::RelayAnswer&)> done) {
+  impl_->client.FollowRows(
+      impl_->AddressOf(peer), ask, impl_->loop.Now() + timeout,
+      [done =
+           std::move(done)](const CallResult<discovery::RelayAnswer>& result) {
+        if (result.outcome == CallOutcome::kAnswered)
+          return done(result.value);
+        done({.failure = discovery::TableFailure::kNoAnswer});
+      });
+}
+
+discovery::SourcesChanged FleetNode::RowSources() const {
+  std::vector<discovery::RelayCandidate> live;
+  for (const EntryVm& entry : LiveEntries())
+    live.push_back({entry.name, entry.region});
+  const EntryVm& self = impl_->settings.self;
+  return discovery::ChooseSources(live, {self.name, self.region});
+}
+
 std::vector<EntryVm> FleetNode::LiveEntries() const {
   return LiveMembers(impl_->state, impl_->loop.Now());
 }
--- a/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
+++ b/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
@@ -1,5 +1,6 @@
 // One entry VM as a member of the fleet: drives LibMembership over LibPeer, and
-// carries observations of backend servers as datagrams on the same port.
+// carries observations of backend servers as datagrams on the same port. It
+// hands rows of the store on to other entry VMs.
 
 #ifndef CICADADRUM_NODE_FLEET_NODE_H_
 #define CICADADRUM_NODE_FLEET_NODE_H_
@@ -12,6 +13,7 @@
 
 #include <boost/leaf.hpp>
 
+#include "cicadadrum/discovery/relay.h"
 #include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/loop/kj_event_port.h"
 #include "cicadadrum/membership/membership.h"
@@ -62,6 +64,19 @@
   // Sends to the live ones among the receivers.
   void Share(const routing::ShareObservations& share);
 
+  // What this entry VM knows of a table, for others that ask.
+  void FeedRows(const std::string& table, const discovery::RelayFed& fed);
+
+  // Asks the live entry VM `peer`. An answer that does not come within
+  // `timeout` is kNoAnswer.
+  void AskRows(const std::string& peer,
+               const discovery::RelayAsk& ask,
+               Duration timeout,
+               std::function<void(const discovery::RelayAnswer&)> done);
+
+  // Where this entry VM is to read the store's tables.
+  discovery::SourcesChanged RowSources() const;
+
   std::vector<EntryVm> LiveEntries() const;
   const MembershipState& state() const;
 
--- /dev/null
+++ b/Libraries/LibNode/row_relays.cc
@@ -0,0 +1,64 @@
+// Drives the relays of LibDiscovery, one a table.
+
+#include "row_relays.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cicadadrum {
+
+RowRelays::RowRelays(EventLoop& loop, std::uint64_t first_sequence, Reply reply)
+    : loop_(loop),
+      first_sequence_(first_sequence),
+      reply_(std::move(reply)),
+      timer_(loop, [this] {
+        std::vector<std::string> tables;
+        for (const auto& [table, relay] : relays_)
+          tables.push_back(table);
+        for (const std::string& table : tables)
+          Run(table, discovery::RelayTick{});
+      }) {}
+
+void RowRelays::Feed(const std::string& table, const discovery::RelayFed& fed) {
+  relays_.try_emplace(table, discovery::MakeRelayState(first_sequence_));
+  Run(table, fed);
+}
+
+void RowRelays::Ask(std::uint64_t call, const discovery::RelayAsk& ask) {
+  if (!relays_.contains(ask.table))
+    return reply_(call, {.failure = discovery::TableFailure::kBehind});
+  Run(ask.table, discovery::RelayAsked{call, ask});
+}
+
+void RowRelays::Drop(std::uint64_t call) {
+  for (auto& [table, relay] : relays_) {
+    discovery::RelayActions actions;
+    StepRelay(relay, discovery::RelayDropped{call}, loop_.NowWithSuspensions(),
+              actions);
+  }
+}
+
+void RowRelays::Run(const std::string& table,
+                    const discovery::RelayEvent& event) {
+  discovery::RelayActions actions;
+  StepRelay(relays_.at(table), event, loop_.NowWithSuspensions(), actions);
+  for (const discovery::RelayAction& action : actions) {
+    if (const auto* reply = std::get_if<discovery::RelayReply>(&action))
+      reply_(reply->call, reply->answer);
+    if (const auto* wake = std::get_if<discovery::RelayWake>(&action))
+      wakes_[table] = wake->at;
+  }
+  Schedule();
+}
+
+void RowRelays::Schedule() {
+  TimePoint earliest = kNever;
+  for (const auto& [table, at] : wakes_)
+    earliest = std::min(earliest, at);
+  if (earliest == kNever)
+    return timer_.Cancel();
+  timer_.Schedule(loop_.Now() + (earliest - loop_.NowWithSuspensions()));
+}
+
+}  // namespace cicadadrum
--- a/Libraries/LibPeer/codec.h
+++ b/Libraries/LibPeer/codec.h
@@ -103,6 +103,14 @@
                    schema::ExchangeMessage::Builder to);
 std::optional<PeerExchange> ReadExchange(schema::ExchangeMessage::Reader from);
 
+void WriteRowsAsk(const discovery::RelayAsk& ask, schema::RowsAsk::Builder to);
+std::optional<discovery::RelayAsk> ReadRowsAsk(schema::RowsAsk::Reader from);
+
+void WriteRowsAnswer(const discovery::RelayAnswer& answer,
+                     schema::RowsAnswer::Builder to);
+std::optional<discovery::RelayAnswer> ReadRowsAnswer(
+    schema::RowsAnswer::Reader from);
+
 // Size of the first segment of a message. It is always given: without it,
 // GCC 12 reports false -Wmaybe-uninitialized warnings under the sanitizers.
 inline capnp::MessageSize SizeHint(std::size_t bytes) {
@@ -120,6 +128,7 @@
 std::size_t EstimateBytes(const PeerExchange& message);
 std::size_t EstimateBytes(const PeerItem& item);
 std::size_t EstimateBytes(const LeasesReport& report);
+std::size_t EstimateBytes(const discovery::RelayAnswer& answer);
 
 }  // namespace cicadadrum
 
--- /dev/null
+++ b/Libraries/LibPeer/codec_rows.cc
@@ -0,0 +1,101 @@
+// Codec of rows of the store that entry VMs hand on.
+
+#include <utility>
+
+#include "codec.h"
+#include "codec_values.h"
+
+namespace cicadadrum {
+
+namespace {
+
+using discovery::RelayAnswer;
+using discovery::RelayAsk;
+using discovery::TableFailure;
+using discovery::TableRow;
+
+// Fixed parts on the wire: RPC envelope and header; one row.
+constexpr std::size_t kEnvelopeBytes = 512;
+constexpr std::size_t kRowBytes = 56;
+
+void WriteRow(const TableRow& row, schema::StoreRow::Builder to) {
+  to.setKey(TextToWire(row.key));
+  to.setValue(DataToWire(row.value));
+  to.setVersion(row.version);
+  to.setRemoved(row.removed);
+}
+
+TableRow ReadRow(schema::StoreRow::Reader from) {
+  return {.key = TextFromWire(from.getKey()),
+          .value = DataFromWire(from.getValue()),
+          .version = from.getVersion(),
+          .removed = from.getRemoved()};
+}
+
+}  // namespace
+
+void WriteRowsAsk(const RelayAsk& ask, schema::RowsAsk::Builder to) {
+  to.setTable(TextToWire(ask.table));
+  to.setWhole(ask.whole);
+  to.setAfter(ask.after);
+  to.setSequence(ask.sequence);
+  to.setWaitMicroseconds(DurationToWire(ask.wait));
+}
+
+std::optional<RelayAsk> ReadRowsAsk(schema::RowsAsk::Reader from) {
+  const auto wait = DurationFromWire(from.getWaitMicroseconds());
+  if (!wait || from.getTable().size() == 0)
+    return std::nullopt;
+  return RelayAsk{.table = TextFromWire(from.getTable()),
+                  .whole = from.getWhole(),
+                  .after = from.getAfter(),
+                  .sequence = from.getSequence(),
+                  .wait = *wait};
+}
+
+void WriteRowsAnswer(const RelayAnswer& answer,
+                     schema::RowsAnswer::Builder to) {
+  if (answer.failure) {
+    to.setFailure(EnumToWire<schema::TableFailure>(*answer.failure));
+    return;
+  }
+  auto rows = to.initRows();
+  auto changed = rows.initChanged(static_cast<unsigned>(answer.rows.size()));
+  for (unsigned i = 0; i < changed.size(); ++i)
+    WriteRow(answer.rows[i], changed[i]);
+  rows.setVersion(answer.version);
+  rows.setSequence(answer.sequence);
+  rows.setAgeMicroseconds(DurationToWire(answer.age));
+}
+
+std::optional<RelayAnswer> ReadRowsAnswer(schema::RowsAnswer::Reader from) {
+  if (from.isFailure()) {
+    const auto failure = EnumFromWire<TableFailure>(from.getFailure());
+    if (!failure)
+      return std::nullopt;
+    return RelayAnswer{.failure = *failure};
+  }
+  const auto rows = from.getRows();
+  const auto age = DurationFromWire(rows.getAgeMicroseconds());
+  if (!age)
+    return std::nullopt;
+  RelayAnswer answer{.version = rows.getVersion(),
+                     .sequence = rows.getSequence(),
+                     .age = *age};
+  for (const auto reader : rows.getChanged()) {
+    TableRow row = ReadRow(reader);
+    if (row.key.empty())
+      return std::nullopt;
+    answer.rows.push_back(std::move(row));
+  }
+  return answer;
+}
+
+std::size_t EstimateBytes(const RelayAnswer& answer) {
+  std::size_t bytes = kEnvelopeBytes;
+  for (const TableRow& row : answer.rows)
+    bytes += kRowBytes + row.key.size() + row.value.size();
+  return bytes;
+}
+
+}  // namespace cicadadrum
--- a/Libraries/LibPeer/entry_peer.cc
+++ b/Libraries/LibPeer/entry_peer.cc
@@ -173,6 +173,32 @@
     return done;
   }
 
+  kj::Promise<void> followRows(FollowRowsContext context) override {
+    PeerInfo peer;
+    if (auto end = CheckHeader(context, peer); end != nullptr)
+      return TakePromise(end);
+    const auto ask =
+        Decode([&] { return ReadRowsAsk(context.getParams().getAsk()); });
+    if (!ask)
+      return Malformed("question for rows");
+    context.releaseParams();
+    context.allowCancellation();
+    return server()
+        .AskRows(peer, *ask)
+        .then([this, context](kj::Own<discovery::RelayAnswer>&& answer) mutable
+              -> kj::Promise<void> {
+          if (link_->server == nullptr)
+            return Stopped();
+          // The asker turns to the store.
+          if (EstimateBytes(*answer) > kMaxPeerMessageBytes)
+            *answer = {.failure = discovery::TableFailure::kRefused};
+          auto results = context.getResults(SizeHint(EstimateBytes(*answer)));
+          WriteOwnHeader(results.initHeader());
+          WriteRowsAnswer(*answer, results.initAnswer());
+          return kj::READY_NOW;
+        });
+  }
+
   kj::Promise<void> cancelSlot(CancelSlotContext context) override {
     PeerInfo peer;
     if (auto end = CheckHeader(context, peer); end != nullptr)
--- a/Libraries/LibPeer/include/cicadadrum/peer/messages.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/messages.h
@@ -15,6 +15,7 @@
 #include "cicadadrum/base/time.h"
 #include "cicadadrum/base/verdict.h"
 #include "cicadadrum/claim/claim.h"
+#include "cicadadrum/discovery/relay.h"
 #include "cicadadrum/model/deployment.h"
 #include "cicadadrum/model/request.h"
 #include "cicadadrum/steering/pool.h"
--- a/Libraries/LibPeer/include/cicadadrum/peer/peer_client.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/peer_client.h
@@ -83,6 +83,11 @@
                    TimePoint deadline,
                    CallDone<std::optional<PeerItem>> done);
 
+  CallId FollowRows(const std::string& address,
+                    const discovery::RelayAsk& ask,
+                    TimePoint deadline,
+                    CallDone<discovery::RelayAnswer> done);
+
   // Ends a call without calling its `done`. Returns false if it has ended.
   bool Cancel(CallId call);
 
--- a/Libraries/LibPeer/include/cicadadrum/peer/peer_server.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/peer_server.h
@@ -51,6 +51,12 @@
                                         const std::string& key,
                                         std::uint64_t version)>
       fetch_item;
+
+  // Ends with AnswerRows() or drop_rows. `call` is never used again.
+  std::function<
+      void(std::uint64_t call, const PeerInfo&, const discovery::RelayAsk&)>
+      follow_rows;
+  std::function<void(std::uint64_t call)> drop_rows;
 };
 
 class PeerServer {
@@ -81,6 +87,9 @@
   // Returns false if the call is no longer open.
   bool AnswerExecute(std::uint64_t call, const ForwardedAnswer& answer);
 
+  // Returns false if the call is no longer open.
+  bool AnswerRows(std::uint64_t call, const discovery::RelayAnswer& answer);
+
   // Refuses new slot requests and forwarded requests as not handled. Other
   // calls go on, and open calls can still be answered.
   void RefuseNewWork();
--- a/Libraries/LibPeer/open_calls.h
+++ b/Libraries/LibPeer/open_calls.h
@@ -33,10 +33,15 @@
   kj::Own<kj::PromiseFulfiller<kj::Own<ForwardedAnswer>>> fulfiller;
 };
 
+struct OpenFollow {
+  kj::Own<kj::PromiseFulfiller<kj::Own<discovery::RelayAnswer>>> fulfiller;
+};
+
 struct OpenCalls {
   std::uint64_t next_call = 1;
   std::map<SlotRequestKey, OpenSlotRequest> slots;
   std::map<std::uint64_t, OpenExecute> executes;
+  std::map<std::uint64_t, OpenFollow> follows;
 };
 
 }  // namespace cicadadrum
--- a/Libraries/LibPeer/peer_client.cc
+++ b/Libraries/LibPeer/peer_client.cc
@@ -297,6 +297,26 @@
   return impl.Start(std::move(call), deadline);
 }
 
+CallId PeerClient::FollowRows(const std::string& address,
+                              const discovery::RelayAsk& ask,
+                              TimePoint deadline,
+                              CallDone<discovery::RelayAnswer> done) {
+  Impl& impl = *impl_;
+  auto call =
+      MakeCall<discovery::RelayAnswer>(address, kSmallMessageBytes, done);
+  call.send = [&impl, ask, done = std::move(done)](
+                  schema::EntryPeer::Client& peer, CallId id) {
+    auto request = peer.followRowsRequest(SizeHint(kSmallMessageBytes));
+    WriteOwnHeader(impl, request);
+    WriteRowsAsk(ask, request.initAsk());
+    return SendCall<discovery::RelayAnswer>(
+        impl, id, done, request, [](const auto& response) {
+          return ReadRowsAnswer(response.getAnswer());
+        });
+  };
+  return impl.Start(std::move(call), deadline);
+}
+
 bool PeerClient::Cancel(CallId call) {
   return impl_->Cancel(call);
 }
--- a/Libraries/LibPeer/peer_server.cc
+++ b/Libraries/LibPeer/peer_server.cc
@@ -246,6 +246,29 @@
   RunHandler([&] { handlers.cancel_execute(call); });
 }
 
+kj::Promise<kj::Own<discovery::RelayAnswer>> PeerServer::Impl::AskRows(
+    const PeerInfo& peer,
+    const discovery::RelayAsk& ask) {
+  const std::uint64_t call = open.next_call++;
+  auto paf = kj::newPromiseAndFulfiller<kj::Own<discovery::RelayAnswer>>();
+  open.follows.emplace(call, OpenFollow{kj::mv(paf.fulfiller)});
+  if (!RunHandler([&] { handlers.follow_rows(call, peer, ask); })) {
+    open.follows.erase(call);
+    return KJ_EXCEPTION(FAILED, "the handler failed");
+  }
+  return paf.promise.attach(kj::defer([shared = link, call] {
+    if (shared->server != nullptr)
+      shared->server->DropRows(call);
+  }));
+}
+
+void PeerServer::Impl::DropRows(std::uint64_t call) {
+  if (open.follows.erase(call) == 0)
+    return;
+  ++faults.counters.calls_cancelled;
+  RunHandler([&] { handlers.drop_rows(call); });
+}
+
 void PeerServer::Impl::ReportHandlerFailure(std::string_view detail) {
   ReportFault(faults, PeerFault::kHandlerFailed, "handler", detail,
               settings.now());
@@ -299,6 +322,16 @@
   return true;
 }
 
+bool PeerServer::AnswerRows(std::uint64_t call,
+                            const discovery::RelayAnswer& answer) {
+  const auto found = impl_->open.follows.find(call);
+  if (found == impl_->open.follows.end())
+    return false;
+  found->second.fulfiller->fulfill(kj::heap(kj::cp(answer)));
+  impl_->open.follows.erase(found);
+  return true;
+}
+
 void PeerServer::RefuseNewWork() {
   impl_->refuses_calls = true;
 }
@@ -308,7 +341,8 @@
 }
 
 std::size_t PeerServer::open_call_count() const {
-  return impl_->open.slots.size() + impl_->open.executes.size();
+  return impl_->open.slots.size() + impl_->open.executes.size() +
+         impl_->open.follows.size();
 }
 
 const PeerCounters& PeerServer::counters() const {
--- a/Libraries/LibPeer/server_impl.h
+++ b/Libraries/LibPeer/server_impl.h
@@ -75,13 +75,17 @@
   // Counts a bad message, and closes the connection soon.
   void CloseMalformed(std::uint64_t connection, std::string_view detail);
 
-  // Both return the promise of the answer. Dropping it tells the handler.
+  // All return the promise of the answer. Dropping it tells the handler.
   kj::Promise<kj::Own<SlotAnswer>> AskSlot(const PeerInfo& peer,
                                            const ReceivedSlotRequest& request);
   kj::Promise<kj::Own<ForwardedAnswer>> AskExecute(
       const PeerInfo& peer,
       const ForwardedRequest& request);
 
+  kj::Promise<kj::Own<discovery::RelayAnswer>> AskRows(
+      const PeerInfo& peer,
+      const discovery::RelayAsk& ask);
+
   // Ends a slot request that its sender cancelled.
   void CancelSlot(const SlotRequestKey& key);
 
@@ -118,6 +122,7 @@
   void CloseSoon(std::uint64_t connection);
   void DropSlot(const SlotRequestKey& key, std::uint64_t call);
   void DropExecute(std::uint64_t call);
+  void DropRows(std::uint64_t call);
   void taskFailed(kj::Exception&& exception) override;
 
   std::unique_ptr<evconnlistener, ListenerFree> listener_;
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -61,6 +61,9 @@
   bool operator==(const ServerEntry&) const = default;
 };
 
+// Whether `present` says more of the server than that it is still there.
+bool TellsNews(const ServerEntry& known, const ServerEntry& present);
+
 // What a server says of its load with a response.
 struct LoadReport {
   std::uint32_t running = 0;
--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -52,6 +52,17 @@
 
 }  // namespace
 
+bool TellsNews(const ServerEntry& known, const ServerEntry& present) {
+  ServerEntry same = present;
+  same.row_version = known.row_version;
+  // The time that is left only runs out.
+  const bool is_colder = present.cold_left > known.cold_left ||
+                         (present.cold_left > Duration::zero() &&
+                          known.cold_left == Duration::zero());
+  same.cold_left = known.cold_left;
+  return is_colder || same != known;
+}
+
 void UpdateServers(RoutingState& state,
                    const ServersChanged& event,
                    TimePoint now) {
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -198,6 +198,41 @@
   observations @1 :List(ServerObservation);
 }
 
+enum TableFailure {
+  historyLost @0;
+  refused @1;
+  noAnswer @2;
+  behind @3;
+}
+
+# Asks for rows of a table of the store that the receiver reads.
+struct RowsAsk {
+  table @0 :Text;
+  whole @1 :Bool;  # All rows, whatever was known before.
+  after @2 :UInt64;  # Version up to which the sender knows the rows.
+  sequence @3 :UInt64;  # Of the receiver's last answer; 0 for none.
+  waitMicroseconds @4 :Int64;  # For an answer without rows.
+}
+
+struct StoreRow {
+  key @0 :Text;
+  value @1 :Data;
+  version @2 :UInt64;
+  removed @3 :Bool;
+}
+
+struct RowsAnswer {
+  union {
+    failure @0 :TableFailure;
+    rows :group {
+      changed @1 :List(StoreRow);
+      version @2 :UInt64;  # The rows are complete up to it.
+      sequence @3 :UInt64;
+      ageMicroseconds @4 :Int64;  # Since it was known that the rows are complete.
+    }
+  }
+}
+
 # A lease that an entry VM holds from an earlier owner of the pool.
 struct HeldLease {
   lease @0 :UInt64;
@@ -234,4 +269,6 @@
   # The sender is the new owner of the pool; the receiver answers with reportLeases.
   askLeases @6 (header :PeerHeader, pool :PoolName) -> (header :PeerHeader);
   reportLeases @7 (header :PeerHeader, report :LeasesReport) -> (header :PeerHeader);
+  # Answered when there are rows, or after the wait.
+  followRows @8 (header :PeerHeader, ask :RowsAsk) -> (header :PeerHeader, answer :RowsAnswer);
 }
--- /dev/null
+++ b/Tests/LibDiscovery/relay_world.h
@@ -0,0 +1,81 @@
+// A store and entry VMs that read it for each other, in virtual time.
+
+#ifndef CICADADRUM_TESTS_LIBDISCOVERY_RELAY_WORLD_H_
+#define CICADADRUM_TESTS_LIBDISCOVERY_RELAY_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cicadadrum/discovery/relay.h"
+#include "cicadadrum/discovery/table.h"
+
+namespace cicadadrum::discovery {
+
+constexpr TimePoint kRelayStart{Seconds(100)};
+
+// One entry VM. Its name says its region: "north-1" is in "north".
+struct RelayEntry {
+  RelayCandidate self;
+  TableState table;
+  RelayState relay;
+  TimePoint table_wake = kNever;
+  TimePoint relay_wake = kNever;
+  std::map<std::string, TableRow> rows;  // As this entry VM believes.
+  std::uint64_t store_calls = 0;
+  bool is_cut_off = false;  // From the store; its calls get no answer.
+  bool is_frozen = false;   // Does nothing.
+};
+
+class RelayWorld {
+ public:
+  RelayWorld(const std::vector<std::string>& names,
+             const TableOptions& options);
+
+  void Put(const std::string& key);
+  void Remove(const std::string& key);
+  // Plays until `end`.
+  void RunUntil(TimePoint end);
+
+  RelayEntry& entry(const std::string& name) { return entries_.at(name); }
+  // Name of the entry VM that reads the store for `region`.
+  std::string RelayOf(const std::string& region) const;
+
+  TimePoint now = kRelayStart;
+
+ private:
+  struct Waiting {
+    std::string entry;
+    FollowTable call;
+    TimePoint until;
+  };
+
+  void Later(Duration delay, std::function<void()> action);
+  void Step(const std::string& name, const TableEvent& event);
+  void StepRelayOf(const std::string& name, const RelayEvent& event);
+  void Perform(const std::string& name, const ReadTable& action);
+  void Perform(const std::string& name, const FollowTable& action);
+  void AskPeer(const std::string& name,
+               std::uint64_t call,
+               const std::string& peer,
+               const RelayAsk& ask);
+  void FailAfter(const std::string& name, std::uint64_t call, Duration delay);
+  void AnswerFeed(const Waiting& waiting);
+  void WakeFeeds();
+  void Tick();
+
+  std::map<std::string, RelayEntry> entries_;
+  std::multimap<TimePoint, std::function<void()>> later_;
+  std::vector<TableRow> history_;  // Of the store.
+  std::vector<Waiting> feeds_;
+  std::uint64_t version_ = 0;
+  std::uint64_t next_call_ = 1;
+  // Who asked, by call at the relay.
+  std::map<std::uint64_t, std::function<void(const RelayAnswer&)>> asked_;
+};
+
+}  // namespace cicadadrum::discovery
+
+#endif  // CICADADRUM_TESTS_LIBDISCOVERY_RELAY_WORLD_H_
--- /dev/null
+++ b/Tests/LibDiscovery/test_relay.cc
@@ -0,0 +1,251 @@
+// Tests of rows that entry VMs hand on, and of the choice of a source.
+
+#include <doctest/doctest.h>
+
+#include "relay_world.h"
+
+namespace cicadadrum::discovery {
+
+namespace {
+
+// Within which a change must be known at every entry VM that can reach the
+// store.
+constexpr Duration kBound = Seconds(2);
+
+TableOptions Options() {
+  return {.table = "servers",
+          .period = kBound * 2 / 5,
+          .wait = kBound / 5,
+          .timeout = Milliseconds(700),
+          .peer_wait = kBound * 3 / 20,
+          .longest_age = kBound * 13 / 20};
+}
+
+const std::vector<std::string> kNames = {"north-1", "north-2", "north-3",
+                                         "south-1", "south-2"};
+
+struct RelayFixture {
+  RelayState state = MakeRelayState(100);
+  TimePoint now = kRelayStart;
+  std::vector<RelayReply> replies;
+  TimePoint wake = kNever;
+
+  void Step(const RelayEvent& event) {
+    RelayActions actions;
+    StepRelay(state, event, now, actions);
+    for (const RelayAction& action : actions) {
+      if (const auto* reply = std::get_if<RelayReply>(&action))
+        replies.push_back(*reply);
+      if (const auto* due = std::get_if<RelayWake>(&action))
+        wake = due->at;
+    }
+  }
+
+  void Feed(std::vector<TableRow> rows, std::uint64_t version) {
+    Step(RelayFed{std::move(rows), version, Duration::zero()});
+  }
+
+  RelayAnswer Ask(const RelayAsk& ask) {
+    const std::size_t before = replies.size();
+    Step(RelayAsked{before + 1, ask});
+    REQUIRE(replies.size() == before + 1);
+    return replies.back().answer;
+  }
+};
+
+TableRow Put(const std::string& key, std::uint64_t version) {
+  return {.key = key, .value = "value", .version = version};
+}
+
+}  // namespace
+
+TEST_CASE("a question waits for the next change") {
+  RelayFixture relay;
+  relay.Feed({Put("a", 1)}, 1);
+  const std::uint64_t sequence = relay.Ask({.whole = true}).sequence;
+  relay.Step(RelayAsked{
+      7, {.after = 1, .sequence = sequence, .wait = Milliseconds(300)}});
+  CHECK(relay.replies.size() == 1);
+  relay.now += Milliseconds(100);
+  relay.Feed({Put("b", 2)}, 2);
+  REQUIRE(relay.replies.size() == 2);
+  CHECK(relay.replies[1].call == 7);
+  REQUIRE(relay.replies[1].answer.rows.size() == 1);
+  CHECK(relay.replies[1].answer.rows[0].key == "b");
+  CHECK(relay.replies[1].answer.version == 2);
+}
+
+TEST_CASE("a question ends after its wait and tells the age") {
+  RelayFixture relay;
+  relay.Feed({Put("a", 1)}, 1);
+  const std::uint64_t sequence = relay.Ask({.whole = true}).sequence;
+  relay.Step(RelayAsked{
+      7, {.after = 1, .sequence = sequence, .wait = Milliseconds(300)}});
+  CHECK(relay.wake == relay.now + Milliseconds(300));
+  relay.now = relay.wake;
+  relay.Step(RelayTick{});
+  REQUIRE(relay.replies.size() == 2);
+  CHECK(relay.replies[1].answer.rows.empty());
+  CHECK(relay.replies[1].answer.age == Milliseconds(300));
+  // Nobody is answered twice.
+  relay.now += Seconds(1);
+  relay.Step(RelayTick{});
+  CHECK(relay.replies.size() == 2);
+}
+
+// Guards against missing a removal that the relay held back while the store
+// came back: its version is below what was handed on before.
+TEST_CASE("a late removal with an old version is handed on") {
+  RelayFixture relay;
+  relay.Feed({Put("a", 1), Put("b", 2)}, 2);
+  const RelayAnswer first = relay.Ask({.whole = true});
+  relay.Feed({Put("c", 9)}, 9);
+  const RelayAnswer second =
+      relay.Ask({.after = first.version, .sequence = first.sequence});
+  CHECK(second.version == 9);
+  relay.Feed({{.key = "a", .version = 4, .removed = true}}, 9);
+  for (const std::uint64_t sequence : {second.sequence, std::uint64_t{0}}) {
+    const RelayAnswer third =
+        relay.Ask({.after = second.version, .sequence = sequence});
+    bool has_removal = false;
+    for (const TableRow& row : third.rows)
+      has_removal = has_removal || (row.key == "a" && row.removed);
+    CHECK(has_removal);
+  }
+}
+
+TEST_CASE("a relay that knows less says so") {
+  RelayFixture relay;
+  CHECK(relay.Ask({.whole = true}).failure == TableFailure::kBehind);
+  relay.Feed({Put("a", 5)}, 5);
+  CHECK(relay.Ask({.after = 6}).failure == TableFailure::kBehind);
+  // Removals from before its first read are not known to it.
+  CHECK(relay.Ask({.after = 3}).failure == TableFailure::kHistoryLost);
+  CHECK_FALSE(relay.Ask({.after = 5}).failure);
+}
+
+// Guards against memory that grows with each server that ever left.
+TEST_CASE("old removals are forgotten") {
+  RelayFixture relay;
+  relay.Feed({Put("a", 1)}, 1);
+  for (std::uint64_t i = 2; i < 3000; ++i)
+    relay.Feed({{.key = std::to_string(i), .version = i, .removed = true}}, i);
+  CHECK(relay.state.rows.size() < 600);
+  CHECK(relay.Ask({.after = 100}).failure == TableFailure::kHistoryLost);
+  CHECK(relay.Ask({.after = 100, .sequence = 200}).failure ==
+        TableFailure::kHistoryLost);
+  CHECK(relay.Ask({.whole = true}).rows.size() == 1);
+}
+
+TEST_CASE("entry VMs of a region share one reader") {
+  RelayWorld world(kNames, Options());
+  const std::string relay = world.RelayOf("north");
+  const std::string far = world.RelayOf("south");
+  for (const std::string name : {"north-1", "north-2", "north-3"}) {
+    const auto& sources = world.entry(name).table.sources;
+    REQUIRE(sources.size() == (name == relay ? 2 : 3));
+    CHECK(sources.back().peer == far);
+    CHECK(sources.front().peer == (name == relay ? "" : relay));
+  }
+}
+
+// Guards against a call to the store from every entry VM, of which the store
+// bears a limited number.
+TEST_CASE("changes reach all entry VMs while only readers ask the store") {
+  RelayWorld world(kNames, Options());
+  world.Put("a");
+  world.RunUntil(kRelayStart + Seconds(5));
+  std::map<std::string, std::uint64_t> calls;
+  for (const std::string& name : kNames)
+    calls[name] = world.entry(name).store_calls;
+  for (int i = 0; i < 10; ++i) {
+    const std::string key = "key-" + std::to_string(i);
+    world.Put(key);
+    world.RunUntil(world.now + kBound * 7 / 10);
+    for (const std::string& name : kNames)
+      CHECK(world.entry(name).rows.contains(key));
+    world.Remove(key);
+    world.RunUntil(world.now + kBound * 7 / 10);
+    for (const std::string& name : kNames)
+      CHECK_FALSE(world.entry(name).rows.contains(key));
+  }
+  for (const std::string& name : kNames) {
+    const bool reads =
+        name == world.RelayOf("north") || name == world.RelayOf("south");
+    CHECK((world.entry(name).store_calls > calls[name]) == reads);
+  }
+}
+
+// Guards against a reader that hears nothing or does nothing and takes its
+// whole region with it: the bound holds for every entry VM that can reach the
+// store.
+TEST_CASE("the bound holds when the reader fails at the worst moment") {
+  for (const bool is_frozen : {false, true}) {
+    for (int offset = 0; offset < 1500; offset += 50) {
+      RelayWorld world(kNames, Options());
+      world.Put("a");
+      world.RunUntil(kRelayStart + Seconds(4) + Milliseconds(offset));
+      const std::string relay = world.RelayOf("north");
+      (is_frozen ? world.entry(relay).is_frozen
+                 : world.entry(relay).is_cut_off) = true;
+      world.Remove("a");
+      world.Put("b");
+      world.RunUntil(world.now + kBound);
+      for (const std::string& name : kNames) {
+        CAPTURE(is_frozen);
+        CAPTURE(offset);
+        CAPTURE(name);
+        if (name == relay)
+          continue;
+        CHECK_FALSE(world.entry(name).rows.contains("a"));
+        CHECK(world.entry(name).rows.contains("b"));
+      }
+    }
+  }
+}
+
+TEST_CASE("an entry VM without the store learns from its peers") {
+  RelayWorld world(kNames, Options());
+  world.Put("a");
+  const std::string relay = world.RelayOf("north");
+  world.RunUntil(kRelayStart + Seconds(3));
+  // The reader turns to the one of the other region, and its own region with
+  // it, because nobody there reaches the store.
+  for (const std::string name : {"north-1", "north-2", "north-3"})
+    world.entry(name).is_cut_off = true;
+  world.RunUntil(world.now + Seconds(3));
+  world.Remove("a");
+  world.Put("b");
+  world.RunUntil(world.now + Seconds(4));
+  for (const std::string& name : kNames) {
+    CAPTURE(name);
+    CHECK_FALSE(world.entry(name).rows.contains("a"));
+    CHECK(world.entry(name).rows.contains("b"));
+  }
+}
+
+// Guards against taking rows back that a source with older knowledge lacks.
+TEST_CASE("a peer that knows less removes nothing") {
+  TableState table = MakeTableState(Options(), 1);
+  TableActions actions;
+  const auto step = [&](const TableEvent& event, TimePoint at) {
+    actions.clear();
+    StepTable(table, event, at, actions);
+  };
+  step(TableTick{}, kRelayStart);
+  step(TableAnswered{.call = 1, .rows = {Put("a", 8)}, .version = 8},
+       kRelayStart);
+  step(SourcesChanged{.before_store = {"peer"}}, kRelayStart);
+  step(TableTick{}, kRelayStart + Seconds(2));
+  step(TableFailed{2, TableFailure::kHistoryLost}, kRelayStart + Seconds(2));
+  REQUIRE(std::get_if<ReadTable>(&actions.front()) != nullptr);
+  step(TableAnswered{.call = 3, .rows = {}, .version = 5},
+       kRelayStart + Seconds(2));
+  CHECK(table.known.contains("a"));
+  // The store is asked instead.
+  step(TableTick{}, kRelayStart + Seconds(3));
+  REQUIRE(std::get_if<ReadTable>(&actions.front()) != nullptr);
+  CHECK(std::get<ReadTable>(actions.front()).peer.empty());
+}
+
+}  // namespace cicadadrum::discovery
--- a/Tests/LibPeer/test_codec.cc
+++ b/Tests/LibPeer/test_codec.cc
@@ -46,6 +46,7 @@
   CheckSameNames<AttemptOutcome, schema::AttemptOutcome>();
   CheckSameNames<PeerMemberState, schema::MemberState>();
   CheckSameNames<PeerExchangeKind, schema::ExchangeKind>();
+  CheckSameNames<discovery::TableFailure, schema::TableFailure>();
 }
 
 }  // namespace cicadadrum
