LibRouting: Send refused callers back apart, and across the split if that saves them

They came back after half of the expected time, 100 to 200 ms, together, to the same full servers.

Change: a caller of full servers comes back after a sixth to a third of the time that it has left, by chance; a request that the region of its split would refuse may go to one that takes it, within the 2 in 100 that may leave the split.

--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -293,7 +293,7 @@
       if (best.first == nullptr || IsBetter(cost, best.second))
         best = {candidate.server, cost};
     }
-    costs.emplace_back(region, best.second.total_ms);
+    costs.push_back({region, best.second.total_ms, best.second.admits});
   }
   if (costs.empty())
     return {};
--- a/Libraries/LibRouting/region_shares.cc
+++ b/Libraries/LibRouting/region_shares.cc
@@ -22,7 +22,8 @@
 constexpr double kCalmLoad = 0.6;
 constexpr double kLoadMargin = 0.25;
 
-// A request may leave the split if that makes it this much faster, ...
+// A request may leave the split if that makes it this much faster or saves it
+// from a refusal, ...
 constexpr double kOverrideMs = 150;
 // ... but only this share of the requests may.
 constexpr double kMaxOverrides = 0.02;
@@ -223,15 +224,20 @@
   AdvanceSplit(shares.split, demands, now);
 }
 
-const std::pair<std::string, double>* Find(const RegionCosts& costs,
-                                           const std::string& region) {
-  for (const auto& cost : costs) {
-    if (cost.first == region)
+const RegionCost* Find(const RegionCosts& costs, const std::string& region) {
+  for (const RegionCost& cost : costs) {
+    if (cost.region == region)
       return &cost;
   }
   return nullptr;
 }
 
+bool IsBetter(const RegionCost& a, const RegionCost& b) {
+  if (a.admits != b.admits)
+    return a.admits;
+  return a.cost_ms < b.cost_ms;
+}
+
 }  // namespace
 
 std::string PickRegionFor(RoutingState& state,
@@ -243,22 +249,22 @@
   const std::string name = request.route.name + " " + request.service;
   if (!shares.split.services.contains(name))
     shares.split.services[name].current = StartingSplit(state, request);
-  const auto& cheapest = *std::min_element(
-      costs.begin(), costs.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
+  const RegionCost& best =
+      *std::min_element(costs.begin(), costs.end(), IsBetter);
   shares.requests += 1;
   Advance(state, now);
   const auto picked = PickRegion(shares.split, name, request.object);
-  const auto* split_cost = picked ? Find(costs, *picked) : nullptr;
+  const RegionCost* usual = picked ? Find(costs, *picked) : nullptr;
   // A region without a usable server is no matter of the split.
-  if (split_cost == nullptr)
-    return cheapest.first;
-  const bool much_slower = split_cost->second > cheapest.second + kOverrideMs;
-  if (much_slower && shares.overrides + 1 <= shares.requests * kMaxOverrides) {
+  if (usual == nullptr)
+    return best.region;
+  const bool much_better = usual->cost_ms > best.cost_ms + kOverrideMs ||
+                           (best.admits && !usual->admits);
+  if (much_better && shares.overrides + 1 <= shares.requests * kMaxOverrides) {
     shares.overrides += 1;
-    return cheapest.first;
+    return best.region;
   }
-  return split_cost->first;
+  return usual->region;
 }
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/region_shares.h
+++ b/Libraries/LibRouting/region_shares.h
@@ -5,15 +5,19 @@
 #define CICADADRUM_ROUTING_REGION_SHARES_H_
 
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "cicadadrum/routing/routing.h"
 
 namespace cicadadrum::routing {
 
-// The cost in ms of the cheapest server of each region that has one.
-using RegionCosts = std::vector<std::pair<std::string, double>>;
+// The best server of a region for a request.
+struct RegionCost {
+  std::string region;
+  double cost_ms = 0;
+  bool admits = true;  // It takes the request within a time that is worth it.
+};
+using RegionCosts = std::vector<RegionCost>;
 
 // Returns one of the regions in `costs`, which must not be empty.
 std::string PickRegionFor(RoutingState& state,
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -26,6 +26,10 @@
 constexpr Duration kShortestRetryAfter = Milliseconds(100);
 constexpr Duration kLongestRetryAfter = Seconds(2);
 
+// Of the time that a refused caller has left.
+constexpr double kSoonestReturn = 0.16;
+constexpr double kLatestReturn = 0.33;
+
 using Requests = std::unordered_map<std::uint64_t, RequestState>;
 
 void EndRequest(RoutingState& state, Requests::iterator request) {
@@ -67,6 +71,17 @@
   return route.shares[best].service;
 }
 
+// Returns when a caller should come back to servers that are full now. Those
+// that are refused together come back apart, and with enough time for an
+// answer.
+Duration SpreadRetryAfter(RoutingState& state, Duration remaining) {
+  const double share = kSoonestReturn + (kLatestReturn - kSoonestReturn) *
+                                            RandomUnit(state.random);
+  const auto wait = Duration(static_cast<std::int64_t>(
+      static_cast<double>(remaining.count()) * share));
+  return std::clamp(wait, kShortestRetryAfter, kLongestRetryAfter);
+}
+
 Duration SuggestRetryAfter(Duration expected, Duration remaining) {
   const Duration wanted =
       std::clamp(expected / 2, kShortestRetryAfter, kLongestRetryAfter);
@@ -88,7 +103,7 @@
   // Work alone is no reason to refuse: its estimate would never be corrected.
   if (!choice.admitted || (choice.waits && choice.expected > remaining))
     return Refuse(state, id, RefusalReason::kOverloaded,
-                  SuggestRetryAfter(choice.expected, remaining), actions);
+                  SpreadRetryAfter(state, remaining), actions);
   Server& server = *choice.server;
   CountSend(state.services[request.service], state.options.bounds,
             request.attempts > 0, now);
--- a/Tests/LibRouting/test_load.cc
+++ b/Tests/LibRouting/test_load.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 #include "load_world.h"
 #include "routing_fixture.h"
 
@@ -118,4 +120,20 @@
   CHECK(fixture.refused.back().verdict == Verdict::kNotRun);
 }
 
+// Guards against callers that are refused together and come back together.
+TEST_CASE("callers of full servers come back apart") {
+  RoutingFixture fixture({MakeServer("s1")});
+  fixture.Step(ObservationsReceived{{Observe("s1", FullReport())}});
+  std::set<Duration> waits;
+  for (std::uint64_t object = 1; object <= 20; ++object) {
+    fixture.Arrive("read", object, Milliseconds(1500));
+    const RefuseRequest& refusal = fixture.refused.back();
+    CHECK(refusal.reason == RefusalReason::kOverloaded);
+    CHECK(refusal.retry_after >= Milliseconds(200));
+    CHECK(refusal.retry_after <= Milliseconds(500));
+    waits.insert(refusal.retry_after);
+  }
+  CHECK(waits.size() > 10);
+}
+
 }  // namespace cicadadrum::routing
