--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -142,7 +142,7 @@
 namespace cicadadrum {
 namespace schema {
 
-static constexpr  ::uint32_t PROTOCOL_VERSION = 1u;
+static constexpr  ::uint32_t PROTOCOL_VERSION = 2u;
 typedef ::capnp::schemas::Verdict_b9c6fb02267d432e Verdict;
 
 typedef ::capnp::schemas::RefusalReason_d59fd5892a1d14a1 RefusalReason;
--- a/Libraries/LibLoop/datagram_socket.cc
+++ b/Libraries/LibLoop/datagram_socket.cc
@@ -11,6 +11,7 @@
 
 #include "cicadadrum/base/error.h"
 #include "cicadadrum/loop/address.h"
+#include "cicadadrum/loop/event_pointer.h"
 
 namespace cicadadrum {
 
@@ -23,10 +24,6 @@
 // Leaves the rest of a flood to the next round of the loop.
 constexpr int kMaxDatagramsARound = 64;
 
-struct EventDeleter {
-  void operator()(event* pointer) const { event_free(pointer); }
-};
-
 struct SocketAddress {
   sockaddr_storage storage{};
   socklen_t length = 0;
@@ -78,7 +75,7 @@
   Handler handler;
   evutil_socket_t fd = -1;
   std::uint16_t port = 0;
-  std::unique_ptr<event, EventDeleter> readable{};
+  EventPointer readable{};
 };
 
 void DatagramSocket::Impl::Read() {
--- a/Libraries/LibLoop/event_loop.cc
+++ b/Libraries/LibLoop/event_loop.cc
@@ -4,25 +4,11 @@
 
 #include <event2/event.h>
 
-#include <algorithm>
 #include <ctime>
 
-namespace cicadadrum {
-
-namespace {
-
-struct EventDeleter {
-  void operator()(event* pointer) const { event_free(pointer); }
-};
-using EventPointer = std::unique_ptr<event, EventDeleter>;
+#include "cicadadrum/loop/event_pointer.h"
 
-timeval ToTimeval(Duration duration) {
-  const std::int64_t microseconds = std::max<std::int64_t>(duration.count(), 0);
-  return {.tv_sec = microseconds / 1'000'000,
-          .tv_usec = microseconds % 1'000'000};
-}
-
-}  // namespace
+namespace cicadadrum {
 
 struct EventLoop::Impl {
   event_base* base = nullptr;
--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "cicadadrum/loop/address.h"
+#include "cicadadrum/loop/event_pointer.h"
 #include "http_parser_state.h"
 
 namespace cicadadrum {
@@ -25,11 +26,6 @@
 // idle timeout, so that a request does not cross the server's close.
 constexpr Duration kKeepAliveMargin = Seconds(1);
 
-timeval ToTimeval(Duration duration) {
-  return {.tv_sec = duration.count() / 1'000'000,
-          .tv_usec = duration.count() % 1'000'000};
-}
-
 void SetSocketOptions(evutil_socket_t fd, Duration unacknowledged_timeout) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/Libraries/LibPeer/client_calls.cc
+++ b/Libraries/LibPeer/client_calls.cc
@@ -20,11 +20,6 @@
 // expires.
 constexpr Duration kAbandonLimit = Seconds(5);
 
-timeval ToTimeval(Duration duration) {
-  const std::int64_t microseconds = std::max<std::int64_t>(duration.count(), 0);
-  return {microseconds / 1'000'000, microseconds % 1'000'000};
-}
-
 }  // namespace
 
 PeerClient::Impl::Impl(KjLoop& kj_loop, PeerSettings peer_settings)
--- a/Libraries/LibPeer/client_impl.h
+++ b/Libraries/LibPeer/client_impl.h
@@ -19,10 +19,10 @@
 #include <vector>
 
 #include "cicadadrum/base/random.h"
+#include "cicadadrum/loop/event_pointer.h"
 #include "cicadadrum/peer/peer_client.h"
 #include "codec.h"
 #include "connection.h"
-#include "event_free.h"
 #include "fault_log.h"
 
 namespace cicadadrum {
@@ -58,7 +58,7 @@
   // cancelSlot; other calls end there when the promise of the answer is
   // dropped.
   std::optional<SlotName> slot;
-  EventPtr timer;  // Refers to this struct; null if there is no deadline.
+  EventPointer timer;  // Refers to this struct; null if there is no deadline.
   kj::Maybe<kj::Promise<void>> answer;  // Set once sent.
 };
 
--- a/Libraries/LibPeer/include/cicadadrum/peer/peer_settings.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/peer_settings.h
@@ -14,7 +14,11 @@
 namespace cicadadrum {
 
 // Version of Schemas/peer.capnp. Peers of another version are refused.
-constexpr std::uint32_t kPeerProtocolVersion = 1;
+constexpr std::uint32_t kPeerProtocolVersion = 2;
+
+// Returns the identity of a run of this process. The high half grows with each
+// start, so that peers can tell the newer run; the low half makes it unique.
+Incarnation NewIncarnation();
 
 struct PeerSettings {
   std::string name;  // Of this entry VM.
--- a/Libraries/LibPeer/server_impl.h
+++ b/Libraries/LibPeer/server_impl.h
@@ -15,10 +15,10 @@
 #include <string>
 #include <string_view>
 
+#include "cicadadrum/loop/event_pointer.h"
 #include "cicadadrum/peer/peer_server.h"
 #include "codec.h"
 #include "connection.h"
-#include "event_free.h"
 #include "fault_log.h"
 #include "open_calls.h"
 
@@ -126,7 +126,7 @@
   void taskFailed(kj::Exception&& exception) override;
 
   std::unique_ptr<evconnlistener, ListenerFree> listener_;
-  EventPtr accept_again_;
+  EventPointer accept_again_;
   std::uint64_t next_connection_ = 1;
   kj::TaskSet tasks_;
 };
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -5,7 +5,7 @@
 using Configuration = import "configuration.capnp";
 $Cxx.namespace("cicadadrum::schema");
 
-const protocolVersion :UInt32 = 1;
+const protocolVersion :UInt32 = 2;
 
 enum Verdict {
   ran @0;
--- a/Services/EntryServer/main.cc
+++ b/Services/EntryServer/main.cc
@@ -3,14 +3,13 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <chrono>
 #include <csignal>
 #include <iostream>
-#include <random>
 
 #include "cicadadrum/configuration/settings.h"
 #include "cicadadrum/entry/entry_server.h"
 #include "cicadadrum/loop/event_loop.h"
+#include "cicadadrum/peer/peer_settings.h"
 #include "cicadadrum/program/program.h"
 #include "cicadadrum/telemetry/log.h"
 
@@ -21,17 +20,6 @@
 namespace leaf = boost::leaf;
 namespace po = boost::program_options;
 
-// The high half grows with each start, so that peers can tell the newer run;
-// the low half makes it unique.
-Incarnation NewIncarnation() {
-  std::random_device device;
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto microseconds =
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count();
-  return {static_cast<std::uint64_t>(microseconds),
-          (static_cast<std::uint64_t>(device()) << 32) | device()};
-}
-
 // Descriptors for connections to peers, backend servers and the platform.
 constexpr rlim_t kOwnDescriptors = 512;
 
