LibRouting: Let large bodies leave a busy region last

Change: a route with bodies of 16 KiB and more starts with twice its share at home, leaves a region at a load of 1.3 instead of 0.85, and comes back below 1.0 instead of 0.6.

Test: a busy region keeps its uploads while its reads leave.

--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -97,7 +97,8 @@
 // The split of each route and service between regions. It follows the load of
 // their servers under the shift cap.
 struct RegionShares {
-  SplitState split;  // Its services are named "route service".
+  SplitState split;             // Its services are named "route service".
+  std::set<std::string> heavy;  // Those of them with large bodies.
   TimePoint next_advance{};
   // Requests sent elsewhere than the split says, of those in the last window.
   double overrides = 0;
--- a/Libraries/LibRouting/region_shares.cc
+++ b/Libraries/LibRouting/region_shares.cc
@@ -18,8 +18,15 @@
 
 // Above this load, requests leave their own region for one whose load is
 // smaller by the margin; below the second one they come back.
-constexpr double kBusyLoad = 0.85;
-constexpr double kCalmLoad = 0.6;
+struct LoadLimits {
+  double busy = 0;
+  double calm = 0;
+};
+constexpr LoadLimits kUsualLimits{.busy = 0.85, .calm = 0.6};
+// Large bodies fill the links between regions, so they leave last and come back
+// first.
+constexpr LoadLimits kHeavyLimits{.busy = 1.3, .calm = 1};
+constexpr std::uint64_t kHeavyBytes = 16384;
 constexpr double kLoadMargin = 0.25;
 
 // A request may leave the split if that makes it this much faster or saves it
@@ -60,7 +67,10 @@
 // Before anything is observed, a region takes what it would if every region had
 // the same demand: its own up to its share of the slots, and the rest where
 // there are more slots than that.
-Split InitialSplit(const RoutingState& state, const std::string& service) {
+// Large bodies stay where they are while the other routes leave.
+Split InitialSplit(const RoutingState& state,
+                   const std::string& service,
+                   bool is_heavy) {
   std::map<std::string, double> slots;
   double total = 0;
   const auto found = state.services.find(service);
@@ -74,7 +84,7 @@
   const std::string& own = state.options.region;
   const auto regions =
       static_cast<double>(std::max<std::size_t>(RegionsOf(state).size(), 1));
-  const double demand = total / regions;
+  const double demand = total / regions / (is_heavy ? 2 : 1);
   if (total == 0 || slots[own] >= demand)
     return {{own, kWholeSplit}};
   std::map<std::string, double> weights{{own, slots[own]}};
@@ -105,11 +115,13 @@
 // A route that moves to another service starts like the other routes there.
 Split StartingSplit(const RoutingState& state, const RequestState& request) {
   const std::string suffix = " " + request.service;
+  const bool is_heavy = request.body_bytes >= kHeavyBytes;
   for (const auto& [name, present] : state.shares.split.services) {
-    if (name.ends_with(suffix))
+    if (name.ends_with(suffix) && state.shares.heavy.contains(name) == is_heavy)
       return present.current;
   }
-  return InitialSplit(state, request.service);
+  return InitialSplit(state, request.service,
+                      request.body_bytes >= kHeavyBytes);
 }
 
 // Mean load of the servers of a service in each region that has one in use.
@@ -171,6 +183,7 @@
 // loads, because each move takes objects to servers that don't know them.
 Split TargetFor(const Split& current,
                 const std::map<std::string, double>& loads,
+                const LoadLimits& limits,
                 const std::string& own) {
   Split target = current;
   const std::string emptiest = EmptiestOther(loads, own);
@@ -183,10 +196,10 @@
   if (own_load == loads.end())
     return target;
   const std::string fullest = FullestOther(current, loads, own);
-  if (!emptiest.empty() && own_load->second > kBusyLoad &&
+  if (!emptiest.empty() && own_load->second > limits.busy &&
       loads.at(emptiest) + kLoadMargin < own_load->second)
     MoveAll(target, own, emptiest);
-  else if (!fullest.empty() && own_load->second < kCalmLoad)
+  else if (!fullest.empty() && own_load->second < limits.calm)
     MoveAll(target, fullest, own);
   else if (!fullest.empty() &&
            loads.at(emptiest) + kLoadMargin < loads.at(fullest))
@@ -215,8 +228,10 @@
       continue;
     if (!loads.contains(service))
       loads[service] = LoadsOf(state, service, now);
+    const LoadLimits& limits =
+        shares.heavy.contains(name) ? kHeavyLimits : kUsualLimits;
     SplitTarget target{.target = TargetFor(present.current, loads[service],
-                                           state.options.region)};
+                                           limits, state.options.region)};
     for (const std::string& region : shares.split.regions)
       target.ceiling[region] = kWholeSplit;
     shares.split.targets[name] = std::move(target);
@@ -247,8 +262,11 @@
   RegionShares& shares = state.shares;
   Prepare(state);
   const std::string name = request.route.name + " " + request.service;
-  if (!shares.split.services.contains(name))
+  if (!shares.split.services.contains(name)) {
     shares.split.services[name].current = StartingSplit(state, request);
+    if (request.body_bytes >= kHeavyBytes)
+      shares.heavy.insert(name);
+  }
   const RegionCost& best =
       *std::min_element(costs.begin(), costs.end(), IsBetter);
   shares.requests += 1;
--- a/Tests/LibRouting/test_choice.cc
+++ b/Tests/LibRouting/test_choice.cc
@@ -273,6 +273,46 @@
   CHECK(windows[10]["south"] > windows[2]["south"] + 25);
 }
 
+// Guards against filling the links between regions with uploads while requests
+// without a body could leave a busy region.
+TEST_CASE("large bodies leave a busy region last") {
+  RoutingFixture fixture({MakeLargeServer("s1"),
+                          MakeLargeServer("s333", "south-a"),
+                          MakeLargeServer("s4444", "south-a")});
+  Route upload = MakeRoute("write", RouteKind::kUpload, "desk");
+  Route read = MakeRoute("read", RouteKind::kSafe, "desk");
+  upload.latency_objective = Seconds(1);
+  read.latency_objective = Seconds(1);
+  fixture.Step(ConfigurationAdopted{{.version = 2,
+                                     .routes = {read, upload},
+                                     .services = {{.name = "desk"}}}});
+  // A little more than what reads are to bear, and less than uploads.
+  const LoadReport busy{
+      .running = kManySlots, .waiting = 1, .slots = kManySlots};
+  std::map<std::string, std::map<std::string, int>> ran;  // By route, region.
+  for (std::uint64_t object = 1; object <= 4000; ++object) {
+    for (const std::string route : {"read", "write"}) {
+      const bool is_upload = route == "write";
+      fixture.Step(RequestArrived{.request = fixture.next_request++,
+                                  .host = "host",
+                                  .path = "/" + route + "/x",
+                                  .object = object % 97,
+                                  .remaining = Seconds(3),
+                                  .body_bytes = is_upload ? 60'000ULL : 0ULL});
+      const std::string& server = fixture.sent.back().server;
+      const std::string& region = fixture.state.servers.at(server).region;
+      if (object > 3000)
+        ++ran[route][region];
+      fixture.now += Milliseconds(2);
+      fixture.End(ServerOutcome::kSucceeded,
+                  region == "north" ? busy : LoadReport{.slots = kManySlots});
+    }
+  }
+  CHECK(fixture.refused.empty());
+  CHECK(ran["read"]["south"] > 900);
+  CHECK(ran["write"]["north"] > 900);
+}
+
 TEST_CASE("a region without servers is left at once") {
   RoutingFixture fixture({MakeServer("s1"), MakeServer("s22", "south-a")});
   CHECK(fixture.Serve("read", 1, Milliseconds(10)) == "s1");
