Tests/Soak: Check that servers that have left get nothing

The soak judged answers, repeats and recovery, not whether entry VMs still use a server that is no longer in the store. In the last two seconds, four after the faults, none may.

--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -93,6 +93,8 @@
   void Heal();
   void SendRequests();
   void RunFor(Duration time, bool faults);
+  // Requests that ran on servers that are no longer in the store.
+  std::size_t RunsOnRetired() const;
   std::uint64_t Below(std::uint64_t bound) {
     return RandomBelow(random_, bound);
   }
@@ -110,6 +112,7 @@
   TimePoint next_heal_;
   std::uint64_t settled_sent_ = 0;
   std::uint64_t settled_good_ = 0;
+  std::size_t settled_on_retired_ = 0;
 };
 
 void Soak::AddServer() {
@@ -202,6 +205,13 @@
   }
 }
 
+std::size_t Soak::RunsOnRetired() const {
+  std::size_t runs = 0;
+  for (std::size_t i = 0; i < first_live_; ++i)
+    runs += servers_[i].server->ran().size();
+  return runs;
+}
+
 void Soak::Run(Duration time) {
   store_.Put("op", "config", ConfigurationBody(configuration_));
   for (std::size_t i = 0; i < kServers; ++i)
@@ -214,7 +224,9 @@
   RunFor(kSettleTime - kVerdictTime, false);
   const std::uint64_t sent = callers_.record().sent;
   const std::uint64_t good = callers_.record().good;
+  const std::size_t on_retired = RunsOnRetired();
   RunFor(kVerdictTime, false);
+  settled_on_retired_ = RunsOnRetired() - on_retired;
   settled_sent_ = callers_.record().sent - sent;
   settled_good_ = callers_.record().good - good;
   // Calls that are still open end at their patience.
@@ -245,6 +257,9 @@
     problems.push_back("request " + id + " got another answer than its own");
   for (const std::string& name : fleet_.crashes())
     problems.push_back(name + " ended by itself");
+  if (settled_on_retired_ > 0)
+    problems.push_back(std::to_string(settled_on_retired_) +
+                       " requests ran on servers that had left long before");
   if (static_cast<double>(settled_good_) <
       static_cast<double>(settled_sent_) * kRecoveredShare)
     problems.push_back("after the faults only " +
