LibDiscovery: Read whole tables from the store while it answers

At the start each entry VM reads the table by itself; its version is older than the relay's first one for about half of them, the relay said that its history is lost, and sent them all 3,000 rows.

Change: a lost history at a relay is a failure of that relay, so the changes come from the store's feed; a table that is not known at all comes from the store if it answers; a question that has everything is answered without a look at each row.

--- a/Libraries/LibDiscovery/relay.cc
+++ b/Libraries/LibDiscovery/relay.cc
@@ -68,7 +68,10 @@
   RelayAnswer answer{.failure = FailureOf(state, ask)};
   if (answer.failure)
     return answer;
+  const bool has_all = !ask.whole && ask.sequence == state.sequence;
   for (const auto& [key, held] : state.rows) {
+    if (has_all)
+      break;
     if (IsNews(state, ask, held))
       answer.rows.push_back(held.row);
   }
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -23,7 +23,22 @@
 // Least time between calls to a peer that answers at once.
 constexpr Duration kPeerPeriod = Milliseconds(20);
 
+TableSource* FindSource(TableState& state, const std::string& peer) {
+  for (TableSource& source : state.sources) {
+    if (source.peer == peer)
+      return &source;
+  }
+  return nullptr;
+}
+
+// A table that is not known at all comes from the store if possible, because a
+// relay would have to send it to each entry VM of its region.
 TableSource& FirstRested(TableState& state, TimePoint now) {
+  if (state.phase == TablePhase::kUnread) {
+    TableSource* store = FindSource(state, {});
+    if (store->rests_until <= now)
+      return *store;
+  }
   for (TableSource& source : state.sources) {
     if (source.rests_until <= now)
       return source;
@@ -34,14 +49,6 @@
                            });
 }
 
-TableSource* FindSource(TableState& state, const std::string& peer) {
-  for (TableSource& source : state.sources) {
-    if (source.peer == peer)
-      return &source;
-  }
-  return nullptr;
-}
-
 // Asks the first source that is not resting, or waits for one.
 void StartCall(TableState& state, TimePoint now, TableActions& actions) {
   const TableSource& source = FirstRested(state, now);
@@ -270,12 +277,13 @@
   if (event.call != state.open_call)
     return;
   state.open_call = 0;
-  if (event.failure == TableFailure::kHistoryLost) {
+  const bool at_peer = !state.asked_peer.empty();
+  // A peer's history is short; that of the store may still have the changes.
+  if (event.failure == TableFailure::kHistoryLost && !at_peer) {
     state.phase = TablePhase::kUnread;
     state.pages.clear();
     return StartCall(state, now, actions);
   }
-  const bool at_peer = !state.asked_peer.empty();
   if (!at_peer)
     NoteStoreFailure(state, now, actions);
   if (TableSource* source = FindSource(state, state.asked_peer))
