LibRouting: Tell other entry VMs of servers out of reach

When servers fell silent, each of 74 entry VMs found out by itself: 1,567 attempts in six seconds ended without a connection after 400 ms, 462 requests were answered 502 for it.

Change: the end of an attempt without a connection is shared like load reports. A server that has answered nobody for a second gets nothing for a while, as after an own failure, and is used again as soon as it answers anybody. What an entry VM that is itself cut off says of servers that answer others is ignored.

--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -2280,6 +2280,8 @@
 
   inline  ::uint16_t getWorkPercent() const;
 
+  inline bool getUnreachable() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2332,6 +2334,9 @@
   inline  ::uint16_t getWorkPercent();
   inline void setWorkPercent( ::uint16_t value);
 
+  inline bool getUnreachable();
+  inline void setUnreachable(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6639,6 +6644,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerObservation::Reader::getUnreachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerObservation::Builder::getUnreachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setUnreachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ObservationsDatagram::Reader::getProtocolVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibNode/observation_codec.cc
+++ b/Libraries/LibNode/observation_codec.cc
@@ -34,6 +34,7 @@
   to.setServer(observation.server);
   to.setObject(observation.object);
   to.setAgeMilliseconds(Clamped(observation.age.count() / 1000));
+  to.setUnreachable(observation.unreachable);
   to.setHasReport(observation.report.has_value());
   if (!observation.report)
     return;
@@ -47,6 +48,7 @@
 ServerObservation Read(schema::ServerObservation::Reader from) {
   ServerObservation observation{.server = from.getServer(),
                                 .object = from.getObject(),
+                                .unreachable = from.getUnreachable(),
                                 .age = Milliseconds(from.getAgeMilliseconds())};
   if (from.getHasReport())
     observation.report = {.running = from.getRunning(),
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -80,7 +80,8 @@
   std::uint32_t server = 0;          // ServerTag of the id.
   std::uint32_t object = kNoObject;  // That the server has just handled.
   std::optional<LoadReport> report;
-  Duration age{};  // Since the response.
+  bool unreachable = false;  // No connection could be made to it.
+  Duration age{};            // Since the attempt ended.
   bool operator==(const ServerObservation&) const = default;
 };
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -140,6 +140,7 @@
   DecayingValue slowness{.value = 1};  // Observed time to expected time.
   DecayingValue failures{.value = 0};  // Share of attempts that failed.
   std::uint32_t failures_in_row = 0;
+  TimePoint answered_at{};  // Last response, to any entry VM that told of it.
   TimePoint rests_until{};  // Gets nothing until then.
   TimePoint cold_until{};
   std::deque<TimePoint> recent_sends;  // Within the last second.
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -160,6 +160,19 @@
   decaying.at = now;
 }
 
+void NoteAnswer(Server& server, TimePoint at) {
+  if (at <= server.answered_at)
+    return;
+  server.answered_at = at;
+  server.failures_in_row = 0;
+  server.rests_until = std::min(server.rests_until, at);
+}
+
+void NoteUnreachable(Server& server, TimePoint now) {
+  ++server.failures_in_row;
+  Rest(server, now);
+}
+
 void TakeReport(Server& server, const LoadReport& report, TimePoint at) {
   server.report = report;
   server.reported_at = at;
@@ -267,7 +280,7 @@
     server.cold_until = std::max(server.cold_until, now + end.cold_left);
   switch (end.outcome) {
     case ServerOutcome::kSucceeded:
-      server.failures_in_row = 0;
+      NoteAnswer(server, now);
       AddSample(server.failures, 0, 0, kFailureWeight, now);
       return ObserveTime(state, server, request, end, now);
     case ServerOutcome::kFailed:
@@ -283,11 +296,12 @@
       AddSample(server.failures, 0, 1, kFailureWeight / 3, now);
       return;
     case ServerOutcome::kNotSent:
+      AddSample(server.failures, 0, 1, kFailureWeight, now);
+      return NoteUnreachable(server, now);
     case ServerOutcome::kLost:
     case ServerOutcome::kTimedOut:
       AddSample(server.failures, 0, 1, kFailureWeight, now);
-      if (++server.failures_in_row >= kFailuresToRest ||
-          end.outcome == ServerOutcome::kNotSent)
+      if (++server.failures_in_row >= kFailuresToRest)
         Rest(server, now);
       return;
   }
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -26,6 +26,14 @@
                double weight,
                TimePoint now);
 
+// Notes that the server answered somebody at `at`, and uses it again if it
+// rests.
+void NoteAnswer(Server& server, TimePoint at);
+
+// Notes that the server could not be reached; it gets nothing for a while, the
+// longer the more often that has happened in a row.
+void NoteUnreachable(Server& server, TimePoint now);
+
 // Takes a report of the server's load as it was at `at`.
 void TakeReport(Server& server, const LoadReport& report, TimePoint at);
 
--- a/Libraries/LibRouting/sharing.cc
+++ b/Libraries/LibRouting/sharing.cc
@@ -25,9 +25,20 @@
 // Least time between two messages to one entry VM.
 constexpr Duration kShortestPeriod = Milliseconds(50);
 
+// A server that answered somebody this shortly before is not taken to be out of
+// reach.
+constexpr Duration kProofOfLife = Seconds(1);
+
 // Keeps a message within one datagram.
 constexpr std::size_t kMaxPending = 40;
 
+// An entry VM that is cut off itself can't reach servers that answer others.
+void DoubtReach(Server& server, TimePoint at, TimePoint now) {
+  const bool answers_others = at - server.answered_at < kProofOfLife;
+  if (!answers_others && server.rests_until <= now)
+    NoteUnreachable(server, now);
+}
+
 Duration PeriodFor(std::size_t receivers) {
   const Duration paced =
       Seconds(1) * static_cast<std::int64_t>(receivers) / kMessagesPerSecond;
@@ -55,8 +66,9 @@
   const bool ran = end.outcome == ServerOutcome::kSucceeded ||
                    end.outcome == ServerOutcome::kFailed;
   const bool handled_object = ran && request.route.sticky;
+  const bool unreachable = end.outcome == ServerOutcome::kNotSent;
   if (sharing.receivers.empty() || sharing.pending.size() >= kMaxPending ||
-      (!handled_object && !end.report))
+      (!handled_object && !end.report && !unreachable))
     return;
   if (sharing.pending.empty()) {
     const std::size_t count = std::min(kMaxReceivers, sharing.receivers.size());
@@ -66,7 +78,8 @@
       now, ServerObservation{
                .server = ServerTag(request.server),
                .object = handled_object ? ObjectTag(request.object) : kNoObject,
-               .report = end.report});
+               .report = end.report,
+               .unreachable = unreachable});
 }
 
 void ShareIfDue(RoutingState& state, TimePoint now, RoutingActions& actions) {
@@ -109,6 +122,10 @@
     if (observation.object != kNoObject)
       RememberObject(server, observation.object);
     const TimePoint at = now - observation.age;
+    if (observation.unreachable)
+      DoubtReach(server, at, now);
+    else
+      NoteAnswer(server, at);
     if (!observation.report || at <= server.reported_at)
       continue;
     TakeReport(server, *observation.report, at);
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -190,6 +190,7 @@
   waiting @5 :UInt16;
   slots @6 :UInt16;
   workPercent @7 :UInt16;  # Time that work takes on the server's VM; 100 is usual.
+  unreachable @8 :Bool;  # No connection could be made to the server.
 }
 
 # Sent as one packed datagram, without an answer. It may be lost.
--- a/Tests/LibNode/test_observation_codec.cc
+++ b/Tests/LibNode/test_observation_codec.cc
@@ -18,7 +18,7 @@
            routing::LoadReport{
                .running = 3, .waiting = 11, .slots = 4, .work_factor = 2.5},
        .age = Milliseconds(80)},
-      {.server = 0xffffffff, .object = routing::kNoObject},
+      {.server = 0xffffffff, .object = routing::kNoObject, .unreachable = true},
   };
   const auto received = DecodeObservations(EncodeObservations(sent));
   REQUIRE(received);
--- a/Tests/LibRouting/test_load.cc
+++ b/Tests/LibRouting/test_load.cc
@@ -136,4 +136,34 @@
   CHECK(waits.size() > 10);
 }
 
+// Guards against each of 74 entry VMs finding out by itself, with a lost
+// request each time, that a server is gone.
+TEST_CASE("a server that others can't reach is left for a while") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  const std::string usual = fixture.Serve("read", 1, Milliseconds(100));
+  const ServerObservation unreachable{.server = ServerTag(usual),
+                                      .unreachable = true};
+  // It has just answered here.
+  fixture.Step(ObservationsReceived{{unreachable}});
+  CHECK(fixture.Serve("read", 1, Milliseconds(100)) == usual);
+  fixture.now += Seconds(2);
+  fixture.Step(ObservationsReceived{{unreachable}});
+  CHECK(fixture.Serve("read", 1, Milliseconds(1)) != usual);
+  // As soon as it answers anybody it is used again.
+  fixture.Step(ObservationsReceived{
+      {Observe(usual, LoadReport{.running = 1, .slots = 4})}});
+  CHECK(fixture.Serve("read", 1, Milliseconds(1)) == usual);
+}
+
+TEST_CASE("a server that can't be reached is told to others") {
+  RoutingFixture fixture({MakeServer("s1")});
+  fixture.Step(Members({"entry-1", "entry-2"}));
+  fixture.Arrive("read", 1);
+  fixture.End(ServerOutcome::kNotSent);
+  fixture.now = fixture.wake;
+  fixture.Step(TimerExpired{});
+  REQUIRE(fixture.shared.size() == 1);
+  CHECK(fixture.shared[0].observations[0].unreachable);
+}
+
 }  // namespace cicadadrum::routing
