platform, LibDiscovery: Log the inputs of refusals and where tables are read

A refusal for full servers told its reason, not the queue and the age of the report that decided it; a table that went from the relay to the store and back left no line.

--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -125,12 +125,21 @@
   bool reachable = true;
 };
 
+// Another source than the last one is asked.
+struct SourceChosen {
+  std::string peer;  // Empty for the store.
+};
+
 struct TableWake {
   TimePoint at = kNever;
 };
 
-using TableAction =
-    std::variant<ReadTable, FollowTable, RowsChanged, StoreReach, TableWake>;
+using TableAction = std::variant<ReadTable,
+                                 FollowTable,
+                                 RowsChanged,
+                                 StoreReach,
+                                 SourceChosen,
+                                 TableWake>;
 using TableActions = std::vector<TableAction>;
 
 // --- State ---
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -60,6 +60,8 @@
   const bool at_peer = !source.peer.empty();
   state.open_call = state.next_call++;
   state.next_at = kNever;
+  if (state.asked_peer != source.peer)
+    actions.emplace_back(SourceChosen{source.peer});
   state.asked_peer = source.peer;
   const Duration timeout = at_peer ? options.peer_timeout : options.timeout;
   if (state.phase == TablePhase::kUnread) {
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -223,6 +223,8 @@
   RefusalReason reason = RefusalReason::kNone;
   Verdict verdict = Verdict::kNotRun;
   Duration retry_after{};  // Zero for none.
+  // What the best server would have cost, if one was too full.
+  std::optional<ChoiceInputs> inputs;
 };
 
 // Tell the other entry VMs.
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -41,10 +41,13 @@
             std::uint64_t id,
             RefusalReason reason,
             Duration retry_after,
-            RoutingActions& actions) {
+            RoutingActions& actions,
+            const std::optional<ChoiceInputs>& inputs = {}) {
   const auto found = state.requests.find(id);
-  RefuseRequest refusal{
-      .request = id, .reason = reason, .retry_after = retry_after};
+  RefuseRequest refusal{.request = id,
+                        .reason = reason,
+                        .retry_after = retry_after,
+                        .inputs = inputs};
   if (found != state.requests.end()) {
     refusal.verdict = found->second.verdict;
     EndRequest(state, found);
@@ -103,7 +106,7 @@
   // Work alone is no reason to refuse: its estimate would never be corrected.
   if (!choice.admitted || (choice.waits && choice.expected > remaining))
     return Refuse(state, id, RefusalReason::kOverloaded,
-                  SpreadRetryAfter(state, remaining), actions);
+                  SpreadRetryAfter(state, remaining), actions, choice.inputs);
   Server& server = *choice.server;
   CountSend(state.services[request.service], state.options.bounds,
             request.attempts > 0, now);
