--- a/Tests/LibDiscovery/relay_world.cc
+++ b/Tests/LibDiscovery/relay_world.cc
@@ -16,6 +16,7 @@
 RelayWorld::RelayWorld(const std::vector<std::string>& names,
                        const TableOptions& options) {
   std::vector<RelayCandidate> live;
+  live.reserve(names.size());
   for (const std::string& name : names)
     live.push_back({name, name.substr(0, name.find('-'))});
   for (const RelayCandidate& self : live)
