--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -111,7 +111,7 @@
 }
 
 double SlownessOf(const Server& server, TimePoint now) {
-  return std::max(0.2,
+  return std::max(kShortestFactor,
                   ValueAt(server.slowness, 1, now) * WorkFactorOf(server, now));
 }
 
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -20,7 +20,6 @@
 // One request with long work must not make its server look slow for long.
 constexpr double kMaxSlowness = 6;
 constexpr double kShortestWorkMs = 1;
-constexpr double kShortestFactor = 0.2;  // Of work on a fast VM.
 // Of the latency objective: the mean work on a route is taken to be no longer.
 constexpr double kLongestWorkShare = 2;
 
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -8,6 +8,8 @@
 
 namespace cicadadrum::routing {
 
+constexpr double kShortestFactor = 0.2;  // Of work on a fast VM.
+
 constexpr double ToMs(Duration duration) {
   return static_cast<double>(duration.count()) / 1000;
 }
--- a/Libraries/LibRouting/region_shares.cc
+++ b/Libraries/LibRouting/region_shares.cc
@@ -16,18 +16,19 @@
 // Counts of requests lose half of their weight in this time.
 constexpr double kOverridesHalfLifeMs = 1000;
 
-// Above this load, requests leave their own region for one whose load is
-// smaller by the margin; below the second one they come back.
+// Above `busy`, requests leave their own region for one whose load is smaller
+// by the margin; below `calm` they come back.
 struct LoadLimits {
   double busy = 0;
   double calm = 0;
 };
 constexpr LoadLimits kUsualLimits{.busy = 0.85, .calm = 0.6};
+constexpr double kLoadMargin = 0.25;
+
 // Large bodies fill the links between regions, so they leave last and come back
 // first.
 constexpr LoadLimits kHeavyLimits{.busy = 1.3, .calm = 1};
 constexpr std::uint64_t kHeavyBytes = 16384;
-constexpr double kLoadMargin = 0.25;
 
 // A request may leave the split if that makes it this much faster or saves it
 // from a refusal, ...
@@ -39,6 +40,10 @@
 // chance with which requests for objects of either region arrive.
 constexpr double kSplitShare = 0.85;
 
+bool IsHeavy(const RequestState& request) {
+  return request.body_bytes >= kHeavyBytes;
+}
+
 std::set<std::string> RegionsOf(const RoutingState& state) {
   std::set<std::string> regions;
   for (const auto& [domain, region] : state.options.region_of)
@@ -66,8 +71,8 @@
 
 // Before anything is observed, a region takes what it would if every region had
 // the same demand: its own up to its share of the slots, and the rest where
-// there are more slots than that.
-// Large bodies stay where they are while the other routes leave.
+// there are more slots than that. Large bodies count on half of the demand, as
+// the other routes leave before them.
 Split InitialSplit(const RoutingState& state,
                    const std::string& service,
                    bool is_heavy) {
@@ -115,13 +120,12 @@
 // A route that moves to another service starts like the other routes there.
 Split StartingSplit(const RoutingState& state, const RequestState& request) {
   const std::string suffix = " " + request.service;
-  const bool is_heavy = request.body_bytes >= kHeavyBytes;
+  const bool is_heavy = IsHeavy(request);
   for (const auto& [name, present] : state.shares.split.services) {
     if (name.ends_with(suffix) && state.shares.heavy.contains(name) == is_heavy)
       return present.current;
   }
-  return InitialSplit(state, request.service,
-                      request.body_bytes >= kHeavyBytes);
+  return InitialSplit(state, request.service, is_heavy);
 }
 
 // Mean load of the servers of a service in each region that has one in use.
@@ -264,7 +268,7 @@
   const std::string name = request.route.name + " " + request.service;
   if (!shares.split.services.contains(name)) {
     shares.split.services[name].current = StartingSplit(state, request);
-    if (request.body_bytes >= kHeavyBytes)
+    if (IsHeavy(request))
       shares.heavy.insert(name);
   }
   const RegionCost& best =
