--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -42,7 +42,7 @@
 // answer of the own source, also without rows.
 struct RelayFed {
   std::vector<TableRow> rows;
-  std::uint64_t version = 0;  // TableState::complete_version.
+  std::uint64_t version = 0;    // TableState::complete_version.
   std::optional<Duration> age;  // Of the answer; nothing without an answer.
 };
 
