LibRouting, platform: Log the route, its configuration and the server's region with each attempt

Cause: for the incident on home regions the logs could not tell three hypotheses apart: a decision by an old configuration, by the copy of a route that a request keeps, or by an outdated region of a server. No decision changes. Result: TestRouting passes as before.

--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -276,13 +276,19 @@
     candidates[i].rank = std::min(i, kMaxRank);
 }
 
-ServerChoice MakeServerChoice(Server& server, const Cost& cost, TimePoint now) {
+ServerChoice MakeServerChoice(Server& server,
+                              const RequestState& request,
+                              const Cost& cost,
+                              TimePoint now) {
   ServerChoice choice{.server = &server,
                       .inputs = {.cache_affinity = cost.cache_affinity,
                                  .cost_ms = cost.total_ms,
                                  .in_flight = server.in_flight,
                                  .slowness = ValueAt(server.slowness, 1, now),
-                                 .work_factor = CurrentWorkFactor(server, now)},
+                                 .work_factor = CurrentWorkFactor(server, now),
+                                 .route = request.route.name,
+                                 .server_region = server.region,
+                                 .configuration = request.configuration},
                       .expected_duration = FromMs(cost.expected_ms),
                       .work_ms = cost.work_ms,
                       .is_queued = cost.queue_ms > 0,
@@ -321,7 +327,7 @@
     return {};
   const auto& [server, cost] =
       best_by_region.at(ChooseRegion(state, request, costs, now));
-  return MakeServerChoice(*server, cost, now);
+  return MakeServerChoice(*server, request, cost, now);
 }
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -213,6 +213,10 @@
   double slowness = 1;
   // Of the server's VM, from its last report, weighted by the report's age.
   double work_factor = 1;
+  std::string route;  // Name.
+  std::string server_region;
+  // Version of the configuration that the route was taken from.
+  std::uint64_t configuration = 0;
 };
 
 // Send the request to a server. The front end reports the end of the attempt by
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -56,6 +56,7 @@
 // A request in progress: the caller has received no response yet.
 struct RequestState {
   Route route;  // As configured when the request arrived.
+  std::uint64_t configuration = 0;  // Version that `route` was taken from.
   std::string service;
   std::uint64_t object = 0;  // A random number if the caller named none.
   std::uint64_t fingerprint = 0;
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -160,6 +160,7 @@
     return Refuse(state, event.request, RefusalReason::kBlocked, {}, actions);
   RequestState request{
       .route = *route,
+      .configuration = state.table.configuration.version,
       .service = ChooseService(state, *route),
       .object = event.object ? HashBytes(route->name, *event.object)
                              : NextRandom(state.random),
