LibRouting: Retry a request by the route that is configured now

Callers saw requests outside of their home regions (HOME). A request copied its route when it arrived, and every retry used the copy. Timeouts are up to 10 s on the grown deployments, the bound for a configuration is 3 and 4 s there, so a retry could reach a server in a region that had stopped being a home seconds before, or a service that the route had left. On the small deployments the timeouts of most routes are below the bound, which hides the fault. Class of fault: a decision that outlives the knowledge that it was made from. Ruled out: the filter by region itself; each attempt on a first dispatch kept to it. Change: before a retry the request takes its route from the configuration in force: homes, service, attempts. A removed route is not retried. A write stays a write even if the new route is idempotent. Result, before: 'a retry is not sent outside of the home regions that apply now' CHECK( s22 == s333 ), 'a retry is not sent to the service that the route has left' CHECK( s22 == t1 ), 'a request of a route that was removed is not retried' CHECK( 2 == 1 ). After: TestRouting passes with these three and two more.

--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -55,7 +55,10 @@
 
 // A request in progress: the caller has received no response yet.
 struct RequestState {
-  Route route;  // As configured when the request arrived.
+  std::string host;
+  std::string path;
+  // As configured when the request arrived or was last retried.
+  Route route;
   std::uint64_t configuration = 0;  // Version that `route` was taken from.
   std::string service;
   std::uint64_t object = 0;  // A random number if the caller named none.
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -159,6 +159,8 @@
   if (state.blocked_fingerprints.contains(event.fingerprint))
     return Refuse(state, event.request, RefusalReason::kBlocked, {}, actions);
   RequestState request{
+      .host = event.host,
+      .path = event.path,
       .route = *route,
       .configuration = state.table.configuration.version,
       .service = ChooseService(state, *route),
@@ -239,6 +241,32 @@
          HasRetryAllowance(state, request.service, now);
 }
 
+// Replaces the request's copy of its route by the route that is configured now.
+// Returns false if no route matches the request any more.
+bool RefreshRoute(RoutingState& state, RequestState& request) {
+  if (request.configuration == state.table.configuration.version)
+    return true;
+  const Route* route = FindRoute(state.table, request.host, request.path);
+  if (route == nullptr)
+    return false;
+  // Earlier attempts may have relied on the kind of the earlier route.
+  const RouteKind kind =
+      IsIdempotent(request.route.kind) ? route->kind : request.route.kind;
+  request.route = *route;
+  request.route.kind = kind;
+  request.configuration = state.table.configuration.version;
+  const bool is_service_configured =
+      std::any_of(route->shares.begin(), route->shares.end(),
+                  [&](const ServiceShare& share) {
+                    return share.service == request.service;
+                  });
+  if (!is_service_configured) {
+    request.service = ChooseService(state, *route);
+    state.services.try_emplace(request.service);
+  }
+  return true;
+}
+
 void Apply(RoutingState& state,
            const AttemptEnded& event,
            TimePoint now,
@@ -266,7 +294,7 @@
   if (event.outcome == ServerOutcome::kLost)
     CountCrash(state, request, actions);
   const RefusalReason reason = RefusalReasonFor(event.outcome);
-  if (MayRetry(state, request, now))
+  if (RefreshRoute(state, request) && MayRetry(state, request, now))
     return Dispatch(state, event.request, reason, now, actions);
   Refuse(state, event.request, reason,
          RetryAfterForEstimate(request.expected_duration,
--- a/Tests/LibRouting/test_requests.cc
+++ b/Tests/LibRouting/test_requests.cc
@@ -199,6 +199,69 @@
   CHECK(fixture.refused[0].reason == RefusalReason::kNotReady);
 }
 
+TEST_CASE("a retry is not sent outside of the home regions that apply now") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22", "north-b"),
+                          MakeServer("s333", "south-a")});
+  Route route = MakeRoute("read", RouteKind::kSafe, "desk");
+  route.home_regions = {"north"};
+  fixture.Step(ConfigurationAdopted{{.version = 2, .routes = {route}}});
+  fixture.Arrive("read");
+  REQUIRE(fixture.sent.size() == 1);
+  CHECK(fixture.sent[0].server != "s333");
+  route.home_regions = {"south"};
+  fixture.Step(ConfigurationAdopted{{.version = 3, .routes = {route}}});
+  fixture.End(ServerOutcome::kRejected);
+  REQUIRE(fixture.sent.size() == 2);
+  CHECK(fixture.sent[1].server == "s333");
+}
+
+TEST_CASE("a retry is not sent to the service that the route has left") {
+  ServerEntry other = MakeServer("t1");
+  other.service = "other";
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22"), other});
+  fixture.Arrive("read");
+  fixture.Step(ConfigurationAdopted{
+      {.version = 2,
+       .routes = {MakeRoute("read", RouteKind::kSafe, "other")}}});
+  fixture.End(ServerOutcome::kRejected);
+  REQUIRE(fixture.sent.size() == 2);
+  CHECK(fixture.sent[1].server == "t1");
+}
+
+TEST_CASE("a retry at a service without servers is refused") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  fixture.Arrive("read");
+  fixture.Step(ConfigurationAdopted{
+      {.version = 2,
+       .routes = {MakeRoute("read", RouteKind::kSafe, "unknown")}}});
+  fixture.End(ServerOutcome::kRejected);
+  CHECK(fixture.sent.size() == 1);
+  CHECK(fixture.refused.size() == 1);
+}
+
+TEST_CASE("a request of a route that was removed is not retried") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  fixture.Arrive("read");
+  fixture.Step(ConfigurationAdopted{
+      {.version = 2,
+       .routes = {MakeRoute("write", RouteKind::kUnsafe, "desk")}}});
+  fixture.End(ServerOutcome::kRejected);
+  CHECK(fixture.sent.size() == 1);
+  REQUIRE(fixture.refused.size() == 1);
+  CHECK(fixture.refused[0].reason == RefusalReason::kRejected);
+}
+
+TEST_CASE("a write stays a write when its route becomes idempotent") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  fixture.Arrive("write");
+  fixture.Step(ConfigurationAdopted{
+      {.version = 2,
+       .routes = {MakeRoute("write", RouteKind::kSafe, "desk")}}});
+  fixture.End(ServerOutcome::kLost);
+  CHECK(fixture.sent.size() == 1);
+  CHECK(fixture.refused.size() == 1);
+}
+
 TEST_CASE("an older configuration is ignored") {
   RoutingFixture fixture({MakeServer("s1")});
   fixture.Step(ConfigurationAdopted{{.version = 5}});
