LibRouting: Update the region of a known server

A request with home regions could reach a server in another region (HOME): the region of a server was set when the server was first listed. A later row of the same incarnation with another failure domain, or reloaded settings that place a failure domain in another region, left it as it was. Class of fault: a value derived from known state that isn't derived again when the state changes. Change: the region follows every row; reloaded settings are an event of the core, SettingsChanged, which derives all regions again, in place of writes to its options from outside. Result, before: 'a server that moved to another region leaves its old home' and 'changed settings move the servers of a failure domain' served the request in the old region, CHECK( false ). After: TestRouting passes.

--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -15,6 +16,7 @@
 #include "cicadadrum/base/time.h"
 #include "cicadadrum/base/verdict.h"
 #include "cicadadrum/routing/configuration.h"
+#include "cicadadrum/routing/fleet_bounds.h"
 #include "cicadadrum/routing/server.h"
 
 namespace cicadadrum::routing {
@@ -106,6 +108,13 @@
   std::uint64_t fingerprint = 0;
 };
 
+// The settings of this entry VM were reloaded.
+struct SettingsChanged {
+  // Region of each failure domain of the deployment.
+  std::map<std::string, std::string> region_by_domain;
+  FleetBounds bounds;
+};
+
 // The process is to stop. The core still accepts requests until `accept_until`,
 // because callers need some time to switch to another entry VM.
 struct StopRequested {
@@ -124,6 +133,7 @@
                                   MembersChanged,
                                   ObservationsReceived,
                                   FingerprintBlocked,
+                                  SettingsChanged,
                                   StopRequested,
                                   TimerExpired>;
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -25,24 +25,6 @@
 
 namespace cicadadrum::routing {
 
-// Bounds that apply to all entry VMs together. Each entry VM uses at most its
-// share of them.
-struct FleetBounds {
-  // Retries that are allowed in one retry window, per request to the service.
-  double retry_ratio = 0.2;
-  // Retries that are allowed in one retry window in addition to the ratio.
-  double retry_extra = 0;
-  Duration retry_window = Seconds(10);
-  // Multiplier of the rate that a cold server tolerates.
-  double cold_load_factor = 1;
-  // Requests per second that are allowed in addition to the multiplied rate.
-  double cold_extra = 0;
-  // Share of a region's requests that may run in another region in the next
-  // shift window than in the present one.
-  double max_shift = 0.15;
-  Duration shift_window = Seconds(2);
-};
-
 // Where this entry VM runs, and the bounds that it keeps to.
 struct RoutingOptions {
   std::string name;  // Of this entry VM.
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -348,6 +348,15 @@
   state.blocked_fingerprints.insert(event.fingerprint);
 }
 
+void Apply(RoutingState& state,
+           const SettingsChanged& event,
+           TimePoint /*now*/,
+           RoutingActions& /*actions*/) {
+  state.options.region_by_domain = event.region_by_domain;
+  state.options.bounds = event.bounds;
+  UpdateRegions(state);
+}
+
 void Apply(RoutingState& state,
            const StopRequested& event,
            TimePoint /*now*/,
--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -44,11 +44,11 @@
   Server& server = state.servers[entry.id];
   if (server.entry.id.empty()) {
     server.hash = HashBytes(entry.id);
-    server.region = RegionOf(state, entry.failure_domain);
     state.services[entry.service].servers.push_back(entry.id);
     state.server_id_by_tag[ServerTag(entry.id)] = entry.id;
   }
   server.entry = entry;
+  server.region = RegionOf(state, entry.failure_domain);
   server.cold_until = std::max(server.cold_until, now + entry.cold_left);
 }
 
@@ -87,6 +87,11 @@
     AddOrUpdate(state, entry, now);
 }
 
+void UpdateRegions(RoutingState& state) {
+  for (auto& [id, server] : state.servers)
+    server.region = RegionOf(state, server.entry.failure_domain);
+}
+
 void UpdateEvacuations(RoutingState& state,
                        const EvacuationsChanged& event,
                        TimePoint now) {
--- a/Libraries/LibRouting/server_table.h
+++ b/Libraries/LibRouting/server_table.h
@@ -13,6 +13,9 @@
                    const ServersChanged& event,
                    TimePoint now);
 
+// Sets the region of every server by its failure domain.
+void UpdateRegions(RoutingState& state);
+
 // Replaces the set of evacuated failure domains. The servers of a domain that
 // is no longer evacuated count as cold.
 void UpdateEvacuations(RoutingState& state,
--- a/Tests/LibRouting/test_choice.cc
+++ b/Tests/LibRouting/test_choice.cc
@@ -249,6 +249,30 @@
     CHECK(fixture.Serve("read", object, Milliseconds(10)) == "s22");
 }
 
+TEST_CASE("a server that moved to another region leaves its old home") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22", "south-a")});
+  Route route = MakeRoute("read", RouteKind::kSafe, "desk");
+  route.home_regions = {"south"};
+  fixture.Step(ConfigurationAdopted{{.version = 2, .routes = {route}}});
+  CHECK(fixture.Serve("read", 1, Milliseconds(10)) == "s22");
+  ServerEntry moved = MakeServer("s22", "north-b");
+  moved.row_version = 2;
+  fixture.Step(ServersChanged{.updated = {moved}});
+  CHECK(fixture.Serve("read", 1, Milliseconds(10)).empty());
+}
+
+TEST_CASE("changed settings move the servers of a failure domain") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22", "south-a")});
+  Route route = MakeRoute("read", RouteKind::kSafe, "desk");
+  route.home_regions = {"south"};
+  fixture.Step(ConfigurationAdopted{{.version = 2, .routes = {route}}});
+  SettingsChanged changed{.region_by_domain = MakeOptions().region_by_domain,
+                          .bounds = MakeOptions().bounds};
+  changed.region_by_domain["south-a"] = "west";
+  fixture.Step(changed);
+  CHECK(fixture.Serve("read", 1, Milliseconds(10)).empty());
+}
+
 // Guards against moving more of a region's requests per window than the shift
 // cap allows. This happened after the start and when servers warmed up: 27 and
 // 49 in 100 requests moved.
