LibRouting: Refuse home regions that may have changed

Class of fault: acting on knowledge without asking how old it is. Change: the core knows when a source last confirmed the configuration. If that is longer ago than a new configuration takes to be in force, requests of routes with home regions are refused at once as not run. A suspended VM counts the time for which it was suspended. Tried and dropped: serving on while most of the fleet is reached. What it costs: while the store is away for all entry VMs for longer than the bound, requests of routes with home regions are refused with a time to come back. Routes without homes go on. Not covered: a route that gets its first homes while the entry VM is cut off.

--- a/Libraries/LibExplain/explain.cc
+++ b/Libraries/LibExplain/explain.cc
@@ -19,6 +19,9 @@
     {"not-ready",
      "the entry VM had no configuration or no servers yet; see its store and "
      "member records"},
+    {"configuration-outdated",
+     "the route has home regions, and no source had confirmed the "
+     "configuration lately, so the operators may have changed them"},
     {"no-route", "no route of the configuration in force matched the request"},
     {"no-server",
      "every server of the service was draining, evacuated, in back-off or "
--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "home_regions.h"
 #include "observations.h"
 #include "region_shares.h"
 
@@ -63,12 +64,6 @@
 // objective.
 constexpr double kDefaultWorkShare = 0.5;
 
-bool IsRegionAllowed(const Route& route, const std::string& region) {
-  return route.home_regions.empty() ||
-         std::find(route.home_regions.begin(), route.home_regions.end(),
-                   region) != route.home_regions.end();
-}
-
 bool HasTried(const RequestState& request, const Server& server) {
   return std::find(request.tried_servers.begin(), request.tried_servers.end(),
                    server.entry.id) != request.tried_servers.end();
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -60,6 +60,17 @@
   RoutingConfiguration configuration;
 };
 
+// A source of the configuration reported that the last adopted configuration
+// was the newest one `age` ago.
+struct ConfigurationConfirmed {
+  Duration age{};
+};
+
+// The VM was suspended until now. Its clock did not advance in that time.
+struct SuspensionEnded {
+  Duration duration{};
+};
+
 // Discovery listed or removed servers.
 struct ServersChanged {
   std::vector<ServerEntry> updated;  // Servers that are new or have changed.
@@ -128,6 +139,8 @@
                                   CallerDisconnected,
                                   AttemptEnded,
                                   ConfigurationAdopted,
+                                  ConfigurationConfirmed,
+                                  SuspensionEnded,
                                   ServersChanged,
                                   EvacuationsChanged,
                                   MembersChanged,
@@ -143,8 +156,11 @@
 // server.
 enum class RefusalReason : std::uint8_t {
   kNone,
-  kNotReady,     // The entry VM has no configuration or no list of servers.
-  kNoRoute,      // No route matches the request.
+  kNotReady,  // The entry VM has no configuration or no list of servers.
+  kNoRoute,   // No route matches the request.
+  // The route has home regions, and they may have changed: no source has
+  // confirmed the configuration lately.
+  kConfigurationOutdated,
   kNoServer,     // No server may receive the request at present.
   kOverloaded,   // The servers are too full to respond in time.
   kRejected,     // Servers rejected the request and no attempt is left.
@@ -166,6 +182,8 @@
           {routing::RefusalReason::kNone, "none"},
           {routing::RefusalReason::kNotReady, "not-ready"},
           {routing::RefusalReason::kNoRoute, "no-route"},
+          {routing::RefusalReason::kConfigurationOutdated,
+           "configuration-outdated"},
           {routing::RefusalReason::kNoServer, "no-server"},
           {routing::RefusalReason::kOverloaded, "overloaded"},
           {routing::RefusalReason::kRejected, "rejected"},
--- a/Libraries/LibRouting/include/cicadadrum/routing/fleet_bounds.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/fleet_bounds.h
@@ -23,6 +23,8 @@
   // shift window than in the present one.
   double max_shift = 0.15;
   Duration shift_window = Seconds(2);
+  // Time within which a new configuration must be in force.
+  Duration configuration_time = Seconds(2);
 };
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -126,6 +127,9 @@
   RoutingOptions options;
   Random random;
   RouteTable table;
+  // Latest time at which the configuration in `table` was the newest one, as
+  // far as a source has confirmed it.
+  std::optional<TimePoint> configuration_confirmed_at;
   bool servers_known = false;  // A full list of servers has been received.
   bool stopping = false;
   TimePoint accept_until{};  // End of accepting requests while stopping.
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -6,6 +6,7 @@
 
 #include "choice.h"
 #include "cicadadrum/base/hash.h"
+#include "home_regions.h"
 #include "observations.h"
 #include "server_table.h"
 #include "sharing.h"
@@ -103,8 +104,11 @@
               TimePoint now,
               RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
-  ServerChoice choice = ChooseServer(state, request, now);
   const Duration remaining = request.deadline - now;
+  if (!AreHomeRegionsCertain(state, request.route, now))
+    return Refuse(state, id, RefusalReason::kConfigurationOutdated,
+                  RetryAfterForEstimate(Seconds(1), remaining), actions);
+  ServerChoice choice = ChooseServer(state, request, now);
   if (choice.server == nullptr)
     return Refuse(state, id, reason_without_server,
                   RetryAfterForEstimate(Seconds(1), remaining), actions);
@@ -311,6 +315,20 @@
   state.table = MakeRouteTable(event.configuration);
 }
 
+void Apply(RoutingState& state,
+           const ConfigurationConfirmed& event,
+           TimePoint now,
+           RoutingActions& /*actions*/) {
+  RecordConfirmation(state, event, now);
+}
+
+void Apply(RoutingState& state,
+           const SuspensionEnded& event,
+           TimePoint /*now*/,
+           RoutingActions& /*actions*/) {
+  RecordSuspension(state, event);
+}
+
 void Apply(RoutingState& state,
            const ServersChanged& event,
            TimePoint now,
--- a/Tests/LibRouting/routing_fixture.h
+++ b/Tests/LibRouting/routing_fixture.h
@@ -81,6 +81,7 @@
                       .cold_requests_per_second = 10}}};
     Step(ConfigurationAdopted{configuration});
     Step(ServersChanged{.updated = servers, .is_full_list = true});
+    Step(ConfigurationConfirmed{});
     // An entry VM that started long ago has discovered the other members.
     state.started_at = kStart - Seconds(60);
   }
