--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "home_regions.h"
 #include "observations.h"
 #include "region_shares.h"
 
@@ -63,12 +64,6 @@
 // objective.
 constexpr double kDefaultWorkShare = 0.5;
 
-bool IsRegionAllowed(const Route& route, const std::string& region) {
-  return route.home_regions.empty() ||
-         std::find(route.home_regions.begin(), route.home_regions.end(),
-                   region) != route.home_regions.end();
-}
-
 bool HasTried(const RequestState& request, const Server& server) {
   return std::find(request.tried_servers.begin(), request.tried_servers.end(),
                    server.entry.id) != request.tried_servers.end();
@@ -276,13 +271,19 @@
     candidates[i].rank = std::min(i, kMaxRank);
 }
 
-ServerChoice MakeServerChoice(Server& server, const Cost& cost, TimePoint now) {
+ServerChoice MakeServerChoice(Server& server,
+                              const RequestState& request,
+                              const Cost& cost,
+                              TimePoint now) {
   ServerChoice choice{.server = &server,
                       .inputs = {.cache_affinity = cost.cache_affinity,
                                  .cost_ms = cost.total_ms,
                                  .in_flight = server.in_flight,
                                  .slowness = ValueAt(server.slowness, 1, now),
-                                 .work_factor = CurrentWorkFactor(server, now)},
+                                 .work_factor = CurrentWorkFactor(server, now),
+                                 .route = request.route.name,
+                                 .server_region = server.region,
+                                 .configuration = request.configuration},
                       .expected_duration = FromMs(cost.expected_ms),
                       .work_ms = cost.work_ms,
                       .is_queued = cost.queue_ms > 0,
@@ -321,7 +322,7 @@
     return {};
   const auto& [server, cost] =
       best_by_region.at(ChooseRegion(state, request, costs, now));
-  return MakeServerChoice(*server, cost, now);
+  return MakeServerChoice(*server, request, cost, now);
 }
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -15,6 +16,7 @@
 #include "cicadadrum/base/time.h"
 #include "cicadadrum/base/verdict.h"
 #include "cicadadrum/routing/configuration.h"
+#include "cicadadrum/routing/fleet_bounds.h"
 #include "cicadadrum/routing/server.h"
 
 namespace cicadadrum::routing {
@@ -58,6 +60,17 @@
   RoutingConfiguration configuration;
 };
 
+// A source of the configuration reported that the last adopted configuration
+// was the newest one `age` ago.
+struct ConfigurationConfirmed {
+  Duration age{};
+};
+
+// The VM was suspended until now. Its clock did not advance in that time.
+struct SuspensionEnded {
+  Duration duration{};
+};
+
 // Discovery listed or removed servers.
 struct ServersChanged {
   std::vector<ServerEntry> updated;  // Servers that are new or have changed.
@@ -106,6 +119,13 @@
   std::uint64_t fingerprint = 0;
 };
 
+// The settings of this entry VM were reloaded.
+struct SettingsChanged {
+  // Region of each failure domain of the deployment.
+  std::map<std::string, std::string> region_by_domain;
+  FleetBounds bounds;
+};
+
 // The process is to stop. The core still accepts requests until `accept_until`,
 // because callers need some time to switch to another entry VM.
 struct StopRequested {
@@ -119,11 +139,14 @@
                                   CallerDisconnected,
                                   AttemptEnded,
                                   ConfigurationAdopted,
+                                  ConfigurationConfirmed,
+                                  SuspensionEnded,
                                   ServersChanged,
                                   EvacuationsChanged,
                                   MembersChanged,
                                   ObservationsReceived,
                                   FingerprintBlocked,
+                                  SettingsChanged,
                                   StopRequested,
                                   TimerExpired>;
 
@@ -133,8 +156,11 @@
 // server.
 enum class RefusalReason : std::uint8_t {
   kNone,
-  kNotReady,     // The entry VM has no configuration or no list of servers.
-  kNoRoute,      // No route matches the request.
+  kNotReady,  // The entry VM has no configuration or no list of servers.
+  kNoRoute,   // No route matches the request.
+  // The route has home regions, and they may have changed: no source has
+  // confirmed the configuration lately.
+  kConfigurationOutdated,
   kNoServer,     // No server may receive the request at present.
   kOverloaded,   // The servers are too full to respond in time.
   kRejected,     // Servers rejected the request and no attempt is left.
@@ -156,6 +182,8 @@
           {routing::RefusalReason::kNone, "none"},
           {routing::RefusalReason::kNotReady, "not-ready"},
           {routing::RefusalReason::kNoRoute, "no-route"},
+          {routing::RefusalReason::kConfigurationOutdated,
+           "configuration-outdated"},
           {routing::RefusalReason::kNoServer, "no-server"},
           {routing::RefusalReason::kOverloaded, "overloaded"},
           {routing::RefusalReason::kRejected, "rejected"},
@@ -213,6 +241,10 @@
   double slowness = 1;
   // Of the server's VM, from its last report, weighted by the report's age.
   double work_factor = 1;
+  std::string route;  // Name.
+  std::string server_region;
+  // Version of the configuration that the route was taken from.
+  std::uint64_t configuration = 0;
 };
 
 // Send the request to a server. The front end reports the end of the attempt by
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -25,24 +26,6 @@
 
 namespace cicadadrum::routing {
 
-// Bounds that apply to all entry VMs together. Each entry VM uses at most its
-// share of them.
-struct FleetBounds {
-  // Retries that are allowed in one retry window, per request to the service.
-  double retry_ratio = 0.2;
-  // Retries that are allowed in one retry window in addition to the ratio.
-  double retry_extra = 0;
-  Duration retry_window = Seconds(10);
-  // Multiplier of the rate that a cold server tolerates.
-  double cold_load_factor = 1;
-  // Requests per second that are allowed in addition to the multiplied rate.
-  double cold_extra = 0;
-  // Share of a region's requests that may run in another region in the next
-  // shift window than in the present one.
-  double max_shift = 0.15;
-  Duration shift_window = Seconds(2);
-};
-
 // Where this entry VM runs, and the bounds that it keeps to.
 struct RoutingOptions {
   std::string name;  // Of this entry VM.
@@ -55,7 +38,11 @@
 
 // A request in progress: the caller has received no response yet.
 struct RequestState {
-  Route route;  // As configured when the request arrived.
+  std::string host;
+  std::string path;
+  // As configured when the request arrived or was last retried.
+  Route route;
+  std::uint64_t configuration = 0;  // Version that `route` was taken from.
   std::string service;
   std::uint64_t object = 0;  // A random number if the caller named none.
   std::uint64_t fingerprint = 0;
@@ -140,6 +127,9 @@
   RoutingOptions options;
   Random random;
   RouteTable table;
+  // Latest time at which the configuration in `table` was the newest one, as
+  // far as a source has confirmed it.
+  std::optional<TimePoint> configuration_confirmed_at;
   bool servers_known = false;  // A full list of servers has been received.
   bool stopping = false;
   TimePoint accept_until{};  // End of accepting requests while stopping.
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -6,6 +6,7 @@
 
 #include "choice.h"
 #include "cicadadrum/base/hash.h"
+#include "home_regions.h"
 #include "observations.h"
 #include "server_table.h"
 #include "sharing.h"
@@ -103,8 +104,11 @@
               TimePoint now,
               RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
-  ServerChoice choice = ChooseServer(state, request, now);
   const Duration remaining = request.deadline - now;
+  if (!AreHomeRegionsCertain(state, request.route, now))
+    return Refuse(state, id, RefusalReason::kConfigurationOutdated,
+                  RetryAfterForEstimate(Seconds(1), remaining), actions);
+  ServerChoice choice = ChooseServer(state, request, now);
   if (choice.server == nullptr)
     return Refuse(state, id, reason_without_server,
                   RetryAfterForEstimate(Seconds(1), remaining), actions);
@@ -159,7 +163,10 @@
   if (state.blocked_fingerprints.contains(event.fingerprint))
     return Refuse(state, event.request, RefusalReason::kBlocked, {}, actions);
   RequestState request{
+      .host = event.host,
+      .path = event.path,
       .route = *route,
+      .configuration = state.table.configuration.version,
       .service = ChooseService(state, *route),
       .object = event.object ? HashBytes(route->name, *event.object)
                              : NextRandom(state.random),
@@ -238,6 +245,32 @@
          HasRetryAllowance(state, request.service, now);
 }
 
+// Replaces the request's copy of its route by the route that is configured now.
+// Returns false if no route matches the request any more.
+bool RefreshRoute(RoutingState& state, RequestState& request) {
+  if (request.configuration == state.table.configuration.version)
+    return true;
+  const Route* route = FindRoute(state.table, request.host, request.path);
+  if (route == nullptr)
+    return false;
+  // Earlier attempts may have relied on the kind of the earlier route.
+  const RouteKind kind =
+      IsIdempotent(request.route.kind) ? route->kind : request.route.kind;
+  request.route = *route;
+  request.route.kind = kind;
+  request.configuration = state.table.configuration.version;
+  const bool is_service_configured =
+      std::any_of(route->shares.begin(), route->shares.end(),
+                  [&](const ServiceShare& share) {
+                    return share.service == request.service;
+                  });
+  if (!is_service_configured) {
+    request.service = ChooseService(state, *route);
+    state.services.try_emplace(request.service);
+  }
+  return true;
+}
+
 void Apply(RoutingState& state,
            const AttemptEnded& event,
            TimePoint now,
@@ -265,7 +298,7 @@
   if (event.outcome == ServerOutcome::kLost)
     CountCrash(state, request, actions);
   const RefusalReason reason = RefusalReasonFor(event.outcome);
-  if (MayRetry(state, request, now))
+  if (RefreshRoute(state, request) && MayRetry(state, request, now))
     return Dispatch(state, event.request, reason, now, actions);
   Refuse(state, event.request, reason,
          RetryAfterForEstimate(request.expected_duration,
@@ -282,6 +315,20 @@
   state.table = MakeRouteTable(event.configuration);
 }
 
+void Apply(RoutingState& state,
+           const ConfigurationConfirmed& event,
+           TimePoint now,
+           RoutingActions& /*actions*/) {
+  RecordConfirmation(state, event, now);
+}
+
+void Apply(RoutingState& state,
+           const SuspensionEnded& event,
+           TimePoint /*now*/,
+           RoutingActions& /*actions*/) {
+  RecordSuspension(state, event);
+}
+
 void Apply(RoutingState& state,
            const ServersChanged& event,
            TimePoint now,
@@ -319,6 +366,15 @@
   state.blocked_fingerprints.insert(event.fingerprint);
 }
 
+void Apply(RoutingState& state,
+           const SettingsChanged& event,
+           TimePoint /*now*/,
+           RoutingActions& /*actions*/) {
+  state.options.region_by_domain = event.region_by_domain;
+  state.options.bounds = event.bounds;
+  UpdateRegions(state);
+}
+
 void Apply(RoutingState& state,
            const StopRequested& event,
            TimePoint /*now*/,
