LibLoop: Ignore a refusal without an id on a kept connection

Callers were told 'not run, try again' (503) for a request that a server had run or was running, or the request was sent to a second server. Cause: the client accepted every response with a status from 300 that lacks the echoed id. On a kept connection that can be an earlier refusal that a faulty server writes once more; LibRouting takes it as proof that the request has not run.

A response without the id is now accepted only if it is an error and the first response on a new connection, where no earlier request exists; that keeps a 400 that a server sends before it has read the id. Elsewhere it is skipped like a response with another id, and the connection is not reused. The true response behind it is delivered; if the connection ends instead, the outcome is lost (may have run), and if nothing follows, timed out. Ending the call at once was ruled out: it would give up the true response.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -196,10 +196,11 @@
   }
 }
 
-// Returns whether the response belongs to the connection's call. A successful
-// response without the echoed header is rejected too. An error response may
-// lack the header, because the server may have sent it before it read the
-// request's header.
+// Returns whether the response belongs to the connection's call. An error
+// response may lack the echoed header, because the server may have sent it
+// before it read the request's header. It is accepted only as the first
+// response on a new connection: on a reused connection it may be the repeated
+// response to an earlier request.
 bool HttpClient::Impl::IsResponseToCall(const Connection& connection) const {
   if (options.echoed_header.empty())
     return true;
@@ -207,7 +208,8 @@
   const std::string_view echo =
       FindField(response.headers, options.echoed_header);
   if (echo.empty())
-    return response.status >= 300;
+    return response.status >= 300 && !connection.reused &&
+           !connection.skipped_response;
   return echo == connection.call->echo;
 }
 
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -63,8 +63,9 @@
   // this long.
   Duration unacknowledged_timeout = Seconds(10);
   // Name of a request header whose value the server repeats in its response. A
-  // response with another value belongs to another request and is skipped. An
-  // empty name disables this check.
+  // response with another value belongs to another request and is skipped, and
+  // so is a response without the header, except an error that is the first
+  // response on a connection. An empty name disables this check.
   std::string echoed_header;
 };
 
--- a/Tests/LibLoop/scripted_server.h
+++ b/Tests/LibLoop/scripted_server.h
@@ -56,10 +56,13 @@
 
   const std::string& address() const { return address_; }
   std::size_t connection_count() const { return accepted_; }
+  std::size_t request_count() const { return next_; }
 
   // Writes bytes to the newest connection without having received a request.
+  // The client's socket has received them when this returns.
   void WriteUnsolicited(const std::string& bytes) {
-    bufferevent_write(connections_.back(), bytes.data(), bytes.size());
+    send(bufferevent_getfd(connections_.back()), bytes.data(), bytes.size(),
+         MSG_NOSIGNAL);
   }
 
  private:
--- a/Tests/LibLoop/test_http_client.cc
+++ b/Tests/LibLoop/test_http_client.cc
@@ -2,49 +2,10 @@
 
 #include <doctest/doctest.h>
 
-#include "cicadadrum/loop/http_client.h"
-#include "scripted_server.h"
+#include "http_client_fixture.h"
 
 namespace cicadadrum {
 
-namespace {
-
-std::string MakeResponse(const std::string& id, const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nRequest-Id: " + id +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
-}
-
-struct ClientFixture {
-  EventLoop loop;
-  ScriptedServer server;
-  HttpClient client;
-
-  explicit ClientFixture(std::vector<ScriptedResponse> responses)
-      : server(loop, std::move(responses)),
-        client(loop, {.echoed_header = "Request-Id"}) {}
-
-  std::pair<HttpOutcome, HttpResponse> Call(const std::string& id) {
-    std::pair<HttpOutcome, HttpResponse> result;
-    const HttpRequest request{.target = "/", .headers = {{"Request-Id", id}}};
-    client.Send(server.address(), request, loop.Now() + Seconds(5),
-                [&](HttpOutcome outcome, HttpResponse response) {
-                  result = {outcome, std::move(response)};
-                  loop.Stop();
-                });
-    loop.Run();
-    return result;
-  }
-
-  void RunFor(Duration time) {
-    Timer timer(loop, [this] { loop.Stop(); });
-    timer.Schedule(loop.Now() + time);
-    loop.Run();
-  }
-};
-
-}  // namespace
-
 // Guards against delivering an unsolicited response to the next request.
 TEST_CASE(
     "a second response in the same write is not delivered to any request") {
--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -9,6 +9,7 @@
 
 #include "front.h"
 #include "headers.h"
+#include "scripted_server.h"
 #include "stand_ins.h"
 
 namespace cicadadrum::platform {
@@ -131,6 +132,24 @@
   }
 };
 
+// A deployment with one entry VM that is ready and one scripted server.
+struct ScriptedDeployment : Deployment {
+  ScriptedServer server;
+  Settings settings = MakeSettings("entry-1");
+  Front front{loop, kj_loop, settings, {.high = 1, .low = 1}};
+
+  explicit ScriptedDeployment(std::vector<ScriptedResponse> responses)
+      : server(loop, std::move(responses)) {
+    store.Put("servers", "s-one", server_one.RowAt(server.address(), "ready"));
+    REQUIRE(front.Start());
+    REQUIRE(WaitUntil([this] { return IsReady(settings); }));
+  }
+
+  HttpResponse SendRequest(const HttpRequest& request) {
+    return Call(settings.self.caller_address, request).second;
+  }
+};
+
 }  // namespace
 
 TEST_CASE("a request is forwarded to a server and the response is unchanged") {
@@ -169,6 +188,30 @@
   CHECK(entry.server_one.executed_requests().size() == 2);
 }
 
+// Guards against a response that guarantees "not run", and against a second
+// server that runs the request, because the server repeated an earlier refusal.
+TEST_CASE("a repeated refusal does not refuse a request that the server got") {
+  const std::string first = "HTTP/1.1 200 OK\r\n" + std::string(kRequestId) +
+                            ": id-1\r\n" + std::string(kSeal) +
+                            ": seal\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string refused_id : {"", "id-0"}) {
+    CAPTURE(refused_id);
+    std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n";
+    if (!refused_id.empty())
+      refusal += std::string(kRequestId) + ": " + refused_id + "\r\n";
+    refusal += std::string(kNotRun) + ": 1\r\nContent-Length: 0\r\n\r\n";
+    ScriptedDeployment entry({{first},
+                              {.bytes = refusal, .then_close = true},
+                              {.bytes = refusal, .then_close = true}});
+    CHECK(entry.SendRequest(Request("/write/a", "id-1", HttpMethod::kPost))
+              .status == 200);
+    CHECK(entry.SendRequest(Request("/write/a", "id-2", HttpMethod::kPost))
+              .status == 502);
+    CHECK(entry.server.request_count() == 2);
+    CHECK(entry.server.connection_count() == 1);
+  }
+}
+
 TEST_CASE("a request that hangs gets a 504 at the timeout of its route") {
   SingleEntryDeployment entry;
   entry.server_one.SetBehaviour(ServerBehaviour::kHangs);
