LibLoop: Don't reuse a connection on which bytes wait

Bytes that arrive on an idle connection close it, but only once the loop has read them. If the next request is sent in the same turn, the connection is reused and the waiting bytes are parsed as its response: a refusal that was there before the request was written refused it.

The client now looks at the socket (MSG_PEEK) before it reuses a connection and closes it if bytes, the end of the stream or an error wait there. The same look keeps a request off a connection that the server has already closed.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <map>
 #include <vector>
 
@@ -30,6 +31,17 @@
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
+// Returns whether bytes, the end of the stream or an error wait in the
+// connection's buffer or in its socket.
+bool HasUnreadInput(bufferevent* bev) {
+  if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+    return true;
+  char byte = 0;
+  const ssize_t received =
+      recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 }  // namespace
 
 struct HttpClient::Impl {
@@ -96,11 +108,14 @@
   void Close(Connection& connection);
 };
 
+// Bytes that have arrived on an idle connection can't belong to the request
+// that is about to be sent, so such a connection is not reused.
 HttpClient::Impl::Connection* HttpClient::Impl::ReuseIdle(
     AddressConnections& address_connections) {
   while (!address_connections.idle.empty()) {
     Connection* connection = address_connections.idle.back();
-    if (loop.Now() < connection->usable_until) {
+    if (loop.Now() < connection->usable_until &&
+        !HasUnreadInput(connection->bev)) {
       address_connections.idle.pop_back();
       connection->reused = true;
       return connection;
--- a/Tests/LibLoop/test_http_client_repeats.cc
+++ b/Tests/LibLoop/test_http_client_repeats.cc
@@ -103,4 +103,17 @@
   CHECK(fixture.Call("a").second.body == "first");
 }
 
+// The bytes are in the socket before the request is written.
+TEST_CASE("bytes that arrived before a request are not its response") {
+  ClientFixture fixture(
+      {{MakeResponse("a", "first")}, {MakeResponse("b", "second")}});
+  CHECK(fixture.Call("a").second.body == "first");
+  fixture.server.WriteUnsolicited(MakeRefusal("b"));
+  const auto [outcome, response] = fixture.Call("b");
+  CHECK(outcome == HttpOutcome::kAnswered);
+  CHECK(response.body == "second");
+  CHECK(fixture.server.connection_count() == 2);
+  CHECK(fixture.server.request_count() == 2);
+}
+
 }  // namespace cicadadrum
