LibLoop: Send a repeated id on another connection

A retry at the same server has the id of the attempt that the server refused, as LibRouting sends it when no other server is listed. On the kept connection a repeat of that first refusal has the expected id, so the client took it as the response to the retry, although the server may run that: callers were told 'not run'. A request without an id has the same difficulty with every response without one.

The client now keeps the hashes of the ids that a connection has carried, and sends a request whose id is among them, or that has none, on another connection. A connection ends after 512 requests, which bounds the list to 4 KiB. Where the limit of connections is reached, the idle connection that was unused for the longest time is closed first; otherwise such a request would get 'no connection'. A sliding window of ids was ruled out: a repeat from before the window would be believed.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -10,10 +10,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <map>
 #include <vector>
 
+#include "cicadadrum/base/hash.h"
 #include "cicadadrum/loop/address.h"
 #include "cicadadrum/loop/event_pointer.h"
 #include "http_head.h"
@@ -23,6 +25,10 @@
 
 namespace {
 
+// A connection is not reused after this many requests, which limits the ids
+// that are kept for it.
+constexpr std::size_t kMaxRequestsPerConnection = 512;
+
 void SetSocketOptions(evutil_socket_t fd, Duration unacknowledged_timeout) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
@@ -62,6 +68,8 @@
     // A response that does not belong to the call arrived.
     bool skipped_response = false;
     TimePoint usable_until;  // Set while the connection is idle.
+    // Hashes of the ids (echoed values) of all requests that were sent.
+    std::vector<std::uint64_t> sent_ids;
   };
 
   // The connections to one address.
@@ -94,7 +102,8 @@
   std::uint64_t next_id = 1;
   HttpClientCounters counters;
 
-  Connection* ReuseIdle(AddressConnections& address_connections);
+  Connection* ReuseIdle(AddressConnections& address_connections,
+                        const std::string& id);
   Connection* Open(const std::string& address,
                    AddressConnections& address_connections);
   void SendRequest(Call& call, const HttpRequest& request);
@@ -109,26 +118,40 @@
 };
 
 // Bytes that have arrived on an idle connection can't belong to the request
-// that is about to be sent, so such a connection is not reused.
+// that is about to be sent, so such a connection is closed. A connection that
+// has carried a request with the same id is left idle: a repeated response to
+// that request could not be told from the response to this one.
 HttpClient::Impl::Connection* HttpClient::Impl::ReuseIdle(
-    AddressConnections& address_connections) {
-  while (!address_connections.idle.empty()) {
-    Connection* connection = address_connections.idle.back();
-    if (loop.Now() < connection->usable_until &&
-        !HasUnreadInput(connection->bev)) {
-      address_connections.idle.pop_back();
-      connection->reused = true;
-      return connection;
+    AddressConnections& address_connections,
+    const std::string& id) {
+  const std::uint64_t hash = HashBytes(id);
+  std::vector<Connection*>& idle = address_connections.idle;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    Connection* connection = idle[i];
+    if (loop.Now() >= connection->usable_until ||
+        HasUnreadInput(connection->bev)) {
+      Close(*connection);
+      continue;
     }
-    Close(*connection);
+    const auto& sent_ids = connection->sent_ids;
+    if (std::find(sent_ids.begin(), sent_ids.end(), hash) != sent_ids.end())
+      continue;
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    connection->reused = true;
+    return connection;
   }
   return nullptr;
 }
 
+// If the limit of connections is reached, the idle connection that has not been
+// used for the longest time is closed.
 HttpClient::Impl::Connection* HttpClient::Impl::Open(
     const std::string& address,
     AddressConnections& address_connections) {
   const auto target = ParseAddress(address);
+  if (address_connections.open_count >= options.max_connections_per_address &&
+      !address_connections.idle.empty())
+    Close(*address_connections.idle.front());
   if (!target ||
       address_connections.open_count >= options.max_connections_per_address)
     return nullptr;
@@ -176,6 +199,8 @@
   connection.skipped_response = false;
   connection.received_bytes = false;
   connection.call = &call;
+  if (!options.echoed_header.empty())
+    connection.sent_ids.push_back(HashBytes(call.echo));
   const std::string head = SerializeHead(call.address, request);
   evbuffer* output = bufferevent_get_output(connection.bev);
   evbuffer_add(output, head.data(), head.size());
@@ -280,7 +305,8 @@
     ++counters.unsolicited_responses;
   const bool reusable =
       outcome == HttpOutcome::kAnswered && connection.parser.reusable &&
-      !connection.skipped_response && unread == 0 && unsent == 0;
+      !connection.skipped_response && unread == 0 && unsent == 0 &&
+      connection.sent_ids.size() < kMaxRequestsPerConnection;
   connection.call = nullptr;
   calls.erase(call.id);
   if (reusable)
@@ -341,8 +367,10 @@
     call.echo = FindField(request.headers, impl_->options.echoed_header);
   Impl::AddressConnections& address_connections =
       impl_->connections_by_address[address];
-  if (!request.fresh_connection)
-    call.connection = impl_->ReuseIdle(address_connections);
+  const bool identifiable =
+      impl_->options.echoed_header.empty() || !call.echo.empty();
+  if (identifiable && !request.fresh_connection)
+    call.connection = impl_->ReuseIdle(address_connections, call.echo);
   if (call.connection == nullptr)
     call.connection = impl_->Open(address, address_connections);
   if (call.connection == nullptr) {
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -65,7 +65,9 @@
   // Name of a request header whose value the server repeats in its response. A
   // response with another value belongs to another request and is skipped, and
   // so is a response without the header, except an error that is the first
-  // response on a connection. An empty name disables this check.
+  // response on a connection. A request without the header, or with a value
+  // that a connection has carried before, is sent on another connection. An
+  // empty name disables these checks.
   std::string echoed_header;
 };
 
--- a/Tests/LibLoop/scripted_server.h
+++ b/Tests/LibLoop/scripted_server.h
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <cstddef>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
   std::string bytes;
   bool then_close = false;
   bool then_reset = false;
+  // Written before `bytes` if the connection has carried a request before.
+  std::string bytes_before_if_reused;
 };
 
 class ScriptedServer {
@@ -92,7 +95,10 @@
     // send() passes the bytes to the kernel immediately, so that a close
     // directly afterwards does not discard them.
     const evutil_socket_t fd = bufferevent_getfd(connection);
-    send(fd, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
+    std::string bytes = response.bytes;
+    if (!used_connections_.insert(connection).second)
+      bytes.insert(0, response.bytes_before_if_reused);
+    send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (response.then_reset) {
       const linger reset{.l_onoff = 1, .l_linger = 0};
       setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -103,6 +109,7 @@
 
   void CloseConnection(bufferevent* connection) {
     std::erase(connections_, connection);
+    used_connections_.erase(connection);
     bufferevent_free(connection);
   }
 
@@ -112,6 +119,7 @@
   EventLoop& loop_;
   evconnlistener* listener_ = nullptr;
   std::vector<bufferevent*> connections_;
+  std::set<bufferevent*> used_connections_;  // That have carried a request.
   std::string address_;
 };
 
--- a/Tests/LibLoop/test_http_client_repeats.cc
+++ b/Tests/LibLoop/test_http_client_repeats.cc
@@ -116,4 +116,62 @@
   CHECK(fixture.server.request_count() == 2);
 }
 
+// A retry at the same server has the id of the attempt that the server refused.
+TEST_CASE("a repeated refusal does not refuse a retry with the same id") {
+  ClientFixture fixture({{MakeRefusal("a")},
+                         {MakeResponse("b", "other")},
+                         {.bytes = MakeResponse("a", "retry"),
+                          .bytes_before_if_reused = MakeRefusal("a")}});
+  CHECK(fixture.Call("a").second.status == 503);
+  CHECK(fixture.Call("b").second.body == "other");
+  CHECK(fixture.Call("a").second.body == "retry");
+  CHECK(fixture.server.connection_count() == 2);
+}
+
+// A response without an id can be told from a repeated one only on a new
+// connection.
+TEST_CASE("a request without an id is not sent on a kept connection") {
+  ClientFixture fixture(
+      {{MakeResponse("a", "first")},
+       {.bytes = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n",
+        .bytes_before_if_reused = MakeRefusal("")}});
+  CHECK(fixture.Call("a").second.body == "first");
+  CHECK(fixture.Call(HttpRequest{.target = "/"}).second.status == 400);
+  CHECK(fixture.server.connection_count() == 2);
+}
+
+// The ids that a connection has carried are kept, so their number is limited.
+TEST_CASE("a connection carries a limited number of requests") {
+  constexpr std::size_t kRequests = 600;
+  std::vector<ScriptedResponse> responses;
+  for (std::size_t i = 0; i < kRequests; ++i)
+    responses.push_back({MakeResponse(std::to_string(i), "body")});
+  ClientFixture fixture(std::move(responses));
+  for (std::size_t i = 0; i < kRequests; ++i)
+    CHECK(fixture.Call(std::to_string(i)).second.body == "body");
+  CHECK(fixture.server.connection_count() == 2);
+}
+
+// The limit of connections counts idle ones too.
+TEST_CASE("an idle connection that can't be reused makes way for a new one") {
+  EventLoop loop;
+  ScriptedServer server(loop,
+                        {{MakeRefusal("a")}, {MakeResponse("a", "retry")}});
+  HttpClient client(
+      loop, {.max_connections_per_address = 1, .echoed_header = "Request-Id"});
+  std::vector<std::uint16_t> statuses;
+  for (int i = 0; i < 2; ++i) {
+    client.Send(server.address(),
+                {.target = "/", .headers = {{"Request-Id", "a"}}},
+                loop.Now() + kCallTimeout,
+                [&](HttpOutcome outcome, const HttpResponse& response) {
+                  CHECK(outcome == HttpOutcome::kAnswered);
+                  statuses.push_back(response.status);
+                  loop.Stop();
+                });
+    loop.Run();
+  }
+  CHECK(statuses == std::vector<std::uint16_t>{503, 200});
+}
+
 }  // namespace cicadadrum
