--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -212,6 +212,27 @@
   }
 }
 
+// Guards against a 200 with an empty or short body for a response that the
+// server cut in its head.
+TEST_CASE("a response that is cut in its head gets a 502") {
+  const std::string head = "HTTP/1.1 200 OK\r\n" + std::string(kRequestId) +
+                           ": id-1\r\n" + std::string(kSeal) +
+                           ": seal\r\nContent-Length: 60\r\n\r\n";
+  for (const std::size_t line : {1, 2, 3, 4}) {
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < line; ++i)
+      size = head.find("\r\n", size) + 2;
+    CAPTURE(size);
+    for (const bool reset : {false, true}) {
+      ScriptedDeployment entry({{.bytes = head.substr(0, size),
+                                 .then_close = !reset,
+                                 .then_reset = reset}});
+      CHECK(entry.SendRequest(Request("/write/a", "id-1", HttpMethod::kPost))
+                .status == 502);
+    }
+  }
+}
+
 TEST_CASE("a request that hangs gets a 504 at the timeout of its route") {
   SingleEntryDeployment entry;
   entry.server_one.SetBehaviour(ServerBehaviour::kHangs);
