LibLoop: End a call whose response never begins

Bytes that are no response may come without end until the caller closes. http_parser ends an endless head, chunk size, chunk extension and trailers at 80 KiB, but four series passed it: interim responses, responses of other requests, responses without an id, and chunks with long extensions. The call then lasted until its deadline while the loop read hundreds of megabytes. Each read callback handles one read of the socket, so other connections were still served.

HttpClientOptions::max_discarded_bytes (1 MiB) bounds the bytes of a call that are no part of its response's body: heads, framing of chunks, interim responses and responses to other requests with their bodies. Beyond it the call is lost and the connection closed. The memory of a discarded response is freed; an assignment kept the body's buffer.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -62,9 +62,8 @@
     Call* call = nullptr;
     ResponseParser parser;
     bool connected = false;
-    bool reused = false;  // By the current call.
-    // At least one byte arrived during the current call.
-    bool received_bytes = false;
+    bool reused = false;               // By the current call.
+    std::uint64_t received_bytes = 0;  // During the current call.
     // A response that does not belong to the call arrived.
     bool skipped_response = false;
     TimePoint usable_until;  // Set while the connection is idle.
@@ -111,6 +110,7 @@
   void ScheduleCompletion(Call& call, HttpOutcome outcome);
   void TimeOutCall(std::uint64_t id);
   void Read(Connection& connection);
+  std::uint64_t DiscardedBytes(const Connection& connection) const;
   bool IsResponseToCall(const Connection& connection) const;
   void HandleEvent(Connection& connection, short what);
   void ReturnToIdle(Connection& connection, Duration usable);
@@ -197,7 +197,7 @@
   Connection& connection = *call.connection;
   ResetParser(connection.parser, call.head_request);
   connection.skipped_response = false;
-  connection.received_bytes = false;
+  connection.received_bytes = 0;
   connection.call = &call;
   if (!options.echoed_header.empty())
     connection.sent_ids.push_back(HashBytes(call.echo));
@@ -214,7 +214,6 @@
     ++counters.unsolicited_responses;
     return Close(connection);
   }
-  connection.received_bytes = true;
   evbuffer* input = bufferevent_get_input(connection.bev);
   while (evbuffer_get_length(input) > 0) {
     const std::size_t size = evbuffer_get_contiguous_space(input);
@@ -224,18 +223,31 @@
     const ParseProgress progress =
         ParseBytes(connection.parser, bytes, size, consumed);
     evbuffer_drain(input, consumed);
-    if (progress == ParseProgress::kMalformed)
+    connection.received_bytes += consumed;
+    if (progress == ParseProgress::kComplete && IsResponseToCall(connection))
+      return Complete(connection, HttpOutcome::kAnswered);
+    if (progress == ParseProgress::kMalformed ||
+        DiscardedBytes(connection) > options.max_discarded_bytes)
       return Complete(connection, HttpOutcome::kLost);
     if (progress == ParseProgress::kNeedMore)
       continue;
-    if (IsResponseToCall(connection))
-      return Complete(connection, HttpOutcome::kAnswered);
     ++counters.unsolicited_responses;
     connection.skipped_response = true;
     ResetParser(connection.parser, connection.call->head_request);
   }
 }
 
+// Returns how many bytes of the call's connection are no part of the body of
+// the response to the call.
+std::uint64_t HttpClient::Impl::DiscardedBytes(
+    const Connection& connection) const {
+  const ResponseParser& parser = connection.parser;
+  const bool keeps_body =
+      parser.headers_complete && IsResponseToCall(connection);
+  return connection.received_bytes -
+         (keeps_body ? parser.response.body.size() : 0);
+}
+
 // Returns whether the response belongs to the connection's call. An error
 // response may lack the echoed header, because the server may have sent it
 // before it read the request's header. It is accepted only as the first
@@ -269,7 +281,7 @@
     if (IsResponseToCall(connection))
       return Complete(connection, HttpOutcome::kAnswered);
   }
-  const bool unused = connection.reused && !connection.received_bytes;
+  const bool unused = connection.reused && connection.received_bytes == 0;
   Complete(connection, unused ? HttpOutcome::kLostUnused : HttpOutcome::kLost);
 }
 
--- a/Libraries/LibLoop/http_parser_state.cc
+++ b/Libraries/LibLoop/http_parser_state.cc
@@ -2,6 +2,8 @@
 
 #include "http_parser_state.h"
 
+#include <utility>
+
 namespace cicadadrum {
 
 namespace {
@@ -12,6 +14,14 @@
   return *static_cast<ResponseParser*>(parser->data);
 }
 
+// Frees the memory of the response, which an assignment of an empty body would
+// keep.
+void DiscardResponse(ResponseParser& state) {
+  std::exchange(state.response, {});
+  state.in_value = false;
+  state.headers_complete = false;
+}
+
 int OnField(http_parser* parser, const char* at, std::size_t length) {
   ResponseParser& state = StateOf(parser);
   if (state.in_value || state.response.headers.empty())
@@ -32,6 +42,7 @@
 int OnHeadersComplete(http_parser* parser) {
   ResponseParser& state = StateOf(parser);
   state.response.status = static_cast<std::uint16_t>(parser->status_code);
+  state.headers_complete = true;
   return state.head_request ? 1 : 0;
 }
 
@@ -50,8 +61,7 @@
   // An interim response, for example 100 Continue, precedes the final response
   // and is discarded.
   if (state.response.status < kFirstFinalStatus) {
-    state.response = {};
-    state.in_value = false;
+    DiscardResponse(state);
     return 0;
   }
   state.complete = true;
@@ -87,8 +97,7 @@
 void ResetParser(ResponseParser& state, bool head_request) {
   http_parser_init(&state.parser, HTTP_RESPONSE);
   state.parser.data = &state;
-  state.response = {};
-  state.in_value = false;
+  DiscardResponse(state);
   state.complete = false;
   state.too_large = false;
   state.reusable = false;
--- a/Libraries/LibLoop/http_parser_state.h
+++ b/Libraries/LibLoop/http_parser_state.h
@@ -28,6 +28,8 @@
   std::uint64_t max_body_bytes = 0;
   // The most recent header callback delivered part of a value.
   bool in_value = false;
+  // The status and the headers of `response` are complete.
+  bool headers_complete = false;
   bool complete = false;
   bool too_large = false;
   bool head_request = false;  // A response to HEAD has no body.
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -55,6 +55,10 @@
   std::uint32_t max_connections_per_address = 64;
   // A response with a larger body is treated as malformed.
   std::uint64_t max_response_bytes = 8'388'608;
+  // A call is lost if more bytes arrive for it that are no part of its
+  // response's body: heads, the framing of chunks, interim responses and
+  // responses to other requests.
+  std::uint64_t max_discarded_bytes = 1'048'576;
   Duration connect_timeout = Seconds(2);
   // A connection that has been idle for longer is closed instead of reused. A
   // shorter timeout in the server's Keep-Alive header takes precedence.
--- a/Tests/LibLoop/scripted_server.h
+++ b/Tests/LibLoop/scripted_server.h
@@ -10,7 +10,9 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <csignal>
 #include <cstddef>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,12 +28,19 @@
   bool then_reset = false;
   // Written before `bytes` if the connection has carried a request before.
   std::string bytes_before_if_reused;
+  // Written after `bytes` again and again until the client closes.
+  std::string endless_bytes;
 };
 
 class ScriptedServer {
  public:
+  // Endless bytes are written in blocks of about this size.
+  static constexpr std::size_t kEndlessBlockBytes = 16'384;
+
   ScriptedServer(EventLoop& loop, std::vector<ScriptedResponse> responses)
       : responses_(std::move(responses)), loop_(loop) {
+    // A write after the client has closed must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     sockaddr_in any{.sin_family = AF_INET, .sin_port = 0};
     any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     const auto accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
@@ -60,6 +69,10 @@
   const std::string& address() const { return address_; }
   std::size_t connection_count() const { return accepted_; }
   std::size_t request_count() const { return next_; }
+  // Connections that are open on the server's side.
+  std::size_t open_count() const { return connections_.size(); }
+  // Endless bytes that were passed to the kernel or wait for it.
+  std::size_t endless_byte_count() const { return endless_byte_count_; }
 
   // Writes bytes to the newest connection without having received a request.
   // The client's socket has received them when this returns.
@@ -99,6 +112,8 @@
     if (!used_connections_.insert(connection).second)
       bytes.insert(0, response.bytes_before_if_reused);
     send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (!response.endless_bytes.empty())
+      return WriteEndlessly(connection, response.endless_bytes);
     if (response.then_reset) {
       const linger reset{.l_onoff = 1, .l_linger = 0};
       setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
@@ -107,7 +122,25 @@
       CloseConnection(connection);
   }
 
+  void WriteEndlessly(bufferevent* connection, const std::string& bytes) {
+    std::string& block = endless_blocks_[connection];
+    while (block.size() < kEndlessBlockBytes)
+      block += bytes;
+    const auto writable = [](bufferevent* drained, void* argument) {
+      auto* server = static_cast<ScriptedServer*>(argument);
+      const std::string& next = server->endless_blocks_[drained];
+      server->endless_byte_count_ += next.size();
+      bufferevent_write(drained, next.data(), next.size());
+    };
+    const auto ended = [](bufferevent* source, short /*what*/, void* argument) {
+      static_cast<ScriptedServer*>(argument)->CloseConnection(source);
+    };
+    bufferevent_setcb(connection, nullptr, writable, ended, this);
+    writable(connection, this);
+  }
+
   void CloseConnection(bufferevent* connection) {
+    endless_blocks_.erase(connection);
     std::erase(connections_, connection);
     used_connections_.erase(connection);
     bufferevent_free(connection);
@@ -119,6 +152,8 @@
   EventLoop& loop_;
   evconnlistener* listener_ = nullptr;
   std::vector<bufferevent*> connections_;
+  std::map<bufferevent*, std::string> endless_blocks_;
+  std::size_t endless_byte_count_ = 0;
   std::set<bufferevent*> used_connections_;  // That have carried a request.
   std::string address_;
 };
