--- /dev/null
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -0,0 +1,88 @@
+// State of the HTTP client: its connections and its calls.
+
+#ifndef CICADADRUM_LOOP_HTTP_CLIENT_IMPL_H_
+#define CICADADRUM_LOOP_HTTP_CLIENT_IMPL_H_
+
+#include <event2/bufferevent.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cicadadrum/loop/http_client.h"
+#include "http_parser_state.h"
+
+namespace cicadadrum {
+
+struct HttpClient::Impl {
+  struct Call;
+
+  // Invariant: either `call` is set, or the connection is in `idle` of its
+  // AddressConnections.
+  struct Connection {
+    Impl* client = nullptr;
+    std::string address;
+    bufferevent* bev = nullptr;
+    Call* call = nullptr;
+    ResponseParser parser;
+    bool connected = false;
+    bool reused = false;               // By the current call.
+    std::uint64_t received_bytes = 0;  // During the current call.
+    // A response that does not belong to the call arrived.
+    bool skipped_response = false;
+    TimePoint usable_until;  // Set while the connection is idle.
+    // Hashes of the ids (echoed values) of all requests that were sent.
+    std::vector<std::uint64_t> sent_ids;
+  };
+
+  // The connections to one address.
+  struct AddressConnections {
+    // The most recently used connection is last.
+    std::vector<Connection*> idle;
+    // Invariant: the number of idle connections plus those with a call.
+    std::uint32_t open_count = 0;
+  };
+
+  struct Call {
+    std::uint64_t id = 0;
+    std::string address;
+    std::string echo;  // Expected value of the echoed header.
+    bool head_request = false;
+    Connection* connection = nullptr;
+    Callback callback;
+    std::unique_ptr<Timer> timer;
+  };
+
+  Impl(EventLoop& event_loop, HttpClientOptions client_options)
+      : loop(event_loop), options(std::move(client_options)) {}
+
+  EventLoop& loop;
+  HttpClientOptions options;
+  std::map<std::string, AddressConnections> connections_by_address;
+  // A std::map, whose elements keep their addresses: connections point to
+  // calls.
+  std::map<std::uint64_t, Call> calls;
+  std::uint64_t next_id = 1;
+  HttpClientCounters counters;
+
+  Connection* ReuseIdle(AddressConnections& address_connections,
+                        const std::string& id);
+  Connection* Open(const std::string& address,
+                   AddressConnections& address_connections);
+  void SendRequest(Call& call, const HttpRequest& request);
+  void Complete(Connection& connection, HttpOutcome outcome);
+  void ScheduleCompletion(Call& call, HttpOutcome outcome);
+  void TimeOutCall(std::uint64_t id);
+  void Read(Connection& connection);
+  std::uint64_t DiscardedBytes(const Connection& connection) const;
+  bool IsResponseToCall(const Connection& connection) const;
+  void HandleEvent(Connection& connection, short what);
+  void ReturnToIdle(Connection& connection, Duration usable);
+  void Close(Connection& connection);
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_LOOP_HTTP_CLIENT_IMPL_H_
