LibLoop: End a call at a length beyond the limit

A head that declares a body above max_response_bytes was found out only when so many bytes had come: the call held up to 64 MiB before it was lost, or lasted until its deadline if the bytes stopped. The length is now compared when the head is complete; the answer to HEAD, which has no body, is exempt as before.

--- a/Libraries/LibLoop/http_parser_state.cc
+++ b/Libraries/LibLoop/http_parser_state.cc
@@ -38,12 +38,22 @@
   return 0;
 }
 
-// Returns 1 to make the parser skip the body, as a response to HEAD has none.
+bool DeclaresLength(const http_parser* parser) {
+  return (parser->flags & F_CONTENTLENGTH) != 0 &&
+         (parser->flags & F_CHUNKED) == 0;
+}
+
+// Returns 1 to make the parser skip the body, as a response to HEAD has none. A
+// length beyond the limit is reported at the head, as the body may never come.
 int OnHeadersComplete(http_parser* parser) {
   ResponseParser& state = StateOf(parser);
   state.response.status = static_cast<std::uint16_t>(parser->status_code);
   state.headers_complete = true;
-  return state.head_request ? 1 : 0;
+  if (state.head_request)
+    return 1;
+  state.too_large =
+      DeclaresLength(parser) && parser->content_length > state.max_body_bytes;
+  return 0;
 }
 
 int OnBody(http_parser* parser, const char* at, std::size_t length) {
--- a/Tests/LibLoop/test_http_client_endless.cc
+++ b/Tests/LibLoop/test_http_client_endless.cc
@@ -99,4 +99,12 @@
   CHECK(fixture.server.endless_byte_count() < kMaxEndlessBytes);
 }
 
+// The head tells that the length is too large, so no body is waited for.
+TEST_CASE("a length beyond the limit is lost at its head") {
+  ClientFixture fixture(
+      {{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+        "Content-Length: 99999999999\r\n\r\n"}});
+  CHECK(fixture.Call("a").first == HttpOutcome::kLost);
+}
+
 }  // namespace cicadadrum
