LibLoop: Bound the bytes of all incomplete responses together

A response may have 64 MiB, and each server has up to 48 connections, while a VM has 160 to 260 MB: a few servers that send a body without end could take the entry VM's memory.

HttpClientOptions::max_buffered_bytes bounds the headers and bodies of all incomplete responses. While it is exceeded, the call with the largest one is lost and its connection closed at once, so endless responses don't displace ordinary ones; to end the call that happens to exceed the limit was ruled out for that reason. Its callback runs in the next turn of the loop, as a callback may cancel the call that is being read. HttpClientCounters::buffered_bytes is the size at this moment. The bytes in the caller's response that is being written are not part of it.

The test of the front end ('bytes without end that begin no response get a 502 at once') belongs to max_discarded_bytes and was added here.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -5,6 +5,9 @@
 
 #include <event2/buffer.h>
 
+#include <algorithm>
+#include <utility>
+
 #include "cicadadrum/base/hash.h"
 #include "http_client_impl.h"
 #include "http_head.h"
@@ -50,6 +53,7 @@
         ParseBytes(connection.parser, bytes, size, consumed);
     evbuffer_drain(input, consumed);
     connection.received_bytes += consumed;
+    CountBufferedBytes(connection);
     if (progress == ParseProgress::kComplete && IsResponseToCall(connection))
       return Complete(connection, HttpOutcome::kAnswered);
     if (progress == ParseProgress::kMalformed ||
@@ -61,6 +65,28 @@
     connection.skipped_response = true;
     ResetParser(connection.parser, connection.call->head_request);
   }
+  LimitBufferedBytes();
+}
+
+void HttpClient::Impl::CountBufferedBytes(Connection& connection) {
+  counters.buffered_bytes -= connection.buffered_bytes;
+  connection.buffered_bytes = connection.parser.held_bytes;
+  counters.buffered_bytes += connection.buffered_bytes;
+}
+
+// Ends the calls with the largest incomplete responses until the limit is met,
+// so that responses without end do not displace ordinary ones. The callbacks
+// run later, because a callback may destroy the connection that is being read.
+void HttpClient::Impl::LimitBufferedBytes() {
+  const auto buffered_bytes = [](const auto& entry) {
+    const Connection* connection = entry.second.connection;
+    return connection == nullptr ? 0 : connection->buffered_bytes;
+  };
+  while (counters.buffered_bytes > options.max_buffered_bytes) {
+    Call& largest = std::ranges::max_element(calls, {}, buffered_bytes)->second;
+    Close(*std::exchange(largest.connection, nullptr));
+    ScheduleCompletion(largest, HttpOutcome::kLost);
+  }
 }
 
 // Returns how many bytes of the call's connection are no part of the body of
@@ -120,7 +146,9 @@
   const std::unique_ptr<Timer> timer = std::move(call.timer);
   HttpResponse response;
   if (outcome == HttpOutcome::kAnswered)
-    response = std::move(connection.parser.response);
+    response = std::exchange(connection.parser.response, {});
+  connection.parser.held_bytes = 0;
+  CountBufferedBytes(connection);
   const std::size_t unread =
       evbuffer_get_length(bufferevent_get_input(connection.bev));
   const std::size_t unsent =
--- a/Libraries/LibLoop/http_client_connections.cc
+++ b/Libraries/LibLoop/http_client_connections.cc
@@ -125,6 +125,7 @@
       connections_by_address[connection.address];
   std::erase(address_connections.idle, &connection);
   --address_connections.open_count;
+  counters.buffered_bytes -= connection.buffered_bytes;
   bufferevent_free(connection.bev);
   delete &connection;
 }
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -30,6 +30,8 @@
     bool connected = false;
     bool reused = false;               // By the current call.
     std::uint64_t received_bytes = 0;  // During the current call.
+    // The share of this connection in HttpClientCounters::buffered_bytes.
+    std::uint64_t buffered_bytes = 0;
     // A response that does not belong to the call arrived.
     bool skipped_response = false;
     TimePoint usable_until;  // Set while the connection is idle.
@@ -76,6 +78,8 @@
   void ScheduleCompletion(Call& call, HttpOutcome outcome);
   void TimeOutCall(std::uint64_t id);
   void Read(Connection& connection);
+  void CountBufferedBytes(Connection& connection);
+  void LimitBufferedBytes();
   std::uint64_t DiscardedBytes(const Connection& connection) const;
   bool IsResponseToCall(const Connection& connection) const;
   void HandleEvent(Connection& connection, short what);
--- a/Libraries/LibLoop/http_parser_state.cc
+++ b/Libraries/LibLoop/http_parser_state.cc
@@ -18,15 +18,19 @@
 // keep.
 void DiscardResponse(ResponseParser& state) {
   std::exchange(state.response, {});
+  state.held_bytes = 0;
   state.in_value = false;
   state.headers_complete = false;
 }
 
 int OnField(http_parser* parser, const char* at, std::size_t length) {
   ResponseParser& state = StateOf(parser);
-  if (state.in_value || state.response.headers.empty())
+  if (state.in_value || state.response.headers.empty()) {
     state.response.headers.emplace_back();
+    state.held_bytes += sizeof(HttpFields::value_type);
+  }
   state.in_value = false;
+  state.held_bytes += length;
   state.response.headers.back().first.append(at, length);
   return 0;
 }
@@ -34,6 +38,7 @@
 int OnValue(http_parser* parser, const char* at, std::size_t length) {
   ResponseParser& state = StateOf(parser);
   state.in_value = true;
+  state.held_bytes += length;
   state.response.headers.back().second.append(at, length);
   return 0;
 }
@@ -62,6 +67,7 @@
     state.too_large = true;
     return 1;
   }
+  state.held_bytes += length;
   state.response.body.append(at, length);
   return 0;
 }
--- a/Libraries/LibLoop/http_parser_state.h
+++ b/Libraries/LibLoop/http_parser_state.h
@@ -26,6 +26,7 @@
   http_parser parser{};
   HttpResponse response;
   std::uint64_t max_body_bytes = 0;
+  std::uint64_t held_bytes = 0;  // Size of the headers and body in `response`.
   // The most recent header callback delivered part of a value.
   bool in_value = false;
   // The status and the headers of `response` are complete.
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -55,6 +55,9 @@
   std::uint32_t max_connections_per_address = 64;
   // A response with a larger body is treated as malformed.
   std::uint64_t max_response_bytes = 8'388'608;
+  // Limit of the headers and bodies of all incomplete responses together. While
+  // it is exceeded, the call with the largest incomplete response is lost.
+  std::uint64_t max_buffered_bytes = 67'108'864;
   // A call is lost if more bytes arrive for it that are no part of its
   // response's body: heads, the framing of chunks, interim responses and
   // responses to other requests.
@@ -80,6 +83,8 @@
   std::uint64_t requests = 0;     // Calls of Send.
   // Responses, or bytes after a response, that match no request.
   std::uint64_t unsolicited_responses = 0;
+  // Size of the incomplete responses at this moment.
+  std::uint64_t buffered_bytes = 0;
 };
 
 class HttpClient {
--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -233,6 +233,15 @@
   }
 }
 
+TEST_CASE("bytes without end that begin no response get a 502 at once") {
+  ScriptedDeployment entry(
+      {{.endless_bytes = "HTTP/1.1 100 Continue\r\n\r\n"}});
+  CHECK(entry.SendRequest(Request("/write/a", "id-1", HttpMethod::kPost))
+            .status == 502);
+  CHECK(entry.server.connection_count() == 1);
+  CHECK(entry.WaitUntil([&] { return entry.server.open_count() == 0; }));
+}
+
 TEST_CASE("a request that hangs gets a 504 at the timeout of its route") {
   SingleEntryDeployment entry;
   entry.server_one.SetBehaviour(ServerBehaviour::kHangs);
