LibStore: Bound the bytes of a response from the store

The store's connections use evhttp's client, which bounds a body but not a head, a line between chunks or the number of interim responses. A platform that sends such bytes without end held the call until its timeout and the memory grew with the bytes.

The connections now bound the head (64 KiB) and count the bytes that arrive for a request. Beyond twice the limit of the body and the head, the request is lost and its connection closed, outside evhttp's callbacks. The limit of the head alone was not enough: interim responses, an endless chunk size and an endless chunk extension still passed it.

--- a/Libraries/LibStore/connections.cc
+++ b/Libraries/LibStore/connections.cc
@@ -4,18 +4,23 @@
 #include "connections.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
 #include <algorithm>
 #include <charconv>
 #include <deque>
+#include <utility>
 #include <vector>
 
 namespace cicadadrum {
 
 namespace {
 
+// evhttp has no limit of its own for the head of a response.
+constexpr ev_ssize_t kMaxHeaderBytes = 65'536;
+
 struct WaitingRequest {
   std::uint64_t id = 0;
   StoreHttpRequest request;
@@ -64,6 +69,7 @@
     evhttp_connection* handle = nullptr;
     evhttp_request* request = nullptr;  // Null while the connection is idle.
     std::uint64_t id = 0;               // Identifier of the request.
+    std::uint64_t received_bytes = 0;   // Since the request started.
   };
 
   event_base* base = nullptr;
@@ -74,10 +80,14 @@
   DoneCallback done;
   std::vector<std::unique_ptr<Connection>> connections;
   std::deque<WaitingRequest> waiting;
-  event* start_event =
-      nullptr;  // Starts waiting requests outside evhttp's callbacks.
+  // Ends excessive responses and starts waiting requests outside evhttp's
+  // callbacks.
+  event* start_event = nullptr;
 
   Connection* FindOrOpenIdleConnection();
+  void LimitReceivedBytes(Connection& connection);
+  bool ExceedsLimit(const Connection& connection) const;
+  void EndExcessiveResponses();
   void StartRequest(Connection& connection, const WaitingRequest& next);
   void StartWaitingRequests();
   void Finish(Connection& connection, evhttp_request* request);
@@ -97,10 +107,43 @@
   evhttp_connection_set_retries(connection->handle, 0);
   evhttp_connection_set_max_body_size(
       connection->handle, static_cast<ev_ssize_t>(max_response_bytes));
+  evhttp_connection_set_max_headers_size(connection->handle, kMaxHeaderBytes);
+  LimitReceivedBytes(*connection);
   connections.push_back(std::move(connection));
   return connections.back().get();
 }
 
+// evhttp limits neither the number of interim responses nor the lines between
+// chunks, so the bytes that arrive are counted. The request is ended outside
+// evhttp's callbacks.
+void Connections::Impl::LimitReceivedBytes(Connection& connection) {
+  const auto count = [](evbuffer* /*input*/, const evbuffer_cb_info* info,
+                        void* argument) {
+    auto* receiving = static_cast<Connection*>(argument);
+    receiving->received_bytes += info->n_added;
+    if (receiving->owner->ExceedsLimit(*receiving))
+      event_active(receiving->owner->start_event, EV_TIMEOUT, 0);
+  };
+  bufferevent* stream = evhttp_connection_get_bufferevent(connection.handle);
+  evbuffer_add_cb(bufferevent_get_input(stream), count, &connection);
+}
+
+// The framing of chunks may take as many bytes as the body.
+bool Connections::Impl::ExceedsLimit(const Connection& connection) const {
+  return connection.request != nullptr &&
+         connection.received_bytes > 2 * max_response_bytes + kMaxHeaderBytes;
+}
+
+void Connections::Impl::EndExcessiveResponses() {
+  for (std::size_t i = 0; i < connections.size(); ++i) {
+    Connection& connection = *connections[i];
+    if (!ExceedsLimit(connection))
+      continue;
+    evhttp_cancel_request(std::exchange(connection.request, nullptr));
+    done(connection.id, StoreAttemptOutcome::kLost, {});
+  }
+}
+
 void Connections::Impl::StartRequest(Connection& connection,
                                      const WaitingRequest& next) {
   const auto on_done = [](evhttp_request* request, void* argument) {
@@ -108,6 +151,7 @@
     ended->owner->Finish(*ended, request);
   };
   connection.id = next.id;
+  connection.received_bytes = 0;
   connection.request = evhttp_request_new(on_done, &connection);
   evkeyvalq* headers = evhttp_request_get_output_headers(connection.request);
   evhttp_add_header(headers, "Host", host_header.c_str());
@@ -130,6 +174,7 @@
 }
 
 void Connections::Impl::StartWaitingRequests() {
+  EndExcessiveResponses();
   while (!waiting.empty()) {
     Connection* connection = FindOrOpenIdleConnection();
     if (connection == nullptr)
