Tests/LibLoop: End a server while it writes a response

The other side of a cut response: HttpServer (evhttp) writes the length before the body, so a caller of a server that ends in the middle sees the response as lost. The test passed on the unchanged code; nothing is fixed here.

--- a/Tests/LibLoop/test_http.cc
+++ b/Tests/LibLoop/test_http.cc
@@ -2,11 +2,13 @@
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <event2/event.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <map>
+#include <memory>
 #include <optional>
 
 #include "cicadadrum/loop/address.h"
@@ -198,4 +200,31 @@
   close(waiting);
 }
 
+// Guards against a short body that the caller takes as whole.
+TEST_CASE("a response of a server that ends while it writes is lost") {
+  const std::string body(16 << 20, 'x');
+  EventLoop loop;
+  HttpClient client(loop, {.max_response_bytes = body.size()});
+  std::unique_ptr<HttpServer> server;
+  server = std::make_unique<HttpServer>(
+      loop, HttpServerOptions{},
+      [&](std::uint64_t id, const HttpRequest& /*request*/) {
+        server->Respond(id, {.body = body});
+      },
+      [](std::uint64_t /*id*/) {});
+  const std::string address =
+      "127.0.0.1:" + std::to_string(server->Listen("127.0.0.1:0").value());
+  std::optional<HttpOutcome> result;
+  client.Send(address, {.target = "/"}, loop.Now() + Seconds(20),
+              [&](HttpOutcome outcome, const HttpResponse& /*response*/) {
+                result = outcome;
+              });
+  while (client.counters().buffered_bytes == 0)
+    event_base_loop(loop.base(), EVLOOP_ONCE);
+  server.reset();
+  while (!result)
+    event_base_loop(loop.base(), EVLOOP_ONCE);
+  CHECK(*result == HttpOutcome::kLost);
+}
+
 }  // namespace cicadadrum
