LibLoop: Report a written request as not sent no longer

If the deadline of a call passed in the turn of the loop in which its connection was made, the outcome was kNotConnected, which proves 'not run', although the server got the whole request: libevent writes it as soon as the socket is connected and reports the connection later in the same turn (deferred callbacks), and the deadline's timer may run between the two. Found while looking for other causes of a wrong 'not run'. In the platform's front end LibRouting ends an attempt one second before this deadline, so no case of it is known there; LibEntry and LibCaller use the deadline directly.

Besides the report, the client now compares the unsent bytes with the size of the request.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -34,6 +34,7 @@
   evbuffer* output = bufferevent_get_output(connection.bev);
   evbuffer_add(output, head.data(), head.size());
   evbuffer_add(output, request.body.data(), request.body.size());
+  connection.request_bytes = head.size() + request.body.size();
 }
 
 // Bytes that arrive on an idle connection belong to no request; the connection
@@ -125,7 +126,7 @@
   }
   if (connection.call == nullptr)
     return Close(connection);
-  if (!connection.connected)
+  if (HasSentNothing(connection))
     return Complete(connection, HttpOutcome::kNotConnected);
   const bool closed = (what & BEV_EVENT_EOF) != 0;
   if (closed && ParseEnd(connection.parser) == ParseProgress::kComplete) {
@@ -182,12 +183,18 @@
   call.timer->Schedule(loop.Now());
 }
 
-// If the connection was never established, no byte of the request was sent, so
-// the outcome is kNotConnected.
+// The request may have been written before the loop reports the connection as
+// established, so the bytes that are still unsent count too.
+bool HttpClient::Impl::HasSentNothing(const Connection& connection) {
+  return !connection.connected &&
+         evbuffer_get_length(bufferevent_get_output(connection.bev)) ==
+             connection.request_bytes;
+}
+
 void HttpClient::Impl::TimeOutCall(std::uint64_t id) {
   Connection& connection = *calls.at(id).connection;
-  Complete(connection, connection.connected ? HttpOutcome::kTimedOut
-                                            : HttpOutcome::kNotConnected);
+  Complete(connection, HasSentNothing(connection) ? HttpOutcome::kNotConnected
+                                                  : HttpOutcome::kTimedOut);
 }
 
 HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -29,6 +29,7 @@
     ResponseParser parser;
     bool connected = false;
     bool reused = false;               // By the current call.
+    std::size_t request_bytes = 0;     // Size of the current call's request.
     std::uint64_t received_bytes = 0;  // During the current call.
     // The share of this connection in HttpClientCounters::buffered_bytes.
     std::uint64_t buffered_bytes = 0;
@@ -77,6 +78,7 @@
   void Complete(Connection& connection, HttpOutcome outcome);
   void ScheduleCompletion(Call& call, HttpOutcome outcome);
   void TimeOutCall(std::uint64_t id);
+  static bool HasSentNothing(const Connection& connection);
   void Read(Connection& connection);
   void CountBufferedBytes(Connection& connection);
   void LimitBufferedBytes();
--- a/Tests/LibLoop/scripted_server.h
+++ b/Tests/LibLoop/scripted_server.h
@@ -69,6 +69,7 @@
   const std::string& address() const { return address_; }
   std::size_t connection_count() const { return accepted_; }
   std::size_t request_count() const { return next_; }
+  std::size_t received_bytes() const { return received_bytes_; }
   // Connections that are open on the server's side.
   std::size_t open_count() const { return connections_.size(); }
   // Endless bytes that were passed to the kernel or wait for it.
@@ -101,6 +102,7 @@
     evbuffer* input = bufferevent_get_input(connection);
     if (evbuffer_search(input, "\r\n\r\n", 4, nullptr).pos < 0)
       return;
+    received_bytes_ += evbuffer_get_length(input);
     evbuffer_drain(input, evbuffer_get_length(input));
     if (next_ == responses_.size())
       return;
@@ -149,6 +151,7 @@
   std::vector<ScriptedResponse> responses_;
   std::size_t next_ = 0;
   std::size_t accepted_ = 0;
+  std::size_t received_bytes_ = 0;  // Of requests with a complete head.
   EventLoop& loop_;
   evconnlistener* listener_ = nullptr;
   std::vector<bufferevent*> connections_;
--- a/Tests/LibLoop/test_http_client.cc
+++ b/Tests/LibLoop/test_http_client.cc
@@ -1,6 +1,9 @@
 // Tests of the HTTP client against servers that violate the protocol.
 
 #include <doctest/doctest.h>
+#include <event2/event.h>
+
+#include <optional>
 
 #include "http_client_fixture.h"
 
@@ -85,4 +88,20 @@
   CHECK(fixture.server.connection_count() == 2);
 }
 
+// Guards against reporting a request as not sent when its deadline passes in
+// the turn of the loop in which the connection was made and the request
+// written.
+TEST_CASE("a request that the server receives is not reported as not sent") {
+  ClientFixture fixture({});
+  std::optional<HttpOutcome> result;
+  fixture.client.Send(
+      fixture.server.address(), {.target = "/"}, fixture.loop.Now(),
+      [&](HttpOutcome outcome, const HttpResponse&) { result = outcome; });
+  while (!result || fixture.server.connection_count() == 0 ||
+         fixture.server.open_count() > 0)
+    event_base_loop(fixture.loop.base(), EVLOOP_ONCE);
+  CHECK((*result == HttpOutcome::kNotConnected) !=
+        (fixture.server.received_bytes() > 0));
+}
+
 }  // namespace cicadadrum
