LibStore: Close a connection on which bytes wait

evhttp's client takes bytes that wait on an idle connection for the response to the next request. An earlier 503 of the platform that is written once more was thus the outcome of the next call, 'refused', which for a write means 'not done'. LibLoop's client was written for this reason; LibStore still uses evhttp.

Idle connections on which bytes, the end of the stream or an error wait are closed before a request is sent. The check moves from LibLoop's client to unread_input.h, which both use. A repeat that arrives after the next request was written can't be told from its response, as the platform's protocol has no id here; that stays open.

--- a/Libraries/LibLoop/http_client_connections.cc
+++ b/Libraries/LibLoop/http_client_connections.cc
@@ -7,11 +7,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
 
 #include "cicadadrum/base/hash.h"
 #include "cicadadrum/loop/address.h"
 #include "cicadadrum/loop/event_pointer.h"
+#include "cicadadrum/loop/unread_input.h"
 #include "http_client_impl.h"
 
 namespace cicadadrum {
@@ -26,17 +26,6 @@
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
-// Returns whether bytes, the end of the stream or an error wait in the
-// connection's buffer or in its socket.
-bool HasUnreadInput(bufferevent* bev) {
-  if (evbuffer_get_length(bufferevent_get_input(bev)) > 0)
-    return true;
-  char byte = 0;
-  const ssize_t received =
-      recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received >= 0 || (errno != EAGAIN && errno != EINTR);
-}
-
 }  // namespace
 
 // Bytes that have arrived on an idle connection can't belong to the request
--- a/Libraries/LibStore/connections.cc
+++ b/Libraries/LibStore/connections.cc
@@ -14,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "cicadadrum/loop/unread_input.h"
+
 namespace cicadadrum {
 
 namespace {
@@ -84,6 +86,7 @@
   // callbacks.
   event* start_event = nullptr;
 
+  void CloseUnusableConnections();
   Connection* FindOrOpenIdleConnection();
   void LimitReceivedBytes(Connection& connection);
   bool ExceedsLimit(const Connection& connection) const;
@@ -93,7 +96,22 @@
   void Finish(Connection& connection, evhttp_request* request);
 };
 
+// evhttp takes bytes that wait on an idle connection for the response to the
+// next request, so such a connection is closed.
+void Connections::Impl::CloseUnusableConnections() {
+  std::erase_if(connections, [](const auto& connection) {
+    bufferevent* stream = evhttp_connection_get_bufferevent(connection->handle);
+    const bool usable = connection->request != nullptr ||
+                        bufferevent_getfd(stream) < 0 ||
+                        !HasUnreadInput(stream);
+    if (!usable)
+      evhttp_connection_free(connection->handle);
+    return !usable;
+  });
+}
+
 Connections::Impl::Connection* Connections::Impl::FindOrOpenIdleConnection() {
+  CloseUnusableConnections();
   for (const auto& connection : connections) {
     if (connection->request == nullptr)
       return connection.get();
--- a/Tests/LibStore/test_connections.cc
+++ b/Tests/LibStore/test_connections.cc
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 
 #include <optional>
+#include <vector>
 
 #include "connections.h"
 #include "scripted_server.h"
@@ -85,4 +86,35 @@
   }
 }
 
+// Guards against a write that is taken as refused although the platform may
+// perform it.
+TEST_CASE("bytes behind a store response are not the next request's response") {
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+  for (const bool same_write : {true, false}) {
+    CAPTURE(same_write);
+    EventLoop loop;
+    ScriptedServer server(loop,
+                          {{same_write ? refusal + refusal : refusal},
+                           {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}});
+    std::vector<StoreAttemptOutcome> outcomes;
+    Connections connections(
+        loop.base(), server.address(), 1, kMaxResponseBytes,
+        [&](std::uint64_t /*id*/, StoreAttemptOutcome outcome,
+            const StoreHttpResponse& /*response*/) {
+          outcomes.push_back(outcome);
+          loop.Stop();
+        });
+    connections.Send(1, {.path = "/rows"});
+    loop.Run();
+    if (!same_write)
+      server.WriteUnsolicited(refusal);
+    connections.Send(2, {.path = "/rows"});
+    loop.Run();
+    CHECK(outcomes == std::vector{StoreAttemptOutcome::kRefused,
+                                  StoreAttemptOutcome::kAnswered});
+    CHECK(server.request_count() == 2);
+  }
+}
+
 }  // namespace cicadadrum
