Tests: Cut all prefixes of a response on one server

The tests of cut responses opened a listening socket for each prefix, about 1,000 in a run of TestLoop and 330 in one of TestStore, and each left its port in TIME_WAIT for a minute. Twenty runs of both within a minute used the machine's ephemeral ports (24,878 sockets in TIME_WAIT of 28,232 ports), so that TestPlatform, run next, could not bind (3 runs of 3: REQUIRE( front.Start() ) is NOT correct!).

One scripted server now sends all prefixes of a response. The cuts and the outcomes that are checked are the same; the number of connections is checked after each one, and in TestStore the number of requests.

--- a/Tests/LibLoop/test_http_client_cut_responses.cc
+++ b/Tests/LibLoop/test_http_client_cut_responses.cc
@@ -27,44 +27,47 @@
   return {};
 }
 
-// Sends `bytes` as the response to request b, on a new or on a kept connection,
-// and ends the connection. Returns the outcome of that request.
-HttpOutcome OutcomeOfCut(const std::string& bytes, bool reset, bool kept) {
-  std::vector<ScriptedResponse> responses;
-  if (kept)
-    responses.push_back({MakeResponse("a", "first")});
-  responses.push_back(
-      {.bytes = bytes, .then_close = !reset, .then_reset = reset});
-  ClientFixture fixture(std::move(responses));
-  if (kept)
-    CHECK(fixture.Call("a").second.body == "first");
-  const HttpOutcome outcome = fixture.Call("b").first;
-  CHECK(fixture.server.connection_count() == 1);
-  return outcome;
-}
-
-// Checks the outcome of each prefix that is shorter than `end`.
+// Sends the first `size` bytes of `response` as the response to request b, for
+// each size from 0 to `end` - 1, ends the connection and checks the outcome.
+// One server sends them all, because each one leaves a port in TIME_WAIT.
 void CheckPrefixesAreLost(const std::string& response,
                           std::size_t end,
                           bool reset) {
   CAPTURE(reset);
   for (const bool kept : {false, true}) {
     CAPTURE(kept);
+    std::vector<ScriptedResponse> responses;
+    for (std::size_t size = 0; size < end; ++size) {
+      if (kept)
+        responses.push_back({MakeResponse("a", "first")});
+      responses.push_back({.bytes = response.substr(0, size),
+                           .then_close = !reset,
+                           .then_reset = reset});
+    }
+    ClientFixture fixture(std::move(responses));
     for (std::size_t size = 0; size < end; ++size) {
       CAPTURE(size);
+      if (kept)
+        CHECK(fixture.Call("a").second.body == "first");
       const HttpOutcome expected =
           size == 0 && kept ? HttpOutcome::kLostUnused : HttpOutcome::kLost;
-      CHECK(OutcomeOfCut(response.substr(0, size), reset, kept) == expected);
+      CHECK(fixture.Call("b").first == expected);
+      CHECK(fixture.server.connection_count() == size + 1);
     }
   }
 }
 
+HttpOutcome OutcomeBeforeClose(const std::string& bytes) {
+  ClientFixture fixture({{.bytes = bytes, .then_close = true}});
+  return fixture.Call("b").first;
+}
+
 }  // namespace
 
 TEST_CASE("a response that is cut anywhere is not delivered as whole") {
   for (const Framing framing : {Framing::kLength, Framing::kChunked}) {
     const std::string response = MakeFramedResponse(framing);
-    CHECK(OutcomeOfCut(response, false, false) == HttpOutcome::kAnswered);
+    CHECK(OutcomeBeforeClose(response) == HttpOutcome::kAnswered);
     CheckPrefixesAreLost(response, response.size(), false);
     CheckPrefixesAreLost(response, response.size(), true);
   }
@@ -82,8 +85,8 @@
        {"100 Continue", "103 Early Hints", "101 Switching Protocols"}) {
     CAPTURE(status);
     for (const std::string rest : {"", "HTTP/1.1 200 OK\r\nRequest-Id: b\r\n"})
-      CHECK(OutcomeOfCut("HTTP/1.1 " + status + "\r\n\r\n" + rest, false,
-                         false) == HttpOutcome::kLost);
+      CHECK(OutcomeBeforeClose("HTTP/1.1 " + status + "\r\n\r\n" + rest) ==
+            HttpOutcome::kLost);
   }
 }
 
--- a/Tests/LibStore/test_connections.cc
+++ b/Tests/LibStore/test_connections.cc
@@ -18,28 +18,35 @@
 // Upper bound of the endless bytes that the platform gets rid of before the
 // connection is closed.
 constexpr std::size_t kMaxEndlessBytes = 16 << 20;
+constexpr Duration kCallTimeout = Seconds(3);
 
-// Returns the outcome of one request to a platform that responds with
-// `response`.
-std::optional<StoreAttemptOutcome> OutcomeOf(const ScriptedResponse& response,
-                                             std::size_t* endless = nullptr) {
+// A platform and the connections to it on one loop.
+struct ConnectionsFixture {
   EventLoop loop;
-  ScriptedServer server(loop, {response});
-  std::optional<StoreAttemptOutcome> result;
-  Connections connections(loop.base(), server.address(), 1, kMaxResponseBytes,
-                          [&](std::uint64_t /*id*/, StoreAttemptOutcome outcome,
-                              const StoreHttpResponse& /*response*/) {
-                            result = outcome;
+  ScriptedServer server;
+  std::uint64_t last_id = 0;
+  std::optional<StoreAttemptOutcome> outcome;
+  Connections connections{loop.base(), server.address(), 1, kMaxResponseBytes,
+                          [this](std::uint64_t /*id*/,
+                                 StoreAttemptOutcome ended,
+                                 const StoreHttpResponse& /*response*/) {
+                            outcome = ended;
                             loop.Stop();
-                          });
-  connections.Send(1, {.path = "/rows"});
-  Timer timer(loop, [&] { loop.Stop(); });
-  timer.Schedule(loop.Now() + Seconds(3));
-  loop.Run();
-  if (endless != nullptr)
-    *endless = server.endless_byte_count();
-  return result;
-}
+                          }};
+
+  explicit ConnectionsFixture(std::vector<ScriptedResponse> responses)
+      : server(loop, std::move(responses)) {}
+
+  // Returns the outcome of one request, or nothing if it does not end.
+  std::optional<StoreAttemptOutcome> Call() {
+    outcome.reset();
+    connections.Send(++last_id, {.path = "/rows"});
+    Timer timer(loop, [this] { loop.Stop(); });
+    timer.Schedule(loop.Now() + kCallTimeout);
+    loop.Run();
+    return outcome;
+  }
+};
 
 }  // namespace
 
@@ -51,13 +58,19 @@
         "Content-Length: 10\r\n\r\n0123456789",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         "4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n"}) {
-    CHECK(OutcomeOf({.bytes = response}) == StoreAttemptOutcome::kAnswered);
+    std::vector<ScriptedResponse> responses{{response}};
     for (std::size_t size = 0; size < response.size(); ++size) {
-      CAPTURE(response.substr(0, size));
-      for (const bool reset : {false, true})
-        CHECK(OutcomeOf({.bytes = response.substr(0, size),
-                         .then_close = !reset,
-                         .then_reset = reset}) == StoreAttemptOutcome::kLost);
+      const std::string prefix = response.substr(0, size);
+      responses.push_back({.bytes = prefix, .then_close = true});
+      responses.push_back({.bytes = prefix, .then_reset = true});
+    }
+    ConnectionsFixture fixture(responses);
+    CHECK(fixture.Call() == StoreAttemptOutcome::kAnswered);
+    for (std::size_t i = 1; i < responses.size(); ++i) {
+      CAPTURE(responses[i].bytes);
+      CAPTURE(responses[i].then_reset);
+      CHECK(fixture.Call() == StoreAttemptOutcome::kLost);
+      CHECK(fixture.server.request_count() == i + 1);
     }
   }
 }
@@ -80,9 +93,9 @@
            {.bytes = head + chunked + "0\r\n", .endless_bytes = "T: 1\r\n"}}) {
     CAPTURE(response.bytes);
     CAPTURE(response.endless_bytes);
-    std::size_t endless = 0;
-    CHECK(OutcomeOf(response, &endless) == StoreAttemptOutcome::kLost);
-    CHECK(endless < kMaxEndlessBytes);
+    ConnectionsFixture fixture({response});
+    CHECK(fixture.Call() == StoreAttemptOutcome::kLost);
+    CHECK(fixture.server.endless_byte_count() < kMaxEndlessBytes);
   }
 }
 
@@ -93,27 +106,14 @@
       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
   for (const bool same_write : {true, false}) {
     CAPTURE(same_write);
-    EventLoop loop;
-    ScriptedServer server(loop,
-                          {{same_write ? refusal + refusal : refusal},
-                           {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}});
-    std::vector<StoreAttemptOutcome> outcomes;
-    Connections connections(
-        loop.base(), server.address(), 1, kMaxResponseBytes,
-        [&](std::uint64_t /*id*/, StoreAttemptOutcome outcome,
-            const StoreHttpResponse& /*response*/) {
-          outcomes.push_back(outcome);
-          loop.Stop();
-        });
-    connections.Send(1, {.path = "/rows"});
-    loop.Run();
+    ConnectionsFixture fixture(
+        {{same_write ? refusal + refusal : refusal},
+         {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}});
+    CHECK(fixture.Call() == StoreAttemptOutcome::kRefused);
     if (!same_write)
-      server.WriteUnsolicited(refusal);
-    connections.Send(2, {.path = "/rows"});
-    loop.Run();
-    CHECK(outcomes == std::vector{StoreAttemptOutcome::kRefused,
-                                  StoreAttemptOutcome::kAnswered});
-    CHECK(server.request_count() == 2);
+      fixture.server.WriteUnsolicited(refusal);
+    CHECK(fixture.Call() == StoreAttemptOutcome::kAnswered);
+    CHECK(fixture.server.request_count() == 2);
   }
 }
 
