--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -139,8 +139,8 @@
 }
 
 // Ends the call of a connection. The connection becomes idle if the response
-// allows reuse, no response was skipped and no bytes remain unread or unsent;
-// otherwise the connection is closed.
+// allows reuse, no response was skipped, no bytes remain unread or unsent and
+// the connection may carry another request; otherwise the connection is closed.
 void HttpClient::Impl::Complete(Connection& connection, HttpOutcome outcome) {
   Call& call = *connection.call;
   const Callback callback = std::move(call.callback);
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -28,8 +28,8 @@
   // address is reached, the address is invalid or no socket is available.
   // Nothing was sent.
   kConnectionUnavailable,
-  // The connection ended or the response was malformed after the request was
-  // sent.
+  // The connection ended, the response was malformed or a limit of received
+  // bytes was exceeded after the request was sent.
   kLost,
   // A reused connection ended before any byte of a response arrived. The server
   // may have closed the connection while it was idle.
