LibRouting: Send nothing to a server that announced its leaving

Cause: entry VMs learned of a leaving server from its row alone. While the store is slow or away, or the row lapses and returns as ready, they went on sending to it.

Ruled out: a flag in Server alone, because Server ends with the entry; a back-off, because responses in flight and observations of other entry VMs end it.

Change: AttemptEnded::leaving, read from every complete response but a 421, which another server wrote. The mark belongs to the incarnation (id and start time). RoutingState:: unlisted_advice keeps it while the incarnation has no entry, for 4096 servers at most, the newest ones. The choice of a server and the loads of the regions ask the same function, IsInUse.

Measured: before the change 7 of the 8 new cases of TestRouting failed test_advice.cc:63: CHECK( CountRequestsTo(fixture, "s1") == 0 ) values: CHECK( 18 == 0 ) and end to end test_front.cc:245: CHECK( entry.server_one.requests().size() == 1 ) values: CHECK( 14 == 1 ) The eighth, that a late response marks only its own incarnation, guards the change itself. With a 421 that marks, the test of it fails, and with loads that count leaving servers the test of the split does. Now 45 of 45 cases of TestRouting and 14 of 14 of TestPlatform pass.

--- /dev/null
+++ b/Libraries/LibRouting/advice.cc
@@ -0,0 +1,94 @@
+// Records the advice of servers, and keeps it while their entries are missing.
+
+#include "advice.h"
+
+#include <algorithm>
+
+namespace cicadadrum::routing {
+
+namespace {
+
+ServerIncarnation IncarnationOf(const ServerEntry& entry) {
+  return {entry.id, entry.started_unix_ms};
+}
+
+// Returns the advice of the incarnation that the attempt was sent to. Its entry
+// may have been removed, or replaced by that of a later incarnation.
+ServerAdvice FindAdvice(const RoutingState& state,
+                        const ServerIncarnation& incarnation) {
+  const auto listed = state.servers.find(incarnation.id);
+  if (listed != state.servers.end() &&
+      IncarnationOf(listed->second.entry) == incarnation)
+    return listed->second.advice;
+  const auto unlisted = state.unlisted_advice.find(incarnation);
+  return unlisted == state.unlisted_advice.end() ? ServerAdvice{}
+                                                 : unlisted->second.advice;
+}
+
+// Keeps the advice of an incarnation without an entry. At the limit, the oldest
+// advice is dropped.
+void KeepUnlisted(RoutingState& state,
+                  const ServerIncarnation& incarnation,
+                  const ServerAdvice& advice,
+                  TimePoint now) {
+  auto& unlisted = state.unlisted_advice;
+  unlisted[incarnation] = {advice, now};
+  if (unlisted.size() <= kMaxUnlistedAdvice)
+    return;
+  unlisted.erase(std::min_element(
+      unlisted.begin(), unlisted.end(), [](const auto& a, const auto& b) {
+        return a.second.recorded_at < b.second.recorded_at;
+      }));
+}
+
+void StoreAdvice(RoutingState& state,
+                 const ServerIncarnation& incarnation,
+                 const ServerAdvice& advice,
+                 TimePoint now) {
+  const auto listed = state.servers.find(incarnation.id);
+  if (listed != state.servers.end() &&
+      IncarnationOf(listed->second.entry) == incarnation)
+    listed->second.advice = advice;
+  else
+    KeepUnlisted(state, incarnation, advice, now);
+}
+
+}  // namespace
+
+void RecordAdvice(RoutingState& state,
+                  const RequestState& request,
+                  const AttemptEnded& end,
+                  TimePoint now,
+                  RoutingActions& actions) {
+  if (!end.leaving)
+    return;
+  const ServerIncarnation incarnation{request.server,
+                                      request.server_started_unix_ms};
+  ServerAdvice advice = FindAdvice(state, incarnation);
+  if (!advice.leaving)
+    actions.emplace_back(
+        ReportServerLeaving{.request = end.request, .server = request.server});
+  advice.leaving = true;
+  StoreAdvice(state, incarnation, advice, now);
+}
+
+void KeepAdvice(RoutingState& state, const Server& server, TimePoint now) {
+  if (server.advice != ServerAdvice{})
+    KeepUnlisted(state, IncarnationOf(server.entry), server.advice, now);
+}
+
+void RestoreAdvice(RoutingState& state, Server& server) {
+  const auto unlisted = state.unlisted_advice.find(IncarnationOf(server.entry));
+  if (unlisted == state.unlisted_advice.end())
+    return;
+  server.advice = unlisted->second.advice;
+  state.unlisted_advice.erase(unlisted);
+}
+
+bool IsInUse(const RoutingState& state, const Server& server, TimePoint now) {
+  return server.entry.phase == ServerPhase::kReady && !server.advice.leaving &&
+         server.backoff_until <= now &&
+         !state.evacuated_domains.contains(server.entry.failure_domain);
+}
+
+}  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "advice.h"
 #include "observations.h"
 #include "region_shares.h"
 
@@ -78,9 +79,7 @@
                 const RequestState& request,
                 Server& server,
                 TimePoint now) {
-  return server.entry.phase == ServerPhase::kReady &&
-         server.backoff_until <= now && !HasTried(request, server) &&
-         !state.evacuated_domains.contains(server.entry.failure_domain) &&
+  return IsInUse(state, server, now) && !HasTried(request, server) &&
          IsRegionAllowed(request.route, server.region) &&
          HasColdServerAllowance(state, server, now);
 }
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -50,6 +50,7 @@
   // Time for which the server stays cold according to the response, or zero if
   // the response does not say.
   Duration cold_left{};
+  bool leaving = false;  // The server announced that it is leaving.
 };
 
 // A configuration was published. The core ignores it unless its version is
@@ -260,6 +261,12 @@
   std::uint64_t fingerprint = 0;
 };
 
+// Record that the server announced for the first time that it is leaving.
+struct ReportServerLeaving {
+  std::uint64_t request = 0;  // The request to which the server responded.
+  std::string server;         // Id.
+};
+
 // Send observations to other entry VMs. A lost message does no harm.
 struct ShareObservations {
   std::vector<std::string> receivers;  // Names of entry VMs.
@@ -280,6 +287,7 @@
                                    DeliverResponse,
                                    RefuseRequest,
                                    PublishBlockedFingerprint,
+                                   ReportServerLeaving,
                                    ShareObservations,
                                    WakeAt,
                                    DrainCompleted>;
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -9,6 +9,7 @@
 #ifndef CICADADRUM_ROUTING_ROUTING_H_
 #define CICADADRUM_ROUTING_ROUTING_H_
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -70,6 +71,7 @@
   Verdict verdict = Verdict::kNotRun;      // Of the attempts that have ended.
   bool attempt_in_progress = false;
   std::string server;  // Id of the server of the current attempt.
+  std::int64_t server_started_unix_ms = 0;  // Start time of that server.
   TimePoint sent_at;
   // Estimated duration of the current attempt.
   Duration expected_duration{};
@@ -135,6 +137,23 @@
   TimePoint send_at = kNever;  // Time at which `pending` is to be sent.
 };
 
+// Maximum number of servers without an entry whose advice is kept.
+constexpr std::size_t kMaxUnlistedAdvice = 4096;
+
+// One incarnation of a server.
+struct ServerIncarnation {
+  std::string id;
+  std::int64_t started_unix_ms = 0;
+  auto operator<=>(const ServerIncarnation&) const = default;
+};
+
+// The advice of a server without an entry, which applies again if the entry
+// returns.
+struct UnlistedAdvice {
+  ServerAdvice advice;
+  TimePoint recorded_at;
+};
+
 // The full state of the request core, which StepRouting updates.
 struct RoutingState {
   RoutingOptions options;
@@ -147,6 +166,9 @@
   std::unordered_map<std::string, Server> servers;         // By id.
   std::unordered_map<std::string, ServiceState> services;  // By name.
   std::unordered_map<std::uint32_t, std::string> server_id_by_tag;
+  // Invariant: contains no incarnation of `servers`, and at most
+  // kMaxUnlistedAdvice elements.
+  std::map<ServerIncarnation, UnlistedAdvice> unlisted_advice;
   std::set<std::string> evacuated_domains;  // Failure domains.
   std::vector<FleetMember> members;         // Live entry VMs with this one.
   ObservationSharing sharing;
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -140,6 +140,14 @@
   TimePoint updated_at{};
 };
 
+// What one incarnation of a server has announced about the requests that it
+// wants. It holds until the incarnation ends, also while the store has no entry
+// of the server.
+struct ServerAdvice {
+  bool leaving = false;  // The server receives no more requests.
+  bool operator==(const ServerAdvice&) const = default;
+};
+
 // A server with what this entry VM has observed itself or received from others.
 struct Server {
   ServerEntry entry;
@@ -160,6 +168,7 @@
   TimePoint last_response_at{};
   TimePoint backoff_until{};  // The server receives no requests until then.
   TimePoint cold_until{};     // The rate of requests is limited until then.
+  ServerAdvice advice;
   // Attempts of this entry VM within the last second.
   std::deque<TimePoint> recent_sends;
   // Tags of the objects that the server has handled last, from the attempts of
--- a/Libraries/LibRouting/region_shares.cc
+++ b/Libraries/LibRouting/region_shares.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <set>
 
+#include "advice.h"
+
 namespace cicadadrum::routing {
 
 namespace {
@@ -150,9 +152,7 @@
   std::map<std::string, std::pair<double, double>> sums;
   for (const std::string& id : state.services.at(service).servers) {
     const Server& server = state.servers.at(id);
-    if (server.entry.phase != ServerPhase::kReady ||
-        server.backoff_until > now ||
-        state.evacuated_domains.contains(server.entry.failure_domain))
+    if (!IsInUse(state, server, now))
       continue;
     auto& [load, slots] = sums[server.region];
     load += std::max(server.load, 0.0) * server.entry.slots;
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "advice.h"
 #include "choice.h"
 #include "cicadadrum/base/hash.h"
 #include "observations.h"
@@ -120,6 +121,7 @@
   ++request.attempts;
   request.attempt_in_progress = true;
   request.server = server.entry.id;
+  request.server_started_unix_ms = server.entry.started_unix_ms;
   request.tried_servers.push_back(server.entry.id);
   request.sent_at = now;
   request.expected_duration = choice.expected_duration;
@@ -249,6 +251,7 @@
     return;
   RequestState& request = found->second;
   request.attempt_in_progress = false;
+  RecordAdvice(state, request, event, now, actions);
   if (Server* server = FindServer(state, request.server)) {
     RecordAttemptEnd(state, *server, request, event, now);
     QueueObservation(state, request, event, now);
--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -5,16 +5,18 @@
 #include <algorithm>
 #include <set>
 
+#include "advice.h"
 #include "cicadadrum/base/hash.h"
 
 namespace cicadadrum::routing {
 
 namespace {
 
-void Remove(RoutingState& state, const std::string& id) {
+void Remove(RoutingState& state, const std::string& id, TimePoint now) {
   const auto found = state.servers.find(id);
   if (found == state.servers.end())
     return;
+  KeepAdvice(state, found->second, now);
   std::erase(state.services[found->second.entry.service].servers, id);
   state.server_id_by_tag.erase(ServerTag(id));
   state.servers.erase(found);
@@ -39,7 +41,7 @@
     if (entry.row_version < found->second.entry.row_version)
       return;
     if (!IsSameIncarnation(found->second.entry, entry))
-      Remove(state, entry.id);
+      Remove(state, entry.id, now);
   }
   Server& server = state.servers[entry.id];
   if (server.entry.id.empty()) {
@@ -49,6 +51,7 @@
     state.server_id_by_tag[ServerTag(entry.id)] = entry.id;
   }
   server.entry = entry;
+  RestoreAdvice(state, server);
   server.cold_until = std::max(server.cold_until, now + entry.cold_left);
 }
 
@@ -78,11 +81,11 @@
         unlisted.push_back(id);
     }
     for (const std::string& id : unlisted)
-      Remove(state, id);
+      Remove(state, id, now);
     state.servers_known = true;
   }
   for (const std::string& id : event.removed)
-    Remove(state, id);
+    Remove(state, id, now);
   for (const ServerEntry& entry : event.updated)
     AddOrUpdate(state, entry, now);
 }
--- a/Tests/LibRouting/routing_fixture.h
+++ b/Tests/LibRouting/routing_fixture.h
@@ -68,6 +68,7 @@
   std::vector<RefuseRequest> refused;
   std::vector<PublishBlockedFingerprint> published;
   std::vector<ShareObservations> shared;
+  std::vector<ReportServerLeaving> reported_leaving;
   bool drain_completed = false;
   TimePoint wake_at = kNever;
 
@@ -101,6 +102,8 @@
         published.push_back(*block);
       if (const auto* share = std::get_if<ShareObservations>(&action))
         shared.push_back(*share);
+      if (const auto* leaving = std::get_if<ReportServerLeaving>(&action))
+        reported_leaving.push_back(*leaving);
       if (std::holds_alternative<DrainCompleted>(action))
         drain_completed = true;
       if (const auto* due = std::get_if<WakeAt>(&action))
@@ -122,6 +125,13 @@
     return id;
   }
 
+  // Ends the attempt as `end` says. Its request and attempt are filled in.
+  void EndAttempt(const SendAttempt& attempt, AttemptEnded end) {
+    end.request = attempt.request;
+    end.attempt = attempt.attempt;
+    Step(end);
+  }
+
   // Ends the last attempt that was sent.
   void End(ServerOutcome outcome, std::optional<LoadReport> report = {}) {
     const SendAttempt attempt = sent.back();
--- /dev/null
+++ b/Tests/LibRouting/test_advice.cc
@@ -0,0 +1,178 @@
+// Tests of what servers announce in their responses about the requests that
+// they want.
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "routing_fixture.h"
+
+namespace cicadadrum::routing {
+
+namespace {
+
+constexpr std::uint64_t kObjectCount = 30;
+
+// Returns an entry of the server with the given start time.
+ServerEntry MakeIncarnation(const std::string& id,
+                            std::int64_t started_unix_ms,
+                            std::uint64_t row_version) {
+  ServerEntry entry = MakeServer(id);
+  entry.started_unix_ms = started_unix_ms;
+  entry.row_version = row_version;
+  return entry;
+}
+
+// Returns how many requests for different objects the server receives.
+int CountRequestsTo(RoutingFixture& fixture, const std::string& server) {
+  int count = 0;
+  for (std::uint64_t object = 1; object <= kObjectCount; ++object)
+    count += fixture.Serve("read", object, Milliseconds(10)) == server ? 1 : 0;
+  return count;
+}
+
+// Sends requests until one reaches the server, and returns its attempt, which
+// is still in progress.
+SendAttempt ArriveAt(RoutingFixture& fixture, const std::string& server) {
+  for (std::uint64_t object = 1; object <= 100; ++object) {
+    fixture.Arrive("read", object);
+    SendAttempt attempt = fixture.sent.back();
+    if (attempt.server == server)
+      return attempt;
+    fixture.EndAttempt(attempt, {.outcome = ServerOutcome::kSucceeded});
+  }
+  FAIL("no request reached " << server);
+  return {};
+}
+
+}  // namespace
+
+// Guards against waiting for the store's row, which may come later.
+TEST_CASE("a server that announced its leaving receives no request after it") {
+  for (const ServerOutcome outcome :
+       {ServerOutcome::kSucceeded, ServerOutcome::kFailed,
+        ServerOutcome::kRejected, ServerOutcome::kInvalid}) {
+    CAPTURE(NameOf(outcome));
+    RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+    const SendAttempt attempt = ArriveAt(fixture, "s1");
+    fixture.EndAttempt(attempt, {.outcome = outcome, .leaving = true});
+    // A retry goes to the other server.
+    if (!fixture.sent.empty() && fixture.sent.back().attempt == 2)
+      CHECK(fixture.sent.back().server == "s22");
+    CHECK(CountRequestsTo(fixture, "s1") == 0);
+    fixture.now += Seconds(60);
+    CHECK(CountRequestsTo(fixture, "s1") == 0);
+  }
+}
+
+// Guards against responses and observations that end the mark.
+TEST_CASE("later responses do not end the announcement of leaving") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  const SendAttempt first = ArriveAt(fixture, "s1");
+  const SendAttempt second = ArriveAt(fixture, "s1");
+  fixture.EndAttempt(second,
+                     {.outcome = ServerOutcome::kSucceeded, .leaving = true});
+  fixture.EndAttempt(first, {.outcome = ServerOutcome::kSucceeded});
+  fixture.Step(ObservationsReceived{
+      {{.server = ServerTag("s1"), .report = LoadReport{.slots = 4}}}});
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+  CHECK(fixture.reported_leaving.size() == 1);
+}
+
+// Guards against a lapsed entry, or a late row, that ends the mark.
+TEST_CASE("an entry that returns for a leaving server receives no request") {
+  RoutingFixture fixture(
+      {MakeIncarnation("s1", 5, 1), MakeIncarnation("s22", 5, 1)});
+  const SendAttempt attempt = ArriveAt(fixture, "s1");
+  fixture.EndAttempt(attempt,
+                     {.outcome = ServerOutcome::kSucceeded, .leaving = true});
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 5, 2)}});
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+  fixture.Step(ServersChanged{.removed = {"s1"}});
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 5, 3)}});
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s22", 5, 1)},
+                              .is_full_list = true});
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 5, 4)}});
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+}
+
+TEST_CASE("a restarted server is not marked as leaving") {
+  RoutingFixture fixture(
+      {MakeIncarnation("s1", 5, 1), MakeIncarnation("s22", 5, 1)});
+  const SendAttempt attempt = ArriveAt(fixture, "s1");
+  fixture.EndAttempt(attempt,
+                     {.outcome = ServerOutcome::kSucceeded, .leaving = true});
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 6, 2)}});
+  CHECK(CountRequestsTo(fixture, "s1") > 0);
+  // The entry of the earlier incarnation returns.
+  fixture.Step(ServersChanged{.removed = {"s1"}});
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 5, 3)}});
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+}
+
+// Guards against losing the announcement if the entry was removed before it.
+TEST_CASE("a removed server is marked as leaving by a late response") {
+  RoutingFixture fixture(
+      {MakeIncarnation("s1", 5, 1), MakeIncarnation("s22", 5, 1)});
+  const SendAttempt attempt = ArriveAt(fixture, "s1");
+  fixture.Step(ServersChanged{.removed = {"s1"}});
+  fixture.EndAttempt(attempt,
+                     {.outcome = ServerOutcome::kSucceeded, .leaving = true});
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 5, 2)}});
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+}
+
+// Guards against marking a later incarnation under the same id.
+TEST_CASE("a late response of the earlier incarnation marks only itself") {
+  RoutingFixture fixture(
+      {MakeIncarnation("s1", 5, 1), MakeIncarnation("s22", 5, 1)});
+  const SendAttempt attempt = ArriveAt(fixture, "s1");
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 6, 2)}});
+  fixture.EndAttempt(attempt,
+                     {.outcome = ServerOutcome::kSucceeded, .leaving = true});
+  CHECK(CountRequestsTo(fixture, "s1") > 0);
+}
+
+// Guards against counting the slots of leaving servers as their region's.
+TEST_CASE("requests leave a region whose servers are all leaving at once") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22", "south-a")});
+  CHECK(fixture.Serve("read", 1, Milliseconds(10)) == "s1");
+  fixture.Arrive("read", 1);
+  fixture.EndAttempt(fixture.sent.back(),
+                     {.outcome = ServerOutcome::kSucceeded, .leaving = true});
+  CHECK(CountRequestsTo(fixture, "s22") == kObjectCount);
+  // The split between regions follows.
+  for (int i = 0; i < 120; ++i) {
+    fixture.now += Milliseconds(200);
+    CHECK(CountRequestsTo(fixture, "s22") == kObjectCount);
+  }
+  const Split split =
+      fixture.state.shares.split.services.at("read desk").current;
+  CHECK(split == Split{{"south", kPartsPerSplit}});
+}
+
+// Guards against memory that grows with each server that leaves.
+TEST_CASE("announcements of removed servers are kept up to a limit") {
+  RoutingFixture fixture({MakeServer("last")});
+  const std::size_t count = kMaxUnlistedAdvice + 10;
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    fixture.now += Milliseconds(1);
+    fixture.Step(
+        ServersChanged{.updated = {MakeServer(id)}, .is_full_list = true});
+    fixture.Arrive("read", i);
+    REQUIRE(fixture.sent.back().server == id);
+    fixture.EndAttempt(fixture.sent.back(),
+                       {.outcome = ServerOutcome::kSucceeded, .leaving = true});
+  }
+  fixture.Step(
+      ServersChanged{.updated = {MakeServer("last")}, .is_full_list = true});
+  CHECK(fixture.state.unlisted_advice.size() == kMaxUnlistedAdvice);
+  // The newest announcements are kept.
+  fixture.Step(
+      ServersChanged{.updated = {MakeServer("s" + std::to_string(count - 1))}});
+  CHECK(CountRequestsTo(fixture, "last") == kObjectCount);
+}
+
+}  // namespace cicadadrum::routing
--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -222,6 +222,47 @@
   }));
 }
 
+// Guards against requests to a leaving server whose row still says "ready".
+TEST_CASE("a server whose responses say that it leaves gets no more requests") {
+  SingleEntryDeployment entry;
+  entry.server_one.AnnounceLeaving();
+  const HttpResponse last = entry.SendRequest(Request("/read/a", "id-1"));
+  CHECK(last.status == 200);
+  CHECK(FindField(last.headers, kLeaving) == "1");
+  CHECK(entry.SendRequest(Request("/read/a", "id-2")).status == 503);
+  entry.store.Put("servers", "s-two", entry.server_two.Row("ready"));
+  REQUIRE(entry.WaitUntil([&] {
+    return entry.SendRequest(Request("/read/a", "id-3")).status == 200;
+  }));
+  // The entry lapses and returns for the same incarnation.
+  entry.store.Remove("servers", "s-one");
+  entry.store.Put("servers", "s-one", entry.server_one.Row("ready"));
+  for (int i = 0; i < 10; ++i)
+    CHECK(entry
+              .SendRequest(Request("/write/a", "late-" + std::to_string(i),
+                                   HttpMethod::kPost))
+              .status == 200);
+  CHECK(entry.server_one.requests().size() == 1);
+}
+
+// Guards against marking a server for the one that has its address now.
+TEST_CASE("a 421 with the header of a leaving server marks no server") {
+  SingleEntryDeployment entry;
+  entry.server_two.AnnounceLeaving();
+  entry.store.Put("servers", "s-one",
+                  entry.server_one.RowAt(entry.server_two.address(), "ready"));
+  REQUIRE(entry.WaitUntil([&] {
+    entry.SendRequest(Request("/read/a", "id-1"));
+    return !entry.server_two.requests().empty();
+  }));
+  entry.store.Put("servers", "s-one", entry.server_one.Row("ready"));
+  CHECK(entry.WaitUntil(
+      [&] {
+        return entry.SendRequest(Request("/read/a", "id-2")).status == 200;
+      },
+      Seconds(3)));
+}
+
 TEST_CASE("a new configuration takes effect although the change log is lost") {
   SingleEntryDeployment entry;
   entry.store.Put("op", "config", ConfigurationBody(7, "/other/"));
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -185,6 +185,8 @@
   requests_.push_back(request);
   const std::string request_id(FindField(request.headers, kRequestId));
   HttpResponse response{.headers = {{std::string(kRequestId), request_id}}};
+  if (leaving_)
+    response.headers.emplace_back(kLeaving, "1");
   if (FindField(request.headers, kExpectedServer) != id_) {
     response.status = 421;
     return server_.Respond(id, response);
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -107,6 +107,8 @@
   std::string RowAt(const std::string& address, const std::string& state) const;
 
   void SetBehaviour(ServerBehaviour behaviour) { behaviour_ = behaviour; }
+  // From now on, all responses say that the server is leaving.
+  void AnnounceLeaving() { leaving_ = true; }
   // Returns the ids of the executed requests in the order of execution.
   const std::vector<std::string>& executed_requests() const {
     return executed_requests_;
@@ -122,6 +124,7 @@
   HttpServer server_;
   std::string address_;
   ServerBehaviour behaviour_ = ServerBehaviour::kAnswers;
+  bool leaving_ = false;
   std::vector<std::string> executed_requests_;
   std::vector<HttpRequest> requests_;
   std::size_t disconnected_count_ = 0;
