LibRouting: Keep to the time for which a server wants no request

Cause: the header was not read. A 503 raised the cost of the server for some seconds at most, and a service with one server went on sending.

Ruled out: the back-off, which any response in flight and any observation of another entry VM ends (RecordResponse).

Change: AttemptEnded::pause, from every 503 with or without the proof that nothing ran. Numbers of seconds count, whole or with a fraction; dates, signs, exponents and other text are ignored, because there is nothing to go by. ServerAdvice::paused_until takes the latest end that was asked for, belongs to the incarnation and outlives its entry, and is not shared. If no server is left, the request is refused at once, with Retry-After until the first one is free, if the caller does not give up before; the seconds are rounded up so that nobody comes back too early. The same holds for the refusal after the last attempt.

--- a/Libraries/LibRouting/advice.cc
+++ b/Libraries/LibRouting/advice.cc
@@ -60,20 +60,24 @@
                   const AttemptEnded& end,
                   TimePoint now,
                   RoutingActions& actions) {
-  if (!end.leaving)
+  if (!end.leaving && end.pause <= Duration::zero())
     return;
   const ServerIncarnation incarnation{request.server,
                                       request.server_started_unix_ms};
   ServerAdvice advice = FindAdvice(state, incarnation);
-  if (!advice.leaving)
+  if (end.leaving && !advice.leaving)
     actions.emplace_back(
         ReportServerLeaving{.request = end.request, .server = request.server});
-  advice.leaving = true;
+  if (end.pause > Duration::zero() && advice.paused_until <= now)
+    actions.emplace_back(ReportServerPause{
+        .request = end.request, .server = request.server, .pause = end.pause});
+  advice.leaving = advice.leaving || end.leaving;
+  advice.paused_until = std::max(advice.paused_until, now + end.pause);
   StoreAdvice(state, incarnation, advice, now);
 }
 
 void KeepAdvice(RoutingState& state, const Server& server, TimePoint now) {
-  if (server.advice != ServerAdvice{})
+  if (server.advice.leaving || server.advice.paused_until > now)
     KeepUnlisted(state, IncarnationOf(server.entry), server.advice, now);
 }
 
@@ -87,7 +91,7 @@
 
 bool IsInUse(const RoutingState& state, const Server& server, TimePoint now) {
   return server.entry.phase == ServerPhase::kReady && !server.advice.leaving &&
-         server.backoff_until <= now &&
+         server.advice.paused_until <= now && server.backoff_until <= now &&
          !state.evacuated_domains.contains(server.entry.failure_domain);
 }
 
--- a/Libraries/LibRouting/advice.h
+++ b/Libraries/LibRouting/advice.h
@@ -23,7 +23,7 @@
 void RestoreAdvice(RoutingState& state, Server& server);
 
 // Whether the server may receive requests at all: it is ready, not in back-off
-// and not in an evacuated failure domain, and its advice does not forbid it.
+// and not in an evacuated failure domain, does not leave and has no pause.
 bool IsInUse(const RoutingState& state, const Server& server, TimePoint now);
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -323,4 +323,29 @@
   return MakeServerChoice(*server, cost, now);
 }
 
+std::optional<TimePoint> FirstPauseEnd(const RoutingState& state,
+                                       const RequestState& request,
+                                       TimePoint now) {
+  const auto service = state.services.find(request.service);
+  if (service == state.services.end())
+    return std::nullopt;
+  bool has_pause = false;
+  TimePoint first_end = kNever;
+  for (const std::string& id : service->second.servers) {
+    const Server& server = state.servers.at(id);
+    const TimePoint end =
+        std::max(server.backoff_until, server.advice.paused_until);
+    if (!IsRegionAllowed(request.route, server.region) ||
+        !IsInUse(state, server, std::max(now, end)))
+      continue;
+    if (end <= now)
+      return std::nullopt;
+    has_pause = has_pause || server.advice.paused_until > now;
+    first_end = std::min(first_end, end);
+  }
+  if (!has_pause)
+    return std::nullopt;
+  return first_end;
+}
+
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/choice.h
+++ b/Libraries/LibRouting/choice.h
@@ -3,6 +3,8 @@
 #ifndef CICADADRUM_ROUTING_CHOICE_H_
 #define CICADADRUM_ROUTING_CHOICE_H_
 
+#include <optional>
+
 #include "cicadadrum/routing/routing.h"
 
 namespace cicadadrum::routing {
@@ -28,6 +30,12 @@
                           const RequestState& request,
                           TimePoint now);
 
+// Returns when the first server of the request's service may receive requests
+// again, if none may now and at least one of them has asked for a pause.
+std::optional<TimePoint> FirstPauseEnd(const RoutingState& state,
+                                       const RequestState& request,
+                                       TimePoint now);
+
 }  // namespace cicadadrum::routing
 
 #endif  // CICADADRUM_ROUTING_CHOICE_H_
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -51,6 +51,9 @@
   // the response does not say.
   Duration cold_left{};
   bool leaving = false;  // The server announced that it is leaving.
+  // Time for which the server asked to receive no requests from this entry VM,
+  // or zero if it did not ask. At most kMaxServerPause.
+  Duration pause{};
 };
 
 // A configuration was published. The core ignores it unless its version is
@@ -267,6 +270,14 @@
   std::string server;         // Id.
 };
 
+// Record that the server asked to receive no requests for a while. Not repeated
+// while the pause lasts.
+struct ReportServerPause {
+  std::uint64_t request = 0;  // The request to which the server responded.
+  std::string server;         // Id.
+  Duration pause{};
+};
+
 // Send observations to other entry VMs. A lost message does no harm.
 struct ShareObservations {
   std::vector<std::string> receivers;  // Names of entry VMs.
@@ -288,6 +299,7 @@
                                    RefuseRequest,
                                    PublishBlockedFingerprint,
                                    ReportServerLeaving,
+                                   ReportServerPause,
                                    ShareObservations,
                                    WakeAt,
                                    DrainCompleted>;
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -140,12 +140,16 @@
   TimePoint updated_at{};
 };
 
+// Longest pause that a server can ask for. It keeps times representable; a
+// server that is restarted ends its pause earlier.
+constexpr Duration kMaxServerPause = Seconds(std::int64_t{24} * 3600);
+
 // What one incarnation of a server has announced about the requests that it
 // wants. It holds until the incarnation ends, also while the store has no entry
 // of the server.
 struct ServerAdvice {
-  bool leaving = false;  // The server receives no more requests.
-  bool operator==(const ServerAdvice&) const = default;
+  bool leaving = false;      // The server receives no more requests.
+  TimePoint paused_until{};  // The server receives no requests until then.
 };
 
 // A server with what this entry VM has observed itself or received from others.
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -97,6 +97,17 @@
   return std::min(estimate, std::max(remaining / 3, kMinRetryAfter));
 }
 
+// Returns the delay after which the caller of a refused request should retry:
+// until a server may receive requests again, if all servers in use have asked
+// for a pause that ends before the caller gives up, and `estimate` otherwise.
+Duration RetryAfterPauses(const RoutingState& state,
+                          const RequestState& request,
+                          Duration estimate,
+                          TimePoint now) {
+  const auto end = FirstPauseEnd(state, request, now);
+  return end && *end < request.caller_deadline ? *end - now : estimate;
+}
+
 // Sends the request to the server with the least cost, or refuses the request.
 void Dispatch(RoutingState& state,
               std::uint64_t id,
@@ -107,8 +118,11 @@
   ServerChoice choice = ChooseServer(state, request, now);
   const Duration remaining = request.deadline - now;
   if (choice.server == nullptr)
-    return Refuse(state, id, reason_without_server,
-                  RetryAfterForEstimate(Seconds(1), remaining), actions);
+    return Refuse(
+        state, id, reason_without_server,
+        RetryAfterPauses(state, request,
+                         RetryAfterForEstimate(Seconds(1), remaining), now),
+        actions);
   // A long work estimate without a queue is no reason to refuse the request: if
   // no request were sent, the estimate would never be corrected.
   if (!choice.admitted ||
@@ -270,10 +284,10 @@
   const RefusalReason reason = RefusalReasonFor(event.outcome);
   if (MayRetry(state, request, now))
     return Dispatch(state, event.request, reason, now, actions);
+  const Duration estimate = RetryAfterForEstimate(
+      request.expected_duration, request.caller_deadline - now);
   Refuse(state, event.request, reason,
-         RetryAfterForEstimate(request.expected_duration,
-                               request.caller_deadline - now),
-         actions);
+         RetryAfterPauses(state, request, estimate, now), actions);
 }
 
 void Apply(RoutingState& state,
--- a/Tests/LibRouting/routing_fixture.h
+++ b/Tests/LibRouting/routing_fixture.h
@@ -69,6 +69,7 @@
   std::vector<PublishBlockedFingerprint> published;
   std::vector<ShareObservations> shared;
   std::vector<ReportServerLeaving> reported_leaving;
+  std::vector<ReportServerPause> reported_pauses;
   bool drain_completed = false;
   TimePoint wake_at = kNever;
 
@@ -104,6 +105,8 @@
         shared.push_back(*share);
       if (const auto* leaving = std::get_if<ReportServerLeaving>(&action))
         reported_leaving.push_back(*leaving);
+      if (const auto* pause = std::get_if<ReportServerPause>(&action))
+        reported_pauses.push_back(*pause);
       if (std::holds_alternative<DrainCompleted>(action))
         drain_completed = true;
       if (const auto* due = std::get_if<WakeAt>(&action))
--- a/Tests/LibRouting/test_advice.cc
+++ b/Tests/LibRouting/test_advice.cc
@@ -152,6 +152,130 @@
   CHECK(split == Split{{"south", kPartsPerSplit}});
 }
 
+TEST_CASE("a server that asks for a pause receives no request during it") {
+  for (const ServerOutcome outcome :
+       {ServerOutcome::kRejected, ServerOutcome::kInvalid}) {
+    CAPTURE(NameOf(outcome));
+    RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+    const SendAttempt attempt = ArriveAt(fixture, "s1");
+    fixture.EndAttempt(attempt, {.outcome = outcome, .pause = Seconds(30)});
+    const TimePoint end = fixture.now + Seconds(30);
+    CHECK(fixture.sent.back().server == "s22");
+    while (fixture.now + Milliseconds(10) * kObjectCount < end) {
+      REQUIRE(CountRequestsTo(fixture, "s1") == 0);
+      fixture.now += Seconds(1);
+    }
+    fixture.now = end;
+    CHECK(CountRequestsTo(fixture, "s1") > 0);
+  }
+}
+
+// Guards against ending a pause like a back-off, at the next response.
+TEST_CASE("later responses and shorter wishes do not end a pause") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  const SendAttempt first = ArriveAt(fixture, "s1");
+  const SendAttempt second = ArriveAt(fixture, "s1");
+  const SendAttempt third = ArriveAt(fixture, "s1");
+  const SendAttempt fourth = ArriveAt(fixture, "s1");
+  const TimePoint start = fixture.now;
+  fixture.EndAttempt(
+      third, {.outcome = ServerOutcome::kRejected, .pause = Seconds(40)});
+  fixture.EndAttempt(
+      second, {.outcome = ServerOutcome::kRejected, .pause = Seconds(1)});
+  fixture.EndAttempt(first, {.outcome = ServerOutcome::kSucceeded,
+                             .report = LoadReport{.slots = 4}});
+  CHECK(fixture.reported_pauses.size() == 1);
+  fixture.Step(ObservationsReceived{
+      {{.server = ServerTag("s1"), .report = LoadReport{.slots = 4}}}});
+  fixture.now = start + Seconds(1);
+  fixture.EndAttempt(
+      fourth, {.outcome = ServerOutcome::kInvalid, .pause = Seconds(50)});
+  fixture.now = start + Seconds(35);
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+  fixture.now = start + Seconds(50);
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+  fixture.now = start + Seconds(51);
+  CHECK(CountRequestsTo(fixture, "s1") > 0);
+}
+
+// Guards against a lapsed entry that ends the pause, also of a late response.
+TEST_CASE("a pause outlives the server's entry but not its incarnation") {
+  RoutingFixture fixture(
+      {MakeIncarnation("s1", 5, 1), MakeIncarnation("s22", 5, 1)});
+  const SendAttempt late = ArriveAt(fixture, "s1");
+  const SendAttempt attempt = ArriveAt(fixture, "s1");
+  fixture.EndAttempt(
+      attempt, {.outcome = ServerOutcome::kRejected, .pause = Seconds(4)});
+  fixture.Step(ServersChanged{.removed = {"s1"}});
+  fixture.EndAttempt(
+      late, {.outcome = ServerOutcome::kRejected, .pause = Seconds(6)});
+  fixture.now += Seconds(5);
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 5, 2)}});
+  CHECK(CountRequestsTo(fixture, "s1") == 0);
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 6, 3)}});
+  CHECK(CountRequestsTo(fixture, "s1") > 0);
+}
+
+// Guards against a Retry-After at which every server still wants no request.
+TEST_CASE("a request is refused until the first server's pause has ended") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  const SendAttempt at_first = ArriveAt(fixture, "s1");
+  const SendAttempt at_second = ArriveAt(fixture, "s22");
+  fixture.EndAttempt(at_first, {.outcome = ServerOutcome::kRejected,
+                                .pause = Milliseconds(900)});
+  // No other attempt of this request is left.
+  fixture.EndAttempt(fixture.sent.back(), {.outcome = ServerOutcome::kRejected,
+                                           .pause = Milliseconds(1500)});
+  REQUIRE(fixture.refused.size() == 1);
+  CHECK(fixture.refused[0].retry_after == Milliseconds(900));
+  fixture.EndAttempt(at_second, {.outcome = ServerOutcome::kSucceeded});
+  const std::size_t sent = fixture.sent.size();
+  fixture.now += Milliseconds(200);
+  fixture.Arrive("write", 1, Seconds(3));
+  REQUIRE(fixture.refused.size() == 2);
+  CHECK(fixture.refused[1].reason == RefusalReason::kNoServer);
+  CHECK(fixture.refused[1].verdict == Verdict::kNotRun);
+  CHECK(fixture.refused[1].retry_after == Milliseconds(700));
+  // A caller that gives up earlier than the pause ends gets an estimate.
+  fixture.Arrive("read", 1, Milliseconds(600));
+  REQUIRE(fixture.refused.size() == 3);
+  CHECK(fixture.refused[2].retry_after < Milliseconds(200));
+  CHECK(fixture.sent.size() == sent);
+  fixture.now += Milliseconds(700);
+  fixture.Arrive("read");
+  REQUIRE(fixture.sent.size() == sent + 1);
+  CHECK(fixture.sent.back().server == "s1");
+}
+
+// Guards against a Retry-After that ignores servers in back-off.
+TEST_CASE("a refusal counts the end of a back-off beside a pause") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
+  const SendAttempt attempt = ArriveAt(fixture, "s1");
+  fixture.EndAttempt(
+      attempt, {.outcome = ServerOutcome::kRejected, .pause = Seconds(2)});
+  fixture.EndAttempt(fixture.sent.back(), {.outcome = ServerOutcome::kNotSent});
+  const Duration backoff =
+      fixture.state.servers.at("s22").backoff_until - fixture.now;
+  fixture.Arrive("read");
+  CHECK(fixture.refused.back().retry_after == backoff);
+}
+
+// Guards against counting the slots of pausing servers as their region's.
+TEST_CASE("requests leave a region during the pause of its servers") {
+  RoutingFixture fixture({MakeServer("s1"), MakeServer("s22", "south-a")});
+  fixture.Arrive("read", 1);
+  REQUIRE(fixture.sent.back().server == "s1");
+  fixture.EndAttempt(fixture.sent.back(), {.outcome = ServerOutcome::kRejected,
+                                           .pause = Seconds(60)});
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(CountRequestsTo(fixture, "s22") == kObjectCount);
+    fixture.now += Milliseconds(200);
+  }
+  const Split split =
+      fixture.state.shares.split.services.at("read desk").current;
+  CHECK(split == Split{{"south", kPartsPerSplit}});
+}
+
 // Guards against memory that grows with each server that leaves.
 TEST_CASE("announcements of removed servers are kept up to a limit") {
   RoutingFixture fixture({MakeServer("last")});
--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <optional>
+#include <string>
 
 #include "front.h"
 #include "headers.h"
@@ -263,6 +264,36 @@
       Seconds(3)));
 }
 
+// Guards against requests to a server that said when it wants the next one.
+TEST_CASE("a server that asks for a pause with a 503 gets no request in it") {
+  SingleEntryDeployment entry;
+  entry.server_one.SetBehaviour(ServerBehaviour::kAsksForPause);
+  CHECK(entry.SendRequest(Request("/read/a", "id-1")).status == 503);
+  entry.server_one.SetBehaviour(ServerBehaviour::kAnswers);
+  const TimePoint sent_at = entry.loop.Now();
+  const HttpResponse refused = entry.SendRequest(Request("/read/a", "id-2"));
+  const TimePoint refused_at = entry.loop.Now();
+  CHECK(refused.status == 503);
+  const Duration told(static_cast<std::int64_t>(
+      std::stod(std::string(FindField(refused.headers, kRetryAfter))) * 1e6));
+  TimePoint last_refused_sent_at = sent_at;
+  bool served = false;
+  CHECK(entry.WaitUntil([&] {
+    if (served)
+      return true;
+    const TimePoint poll_sent_at = entry.loop.Now();
+    served = entry.SendRequest(Request("/read/a", "id-3")).status == 200;
+    if (!served)
+      last_refused_sent_at = poll_sent_at;
+    return served;
+  }));
+  // The caller was told when the server is free again, rounded up to 10 ms.
+  CHECK(told > kServerPause / 2);
+  CHECK(sent_at + told <= entry.loop.Now() + Milliseconds(10));
+  CHECK(refused_at + told >= last_refused_sent_at);
+  CHECK(entry.server_one.requests().size() == 2);
+}
+
 TEST_CASE("a new configuration takes effect although the change log is lost") {
   SingleEntryDeployment entry;
   entry.store.Put("op", "config", ConfigurationBody(7, "/other/"));
--- /dev/null
+++ b/Tests/Platform/test_http_codec.cc
@@ -0,0 +1,59 @@
+// Tests of the conversion of servers' responses.
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "headers.h"
+#include "http_codec.h"
+
+namespace cicadadrum::platform {
+
+namespace {
+
+routing::AttemptEnded Decode(std::uint16_t status, HttpFields headers) {
+  return DecodeResponse({}, HttpOutcome::kAnswered,
+                        {.status = status, .headers = std::move(headers)});
+}
+
+Duration PauseOf(std::uint16_t status, const std::string& value) {
+  return Decode(status, {{std::string(kRetryAfter), value}}).pause;
+}
+
+}  // namespace
+
+// Guards against sending to a server because its wish was not understood.
+TEST_CASE("a pause is read from a 503, in seconds with or without a fraction") {
+  CHECK(PauseOf(503, "2") == Seconds(2));
+  CHECK(PauseOf(503, "0.25") == Milliseconds(250));
+  CHECK(PauseOf(503, "120.5") == Milliseconds(120'500));
+  CHECK(PauseOf(503, "999999999999999999999999") == routing::kMaxServerPause);
+  CHECK(Decode(503,
+               {{std::string(kNotRun), "1"}, {std::string(kRetryAfter), "2"}})
+            .pause == Seconds(2));
+}
+
+// Guards against a pause that the server did not ask for.
+TEST_CASE("other values and other statuses ask for no pause") {
+  for (const std::string value :
+       {"", "0", "-1", "-0.5", "soon", "2 s", "2,5", "nan", "inf", "1e9",
+        "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    CAPTURE(value);
+    CHECK(PauseOf(503, value) == Duration::zero());
+  }
+  for (const std::uint16_t status : {200, 421, 429, 500, 504}) {
+    CAPTURE(status);
+    CHECK(PauseOf(status, "2") == Duration::zero());
+  }
+}
+
+// Guards against marking a server for a header that says nothing of leaving.
+TEST_CASE("only the value 1 announces that a server is leaving") {
+  for (const std::uint16_t status : {200, 404, 429, 500, 503, 504})
+    CHECK(Decode(status, {{"server-leaving", "1"}}).leaving);
+  CHECK(!Decode(421, {{std::string(kLeaving), "1"}}).leaving);
+  for (const std::string value : {"", "0", "no", "11"})
+    CHECK(!Decode(200, {{std::string(kLeaving), value}}).leaving);
+}
+
+}  // namespace cicadadrum::platform
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -191,9 +191,14 @@
     response.status = 421;
     return server_.Respond(id, response);
   }
-  if (behaviour_ == ServerBehaviour::kSheds) {
+  const bool asks_for_pause = behaviour_ == ServerBehaviour::kAsksForPause;
+  if (behaviour_ == ServerBehaviour::kSheds || asks_for_pause) {
     response.status = 503;
     response.headers.emplace_back(kNotRun, "1");
+    if (asks_for_pause)
+      response.headers.emplace_back(
+          kRetryAfter,
+          std::to_string(std::chrono::duration<double>(kServerPause).count()));
     return server_.Respond(id, response);
   }
   executed_requests_.push_back(request_id);
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -91,8 +91,14 @@
   kHangs,
   // Executes the request and responds 503 without any proof of non-execution.
   kErrorWithoutProof,
+  // Responds like kSheds and asks for no requests for kServerPause.
+  kAsksForPause,
 };
 
+// Time for which a server with ServerBehaviour::kAsksForPause wants no requests
+// from the entry VM to which it responds.
+constexpr Duration kServerPause = Milliseconds(1250);
+
 // A backend server that records the requests that it receives.
 class ServerStandIn {
  public:
