LibRouting: Tell other entry VMs which servers are leaving

Each entry VM learned of a leaving server by a request of its own, which is one of the last that the server takes.

Ruled out: a mark by the tag of the id alone. Tags collide, and a late datagram would mark the next server that starts under the id for as long as it lives.

Change: ServerObservation has `leaving` and `incarnation`, the low 32 bits of the start time, and a receiver marks the server only if both tags fit. The wish to be left alone is not shared: it is a wish towards one entry VM.

The new members of the datagram take bits that were unused: a batch of 40 still fits into one packet with all members set (test). Older processes ignore them: tried with the encoder and decoder built before the change, which decoded the new datagram to the same values; the test decodes the bytes that the older encoder wrote.

--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -2282,6 +2282,10 @@
 
   inline bool getUnreachable() const;
 
+  inline bool getLeaving() const;
+
+  inline  ::uint32_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2337,6 +2341,12 @@
   inline bool getUnreachable();
   inline void setUnreachable(bool value);
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::uint32_t getIncarnation();
+  inline void setIncarnation( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6658,6 +6668,34 @@
       ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServerObservation::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+}
+
+inline bool ServerObservation::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServerObservation::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServerObservation::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void ServerObservation::Builder::setIncarnation( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ObservationsDatagram::Reader::getProtocolVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibNode/observation_codec.cc
+++ b/Libraries/LibNode/observation_codec.cc
@@ -35,6 +35,8 @@
   to.setObject(observation.object);
   to.setAgeMilliseconds(ClampToUint16(observation.age.count() / 1000));
   to.setUnreachable(observation.unreachable);
+  to.setLeaving(observation.leaving);
+  to.setIncarnation(observation.incarnation);
   to.setHasReport(observation.report.has_value());
   if (!observation.report)
     return;
@@ -49,6 +51,8 @@
   ServerObservation observation{.server = from.getServer(),
                                 .object = from.getObject(),
                                 .unreachable = from.getUnreachable(),
+                                .leaving = from.getLeaving(),
+                                .incarnation = from.getIncarnation(),
                                 .age = Milliseconds(from.getAgeMilliseconds())};
   if (from.getHasReport())
     observation.report = {.running = from.getRunning(),
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -94,7 +94,10 @@
   std::uint32_t object = kNoObject;
   std::optional<LoadReport> report;
   bool unreachable = false;  // No connection to the server could be made.
-  Duration age{};            // Time since the attempt ended.
+  bool leaving = false;      // The server announced that it is leaving.
+  // IncarnationTag of a server that is leaving, 0 of another one.
+  std::uint32_t incarnation = 0;
+  Duration age{};  // Time since the attempt ended.
   bool operator==(const ServerObservation&) const = default;
 };
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -28,6 +28,10 @@
 inline std::uint32_t ServerTag(std::string_view id) {
   return static_cast<std::uint32_t>(HashBytes(id));
 }
+// Tells apart the servers that start under one id.
+constexpr std::uint32_t IncarnationTag(std::int64_t started_unix_ms) {
+  return static_cast<std::uint32_t>(started_unix_ms);
+}
 
 // Servers that are draining receive no new requests.
 enum class ServerPhase : std::uint8_t { kReady, kDraining };
--- a/Libraries/LibRouting/sharing.cc
+++ b/Libraries/LibRouting/sharing.cc
@@ -77,7 +77,7 @@
   const bool unreachable = end.outcome == ServerOutcome::kNotSent;
   if (sharing.receivers.empty() ||
       sharing.pending.size() >= kMaxPendingObservations ||
-      (!handled_object && !end.report && !unreachable))
+      (!handled_object && !end.report && !unreachable && !end.leaving))
     return;
   if (sharing.pending.empty()) {
     const std::size_t count = std::min(kMaxReceivers, sharing.receivers.size());
@@ -88,7 +88,11 @@
                .server = ServerTag(request.server),
                .object = handled_object ? ObjectTag(request.object) : kNoObject,
                .report = end.report,
-               .unreachable = unreachable});
+               .unreachable = unreachable,
+               .leaving = end.leaving,
+               .incarnation =
+                   end.leaving ? IncarnationTag(request.server_started_unix_ms)
+                               : 0});
 }
 
 void SendObservationsIfDue(RoutingState& state,
@@ -132,6 +136,9 @@
     Server& server = state.servers.at(id->second);
     if (observation.object != kNoObject)
       RecordHandledObject(server, observation.object);
+    if (observation.leaving &&
+        observation.incarnation == IncarnationTag(server.entry.started_unix_ms))
+      server.advice.leaving = true;
     const TimePoint at = now - observation.age;
     if (observation.unreachable)
       ApplyUnreachableReport(server, at, now);
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -201,6 +201,8 @@
   slots @6 :UInt16;
   workPercent @7 :UInt16;  # Time that work takes on the server's VM, in percent; 100 is the usual time.
   unreachable @8 :Bool;  # No connection to the server could be opened.
+  leaving @9 :Bool;  # The server announced that it is leaving.
+  incarnation @10 :UInt32;  # Tag of the start of the server that is leaving; 0 for another server.
 }
 
 # Observations of backend servers, sent as one packed datagram. The datagram has no answer and may be lost.
--- a/Tests/LibNode/test_observation_codec.cc
+++ b/Tests/LibNode/test_observation_codec.cc
@@ -19,12 +19,30 @@
                .running = 3, .waiting = 11, .slots = 4, .work_factor = 2.5},
        .age = Milliseconds(80)},
       {.server = 0xffffffff, .object = routing::kNoObject, .unreachable = true},
+      {.server = 8, .leaving = true, .incarnation = 0xdeadbeef},
   };
   const auto received = DecodeObservations(EncodeObservations(sent));
   REQUIRE(received);
   CHECK(*received == sent);
 }
 
+// Guards against refusing the datagrams of processes that know no leaving.
+TEST_CASE("a datagram without the later members is decoded") {
+  const std::string datagram(
+      "\x10\x07\x50\x01\x01\x01\x02\x11\x01\x1f\x11\x04\x03\x11\x07\x09\x55"
+      "\x50\x01\x03\x0b\x05\x04\xfa");
+  const auto received = DecodeObservations(datagram);
+  REQUIRE(received);
+  const ServerObservation expected{
+      .server = 7,
+      .object = 9,
+      .report =
+          routing::LoadReport{
+              .running = 3, .waiting = 11, .slots = 4, .work_factor = 2.5},
+      .age = Milliseconds(80)};
+  CHECK(*received == std::vector{expected});
+}
+
 // Guards against datagrams that do not fit into one network packet.
 TEST_CASE("a batch of 40 observations fits into one packet") {
   std::vector<ServerObservation> batch;
@@ -35,6 +53,8 @@
          .report =
              routing::LoadReport{
                  .running = 4, .waiting = 12, .slots = 4, .work_factor = 1},
+         .leaving = true,
+         .incarnation = 0xc2b2ae35 * (i + 1),
          .age = Milliseconds(100)});
   CHECK(EncodeObservations(batch).size() < 1400);
 }
--- a/Tests/LibRouting/test_advice.cc
+++ b/Tests/LibRouting/test_advice.cc
@@ -276,6 +276,27 @@
   CHECK(split == Split{{"south", kPartsPerSplit}});
 }
 
+// Guards against an entry VM that learns of a leaving server by a request only.
+TEST_CASE("an announcement of leaving is shared with other entry VMs") {
+  RoutingFixture fixture({MakeIncarnation("s1", 5, 1)});
+  fixture.Step(Members({"entry-1", "entry-2"}));
+  fixture.Arrive("write");
+  fixture.EndAttempt(fixture.sent.back(),
+                     {.outcome = ServerOutcome::kRejected, .leaving = true});
+  fixture.now += Milliseconds(100);
+  fixture.Step(TimerExpired{});
+  REQUIRE(fixture.shared.size() == 1);
+  const ObservationsReceived received{fixture.shared[0].observations};
+  RoutingFixture other(
+      {MakeIncarnation("s1", 5, 1), MakeIncarnation("s22", 5, 1)});
+  other.Step(received);
+  CHECK(CountRequestsTo(other, "s1") == 0);
+  // An observation of the earlier incarnation does not mark the later one.
+  other.Step(ServersChanged{.updated = {MakeIncarnation("s1", 6, 2)}});
+  other.Step(received);
+  CHECK(CountRequestsTo(other, "s1") > 0);
+}
+
 // Guards against memory that grows with each server that leaves.
 TEST_CASE("announcements of removed servers are kept up to a limit") {
   RoutingFixture fixture({MakeServer("last")});
