Tests/Soak: Check that entry VMs follow what servers announce

Server stand-ins announce that they leave in all responses and ask for a pause with a 503; the soak draws both, a pause of all servers too. The behaviours are drawn from the table of their names.

A stand-in cannot tell which entry VM sent a request: all connections come from 127.0.0.1 through the server's proxy. The caller of a request knows which entry VM it sent it to, so the check joins the stand-in's arrivals with the callers' record by the id of the request.

After a response with the announcement has reached a caller, nothing that a caller sends later may reach the server from that entry VM (the rule allows the drain time more), unless it was started or signalled in between. Of a pause the check is that of the rule; a change of the link to the server excuses it.

--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -154,7 +154,8 @@
 }
 
 ServerStandIn::ServerStandIn(EventLoop& loop, std::string id)
-    : id_(std::move(id)),
+    : loop_(loop),
+      id_(std::move(id)),
       server_(
           loop,
           {},
@@ -192,6 +193,11 @@
     return server_.Respond(id, response);
   }
   const bool asks_for_pause = behaviour_ == ServerBehaviour::kAsksForPause;
+  handled_requests_.push_back(
+      {.id = request_id,
+       .at = loop_.Now(),
+       .said_leaving = leaving_ && behaviour_ != ServerBehaviour::kHangs,
+       .asked_for_pause = asks_for_pause});
   if (behaviour_ == ServerBehaviour::kSheds || asks_for_pause) {
     response.status = 503;
     response.headers.emplace_back(kNotRun, "1");
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -4,6 +4,7 @@
 #ifndef CICADADRUM_TESTS_PLATFORMSTANDINS_STAND_INS_H_
 #define CICADADRUM_TESTS_PLATFORMSTANDINS_STAND_INS_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "cicadadrum/base/enum_names.h"
 #include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/loop/http_client.h"
 #include "cicadadrum/loop/http_server.h"
@@ -95,10 +97,40 @@
   kAsksForPause,
 };
 
+}  // namespace cicadadrum::platform
+
+namespace cicadadrum {
+
+template <>
+struct EnumNames<platform::ServerBehaviour> {
+  static constexpr auto kTable =
+      std::to_array<EnumName<platform::ServerBehaviour>>({
+          {platform::ServerBehaviour::kAnswers, "answers"},
+          {platform::ServerBehaviour::kSheds, "sheds"},
+          {platform::ServerBehaviour::kWithoutSeal, "without-seal"},
+          {platform::ServerBehaviour::kHangs, "hangs"},
+          {platform::ServerBehaviour::kErrorWithoutProof,
+           "error-without-proof"},
+          {platform::ServerBehaviour::kAsksForPause, "asks-for-pause"},
+      });
+};
+
+}  // namespace cicadadrum
+
+namespace cicadadrum::platform {
+
 // Time for which a server with ServerBehaviour::kAsksForPause wants no requests
 // from the entry VM to which it responds.
 constexpr Duration kServerPause = Milliseconds(1250);
 
+// A request that named this server, and what the response announced.
+struct HandledRequest {
+  std::string id;
+  TimePoint at;  // Of the arrival and of the response, if there is one.
+  bool said_leaving = false;
+  bool asked_for_pause = false;
+};
+
 // A backend server that records the requests that it receives.
 class ServerStandIn {
  public:
@@ -115,17 +147,22 @@
   void SetBehaviour(ServerBehaviour behaviour) { behaviour_ = behaviour; }
   // From now on, all responses say that the server is leaving.
   void AnnounceLeaving() { leaving_ = true; }
+  bool is_leaving() const { return leaving_; }
   // Returns the ids of the executed requests in the order of execution.
   const std::vector<std::string>& executed_requests() const {
     return executed_requests_;
   }
   const std::vector<HttpRequest>& requests() const { return requests_; }
+  const std::vector<HandledRequest>& handled_requests() const {
+    return handled_requests_;
+  }
   // Returns the number of callers that disconnected before the response.
   std::size_t disconnected_count() const { return disconnected_count_; }
 
  private:
   void Handle(std::uint64_t id, const HttpRequest& request);
 
+  EventLoop& loop_;
   std::string id_;
   HttpServer server_;
   std::string address_;
@@ -133,6 +170,7 @@
   bool leaving_ = false;
   std::vector<std::string> executed_requests_;
   std::vector<HttpRequest> requests_;
+  std::vector<HandledRequest> handled_requests_;
   std::size_t disconnected_count_ = 0;
 };
 
--- a/Tests/Soak/callers.cc
+++ b/Tests/Soak/callers.cc
@@ -35,6 +35,7 @@
     request.body = "body of " + id;
     record_.writes.insert(id);
   }
+  record_.requests[id] = {.entry_address = address, .sent_at = loop_.Now()};
   ++record_.sent;
   ++open_requests_;
   client_.Send(
@@ -54,6 +55,8 @@
     return;
   }
   ++record_.responses[response.status];
+  if (!FindField(response.headers, kLeaving).empty())
+    record_.requests[id].leaving_received_at = loop_.Now();
   if (response.status == 503 && is_write)
     record_.refused_writes.insert(id);
   if (response.status != 200)
--- a/Tests/Soak/callers.h
+++ b/Tests/Soak/callers.h
@@ -15,6 +15,14 @@
 
 namespace cicadadrum::platform {
 
+// A request of a caller to an entry VM.
+struct SentRequest {
+  std::string entry_address;
+  TimePoint sent_at;
+  // When a response arrived that says that its server is leaving.
+  TimePoint leaving_received_at = kNever;
+};
+
 // Counts of responses, and the request ids that the checks of the soak test
 // use.
 struct CallerRecord {
@@ -28,6 +36,8 @@
   // Ids of requests that received status 200 with another body or seal than the
   // servers send for the request.
   std::vector<std::string> mismatched;
+  // All requests, by id.
+  std::map<std::string, SentRequest> requests;
   std::uint64_t sent = 0;
   std::uint64_t succeeded = 0;
 };
--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -112,6 +112,7 @@
   entry.restart_at = kNever;
   entry.started_at = loop_.Now();
   entry.is_stopped_early = false;
+  entry.disturbances.push_back(loop_.Now());
   const std::string log_path = entry.settings_path + ".log";
   entry.pid = fork();
   if (entry.pid != 0)
@@ -129,6 +130,7 @@
   if (entry.pid == 0)
     return;
   kill(entry.pid, signal_number);
+  entry.disturbances.push_back(loop_.Now());
   if (signal_number == SIGTERM && loop_.Now() < entry.started_at + kLoadTime)
     entry.is_stopped_early = true;
   if (signal_number == SIGSTOP)
--- a/Tests/Soak/fleet.h
+++ b/Tests/Soak/fleet.h
@@ -30,6 +30,8 @@
   // its first instruction.
   bool is_stopped_early = false;
   TimePoint resume_at = kNever;  // When to resume the paused process.
+  // Times of all starts and signals.
+  std::vector<TimePoint> disturbances;
 };
 
 class Fleet {
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <memory>
 
+#include "advice_check.h"
 #include "callers.h"
 #include "cicadadrum/program/program.h"
 #include "fleet.h"
@@ -38,6 +39,8 @@
   kStoreLink,
   kServerLink,
   kServerBehaviour,
+  kServerLeaves,
+  kServersPause,
   kReplaceServer,
   kConfiguration,
   kTruncateChangeLog,
@@ -59,6 +62,8 @@
       {platform::Fault::kStoreLink, "store-link"},
       {platform::Fault::kServerLink, "server-link"},
       {platform::Fault::kServerBehaviour, "server-behaviour"},
+      {platform::Fault::kServerLeaves, "server-leaves"},
+      {platform::Fault::kServersPause, "servers-pause"},
       {platform::Fault::kReplaceServer, "replace-server"},
       {platform::Fault::kConfiguration, "configuration"},
       {platform::Fault::kTruncateChangeLog, "forget-history"},
@@ -76,6 +81,7 @@
 struct SoakServer {
   std::unique_ptr<ServerStandIn> server;
   std::unique_ptr<FaultProxy> proxy;
+  std::vector<LinkChange> link_changes;
 };
 
 class Soak {
@@ -94,6 +100,7 @@
 
  private:
   void AddServer();
+  void SetLinkMode(SoakServer& server, ProxyMode mode);
   void InjectFault();
   void ClearFaults();
   void SendRequests();
@@ -133,6 +140,12 @@
   servers_.push_back(std::move(added));
 }
 
+void Soak::SetLinkMode(SoakServer& server, ProxyMode mode) {
+  if (server.proxy->mode() != mode)
+    server.link_changes.push_back({loop_.Now(), mode});
+  server.proxy->SetMode(mode);
+}
+
 void Soak::InjectFault() {
   const auto fault =
       static_cast<Fault>(RandomNumberBelow(EnumNames<Fault>::kTable.size()));
@@ -156,10 +169,19 @@
     case Fault::kStoreLink:
       return entry.store_proxy->SetMode(mode);
     case Fault::kServerLink:
-      return server.proxy->SetMode(mode);
+      return SetLinkMode(server, mode);
     case Fault::kServerBehaviour:
-      return server.server->SetBehaviour(
-          static_cast<ServerBehaviour>(RandomNumberBelow(5)));
+      return server.server->SetBehaviour(static_cast<ServerBehaviour>(
+          RandomNumberBelow(EnumNames<ServerBehaviour>::kTable.size())));
+    case Fault::kServerLeaves:
+      if (server.server->is_leaving())
+        return;
+      server.server->AnnounceLeaving();
+      return AddServer();
+    case Fault::kServersPause:
+      for (std::size_t i = first_listed_; i < servers_.size(); ++i)
+        servers_[i].server->SetBehaviour(ServerBehaviour::kAsksForPause);
+      return;
     case Fault::kReplaceServer:
       AddServer();
       store_.Put("servers", servers_[first_listed_].server->id(),
@@ -181,7 +203,7 @@
 void Soak::ClearFaults() {
   store_.SetBehaviour(StoreBehaviour::kAnswers);
   for (SoakServer& server : servers_) {
-    server.proxy->SetMode(ProxyMode::kPass);
+    SetLinkMode(server, ProxyMode::kPass);
     server.server->SetBehaviour(ServerBehaviour::kAnswers);
   }
   for (EntryProcess& entry : fleet_.entries())
@@ -272,6 +294,11 @@
   for (const std::string& id : record.mismatched)
     problems.push_back("request " + id +
                        " received a response that does not belong to it");
+  for (const SoakServer& server : servers_) {
+    AppendAdviceProblems(
+        {.server = *server.server, .link_changes = server.link_changes},
+        fleet_.entries(), record, problems);
+  }
   for (const std::string& name : fleet_.unexpected_exits())
     problems.push_back(name + ", which no injected fault explains");
   if (settled_on_removed_ > 0)
