--- a/Tests/Platform/test_http_codec.cc
+++ b/Tests/Platform/test_http_codec.cc
@@ -47,6 +47,18 @@
   }
 }
 
+// Guards against the load and cold time of another server at the address.
+TEST_CASE("a 421 reports nothing of the expected server") {
+  const HttpFields headers = {{std::string(kServerLoad), "4,9,4,300"},
+                              {std::string(kColdLeft), "5000"}};
+  const routing::AttemptEnded wrong_server = Decode(421, headers);
+  CHECK(wrong_server.outcome == routing::ServerOutcome::kWrongServer);
+  CHECK(!wrong_server.report);
+  CHECK(wrong_server.cold_left == Duration::zero());
+  CHECK(Decode(503, headers).report);
+  CHECK(Decode(503, headers).cold_left == Seconds(5));
+}
+
 // Guards against marking a server for a header that says nothing of leaving.
 TEST_CASE("only the value 1 announces that a server is leaving") {
   for (const std::uint16_t status : {200, 404, 429, 500, 503, 504})
