--- a/Tests/LibRouting/test_advice.cc
+++ b/Tests/LibRouting/test_advice.cc
@@ -134,6 +134,27 @@
   CHECK(CountRequestsTo(fixture, "s1") > 0);
 }
 
+// Guards against blaming a restarted server for the end of its predecessor.
+TEST_CASE("a late outcome of the earlier incarnation changes only itself") {
+  RoutingFixture fixture({MakeIncarnation("s1", 5, 1)});
+  for (int i = 0; i < 4; ++i)
+    fixture.Arrive("write");
+  const std::vector<SendAttempt> late = fixture.sent;
+  fixture.Step(ServersChanged{.updated = {MakeIncarnation("s1", 6, 2)}});
+  fixture.Arrive("write");
+  const Server& server = fixture.state.servers.at("s1");
+  fixture.EndAttempt(late.at(0),
+                     {.outcome = ServerOutcome::kSucceeded,
+                      .report = LoadReport{.running = 4, .waiting = 9},
+                      .cold_left = Seconds(9)});
+  fixture.EndAttempt(late.at(1), {.outcome = ServerOutcome::kNotSent});
+  fixture.Step(CallerDisconnected{late.at(2).request});
+  CHECK(!server.report);
+  CHECK(server.cold_until <= fixture.now);
+  CHECK(server.backoff_until <= fixture.now);
+  CHECK(server.in_flight == 1);
+}
+
 // Guards against counting the slots of leaving servers as their region's.
 TEST_CASE("requests leave a region whose servers are all leaving at once") {
   RoutingFixture fixture({MakeServer("s1"), MakeServer("s22", "south-a")});
