--- a/Tests/Platform/test_http_codec.cc
+++ b/Tests/Platform/test_http_codec.cc
@@ -59,6 +59,24 @@
   CHECK(Decode(503, headers).cold_left == Seconds(5));
 }
 
+// Guards against times that overflow, and so end a cold time or a request.
+TEST_CASE("times that headers state stay within a day") {
+  const auto cold_time = [](const std::string& value) {
+    return Decode(200, {{std::string(kColdLeft), value}}).cold_left;
+  };
+  const auto remaining = [](const std::string& value) {
+    return DecodeRequest(1, {.headers = {{std::string(kDeadline), value}}})
+        .remaining;
+  };
+  CHECK(cold_time("1500.5") == Microseconds(1'500'500));
+  CHECK(cold_time("1e300") == Seconds(86'400));
+  CHECK(cold_time("nan") == Duration::zero());
+  CHECK(remaining("250") == Milliseconds(250));
+  CHECK(remaining("1e300") == Seconds(86'400));
+  CHECK(remaining("inf") == Seconds(30));
+  CHECK(remaining("") == Seconds(30));
+}
+
 // Guards against marking a server for a header that says nothing of leaving.
 TEST_CASE("only the value 1 announces that a server is leaving") {
   for (const std::uint16_t status : {200, 404, 429, 500, 503, 504})
