--- a/Tests/Platform/test_http_codec.cc
+++ b/Tests/Platform/test_http_codec.cc
@@ -77,6 +77,19 @@
   CHECK(remaining("") == Seconds(30));
 }
 
+// Guards against loads that make the cost of a server undefined.
+TEST_CASE("a load with a field that is out of range is not read") {
+  const auto has_report = [](const std::string& value) {
+    return Decode(200, {{std::string(kServerLoad), value}}).report.has_value();
+  };
+  CHECK(has_report("1,0,4,100"));
+  for (const std::string value :
+       {"nan,0,4,100", "1,1e300,4,100", "1,0,4,nan", "1,0,4,inf"}) {
+    CAPTURE(value);
+    CHECK(!has_report(value));
+  }
+}
+
 // Guards against marking a server for a header that says nothing of leaving.
 TEST_CASE("only the value 1 announces that a server is leaving") {
   for (const std::uint16_t status : {200, 404, 429, 500, 503, 504})
