--- a/Tests/Platform/test_http_codec.cc
+++ b/Tests/Platform/test_http_codec.cc
@@ -26,6 +26,7 @@
 TEST_CASE("a pause is read from a 503, in seconds with or without a fraction") {
   CHECK(PauseOf(503, "2") == Seconds(2));
   CHECK(PauseOf(503, "0.25") == Milliseconds(250));
+  CHECK(PauseOf(503, " 2 ") == Seconds(2));
   CHECK(PauseOf(503, "120.5") == Milliseconds(120'500));
   CHECK(PauseOf(503, "999999999999999999999999") == routing::kMaxServerPause);
   CHECK(Decode(503,
@@ -94,6 +95,7 @@
 TEST_CASE("only the value 1 announces that a server is leaving") {
   for (const std::uint16_t status : {200, 404, 429, 500, 503, 504})
     CHECK(Decode(status, {{"server-leaving", "1"}}).leaving);
+  CHECK(Decode(200, {{std::string(kLeaving), " 1\t"}}).leaving);
   CHECK(!Decode(421, {{std::string(kLeaving), "1"}}).leaving);
   for (const std::string value : {"", "0", "no", "11"})
     CHECK(!Decode(200, {{std::string(kLeaving), value}}).leaving);
