LibRouting: Look up a server by its incarnation in one place

Two functions searched the server of an attempt, and two the advice of an incarnation. ServerIncarnation and FindServer now serve both, and RecordAdvice reads from top to bottom.

--- a/Libraries/LibRouting/advice.cc
+++ b/Libraries/LibRouting/advice.cc
@@ -4,27 +4,12 @@
 
 #include <algorithm>
 
+#include "server_table.h"
+
 namespace cicadadrum::routing {
 
 namespace {
 
-ServerIncarnation IncarnationOf(const ServerEntry& entry) {
-  return {entry.id, entry.started_unix_ms};
-}
-
-// Returns the advice of the incarnation that the attempt was sent to. Its entry
-// may have been removed, or replaced by that of a later incarnation.
-ServerAdvice FindAdvice(const RoutingState& state,
-                        const ServerIncarnation& incarnation) {
-  const auto listed = state.servers.find(incarnation.id);
-  if (listed != state.servers.end() &&
-      IncarnationOf(listed->second.entry) == incarnation)
-    return listed->second.advice;
-  const auto unlisted = state.unlisted_advice.find(incarnation);
-  return unlisted == state.unlisted_advice.end() ? ServerAdvice{}
-                                                 : unlisted->second.advice;
-}
-
 // Keeps the advice of an incarnation without an entry. At the limit, the oldest
 // advice is dropped.
 void KeepUnlisted(RoutingState& state,
@@ -41,18 +26,6 @@
       }));
 }
 
-void StoreAdvice(RoutingState& state,
-                 const ServerIncarnation& incarnation,
-                 const ServerAdvice& advice,
-                 TimePoint now) {
-  const auto listed = state.servers.find(incarnation.id);
-  if (listed != state.servers.end() &&
-      IncarnationOf(listed->second.entry) == incarnation)
-    listed->second.advice = advice;
-  else
-    KeepUnlisted(state, incarnation, advice, now);
-}
-
 }  // namespace
 
 void RecordAdvice(RoutingState& state,
@@ -62,9 +35,14 @@
                   RoutingActions& actions) {
   if (!end.leaving && end.pause <= Duration::zero())
     return;
-  const ServerIncarnation incarnation{request.server,
-                                      request.server_started_unix_ms};
-  ServerAdvice advice = FindAdvice(state, incarnation);
+  const ServerIncarnation incarnation = IncarnationOf(request);
+  Server* server = FindServer(state, incarnation);
+  const auto unlisted = state.unlisted_advice.find(incarnation);
+  ServerAdvice advice;
+  if (server != nullptr)
+    advice = server->advice;
+  else if (unlisted != state.unlisted_advice.end())
+    advice = unlisted->second.advice;
   if (end.leaving && !advice.leaving)
     actions.emplace_back(
         ReportServerLeaving{.request = end.request, .server = request.server});
@@ -73,7 +51,10 @@
         .request = end.request, .server = request.server, .pause = end.pause});
   advice.leaving = advice.leaving || end.leaving;
   advice.paused_until = std::max(advice.paused_until, now + end.pause);
-  StoreAdvice(state, incarnation, advice, now);
+  if (server != nullptr)
+    server->advice = advice;
+  else
+    KeepUnlisted(state, incarnation, advice, now);
 }
 
 void KeepAdvice(RoutingState& state, const Server& server, TimePoint now) {
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -54,6 +54,17 @@
   FleetBounds bounds;
 };
 
+// One incarnation of a server.
+struct ServerIncarnation {
+  std::string id;
+  std::int64_t started_unix_ms = 0;
+  auto operator<=>(const ServerIncarnation&) const = default;
+};
+
+inline ServerIncarnation IncarnationOf(const ServerEntry& entry) {
+  return {entry.id, entry.started_unix_ms};
+}
+
 // A request in progress: the caller has received no response yet.
 struct RequestState {
   Route route;  // As configured when the request arrived.
@@ -85,6 +96,11 @@
   CacheAffinity cache_affinity = CacheAffinity::kFresh;
 };
 
+// Returns the server of the request's current attempt.
+inline ServerIncarnation IncarnationOf(const RequestState& request) {
+  return {request.server, request.server_started_unix_ms};
+}
+
 // Mean time that a server works on a request, without the time in its queue.
 struct WorkEstimate {
   double milliseconds = 0;  // 0 before the first sample.
@@ -140,13 +156,6 @@
 // Maximum number of servers without an entry whose advice is kept.
 constexpr std::size_t kMaxUnlistedAdvice = 4096;
 
-// One incarnation of a server.
-struct ServerIncarnation {
-  std::string id;
-  std::int64_t started_unix_ms = 0;
-  auto operator<=>(const ServerIncarnation&) const = default;
-};
-
 // The advice of a server without an entry, which applies again if the entry
 // returns.
 struct UnlistedAdvice {
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -190,20 +190,10 @@
   Dispatch(state, event.request, RefusalReason::kNoServer, now, actions);
 }
 
-// Returns the server of the request's attempt, or null if its entry has been
-// removed or belongs to a later incarnation under the same id.
-Server* FindServer(RoutingState& state, const RequestState& request) {
-  const auto found = state.servers.find(request.server);
-  if (found == state.servers.end() ||
-      found->second.entry.started_unix_ms != request.server_started_unix_ms)
-    return nullptr;
-  return &found->second;
-}
-
 // Marks the current attempt as ended without an outcome.
 void AbandonAttempt(RoutingState& state, RequestState& request) {
   request.attempt_in_progress = false;
-  Server* server = FindServer(state, request);
+  Server* server = FindServer(state, IncarnationOf(request));
   if (server != nullptr && server->in_flight > 0)
     --server->in_flight;
 }
@@ -271,7 +261,7 @@
   RequestState& request = found->second;
   request.attempt_in_progress = false;
   RecordAdvice(state, request, event, now, actions);
-  if (Server* server = FindServer(state, request)) {
+  if (Server* server = FindServer(state, IncarnationOf(request))) {
     RecordAttemptEnd(state, *server, request, event, now);
     QueueObservation(state, request, event, now);
   }
--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -90,6 +90,14 @@
     AddOrUpdate(state, entry, now);
 }
 
+Server* FindServer(RoutingState& state, const ServerIncarnation& incarnation) {
+  const auto found = state.servers.find(incarnation.id);
+  if (found == state.servers.end() ||
+      found->second.entry.started_unix_ms != incarnation.started_unix_ms)
+    return nullptr;
+  return &found->second;
+}
+
 void UpdateEvacuations(RoutingState& state,
                        const EvacuationsChanged& event,
                        TimePoint now) {
--- a/Libraries/LibRouting/server_table.h
+++ b/Libraries/LibRouting/server_table.h
@@ -13,6 +13,9 @@
                    const ServersChanged& event,
                    TimePoint now);
 
+// Returns the server, or null if the incarnation has no entry.
+Server* FindServer(RoutingState& state, const ServerIncarnation& incarnation);
+
 // Replaces the set of evacuated failure domains. The servers of a domain that
 // is no longer evacuated count as cold.
 void UpdateEvacuations(RoutingState& state,
