--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -238,6 +238,7 @@
   // The entry lapses and returns for the same incarnation.
   entry.store.Remove("servers", "s-one");
   entry.store.Put("servers", "s-one", entry.server_one.Row("ready"));
+  entry.front.Reload(entry.settings);
   for (int i = 0; i < 10; ++i)
     CHECK(entry
               .SendRequest(Request("/write/a", "late-" + std::to_string(i),
