--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "advice.h"
 #include "home_regions.h"
 #include "observations.h"
 #include "region_shares.h"
@@ -73,9 +74,7 @@
                 const RequestState& request,
                 Server& server,
                 TimePoint now) {
-  return server.entry.phase == ServerPhase::kReady &&
-         server.backoff_until <= now && !HasTried(request, server) &&
-         !state.evacuated_domains.contains(server.entry.failure_domain) &&
+  return IsInUse(state, server, now) && !HasTried(request, server) &&
          IsRegionAllowed(request.route, server.region) &&
          HasColdServerAllowance(state, server, now);
 }
@@ -325,4 +324,29 @@
   return MakeServerChoice(*server, request, cost, now);
 }
 
+std::optional<TimePoint> FirstPauseEnd(const RoutingState& state,
+                                       const RequestState& request,
+                                       TimePoint now) {
+  const auto service = state.services.find(request.service);
+  if (service == state.services.end())
+    return std::nullopt;
+  bool has_pause = false;
+  TimePoint first_end = kNever;
+  for (const std::string& id : service->second.servers) {
+    const Server& server = state.servers.at(id);
+    const TimePoint end =
+        std::max(server.backoff_until, server.advice.paused_until);
+    if (!IsRegionAllowed(request.route, server.region) ||
+        !IsInUse(state, server, std::max(now, end)))
+      continue;
+    if (end <= now)
+      return std::nullopt;
+    has_pause = has_pause || server.advice.paused_until > now;
+    first_end = std::min(first_end, end);
+  }
+  if (!has_pause)
+    return std::nullopt;
+  return first_end;
+}
+
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -52,6 +52,10 @@
   // Time for which the server stays cold according to the response, or zero if
   // the response does not say.
   Duration cold_left{};
+  bool leaving = false;  // The server announced that it is leaving.
+  // Time for which the server asked to receive no requests from this entry VM,
+  // or zero if it did not ask. At most kMaxServerPause.
+  Duration pause{};
 };
 
 // A configuration was published. The core ignores it unless its version is
@@ -103,7 +107,10 @@
   std::uint32_t object = kNoObject;
   std::optional<LoadReport> report;
   bool unreachable = false;  // No connection to the server could be made.
-  Duration age{};            // Time since the attempt ended.
+  bool leaving = false;      // The server announced that it is leaving.
+  // IncarnationTag of a server that is leaving, 0 of another one.
+  std::uint32_t incarnation = 0;
+  Duration age{};  // Time since the attempt ended.
   bool operator==(const ServerObservation&) const = default;
 };
 
@@ -292,6 +299,20 @@
   std::uint64_t fingerprint = 0;
 };
 
+// Record that the server announced for the first time that it is leaving.
+struct ReportServerLeaving {
+  std::uint64_t request = 0;  // The request to which the server responded.
+  std::string server;         // Id.
+};
+
+// Record that the server asked to receive no requests for a while. Not repeated
+// while the pause lasts.
+struct ReportServerPause {
+  std::uint64_t request = 0;  // The request to which the server responded.
+  std::string server;         // Id.
+  Duration pause{};
+};
+
 // Send observations to other entry VMs. A lost message does no harm.
 struct ShareObservations {
   std::vector<std::string> receivers;  // Names of entry VMs.
@@ -312,6 +333,8 @@
                                    DeliverResponse,
                                    RefuseRequest,
                                    PublishBlockedFingerprint,
+                                   ReportServerLeaving,
+                                   ReportServerPause,
                                    ShareObservations,
                                    WakeAt,
                                    DrainCompleted>;
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -9,6 +9,7 @@
 #ifndef CICADADRUM_ROUTING_ROUTING_H_
 #define CICADADRUM_ROUTING_ROUTING_H_
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -36,6 +37,17 @@
   FleetBounds bounds;
 };
 
+// One incarnation of a server.
+struct ServerIncarnation {
+  std::string id;
+  std::int64_t started_unix_ms = 0;
+  auto operator<=>(const ServerIncarnation&) const = default;
+};
+
+inline ServerIncarnation IncarnationOf(const ServerEntry& entry) {
+  return {entry.id, entry.started_unix_ms};
+}
+
 // A request in progress: the caller has received no response yet.
 struct RequestState {
   std::string host;
@@ -57,6 +69,7 @@
   Verdict verdict = Verdict::kNotRun;      // Of the attempts that have ended.
   bool attempt_in_progress = false;
   std::string server;  // Id of the server of the current attempt.
+  std::int64_t server_started_unix_ms = 0;  // Start time of that server.
   TimePoint sent_at;
   // Estimated duration of the current attempt.
   Duration expected_duration{};
@@ -70,6 +83,11 @@
   CacheAffinity cache_affinity = CacheAffinity::kFresh;
 };
 
+// Returns the server of the request's current attempt.
+inline ServerIncarnation IncarnationOf(const RequestState& request) {
+  return {request.server, request.server_started_unix_ms};
+}
+
 // Mean time that a server works on a request, without the time in its queue.
 struct WorkEstimate {
   double milliseconds = 0;  // 0 before the first sample.
@@ -122,6 +140,16 @@
   TimePoint send_at = kNever;  // Time at which `pending` is to be sent.
 };
 
+// Maximum number of servers without an entry whose advice is kept.
+constexpr std::size_t kMaxUnlistedAdvice = 4096;
+
+// The advice of a server without an entry, which applies again if the entry
+// returns.
+struct UnlistedAdvice {
+  ServerAdvice advice;
+  TimePoint recorded_at;
+};
+
 // The full state of the request core, which StepRouting updates.
 struct RoutingState {
   RoutingOptions options;
@@ -137,6 +165,9 @@
   std::unordered_map<std::string, Server> servers;         // By id.
   std::unordered_map<std::string, ServiceState> services;  // By name.
   std::unordered_map<std::uint32_t, std::string> server_id_by_tag;
+  // Invariant: contains no incarnation of `servers`, and at most
+  // kMaxUnlistedAdvice elements.
+  std::map<ServerIncarnation, UnlistedAdvice> unlisted_advice;
   std::set<std::string> evacuated_domains;  // Failure domains.
   std::vector<FleetMember> members;         // Live entry VMs with this one.
   ObservationSharing sharing;
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -28,6 +28,10 @@
 inline std::uint32_t ServerTag(std::string_view id) {
   return static_cast<std::uint32_t>(HashBytes(id));
 }
+// Tells apart the servers that start under one id.
+constexpr std::uint32_t IncarnationTag(std::int64_t started_unix_ms) {
+  return static_cast<std::uint32_t>(started_unix_ms);
+}
 
 // Servers that are draining receive no new requests.
 enum class ServerPhase : std::uint8_t { kReady, kDraining };
@@ -140,6 +144,18 @@
   TimePoint updated_at{};
 };
 
+// Longest pause that a server can ask for. It keeps times representable; a
+// server that is restarted ends its pause earlier.
+constexpr Duration kMaxServerPause = Seconds(std::int64_t{24} * 3600);
+
+// What one incarnation of a server has announced about the requests that it
+// wants. It holds until the incarnation ends, also while the store has no entry
+// of the server.
+struct ServerAdvice {
+  bool leaving = false;      // The server receives no more requests.
+  TimePoint paused_until{};  // The server receives no requests until then.
+};
+
 // A server with what this entry VM has observed itself or received from others.
 struct Server {
   ServerEntry entry;
@@ -160,6 +176,7 @@
   TimePoint last_response_at{};
   TimePoint backoff_until{};  // The server receives no requests until then.
   TimePoint cold_until{};     // The rate of requests is limited until then.
+  ServerAdvice advice;
   // Attempts of this entry VM within the last second.
   std::deque<TimePoint> recent_sends;
   // Tags of the objects that the server has handled last, from the attempts of
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "advice.h"
 #include "choice.h"
 #include "cicadadrum/base/hash.h"
 #include "home_regions.h"
@@ -98,6 +99,17 @@
   return std::min(estimate, std::max(remaining / 3, kMinRetryAfter));
 }
 
+// Returns the delay after which the caller of a refused request should retry:
+// until a server may receive requests again, if all servers in use have asked
+// for a pause that ends before the caller gives up, and `estimate` otherwise.
+Duration RetryAfterPauses(const RoutingState& state,
+                          const RequestState& request,
+                          Duration estimate,
+                          TimePoint now) {
+  const auto end = FirstPauseEnd(state, request, now);
+  return end && *end < request.caller_deadline ? *end - now : estimate;
+}
+
 // Sends the request to the server with the least cost, or refuses the request.
 void Dispatch(RoutingState& state,
               std::uint64_t id,
@@ -111,8 +123,11 @@
                   RetryAfterForEstimate(Seconds(1), remaining), actions);
   ServerChoice choice = ChooseServer(state, request, now);
   if (choice.server == nullptr)
-    return Refuse(state, id, reason_without_server,
-                  RetryAfterForEstimate(Seconds(1), remaining), actions);
+    return Refuse(
+        state, id, reason_without_server,
+        RetryAfterPauses(state, request,
+                         RetryAfterForEstimate(Seconds(1), remaining), now),
+        actions);
   // A long work estimate without a queue is no reason to refuse the request: if
   // no request were sent, the estimate would never be corrected.
   if (!choice.admitted ||
@@ -125,6 +140,7 @@
   ++request.attempts;
   request.attempt_in_progress = true;
   request.server = server.entry.id;
+  request.server_started_unix_ms = server.entry.started_unix_ms;
   request.tried_servers.push_back(server.entry.id);
   request.sent_at = now;
   request.expected_duration = choice.expected_duration;
@@ -182,15 +198,10 @@
   Dispatch(state, event.request, RefusalReason::kNoServer, now, actions);
 }
 
-Server* FindServer(RoutingState& state, const std::string& id) {
-  const auto found = state.servers.find(id);
-  return found == state.servers.end() ? nullptr : &found->second;
-}
-
 // Marks the current attempt as ended without an outcome.
 void AbandonAttempt(RoutingState& state, RequestState& request) {
   request.attempt_in_progress = false;
-  Server* server = FindServer(state, request.server);
+  Server* server = FindServer(state, IncarnationOf(request));
   if (server != nullptr && server->in_flight > 0)
     --server->in_flight;
 }
@@ -305,7 +316,8 @@
     return;
   RequestState& request = found->second;
   request.attempt_in_progress = false;
-  if (Server* server = FindServer(state, request.server)) {
+  RecordAdvice(state, request, event, now, actions);
+  if (Server* server = FindServer(state, IncarnationOf(request))) {
     RecordAttemptEnd(state, *server, request, event, now);
     QueueObservation(state, request, event, now);
   }
@@ -324,10 +336,10 @@
   if (IsRepeatable(request) && RefreshRoute(state, event.request, request) &&
       MayRetry(state, request, now))
     return Dispatch(state, event.request, reason, now, actions);
+  const Duration estimate = RetryAfterForEstimate(
+      request.expected_duration, request.caller_deadline - now);
   Refuse(state, event.request, reason,
-         RetryAfterForEstimate(request.expected_duration,
-                               request.caller_deadline - now),
-         actions);
+         RetryAfterPauses(state, request, estimate, now), actions);
 }
 
 void Apply(RoutingState& state,
--- a/Libraries/LibRouting/server_table.h
+++ b/Libraries/LibRouting/server_table.h
@@ -16,6 +16,9 @@
 // Sets the region of every server by its failure domain.
 void UpdateRegions(RoutingState& state);
 
+// Returns the server, or null if the incarnation has no entry.
+Server* FindServer(RoutingState& state, const ServerIncarnation& incarnation);
+
 // Replaces the set of evacuated failure domains. The servers of a domain that
 // is no longer evacuated count as cold.
 void UpdateEvacuations(RoutingState& state,
--- a/Tests/LibRouting/routing_fixture.h
+++ b/Tests/LibRouting/routing_fixture.h
@@ -68,6 +68,8 @@
   std::vector<RefuseRequest> refused;
   std::vector<PublishBlockedFingerprint> published;
   std::vector<ShareObservations> shared;
+  std::vector<ReportServerLeaving> reported_leaving;
+  std::vector<ReportServerPause> reported_pauses;
   bool drain_completed = false;
   TimePoint wake_at = kNever;
 
@@ -102,6 +104,10 @@
         published.push_back(*block);
       if (const auto* share = std::get_if<ShareObservations>(&action))
         shared.push_back(*share);
+      if (const auto* leaving = std::get_if<ReportServerLeaving>(&action))
+        reported_leaving.push_back(*leaving);
+      if (const auto* pause = std::get_if<ReportServerPause>(&action))
+        reported_pauses.push_back(*pause);
       if (std::holds_alternative<DrainCompleted>(action))
         drain_completed = true;
       if (const auto* due = std::get_if<WakeAt>(&action))
@@ -123,6 +129,13 @@
     return id;
   }
 
+  // Ends the attempt as `end` says. Its request and attempt are filled in.
+  void EndAttempt(const SendAttempt& attempt, AttemptEnded end) {
+    end.request = attempt.request;
+    end.attempt = attempt.attempt;
+    Step(end);
+  }
+
   // Ends the last attempt that was sent.
   void End(ServerOutcome outcome, std::optional<LoadReport> report = {}) {
     const SendAttempt attempt = sent.back();
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -154,7 +154,8 @@
 }
 
 ServerStandIn::ServerStandIn(EventLoop& loop, std::string id)
-    : id_(std::move(id)),
+    : loop_(loop),
+      id_(std::move(id)),
       server_(
           loop,
           {},
@@ -185,13 +186,25 @@
   requests_.push_back(request);
   const std::string request_id(FindField(request.headers, kRequestId));
   HttpResponse response{.headers = {{std::string(kRequestId), request_id}}};
+  if (leaving_)
+    response.headers.emplace_back(kLeaving, "1");
   if (FindField(request.headers, kExpectedServer) != id_) {
     response.status = 421;
     return server_.Respond(id, response);
   }
-  if (behaviour_ == ServerBehaviour::kSheds) {
+  const bool asks_for_pause = behaviour_ == ServerBehaviour::kAsksForPause;
+  handled_requests_.push_back(
+      {.id = request_id,
+       .at = loop_.Now(),
+       .said_leaving = leaving_ && behaviour_ != ServerBehaviour::kHangs,
+       .asked_for_pause = asks_for_pause});
+  if (behaviour_ == ServerBehaviour::kSheds || asks_for_pause) {
     response.status = 503;
     response.headers.emplace_back(kNotRun, "1");
+    if (asks_for_pause)
+      response.headers.emplace_back(
+          kRetryAfter,
+          std::to_string(std::chrono::duration<double>(kServerPause).count()));
     return server_.Respond(id, response);
   }
   executed_requests_.push_back(request_id);
