LibDiscovery: Report a new era of the store and rows that are ignored as old

The logs of the entry VMs showed the 410 and the full read, but not that every row that was written again was dropped: LibDiscovery ignores a row with a lower version without a trace, and the header Store-Era was not read.

No decision changes.

--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -88,6 +88,7 @@
   std::uint64_t call = 0;
   std::vector<TableRow> rows;
   std::uint64_t version = 0;  // Of the source's table at this response.
+  std::uint64_t era = 0;      // Of the store; see TableState::era.
   bool has_more = false;      // The response covers only part of the table.
   // Set by peers only: the number of the peer's last change, and the time since
   // the peer's rows were known to be complete.
@@ -99,6 +100,7 @@
 struct TableFailed {
   std::uint64_t call = 0;
   TableFailure failure = TableFailure::kNoAnswer;
+  std::uint64_t era = 0;  // Of the store; see TableState::era.
 };
 
 using TableEvent =
@@ -134,6 +136,22 @@
   bool is_first_read = false;  // This is the first full read of this process.
 };
 
+// A response showed a new era of the store.
+struct EraChanged {
+  std::uint64_t old_era = 0;
+  std::uint64_t new_era = 0;
+  std::uint64_t version = 0;  // Last known version of the table.
+};
+
+// Rows of a response were not applied, because a newer version of each of them
+// had been applied before.
+struct OldRowsIgnored {
+  std::size_t count = 0;
+  std::string key;  // Of the last of the rows, as an example.
+  std::uint64_t version = 0;
+  std::uint64_t known_version = 0;
+};
+
 // The store became unreachable or reachable.
 struct StoreReachabilityChanged {
   bool reachable = true;
@@ -152,6 +170,8 @@
 using TableAction = std::variant<ReadTable,
                                  FollowTable,
                                  RowsChanged,
+                                 EraChanged,
+                                 OldRowsIgnored,
                                  StoreReachabilityChanged,
                                  SourceSelected,
                                  TableWake>;
@@ -180,6 +200,9 @@
   Random random;
   TablePhase phase = TablePhase::kUnread;
   bool initial_read_done = false;
+  // The newest era of the store that a response showed. The era rises each time
+  // the store loses changes. 0 stands for an unknown era.
+  std::uint64_t era = 0;
   std::uint64_t version = 0;  // All changes up to it have been received.
   // The published rows are complete up to this version. The version does not
   // advance while removals are deferred, because a reader that continues from
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -108,40 +108,58 @@
   rows = std::move(last);
 }
 
-// Adds the row to `changed` if it is newer than the published version. Defers a
-// removal that arrives during the grace period.
+// The rows of a response that lead to actions.
+struct ResponseEffects {
+  std::vector<TableRow> changed;
+  OldRowsIgnored ignored;
+};
+
+void RecordIgnoredRow(const TableRow& row,
+                      std::uint64_t known_version,
+                      OldRowsIgnored& ignored) {
+  ++ignored.count;
+  ignored.key = row.key;
+  ignored.version = row.version;
+  ignored.known_version = known_version;
+}
+
+// Adds the row to the changed rows if it is newer than the published version.
+// Defers a removal that arrives during the grace period.
 void ApplyRow(TableState& state,
               const TableRow& row,
               TimePoint now,
-              std::vector<TableRow>& changed) {
+              ResponseEffects& effects) {
   if (!row.removed) {
     state.deferred_removals.erase(row.key);
     std::uint64_t& version = state.published_versions[row.key];
     // The response of another source may contain an older version.
-    if (version >= row.version)
+    if (version > row.version)
+      return RecordIgnoredRow(row, version, effects.ignored);
+    if (version == row.version)
       return;
     version = row.version;
-    changed.push_back(row);
+    effects.changed.push_back(row);
     return;
   }
   const auto published = state.published_versions.find(row.key);
-  if (published == state.published_versions.end() ||
-      row.version < published->second)
+  if (published == state.published_versions.end())
     return;
+  if (row.version < published->second)
+    return RecordIgnoredRow(row, published->second, effects.ignored);
   if (now < state.removals_deferred_until) {
     state.deferred_removals[row.key] = row.version;
     return;
   }
   state.published_versions.erase(published);
-  changed.push_back(row);
+  effects.changed.push_back(row);
 }
 
 // Applies a full read. Published rows that are absent from it are removed.
-void ApplyFullRead(TableState& state, TimePoint now, RowsChanged& changed) {
+void ApplyFullRead(TableState& state, TimePoint now, ResponseEffects& effects) {
   std::set<std::string> present;
   for (const TableRow& row : state.full_read_rows) {
     present.insert(row.key);
-    ApplyRow(state, row, now, changed.rows);
+    ApplyRow(state, row, now, effects);
   }
   std::vector<std::string> absent;
   for (const auto& [key, version] : state.published_versions) {
@@ -151,11 +169,19 @@
   for (const std::string& key : absent) {
     ApplyRow(state,
              {.key = key, .version = state.full_read_version, .removed = true},
-             now, changed.rows);
+             now, effects);
   }
   state.full_read_rows.clear();
-  changed.is_first_read = !state.initial_read_done;
-  state.initial_read_done = true;
+}
+
+void PublishEffects(ResponseEffects effects,
+                    bool is_first_read,
+                    TableActions& actions) {
+  if (!effects.changed.empty() || is_first_read)
+    actions.emplace_back(
+        RowsChanged{std::move(effects.changed), is_first_read});
+  if (effects.ignored.count > 0)
+    actions.emplace_back(std::move(effects.ignored));
 }
 
 void PublishDeferredRemovals(TableState& state,
@@ -183,6 +209,15 @@
   state.consecutive_failures = 0;
 }
 
+// Reports an era that is newer than the last known one.
+void RecordEra(TableState& state, std::uint64_t era, TableActions& actions) {
+  if (era <= state.era)
+    return;
+  if (state.era != 0)
+    actions.emplace_back(EraChanged{state.era, era, state.version});
+  state.era = era;
+}
+
 void Apply(TableState& state,
            const TableTimerExpired& /*event*/,
            TimePoint now,
@@ -236,6 +271,7 @@
     return;
   state.open_call = 0;
   state.next_call_at = now + kPeerPeriod;
+  RecordEra(state, event.era, actions);
   if (!AcceptPeerAnswer(state, event, now))
     return;
   if (state.call_peer.empty()) {
@@ -254,18 +290,17 @@
     // The first FollowTable returns the changes made during the full read.
     state.version = state.full_read_version;
     state.phase = TablePhase::kFollowing;
-    RowsChanged changed;
-    ApplyFullRead(state, now, changed);
-    if (!changed.rows.empty() || changed.is_first_read)
-      actions.emplace_back(std::move(changed));
+    ResponseEffects effects;
+    ApplyFullRead(state, now, effects);
+    const bool is_first_read = !std::exchange(state.initial_read_done, true);
+    PublishEffects(std::move(effects), is_first_read, actions);
   } else {
-    RowsChanged changed;
+    ResponseEffects effects;
     for (const TableRow& row : event.rows)
-      ApplyRow(state, row, now, changed.rows);
-    KeepLastChanges(changed.rows);
+      ApplyRow(state, row, now, effects);
+    KeepLastChanges(effects.changed);
     state.version = std::max(state.version, event.version);
-    if (!changed.rows.empty())
-      actions.emplace_back(std::move(changed));
+    PublishEffects(std::move(effects), /*is_first_read=*/false, actions);
   }
 }
 
@@ -301,6 +336,7 @@
   if (event.call != state.open_call)
     return;
   state.open_call = 0;
+  RecordEra(state, event.era, actions);
   const bool is_peer_call = !state.call_peer.empty();
   // The change log of a peer is short; the store may still have the changes.
   if (event.failure == TableFailure::kHistoryLost && !is_peer_call) {
--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -22,6 +22,9 @@
   bool is_first_read = false;
   TimePoint wake = kNever;
   std::vector<bool> reachability;
+  std::uint64_t era = 0;  // Of the store in the next responses.
+  std::vector<EraChanged> era_changes;
+  std::vector<OldRowsIgnored> ignored;
 
   void Step(const TableEvent& event) {
     TableActions actions;
@@ -37,6 +40,10 @@
       }
       if (const auto* reached = std::get_if<StoreReachabilityChanged>(&action))
         reachability.push_back(reached->reachable);
+      if (const auto* change = std::get_if<EraChanged>(&action))
+        era_changes.push_back(*change);
+      if (const auto* old_rows = std::get_if<OldRowsIgnored>(&action))
+        ignored.push_back(*old_rows);
       if (const auto* timer_wake = std::get_if<TableWake>(&action))
         wake = timer_wake->at;
     }
@@ -53,17 +60,24 @@
   void AnswerRead(std::vector<TableRow> response,
                   std::uint64_t version,
                   bool has_more = false) {
-    Step(TableAnswered{read->call, std::move(response), version, has_more});
+    Step(TableAnswered{.call = read->call,
+                       .rows = std::move(response),
+                       .version = version,
+                       .era = era,
+                       .has_more = has_more});
   }
 
   void AnswerFollow(std::vector<TableRow> response, std::uint64_t version) {
     Wait();
-    Step(TableAnswered{follow->call, std::move(response), version, false});
+    Step(TableAnswered{.call = follow->call,
+                       .rows = std::move(response),
+                       .version = version,
+                       .era = era});
   }
 
   void FailFollow(TableFailure failure) {
     Wait();
-    Step(TableFailed{follow->call, failure});
+    Step(TableFailed{follow->call, failure, era});
   }
 
   void ReadTableOnce(std::vector<TableRow> response, std::uint64_t version) {
@@ -152,6 +166,24 @@
   CHECK(rows[0].removed);
 }
 
+// Guards against an outage that the log does not explain: rows that the store
+// gave out again under lower versions were dropped without a trace.
+TEST_CASE("a new era of the store and ignored rows are reported") {
+  TableFixture table;
+  table.era = 1;
+  table.ReadTableOnce({Put("a", 44)}, 44);
+  CHECK(table.era_changes.empty());
+  table.AnswerFollow({Put("a", 40)}, 44);
+  REQUIRE(table.ignored.size() == 1);
+  CHECK(table.ignored[0].count == 1);
+  CHECK(table.ignored[0].key == "a");
+  table.era = 2;
+  table.FailFollow(TableFailure::kHistoryLost);
+  REQUIRE(table.era_changes.size() == 1);
+  CHECK(table.era_changes[0].old_era == 1);
+  CHECK(table.era_changes[0].new_era == 2);
+}
+
 // Guards against calls beyond the store's rate limit and against a back-off
 // that is longer than the bound within which a leaving server must be noticed.
 TEST_CASE("calls are paced and the back-off lasts at most a second") {
@@ -173,7 +205,8 @@
   const std::uint64_t old_call = table.follow->call;
   table.Step(TableFailed{old_call, TableFailure::kNoAnswer});
   table.Wait();
-  table.Step(TableAnswered{old_call, {Put("a", 9)}, 9, false});
+  table.Step(
+      TableAnswered{.call = old_call, .rows = {Put("a", 9)}, .version = 9});
   CHECK(table.TakeRows().empty());
 }
 
