Tests: Reproduce the store that comes back from a copy

Callers saw responses by a configuration older than the confirmed one and requests outside their home region after the store had come back from a copy that was 9 s old. StoreStandIn and RelayWorld get Restore(): the state as of an earlier version, versions that are assigned again, a new era, 410 for polls after versions that the store doesn't have.

--- a/Tests/LibDiscovery/relay_world.cc
+++ b/Tests/LibDiscovery/relay_world.cc
@@ -51,6 +51,14 @@
   AnswerReadyFollows();
 }
 
+void RelayWorld::Restore(std::uint64_t version) {
+  std::erase_if(change_log_,
+                [&](const TableRow& row) { return row.version > version; });
+  version_ = version;
+  ++era_;
+  AnswerReadyFollows();
+}
+
 void RelayWorld::RunUntil(TimePoint end) {
   while (now < end) {
     now += Milliseconds(1);
@@ -150,7 +158,7 @@
     std::map<std::string, TableRow> rows;
     for (const TableRow& row : change_log_)
       rows[row.key] = row;
-    TableAnswered answered{.call = call, .version = version_};
+    TableAnswered answered{.call = call, .version = version_, .era = era_};
     for (const auto& [key, row] : rows) {
       if (!row.removed)
         answered.rows.push_back(row);
@@ -201,20 +209,28 @@
 }
 
 void RelayWorld::AnswerFollow(const OpenFollow& waiting) {
-  TableAnswered answered{.call = waiting.call.call, .version = version_};
+  if (entries_.at(waiting.entry).store_unreachable)
+    return;
+  if (waiting.call.after > version_) {
+    const TableFailed failed{waiting.call.call, TableFailure::kHistoryLost,
+                             era_};
+    return RunAfter(kOneWay, [this, entry = waiting.entry, failed] {
+      Step(entry, failed);
+    });
+  }
+  TableAnswered answered{
+      .call = waiting.call.call, .version = version_, .era = era_};
   for (const TableRow& row : change_log_) {
     if (row.version > waiting.call.after)
       answered.rows.push_back(row);
   }
-  if (!entries_.at(waiting.entry).store_unreachable)
-    RunAfter(kOneWay, [this, entry = waiting.entry, answered] {
-      Step(entry, answered);
-    });
+  RunAfter(kOneWay,
+           [this, entry = waiting.entry, answered] { Step(entry, answered); });
 }
 
 void RelayWorld::AnswerReadyFollows() {
   std::erase_if(open_follows_, [&](const OpenFollow& waiting) {
-    if (waiting.call.after >= version_)
+    if (waiting.call.after == version_)
       return false;
     AnswerFollow(waiting);
     return true;
--- a/Tests/LibDiscovery/relay_world.h
+++ b/Tests/LibDiscovery/relay_world.h
@@ -28,6 +28,10 @@
   std::uint64_t store_calls = 0;
   bool store_unreachable = false;  // Calls to the store get no response.
   bool is_frozen = false;          // The process runs nothing.
+
+  bool IsVersionApplied(const std::string& key, std::uint64_t version) const {
+    return rows.contains(key) && rows.at(key).version == version;
+  }
 };
 
 class RelayWorld {
@@ -37,6 +41,9 @@
 
   void Put(const std::string& key);
   void Remove(const std::string& key);
+  std::uint64_t version() const { return version_; }
+  // Returns the store to the state at an earlier version, in a new era.
+  void Restore(std::uint64_t version);
   // Advances the simulation to `end` in steps of a millisecond.
   void RunUntil(TimePoint end);
 
@@ -72,6 +79,7 @@
   std::vector<TableRow> change_log_;  // All changes of the store.
   std::vector<OpenFollow> open_follows_;
   std::uint64_t version_ = 0;
+  std::uint64_t era_ = 1;
   std::uint64_t next_call_ = 1;
   // Handlers of responses, by call number at the relay.
   std::map<std::uint64_t, std::function<void(const RelayResponse&)>>
--- a/Tests/LibDiscovery/test_relay.cc
+++ b/Tests/LibDiscovery/test_relay.cc
@@ -319,6 +319,34 @@
   }
 }
 
+// Guards against rows that are ignored because the store comes back from a copy
+// and assigns versions again that it assigned before.
+TEST_CASE("changes after a restore of the store reach all entry VMs") {
+  for (int offset = 0; offset < 1500; offset += 100) {
+    RelayWorld world(kNames, MakeOptions());
+    world.Put("a");
+    const std::uint64_t copy = world.version();
+    for (int i = 0; i < 10; ++i)
+      world.Put("b");
+    world.RunUntil(kRelayStart + Seconds(4) + Milliseconds(offset));
+    world.Restore(copy);
+    world.RunUntil(world.now + Milliseconds(offset));
+    world.Put("a");
+    world.Put("b");
+    world.RunUntil(world.now + kPropagationBound);
+    for (const std::string& name : kNames) {
+      CAPTURE(offset);
+      CAPTURE(name);
+      CHECK(world.entry(name).IsVersionApplied("a", copy + 1));
+      CHECK(world.entry(name).IsVersionApplied("b", copy + 2));
+    }
+    world.Remove("b");
+    world.RunUntil(world.now + kPropagationBound * 2);
+    for (const std::string& name : kNames)
+      CHECK_FALSE(world.entry(name).rows.contains("b"));
+  }
+}
+
 // Guards against removing rows that a peer with an older copy does not have.
 TEST_CASE("a response of a peer with an older copy removes no rows") {
   TableState table = MakeTableState(MakeOptions(), 1);
--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -184,6 +184,41 @@
   CHECK(table.era_changes[0].new_era == 2);
 }
 
+// Guards against rows that are ignored because the store comes back from a copy
+// and assigns versions again that it assigned before.
+TEST_CASE("rows written again after a restore of the store are applied") {
+  TableFixture table;
+  table.era = 1;
+  table.ReadTableOnce({Put("a", 44), Put("b", 20)}, 44);
+  table.TakeRows();
+  table.era = 2;
+  table.FailFollow(TableFailure::kHistoryLost);
+  table.AnswerRead({Put("a", 10), Put("b", 20)}, 20);
+  table.TakeRows();
+  table.AnswerFollow({Put("a", 21), Removal("b", 22)}, 22);
+  table.now += Seconds(10);
+  table.Step(TableTimerExpired{});
+  const auto rows = table.TakeRows();
+  REQUIRE(rows.size() == 2);
+  CHECK(rows[0].key == "a");
+  CHECK(rows[1].removed);
+}
+
+// Guards against missing the changes between the copy and the last known
+// version: the store has passed that version again.
+TEST_CASE("a table is read in full again after a restore of the store") {
+  TableFixture table;
+  table.era = 1;
+  table.ReadTableOnce({Put("a", 44)}, 44);
+  table.TakeRows();
+  table.read.reset();
+  table.era = 2;
+  table.AnswerFollow({Put("b", 50)}, 50);
+  CHECK(table.TakeRows().empty());
+  REQUIRE(table.read);
+  CHECK(table.read->from.empty());
+}
+
 // Guards against calls beyond the store's rate limit and against a back-off
 // that is longer than the bound within which a leaving server must be noticed.
 TEST_CASE("calls are paced and the back-off lasts at most a second") {
--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -17,6 +17,9 @@
 
 // Maximum time that a test waits for a condition.
 constexpr Duration kTestTimeout = Seconds(20);
+// Maximum time until a change written after a restore of the store must be in
+// force.
+constexpr Duration kRestoreTimeout = Seconds(5);
 // Interval between checks of the condition.
 constexpr Duration kPollInterval = Milliseconds(5);
 
@@ -238,6 +241,45 @@
   }));
 }
 
+// Guards against changes that are ignored because the store comes back from a
+// copy and assigns versions again that it assigned before.
+TEST_CASE(
+    "configurations and evacuations written after a restore take effect") {
+  SingleEntryDeployment entry;
+  const std::uint64_t copy = entry.store.version();
+  for (int i = 0; i < 20; ++i)
+    entry.store.Put("op", "note", std::to_string(i));
+  entry.store.Put("op", "config", ConfigurationBody(7, "/other/"));
+  REQUIRE(entry.WaitUntil([&] {
+    return entry.SendRequest(Request("/other/a", "x")).status == 200;
+  }));
+  entry.store.Restore(copy);
+  entry.store.Put("op", "config", ConfigurationBody(8, "/third/"));
+  CHECK(entry.WaitUntil(
+      [&] { return entry.SendRequest(Request("/third/a", "y")).status == 200; },
+      kRestoreTimeout));
+  entry.store.Put("op", "evacuate/north-a", "{}");
+  CHECK(entry.WaitUntil(
+      [&] { return entry.SendRequest(Request("/third/a", "z")).status == 503; },
+      kRestoreTimeout));
+}
+
+TEST_CASE("a server that drains after a restore of the store is not used") {
+  SingleEntryDeployment entry;
+  const std::uint64_t copy = entry.store.version();
+  for (int i = 0; i < 20; ++i)
+    entry.store.Put("servers", "s-one",
+                    entry.server_one.Row("ready", 0, 5 + i));
+  REQUIRE(entry.SendRequest(Request("/read/a", "x")).status == 200);
+  REQUIRE(
+      entry.WaitUntil([&] { return entry.store.IsPollWaiting("servers"); }));
+  entry.store.Restore(copy);
+  entry.store.Put("servers", "s-one", entry.server_one.Row("draining", 0, 30));
+  CHECK(entry.WaitUntil(
+      [&] { return entry.SendRequest(Request("/read/a", "y")).status == 503; },
+      kRestoreTimeout));
+}
+
 TEST_CASE(
     "an evacuated failure domain gets no requests until the evacuation ends") {
   SingleEntryDeployment entry;
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -6,6 +6,7 @@
 #include <kj/encoding.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "headers.h"
 
@@ -72,23 +73,52 @@
   AppendChange({.table = table, .key = key, .removed = true});
 }
 
+bool StoreStandIn::IsPollWaiting(const std::string& table) const {
+  return std::any_of(pending_polls_.begin(), pending_polls_.end(),
+                     [&](const PendingPoll& poll) {
+                       return poll.table == table && poll.after == version_;
+                     });
+}
+
+void StoreStandIn::Restore(std::uint64_t version) {
+  std::erase_if(change_log_, [version](const Change& change) {
+    return change.version > version;
+  });
+  rows_.clear();
+  for (const Change& change : change_log_) {
+    if (change.removed)
+      rows_.erase({change.table, change.key});
+    else
+      rows_[{change.table, change.key}] = change;
+  }
+  version_ = version;
+  ++era_;
+  for (const PendingPoll& poll : std::exchange(pending_polls_, {}))
+    Respond(poll.id, {.status = 410});
+}
+
 void StoreStandIn::TruncateChangeLog() {
   change_log_.clear();
   change_log_begin_ = version_;
 }
 
+void StoreStandIn::Respond(std::uint64_t id, HttpResponse response) {
+  response.headers.emplace_back(kStoreEra, std::to_string(era_));
+  server_.Respond(id, response);
+}
+
 void StoreStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
   ++calls_;
   if (behaviour_ == StoreBehaviour::kSilent)
     return;
   if (behaviour_ == StoreBehaviour::kRefuses)
-    return server_.Respond(id, {.status = 503});
+    return Respond(id, {.status = 503});
   const std::string table = QueryValue(request, "table");
   if (request.path == kReadRowsPath)
     return RespondToRead(id, table);
   const std::uint64_t after = std::stoull(QueryValue(request, "after"));
-  if (after < change_log_begin_)
-    return server_.Respond(id, {.status = 410});
+  if (after < change_log_begin_ || after > version_)
+    return Respond(id, {.status = 410});
   if (HasChanges(table, after))
     return RespondToPoll(id, table, after);
   PendingPoll poll{.id = id, .table = table, .after = after};
@@ -112,8 +142,8 @@
             "\",\"value\":\"" + EncodeBase64(row.value) +
             "\",\"rowVersion\":" + std::to_string(row.version) + "}";
   }
-  server_.Respond(
-      id, Json("{\"rows\":[" + rows + "],\"hasMore\":false,\"rowVersion\":" +
+  Respond(id,
+          Json("{\"rows\":[" + rows + "],\"hasMore\":false,\"rowVersion\":" +
                std::to_string(version_) + ",\"now_ms\":1}"));
 }
 
@@ -137,8 +167,8 @@
             "\",\"removed\":" + (change.removed ? "true" : "false") +
             ",\"rowVersion\":" + std::to_string(change.version) + "}";
   }
-  server_.Respond(id, Json("{\"rows\":[" + rows + "],\"rowVersion\":" +
-                           std::to_string(version_) + "}"));
+  Respond(id, Json("{\"rows\":[" + rows +
+                   "],\"rowVersion\":" + std::to_string(version_) + "}"));
 }
 
 void StoreStandIn::RespondToPendingPolls() {
@@ -173,12 +203,14 @@
   return row.replace(row.find(address_), address_.size(), address);
 }
 
-std::string ServerStandIn::Row(const std::string& state, double cold_ms) const {
+std::string ServerStandIn::Row(const std::string& state,
+                               double cold_ms,
+                               int sequence) const {
   return "{\"service\":\"desk\",\"address\":\"" + address_ +
          "\",\"failureDomain\":\"north-a\",\"version\":\"v1\",\"slots\":4,"
          "\"state\":\"" +
          state + "\",\"coldLeftMilliseconds\":" + std::to_string(cold_ms) +
-         ",\"sequence\":4}";
+         ",\"sequence\":" + std::to_string(sequence) + "}";
 }
 
 void ServerStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -37,6 +37,14 @@
            const std::string& key,
            const std::string& value);
   void Remove(const std::string& table, const std::string& key);
+  // The version of the last change.
+  std::uint64_t version() const { return version_; }
+  // Whether a reader of the table that has all changes waits for the next one.
+  bool IsPollWaiting(const std::string& table) const;
+  // Returns to the state at an earlier version, as a store does that comes back
+  // from a copy: the changes since are lost, their versions are assigned again,
+  // and the era rises. The change log must reach back to the beginning.
+  void Restore(std::uint64_t version);
   // Makes the feed respond with status 410 to polls for versions before the
   // current one.
   void TruncateChangeLog();
@@ -65,6 +73,8 @@
                      std::uint64_t after);
   bool HasChanges(const std::string& table, std::uint64_t after) const;
   void RespondToPendingPolls();
+  // Responds with the header that names the era.
+  void Respond(std::uint64_t id, HttpResponse response);
   void AppendChange(Change change);
 
   EventLoop& loop_;
@@ -74,6 +84,7 @@
   std::vector<Change> change_log_;
   std::uint64_t version_ = 0;
   std::uint64_t change_log_begin_ = 0;
+  std::uint64_t era_ = 1;
   std::vector<PendingPoll> pending_polls_;
   StoreBehaviour behaviour_ = StoreBehaviour::kAnswers;
   std::uint64_t calls_ = 0;
@@ -102,7 +113,9 @@
   const std::string& address() const { return address_; }
 
   // Returns the row that the server publishes about itself in the store.
-  std::string Row(const std::string& state, double cold_ms = 0) const;
+  std::string Row(const std::string& state,
+                  double cold_ms = 0,
+                  int sequence = 4) const;
   // Returns the row with `address`, that of a proxy, instead of the server's.
   std::string RowAt(const std::string& address, const std::string& state) const;
 
