LibRouting: Order rows of a server by era before version

Requests went on to a server that had reported that it drains: after the store came back from a copy, the row of the report has a lower version than the row before the restore, and UpdateServers ignored it.

ServerEntry carries the store's era beside the version, and rows are compared by both. The comparison stays, because a delayed row within an era must still not replace a newer one ("an older table row does not replace a newer one" is unchanged).

Before: test_choice.cc: CHECK( fixture.sent.empty() ) is NOT correct, in "a row of a newer era replaces one with a higher version". After: TestRouting, 38 test cases passed.

--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -56,15 +56,17 @@
   std::string failure_domain;
   std::uint32_t slots = 1;  // Requests that the server runs concurrently.
   ServerPhase phase = ServerPhase::kReady;
-  Duration cold_left{};           // Time for which the server stays cold.
-  std::uint64_t row_version = 0;  // Of the store's row.
+  Duration cold_left{};  // Time for which the server stays cold.
+  // Era of the store, and version of the store's row in this era.
+  std::uint64_t row_era = 0;
+  std::uint64_t row_version = 0;
   // Start time of the server; differs between two servers under the same id.
   std::int64_t started_unix_ms = 0;
   bool operator==(const ServerEntry&) const = default;
 };
 
 // Whether `received` differs from the last known entry of the server in more
-// than its row version and the passing of its cold time.
+// than its row's era and version and the passing of its cold time.
 bool HasChanged(const ServerEntry& known, const ServerEntry& received);
 
 // The load of a server as reported in a response.
--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 #include "cicadadrum/base/hash.h"
 
@@ -33,10 +34,16 @@
          a.address == b.address;
 }
 
+// Versions are ordered only within an era.
+bool HasOlderRow(const ServerEntry& known, const ServerEntry& received) {
+  return std::tie(received.row_era, received.row_version) <
+         std::tie(known.row_era, known.row_version);
+}
+
 void AddOrUpdate(RoutingState& state, const ServerEntry& entry, TimePoint now) {
   const auto found = state.servers.find(entry.id);
   if (found != state.servers.end()) {
-    if (entry.row_version < found->second.entry.row_version)
+    if (HasOlderRow(found->second.entry, entry))
       return;
     if (!IsSameIncarnation(found->second.entry, entry))
       Remove(state, entry.id);
@@ -56,6 +63,7 @@
 
 bool HasChanged(const ServerEntry& known, const ServerEntry& received) {
   ServerEntry comparable = received;
+  comparable.row_era = known.row_era;
   comparable.row_version = known.row_version;
   // A cold time that has become shorter is no change: it only runs out.
   const bool is_colder = received.cold_left > known.cold_left ||
--- a/Tests/LibRouting/test_choice.cc
+++ b/Tests/LibRouting/test_choice.cc
@@ -151,6 +151,22 @@
   CHECK(fixture.sent.empty());
 }
 
+// Guards against keeping a draining server in use: after a restore the store
+// assigns versions again that it assigned before.
+TEST_CASE("a row of a newer era replaces one with a higher version") {
+  ServerEntry ready = MakeServer("s1");
+  ready.row_era = 1;
+  ready.row_version = 44;
+  RoutingFixture fixture({ready});
+  ServerEntry draining = MakeServer("s1");
+  draining.phase = ServerPhase::kDraining;
+  draining.row_era = 2;
+  draining.row_version = 21;
+  fixture.Step(ServersChanged{.updated = {draining}});
+  fixture.Arrive("read");
+  CHECK(fixture.sent.empty());
+}
+
 TEST_CASE("a restarted server with the same id has no observations") {
   RoutingFixture fixture({MakeServer("s1")});
   fixture.Arrive("write");
