LibRouting: Ignore an earlier report of a server in a newer row

The store may perform a write that got no response seconds later, and may come back from a copy. Both put an earlier report of a server, for example `ready` before `draining`, into a row with a newer version, so that the order of the rows alone brings the earlier state back until the next heartbeat.

A removed server is forgotten, so a start that is earlier because of a clock that was set back is ignored only until the removal of the row.

Before: test_choice.cc: CHECK( fixture.sent.empty() ) is NOT correct, twice, in "an earlier report of a server does not replace a later one". After: TestRouting, 39 test cases passed, TestPlatform, 12 passed.

--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -62,13 +62,22 @@
   std::uint64_t row_version = 0;
   // Start time of the server; differs between two servers under the same id.
   std::int64_t started_unix_ms = 0;
+  // Number of the server's report; rises from one report to the next and starts
+  // anew when the server restarts.
+  std::int64_t sequence = 0;
   bool operator==(const ServerEntry&) const = default;
 };
 
 // Whether `received` differs from the last known entry of the server in more
-// than its row's era and version and the passing of its cold time.
+// than its row's era and version, its sequence and the passing of its cold
+// time.
 bool HasChanged(const ServerEntry& known, const ServerEntry& received);
 
+// Whether the server wrote `received` before it wrote `known`. The store may
+// perform a write late, or come back from a copy, and then return such an entry
+// in a newer row.
+bool IsEarlierReport(const ServerEntry& known, const ServerEntry& received);
+
 // The load of a server as reported in a response.
 struct LoadReport {
   std::uint32_t running = 0;
--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -43,7 +43,8 @@
 void AddOrUpdate(RoutingState& state, const ServerEntry& entry, TimePoint now) {
   const auto found = state.servers.find(entry.id);
   if (found != state.servers.end()) {
-    if (HasOlderRow(found->second.entry, entry))
+    const ServerEntry& known = found->second.entry;
+    if (HasOlderRow(known, entry) || IsEarlierReport(known, entry))
       return;
     if (!IsSameIncarnation(found->second.entry, entry))
       Remove(state, entry.id);
@@ -65,6 +66,7 @@
   ServerEntry comparable = received;
   comparable.row_era = known.row_era;
   comparable.row_version = known.row_version;
+  comparable.sequence = known.sequence;
   // A cold time that has become shorter is no change: it only runs out.
   const bool is_colder = received.cold_left > known.cold_left ||
                          (received.cold_left > Duration::zero() &&
@@ -73,6 +75,11 @@
   return is_colder || comparable != known;
 }
 
+bool IsEarlierReport(const ServerEntry& known, const ServerEntry& received) {
+  return std::tie(received.started_unix_ms, received.sequence) <
+         std::tie(known.started_unix_ms, known.sequence);
+}
+
 void UpdateServers(RoutingState& state,
                    const ServersChanged& event,
                    TimePoint now) {
--- a/Tests/LibRouting/test_choice.cc
+++ b/Tests/LibRouting/test_choice.cc
@@ -167,6 +167,36 @@
   CHECK(fixture.sent.empty());
 }
 
+// Guards against using a draining server again because the store performs an
+// earlier write of the server late, or comes back from a copy.
+TEST_CASE("an earlier report of a server does not replace a later one") {
+  ServerEntry draining = MakeServer("s1");
+  draining.phase = ServerPhase::kDraining;
+  draining.started_unix_ms = 1000;
+  draining.sequence = 9;
+  RoutingFixture fixture({draining});
+  ServerEntry ready = MakeServer("s1");
+  ready.row_version = 2;
+  ready.started_unix_ms = 1000;
+  ready.sequence = 8;
+  CHECK(IsEarlierReport(draining, ready));
+  fixture.Step(ServersChanged{.updated = {ready}});
+  fixture.Arrive("read");
+  CHECK(fixture.sent.empty());
+  // Of an earlier incarnation under the same id.
+  ready.started_unix_ms = 999;
+  ready.sequence = 50;
+  fixture.Step(ServersChanged{.updated = {ready}});
+  fixture.Arrive("read");
+  CHECK(fixture.sent.empty());
+  // A restarted server counts its reports anew.
+  ready.started_unix_ms = 1001;
+  ready.sequence = 0;
+  fixture.Step(ServersChanged{.updated = {ready}});
+  fixture.Arrive("read");
+  CHECK(fixture.sent.size() == 1);
+}
+
 TEST_CASE("a restarted server with the same id has no observations") {
   RoutingFixture fixture({MakeServer("s1")});
   fixture.Arrive("write");
