--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -396,7 +396,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fced0cd98014bc97, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fced0cd98014bc97, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -411,7 +411,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bab6dc687218ef24, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(bab6dc687218ef24, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -431,7 +431,7 @@
   struct Rows;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d272fb0f9de9cbd, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9d272fb0f9de9cbd, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -446,7 +446,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81b534d1cfd6de5b, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(81b534d1cfd6de5b, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2477,6 +2477,8 @@
 
   inline  ::int64_t getWaitMicroseconds() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2524,6 +2526,9 @@
   inline  ::int64_t getWaitMicroseconds();
   inline void setWaitMicroseconds( ::int64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2577,6 +2582,8 @@
 
   inline bool getRemoved() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2625,6 +2632,9 @@
   inline bool getRemoved();
   inline void setRemoved(bool value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2675,6 +2685,8 @@
   inline bool isRows() const;
   inline typename Rows::Reader getRows() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2712,6 +2724,9 @@
   inline typename Rows::Builder getRows();
   inline typename Rows::Builder initRows();
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6796,6 +6811,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t RowsAsk::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowsAsk::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RowsAsk::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool StoreRow::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6892,6 +6921,20 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StoreRow::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoreRow::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StoreRow::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cicadadrum::schema::RowsAnswer::Which RowsAnswer::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -6952,6 +6995,20 @@
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename RowsAnswer::Rows::Builder(_builder);
 }
+inline  ::uint64_t RowsAnswer::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowsAnswer::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RowsAnswer::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RowsAnswer::Rows::Reader::hasChanged() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -23,17 +23,20 @@
 // A request of one entry VM to another for the rows of a table.
 struct RelayRequest {
   std::string table;
-  bool all_rows = false;    // Return all rows, whatever the requester has.
-  std::uint64_t after = 0;  // The requester has all changes up to this version.
+  bool all_rows = false;  // Return all rows, whatever the requester has.
+  // The requester has all changes up to this version. An unknown era stands for
+  // the era of the receiver.
+  TableVersion after;
   // Of the last response of this relay; 0 if another source gave the rows.
   std::uint64_t sequence = 0;
   Duration wait{};  // How long to wait for a change before responding.
 };
 
 struct RelayResponse {
-  std::optional<TableFailure> failure;  // If set, the members below are not.
+  // If set, only the era of `version` is set among the members below.
+  std::optional<TableFailure> failure;
   std::vector<TableRow> rows;
-  std::uint64_t version = 0;   // The rows are complete up to it.
+  TableVersion version;        // The rows are complete up to it.
   std::uint64_t sequence = 0;  // To be sent with the next request.
   Duration age{};  // Time since the rows were last known to be complete.
 };
@@ -44,7 +47,7 @@
 // The event is sent for every response, even if no row has changed.
 struct RelayRowsUpdated {
   std::vector<TableRow> rows;
-  std::uint64_t version = 0;    // TableState::complete_version.
+  TableVersion version;         // TableState::complete_version.
   std::optional<Duration> age;  // Of the response, if there was one.
 };
 
@@ -88,7 +91,7 @@
 struct RelayRow {
   TableRow row;
   std::uint64_t sequence = 0;  // Number of the row's last change.
-  std::uint64_t version = 0;   // Of the table when the row was passed on.
+  TableVersion version;        // Of the table when the row was passed on.
 };
 
 // A request that waits for the next change.
@@ -103,9 +106,9 @@
   std::uint64_t sequence = 0;  // Of the last change.
   // Removals among the changes up to these numbers have been discarded.
   std::uint64_t discarded_sequence = 0;
-  std::uint64_t discarded_version = 0;
-  std::uint64_t version = 0;  // The rows are complete up to it.
-  TimePoint complete_at{};    // When the rows were last known to be complete.
+  TableVersion discarded_version;
+  TableVersion version;     // The rows are complete up to it.
+  TimePoint complete_at{};  // When the rows were last known to be complete.
   std::map<std::string, RelayRow> rows;  // By key, removals included.
   std::vector<WaitingRequest> waiting;
 };
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -9,6 +9,13 @@
 // calls the store directly as soon as the peer fails or reports that its copy
 // is old. Every row carries the version that the store gave it, so rows may be
 // applied from any source.
+//
+// A store may come back from an older copy of itself. It then has lost changes,
+// assigns their versions again, and has a new era, which is therefore part of
+// every version. The table is read in full in the new era. Published rows that
+// are missing are removed only after a grace period, and rows whose removal was
+// published before are held back for a while, because their writers write the
+// lost changes again.
 
 #ifndef CICADADRUM_DISCOVERY_TABLE_H_
 #define CICADADRUM_DISCOVERY_TABLE_H_
@@ -44,6 +51,9 @@
   // rows again within about 2 s of the recovery, which is detected up to a
   // back-off and a timeout later.
   Duration recovery_grace_period = Milliseconds(1700);
+  // How long a row that was removed in an earlier era is held back if the store
+  // has it again in a new era. Its writer may remove it again, or it expires.
+  Duration restored_row_hold = Milliseconds(1700);
   // How long a peer may keep a request for changes open.
   Duration peer_wait = Milliseconds(300);
   // Timeout of a call to a peer, in addition to `peer_wait`.
@@ -55,11 +65,20 @@
   Duration peer_backoff = Seconds(2);
 };
 
+// Position in the store's sequence of changes. Numbers are ordered only within
+// an era, and rise within it.
+struct TableVersion {
+  std::uint64_t era = 0;  // 0 if unknown.
+  std::uint64_t number = 0;
+
+  auto operator<=>(const TableVersion&) const = default;
+};
+
 // One row, or the removal of one.
 struct TableRow {
   std::string key;
-  std::string value;          // Decoded bytes; empty for a removal.
-  std::uint64_t version = 0;  // Assigned by the store.
+  std::string value;     // Decoded bytes; empty for a removal.
+  TableVersion version;  // Assigned by the store.
   bool removed = false;
 };
 
@@ -83,13 +102,13 @@
   std::vector<std::string> after_store;
 };
 
-// A source responded to the call with this number.
+// A source responded to the call with this number. An unknown era stands for
+// the last known one.
 struct TableAnswered {
   std::uint64_t call = 0;
   std::vector<TableRow> rows;
-  std::uint64_t version = 0;  // Of the source's table at this response.
-  std::uint64_t era = 0;      // Of the store; see TableState::era.
-  bool has_more = false;      // The response covers only part of the table.
+  TableVersion version;   // Of the source's table at this response.
+  bool has_more = false;  // The response covers only part of the table.
   // Set by peers only: the number of the peer's last change, and the time since
   // the peer's rows were known to be complete.
   std::uint64_t sequence = 0;
@@ -100,7 +119,7 @@
 struct TableFailed {
   std::uint64_t call = 0;
   TableFailure failure = TableFailure::kNoAnswer;
-  std::uint64_t era = 0;  // Of the store; see TableState::era.
+  std::uint64_t era = 0;  // Of the source's table; 0 if unknown.
 };
 
 using TableEvent =
@@ -124,7 +143,7 @@
 struct FollowTable {
   std::uint64_t call = 0;
   std::string peer;  // Empty for the store.
-  std::uint64_t after = 0;
+  TableVersion after;
   std::uint64_t sequence = 0;  // Of the peer's last response; 0 if unknown.
   Duration wait{};             // How long the source may keep the call open.
   Duration timeout{};          // Of the call in total, including `wait`.
@@ -140,7 +159,19 @@
 struct EraChanged {
   std::uint64_t old_era = 0;
   std::uint64_t new_era = 0;
-  std::uint64_t version = 0;  // Last known version of the table.
+  TableVersion version;  // Last known version of the table.
+};
+
+// A full read in a new era has been applied.
+struct RestoredTableRead {
+  std::size_t held_rows = 0;
+  std::size_t deferred_removals = 0;
+};
+
+// Each held row and each deferred removal of a RestoredTableRead has been
+// published or replaced by a later change.
+struct RestoredTableSettled {
+  TableVersion version;  // TableState::complete_version.
 };
 
 // Rows of a response were not applied, because a newer version of each of them
@@ -148,8 +179,8 @@
 struct OldRowsIgnored {
   std::size_t count = 0;
   std::string key;  // Of the last of the rows, as an example.
-  std::uint64_t version = 0;
-  std::uint64_t known_version = 0;
+  TableVersion version;
+  TableVersion known_version;
 };
 
 // The store became unreachable or reachable.
@@ -171,6 +202,8 @@
                                  FollowTable,
                                  RowsChanged,
                                  EraChanged,
+                                 RestoredTableRead,
+                                 RestoredTableSettled,
                                  OldRowsIgnored,
                                  StoreReachabilityChanged,
                                  SourceSelected,
@@ -187,6 +220,12 @@
   TimePoint backoff_until{};  // No call before this time, after a failure.
 };
 
+// The last published removal of a key.
+struct RemovedRow {
+  TableVersion version;
+  TimePoint removed_at;
+};
+
 struct TableState {
   TableOptions options;
   // By descending preference. The store is always among them.
@@ -203,15 +242,17 @@
   // The newest era of the store that a response showed. The era rises each time
   // the store loses changes. 0 stands for an unknown era.
   std::uint64_t era = 0;
-  std::uint64_t version = 0;  // All changes up to it have been received.
+  TableVersion version;  // All changes up to it have been received.
   // The published rows are complete up to this version. The version does not
-  // advance while removals are deferred, because a reader that continues from
-  // it receives no older changes.
-  std::uint64_t complete_version = 0;
+  // advance while removals are deferred or rows are held, because a reader that
+  // continues from it receives no older changes.
+  TableVersion complete_version;
   // Versions of the rows that were published and not removed since, by key.
-  std::map<std::string, std::uint64_t> published_versions;
+  std::map<std::string, TableVersion> published_versions;
+  // Removals of the last minute, by key; no key is also in published_versions.
+  std::map<std::string, RemovedRow> removed_rows;
   std::vector<TableRow> full_read_rows;  // Of the full read in progress.
-  std::uint64_t full_read_version = 0;
+  TableVersion full_read_version;
   std::uint64_t next_call = 1;
   std::uint64_t open_call = 0;  // 0 if none.
   TimePoint next_call_at{};
@@ -221,7 +262,12 @@
   // End of the grace period after the store has recovered.
   TimePoint removals_deferred_until{};
   // Versions of removals that are not published yet, by key.
-  std::map<std::string, std::uint64_t> deferred_removals;
+  std::map<std::string, TableVersion> deferred_removals;
+  // Rows of the new era that are not published yet, by key; see
+  // TableOptions::restored_row_hold.
+  std::map<std::string, TableRow> held_rows;
+  TimePoint rows_held_until{};
+  bool settles_restored_table = false;  // A RestoredTableSettled is to follow.
 };
 
 // Returns the state of a table that has not been read. `seed` determines the
--- a/Libraries/LibDiscovery/relay.cc
+++ b/Libraries/LibDiscovery/relay.cc
@@ -30,7 +30,8 @@
         relayed.row.removed && relayed.sequence <= state.discarded_sequence;
     if (is_discarded)
       state.discarded_version =
-          std::max(state.discarded_version, relayed.version + 1);
+          std::max(state.discarded_version,
+                   {relayed.version.era, relayed.version.number + 1});
     return is_discarded;
   });
 }
@@ -46,7 +47,9 @@
     return TableFailure::kBehind;
   if (request.all_rows || HasUsableSequence(state, request))
     return std::nullopt;
-  if (request.after < state.discarded_version)
+  // The versions of two eras do not tell which changes the requester has.
+  if (request.after.era != state.version.era ||
+      request.after < state.discarded_version)
     return TableFailure::kHistoryLost;
   return std::nullopt;
 }
@@ -65,7 +68,8 @@
 RelayResponse ResponseFor(const RelayState& state,
                           const RelayRequest& request,
                           TimePoint now) {
-  RelayResponse response{.failure = FailureOf(state, request)};
+  RelayResponse response{.failure = FailureOf(state, request),
+                         .version = {.era = state.version.era}};
   if (response.failure)
     return response;
   const bool has_all = !request.all_rows && request.sequence == state.sequence;
@@ -114,14 +118,16 @@
            const RelayRequestReceived& event,
            TimePoint now,
            RelayActions& actions) {
-  RelayResponse response = ResponseFor(state, event.request, now);
-  if (IsImmediate(event.request, response) ||
+  WaitingRequest waiting{event.call, event.request, now + event.request.wait};
+  if (waiting.request.after.era == 0)
+    waiting.request.after.era = state.version.era;
+  RelayResponse response = ResponseFor(state, waiting.request, now);
+  if (IsImmediate(waiting.request, response) ||
       event.request.wait <= Duration::zero()) {
     actions.emplace_back(SendRelayResponse{event.call, std::move(response)});
     return;
   }
   // The request now waits for a change after the current sequence.
-  WaitingRequest waiting{event.call, event.request, now + event.request.wait};
   waiting.request.sequence = state.sequence;
   state.waiting.push_back(std::move(waiting));
 }
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -21,6 +21,11 @@
 // Peers count as responding for this time after a fresh response.
 constexpr Duration kPeerAnswerValidity = Seconds(1);
 
+// Removals are remembered for this time, which is longer than the age of a copy
+// from which a store comes back, and only up to this number.
+constexpr Duration kRemovalMemory = Seconds(60);
+constexpr std::size_t kMaxRemovedRows = 512;
+
 // Minimum time between calls to a peer that responds immediately.
 constexpr Duration kPeerPeriod = Milliseconds(20);
 
@@ -115,7 +120,7 @@
 };
 
 void RecordIgnoredRow(const TableRow& row,
-                      std::uint64_t known_version,
+                      TableVersion known_version,
                       OldRowsIgnored& ignored) {
   ++ignored.count;
   ignored.key = row.key;
@@ -123,35 +128,85 @@
   ignored.known_version = known_version;
 }
 
-// Adds the row to the changed rows if it is newer than the published version.
-// Defers a removal that arrives during the grace period.
+void Publish(TableState& state,
+             const TableRow& row,
+             std::vector<TableRow>& changed) {
+  state.removed_rows.erase(row.key);
+  state.published_versions[row.key] = row.version;
+  changed.push_back(row);
+}
+
+void DiscardOldRemovals(TableState& state, TimePoint now) {
+  std::erase_if(state.removed_rows, [&](const auto& entry) {
+    return now - entry.second.removed_at > kRemovalMemory;
+  });
+  if (state.removed_rows.size() > kMaxRemovedRows)
+    state.removed_rows.erase(
+        std::min_element(state.removed_rows.begin(), state.removed_rows.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second.removed_at < b.second.removed_at;
+                         }));
+}
+
+void PublishRemoval(TableState& state,
+                    const TableRow& removal,
+                    TimePoint now,
+                    std::vector<TableRow>& changed) {
+  state.published_versions.erase(removal.key);
+  state.removed_rows[removal.key] = {removal.version, now};
+  DiscardOldRemovals(state, now);
+  changed.push_back(removal);
+}
+
+// Returns the version of the row's last published change, or null if the row is
+// unknown.
+const TableVersion* FindKnownVersion(const TableState& state,
+                                     const std::string& key) {
+  const auto published = state.published_versions.find(key);
+  if (published != state.published_versions.end())
+    return &published->second;
+  const auto removed = state.removed_rows.find(key);
+  return removed == state.removed_rows.end() ? nullptr
+                                             : &removed->second.version;
+}
+
+// Adds the row to the changed rows if it is newer than the last published
+// change. Defers a removal that arrives during the grace period.
 void ApplyRow(TableState& state,
               const TableRow& row,
               TimePoint now,
               ResponseEffects& effects) {
+  const TableVersion* known = FindKnownVersion(state, row.key);
+  // The response of another source may contain an older version.
+  if (known != nullptr && row.version < *known)
+    return RecordIgnoredRow(row, *known, effects.ignored);
+  const auto held = state.held_rows.find(row.key);
+  if (held != state.held_rows.end() && held->second.version < row.version)
+    state.held_rows.erase(held);
   if (!row.removed) {
-    state.deferred_removals.erase(row.key);
-    std::uint64_t& version = state.published_versions[row.key];
-    // The response of another source may contain an older version.
-    if (version > row.version)
-      return RecordIgnoredRow(row, version, effects.ignored);
-    if (version == row.version)
-      return;
-    version = row.version;
-    effects.changed.push_back(row);
+    const auto deferred = state.deferred_removals.find(row.key);
+    if (deferred != state.deferred_removals.end() &&
+        deferred->second < row.version)
+      state.deferred_removals.erase(deferred);
+    if (known == nullptr || *known < row.version)
+      Publish(state, row, effects.changed);
     return;
   }
-  const auto published = state.published_versions.find(row.key);
-  if (published == state.published_versions.end())
+  if (!state.published_versions.contains(row.key))
     return;
-  if (row.version < published->second)
-    return RecordIgnoredRow(row, published->second, effects.ignored);
-  if (now < state.removals_deferred_until) {
+  if (now < state.removals_deferred_until)
     state.deferred_removals[row.key] = row.version;
-    return;
-  }
-  state.published_versions.erase(published);
-  effects.changed.push_back(row);
+  else
+    PublishRemoval(state, row, now, effects.changed);
+}
+
+// Whether a row of a full read is held back: the store has it again although
+// its removal was published in an earlier era.
+bool IsHeldBack(const TableState& state, const TableRow& row) {
+  const auto removed = state.removed_rows.find(row.key);
+  // Peers have published what they pass on.
+  return state.full_read_peer.empty() && removed != state.removed_rows.end() &&
+         removed->second.version.era < row.version.era;
 }
 
 // Applies a full read. Published rows that are absent from it are removed.
@@ -159,7 +214,10 @@
   std::set<std::string> present;
   for (const TableRow& row : state.full_read_rows) {
     present.insert(row.key);
-    ApplyRow(state, row, now, effects);
+    if (IsHeldBack(state, row))
+      state.held_rows[row.key] = row;
+    else
+      ApplyRow(state, row, now, effects);
   }
   std::vector<std::string> absent;
   for (const auto& [key, version] : state.published_versions) {
@@ -184,18 +242,27 @@
     actions.emplace_back(std::move(effects.ignored));
 }
 
-void PublishDeferredRemovals(TableState& state,
-                             TimePoint now,
-                             TableActions& actions) {
-  if (state.deferred_removals.empty() || now < state.removals_deferred_until)
-    return;
+bool IsSettled(const TableState& state) {
+  return state.deferred_removals.empty() && state.held_rows.empty();
+}
+
+// Publishes deferred removals and held rows whose time has come.
+void PublishDeferredChanges(TableState& state,
+                            TimePoint now,
+                            TableActions& actions) {
   RowsChanged changed;
-  for (const auto& [key, version] : state.deferred_removals) {
-    state.published_versions.erase(key);
-    changed.rows.push_back({.key = key, .version = version, .removed = true});
+  if (now >= state.removals_deferred_until) {
+    for (const auto& [key, version] :
+         std::exchange(state.deferred_removals, {}))
+      PublishRemoval(state, {.key = key, .version = version, .removed = true},
+                     now, changed.rows);
   }
-  state.deferred_removals.clear();
-  actions.emplace_back(std::move(changed));
+  if (now >= state.rows_held_until) {
+    for (const auto& [key, row] : std::exchange(state.held_rows, {}))
+      Publish(state, row, changed.rows);
+  }
+  if (!changed.rows.empty())
+    actions.emplace_back(std::move(changed));
 }
 
 void RecordStoreSuccess(TableState& state,
@@ -209,6 +276,89 @@
   state.consecutive_failures = 0;
 }
 
+// Starts a full read because the changes between the last known version and the
+// versions of the source cannot be requested.
+void RestartFullRead(TableState& state, TimePoint now, TableActions& actions) {
+  state.phase = TablePhase::kUnread;
+  state.full_read_rows.clear();
+  StartCall(state, now, actions);
+}
+
+// Whether the response continues from the last known version. A response of a
+// new era does so only if the peer has sent this entry VM all of its changes.
+bool ContinuesFromKnownVersion(const TableState& state,
+                               const TableVersion& version) {
+  const bool has_peer_sequence =
+      !state.call_peer.empty() && state.sequence_peer == state.call_peer;
+  return has_peer_sequence || version.era <= state.version.era;
+}
+
+// Applies the full read and sets the times until which its removals are
+// deferred and its rows are held.
+void CompleteFullRead(TableState& state, TimePoint now, TableActions& actions) {
+  const bool is_first_read = !std::exchange(state.initial_read_done, true);
+  const bool is_new_era =
+      !is_first_read && state.full_read_version.era > state.version.era;
+  // The first FollowTable returns the changes made during the full read.
+  state.version = state.full_read_version;
+  state.phase = TablePhase::kFollowing;
+  if (is_new_era) {
+    state.removals_deferred_until =
+        std::max(state.removals_deferred_until,
+                 now + state.options.recovery_grace_period);
+    state.rows_held_until = now + state.options.restored_row_hold;
+  }
+  ResponseEffects effects;
+  ApplyFullRead(state, now, effects);
+  PublishEffects(std::move(effects), is_first_read, actions);
+  if (!is_new_era)
+    return;
+  actions.emplace_back(RestoredTableRead{state.held_rows.size(),
+                                         state.deferred_removals.size()});
+  state.settles_restored_table = true;
+}
+
+void ApplyFullReadPage(TableState& state,
+                       const TableAnswered& event,
+                       TimePoint now,
+                       TableActions& actions) {
+  // The rows of two eras form no consistent table.
+  if (!state.full_read_rows.empty() &&
+      event.version.era != state.full_read_version.era)
+    return RestartFullRead(state, now, actions);
+  if (state.full_read_rows.empty())
+    state.full_read_version = event.version;
+  state.full_read_rows.insert(state.full_read_rows.end(), event.rows.begin(),
+                              event.rows.end());
+  if (event.has_more && !event.rows.empty())
+    return StartCall(state, now, actions);
+  CompleteFullRead(state, now, actions);
+}
+
+void ApplyChanges(TableState& state,
+                  const TableAnswered& event,
+                  TimePoint now,
+                  TableActions& actions) {
+  ResponseEffects effects;
+  for (const TableRow& row : event.rows)
+    ApplyRow(state, row, now, effects);
+  KeepLastChanges(effects.changed);
+  state.version = std::max(state.version, event.version);
+  PublishEffects(std::move(effects), /*is_first_read=*/false, actions);
+}
+
+// Returns the response with unknown eras replaced by the last known one.
+TableAnswered WithKnownEra(TableAnswered event, std::uint64_t era) {
+  const auto set_era = [era](TableVersion& version) {
+    if (version.era == 0)
+      version.era = era;
+  };
+  set_era(event.version);
+  for (TableRow& row : event.rows)
+    set_era(row.version);
+  return event;
+}
+
 // Reports an era that is newer than the last known one.
 void RecordEra(TableState& state, std::uint64_t era, TableActions& actions) {
   if (era <= state.era)
@@ -222,7 +372,7 @@
            const TableTimerExpired& /*event*/,
            TimePoint now,
            TableActions& actions) {
-  PublishDeferredRemovals(state, now, actions);
+  PublishDeferredChanges(state, now, actions);
   if (state.open_call == 0 && now >= state.next_call_at)
     StartCall(state, now, actions);
 }
@@ -264,44 +414,30 @@
 }
 
 void Apply(TableState& state,
-           const TableAnswered& event,
+           const TableAnswered& received,
            TimePoint now,
            TableActions& actions) {
-  if (event.call != state.open_call)
+  if (received.call != state.open_call)
     return;
+  const TableAnswered event = WithKnownEra(received, state.era);
   state.open_call = 0;
   state.next_call_at = now + kPeerPeriod;
-  RecordEra(state, event.era, actions);
+  RecordEra(state, event.version.era, actions);
   if (!AcceptPeerAnswer(state, event, now))
     return;
   if (state.call_peer.empty()) {
     RecordStoreSuccess(state, now, actions);
     state.next_call_at = now + state.options.period;
   }
+  const bool is_full_read = state.phase == TablePhase::kUnread;
+  if (!is_full_read && !ContinuesFromKnownVersion(state, event.version))
+    return RestartFullRead(state, now, actions);
   state.sequence_peer = state.call_peer;
   state.sequence = event.sequence;
-  if (state.phase == TablePhase::kUnread) {
-    if (state.full_read_rows.empty())
-      state.full_read_version = event.version;
-    state.full_read_rows.insert(state.full_read_rows.end(), event.rows.begin(),
-                                event.rows.end());
-    if (event.has_more && !event.rows.empty())
-      return StartCall(state, now, actions);
-    // The first FollowTable returns the changes made during the full read.
-    state.version = state.full_read_version;
-    state.phase = TablePhase::kFollowing;
-    ResponseEffects effects;
-    ApplyFullRead(state, now, effects);
-    const bool is_first_read = !std::exchange(state.initial_read_done, true);
-    PublishEffects(std::move(effects), is_first_read, actions);
-  } else {
-    ResponseEffects effects;
-    for (const TableRow& row : event.rows)
-      ApplyRow(state, row, now, effects);
-    KeepLastChanges(effects.changed);
-    state.version = std::max(state.version, event.version);
-    PublishEffects(std::move(effects), /*is_first_read=*/false, actions);
-  }
+  if (is_full_read)
+    ApplyFullReadPage(state, event, now, actions);
+  else
+    ApplyChanges(state, event, now, actions);
 }
 
 // Returns the time until the next call to the store after a failure.
@@ -339,11 +475,10 @@
   RecordEra(state, event.era, actions);
   const bool is_peer_call = !state.call_peer.empty();
   // The change log of a peer is short; the store may still have the changes.
-  if (event.failure == TableFailure::kHistoryLost && !is_peer_call) {
-    state.phase = TablePhase::kUnread;
-    state.full_read_rows.clear();
-    return StartCall(state, now, actions);
-  }
+  // No source has the changes that lead from one era to the next.
+  if (event.failure == TableFailure::kHistoryLost &&
+      (!is_peer_call || event.era > state.version.era))
+    return RestartFullRead(state, now, actions);
   if (!is_peer_call)
     RecordStoreFailure(state, now, actions);
   if (TableSource* source = FindSource(state, state.call_peer))
@@ -367,11 +502,16 @@
                TableActions& actions) {
   std::visit([&](const auto& present) { Apply(state, present, now, actions); },
              event);
-  if (state.deferred_removals.empty())
+  if (IsSettled(state)) {
     state.complete_version = state.version;
+    if (std::exchange(state.settles_restored_table, false))
+      actions.emplace_back(RestoredTableSettled{state.version});
+  }
   TimePoint at = state.open_call == 0 ? state.next_call_at : kNever;
   if (!state.deferred_removals.empty())
     at = std::min(at, state.removals_deferred_until);
+  if (!state.held_rows.empty())
+    at = std::min(at, state.rows_held_until);
   actions.emplace_back(TableWake{at});
 }
 
--- a/Libraries/LibPeer/codec_rows.cc
+++ b/Libraries/LibPeer/codec_rows.cc
@@ -21,14 +21,15 @@
 void WriteRow(const TableRow& row, schema::StoreRow::Builder to) {
   to.setKey(TextToWire(row.key));
   to.setValue(DataToWire(row.value));
-  to.setVersion(row.version);
+  to.setVersion(row.version.number);
+  to.setEra(row.version.era);
   to.setRemoved(row.removed);
 }
 
 TableRow ReadRow(schema::StoreRow::Reader from) {
   return {.key = TextFromWire(from.getKey()),
           .value = DataFromWire(from.getValue()),
-          .version = from.getVersion(),
+          .version = {.era = from.getEra(), .number = from.getVersion()},
           .removed = from.getRemoved()};
 }
 
@@ -38,7 +39,8 @@
                        schema::RowsAsk::Builder to) {
   to.setTable(TextToWire(relay_request.table));
   to.setWhole(relay_request.all_rows);
-  to.setAfter(relay_request.after);
+  to.setAfter(relay_request.after.number);
+  to.setEra(relay_request.after.era);
   to.setSequence(relay_request.sequence);
   to.setWaitMicroseconds(DurationToWire(relay_request.wait));
 }
@@ -47,15 +49,17 @@
   const auto wait = DurationFromWire(from.getWaitMicroseconds());
   if (!wait || from.getTable().size() == 0)
     return std::nullopt;
-  return RelayRequest{.table = TextFromWire(from.getTable()),
-                      .all_rows = from.getWhole(),
-                      .after = from.getAfter(),
-                      .sequence = from.getSequence(),
-                      .wait = *wait};
+  return RelayRequest{
+      .table = TextFromWire(from.getTable()),
+      .all_rows = from.getWhole(),
+      .after = {.era = from.getEra(), .number = from.getAfter()},
+      .sequence = from.getSequence(),
+      .wait = *wait};
 }
 
 void WriteRelayResponse(const RelayResponse& answer,
                         schema::RowsAnswer::Builder to) {
+  to.setEra(answer.version.era);
   if (answer.failure) {
     to.setFailure(EnumToWire<schema::TableFailure>(*answer.failure));
     return;
@@ -64,7 +68,7 @@
   auto changed = rows.initChanged(static_cast<unsigned>(answer.rows.size()));
   for (unsigned i = 0; i < changed.size(); ++i)
     WriteRow(answer.rows[i], changed[i]);
-  rows.setVersion(answer.version);
+  rows.setVersion(answer.version.number);
   rows.setSequence(answer.sequence);
   rows.setAgeMicroseconds(DurationToWire(answer.age));
 }
@@ -75,15 +79,17 @@
     const auto failure = EnumFromWire<TableFailure>(from.getFailure());
     if (!failure)
       return std::nullopt;
-    return RelayResponse{.failure = *failure};
+    return RelayResponse{.failure = *failure,
+                         .version = {.era = from.getEra()}};
   }
   const auto rows = from.getRows();
   const auto age = DurationFromWire(rows.getAgeMicroseconds());
   if (!age)
     return std::nullopt;
-  RelayResponse answer{.version = rows.getVersion(),
-                       .sequence = rows.getSequence(),
-                       .age = *age};
+  RelayResponse answer{
+      .version = {.era = from.getEra(), .number = rows.getVersion()},
+      .sequence = rows.getSequence(),
+      .age = *age};
   for (const auto reader : rows.getChanged()) {
     TableRow row = ReadRow(reader);
     if (row.key.empty())
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -224,6 +224,7 @@
   after @2 :UInt64;  # Version up to which the sender has the rows.
   sequence @3 :UInt64;  # Sequence of the receiver's last answer; 0 if there was no answer.
   waitMicroseconds @4 :Int64;  # Time until the receiver sends an answer without rows.
+  era @5 :UInt64;  # Era of `after`; 0 if unknown.
 }
 
 struct StoreRow {
@@ -231,10 +232,12 @@
   value @1 :Data;
   version @2 :UInt64;
   removed @3 :Bool;
+  era @4 :UInt64;  # Era of `version`; 0 if unknown.
 }
 
 # Rows that have changed, or the reason why there are no rows.
 struct RowsAnswer {
+  era @5 :UInt64;  # Era of the sender's rows; 0 if unknown.
   union {
     failure @0 :TableFailure;
     rows :group {
--- a/Tests/LibDiscovery/relay_world.cc
+++ b/Tests/LibDiscovery/relay_world.cc
@@ -42,18 +42,21 @@
 }
 
 void RelayWorld::Put(const std::string& key) {
-  change_log_.push_back({.key = key, .value = "value", .version = ++version_});
+  change_log_.push_back(
+      {.key = key, .value = "value", .version = {era_, ++version_}});
   AnswerReadyFollows();
 }
 
 void RelayWorld::Remove(const std::string& key) {
-  change_log_.push_back({.key = key, .version = ++version_, .removed = true});
+  change_log_.push_back(
+      {.key = key, .version = {era_, ++version_}, .removed = true});
   AnswerReadyFollows();
 }
 
 void RelayWorld::Restore(std::uint64_t version) {
-  std::erase_if(change_log_,
-                [&](const TableRow& row) { return row.version > version; });
+  std::erase_if(change_log_, [&](const TableRow& row) {
+    return row.version.number > version;
+  });
   version_ = version;
   ++era_;
   AnswerReadyFollows();
@@ -158,11 +161,13 @@
     std::map<std::string, TableRow> rows;
     for (const TableRow& row : change_log_)
       rows[row.key] = row;
-    TableAnswered answered{.call = call, .version = version_, .era = era_};
+    TableAnswered answered{.call = call, .version = {era_, version_}};
     for (const auto& [key, row] : rows) {
       if (!row.removed)
         answered.rows.push_back(row);
     }
+    for (TableRow& row : answered.rows)
+      row.version.era = era_;
     Step(name, answered);
   });
 }
@@ -195,7 +200,8 @@
     if (entries_.at(name).is_frozen)
       return;
     if (response.failure)
-      return Step(name, TableFailed{call, *response.failure});
+      return Step(name,
+                  TableFailed{call, *response.failure, response.version.era});
     Step(name, TableAnswered{.call = call,
                              .rows = response.rows,
                              .version = response.version,
@@ -211,26 +217,28 @@
 void RelayWorld::AnswerFollow(const OpenFollow& waiting) {
   if (entries_.at(waiting.entry).store_unreachable)
     return;
-  if (waiting.call.after > version_) {
+  if (waiting.call.after.number > version_) {
     const TableFailed failed{waiting.call.call, TableFailure::kHistoryLost,
                              era_};
     return RunAfter(kOneWay, [this, entry = waiting.entry, failed] {
       Step(entry, failed);
     });
   }
-  TableAnswered answered{
-      .call = waiting.call.call, .version = version_, .era = era_};
+  TableAnswered answered{.call = waiting.call.call,
+                         .version = {era_, version_}};
   for (const TableRow& row : change_log_) {
-    if (row.version > waiting.call.after)
+    if (row.version.number > waiting.call.after.number)
       answered.rows.push_back(row);
   }
+  for (TableRow& row : answered.rows)
+    row.version.era = era_;
   RunAfter(kOneWay,
            [this, entry = waiting.entry, answered] { Step(entry, answered); });
 }
 
 void RelayWorld::AnswerReadyFollows() {
   std::erase_if(open_follows_, [&](const OpenFollow& waiting) {
-    if (waiting.call.after == version_)
+    if (waiting.call.after.number == version_)
       return false;
     AnswerFollow(waiting);
     return true;
--- a/Tests/LibDiscovery/relay_world.h
+++ b/Tests/LibDiscovery/relay_world.h
@@ -30,7 +30,7 @@
   bool is_frozen = false;          // The process runs nothing.
 
   bool IsVersionApplied(const std::string& key, std::uint64_t version) const {
-    return rows.contains(key) && rows.at(key).version == version;
+    return rows.contains(key) && rows.at(key).version.number == version;
   }
 };
 
--- a/Tests/LibDiscovery/test_relay.cc
+++ b/Tests/LibDiscovery/test_relay.cc
@@ -41,7 +41,7 @@
   }
 
   void UpdateRows(std::vector<TableRow> rows, std::uint64_t version) {
-    Step(RelayRowsUpdated{std::move(rows), version, Duration::zero()});
+    Step(RelayRowsUpdated{std::move(rows), {0, version}, Duration::zero()});
   }
 
   RelayResponse Request(const RelayRequest& request) {
@@ -63,7 +63,7 @@
 }
 
 TableRow Put(const std::string& key, std::uint64_t version) {
-  return {.key = key, .value = "value", .version = version};
+  return {.key = key, .value = "value", .version = {0, version}};
 }
 
 }  // namespace
@@ -73,7 +73,7 @@
   relay.UpdateRows({Put("a", 1)}, 1);
   const std::uint64_t sequence = relay.Request({.all_rows = true}).sequence;
   relay.Step(RelayRequestReceived{
-      7, {.after = 1, .sequence = sequence, .wait = Milliseconds(300)}});
+      7, {.after = {0, 1}, .sequence = sequence, .wait = Milliseconds(300)}});
   CHECK(relay.replies.size() == 1);
   relay.now += Milliseconds(100);
   relay.UpdateRows({Put("b", 2)}, 2);
@@ -81,7 +81,7 @@
   CHECK(relay.replies[1].call == 7);
   REQUIRE(relay.replies[1].response.rows.size() == 1);
   CHECK(relay.replies[1].response.rows[0].key == "b");
-  CHECK(relay.replies[1].response.version == 2);
+  CHECK(relay.replies[1].response.version.number == 2);
 }
 
 TEST_CASE("a request gets a response with the age when its wait ends") {
@@ -89,7 +89,7 @@
   relay.UpdateRows({Put("a", 1)}, 1);
   const std::uint64_t sequence = relay.Request({.all_rows = true}).sequence;
   relay.Step(RelayRequestReceived{
-      7, {.after = 1, .sequence = sequence, .wait = Milliseconds(300)}});
+      7, {.after = {0, 1}, .sequence = sequence, .wait = Milliseconds(300)}});
   CHECK(relay.wake == relay.now + Milliseconds(300));
   relay.now = relay.wake;
   relay.Step(RelayTimerExpired{});
@@ -111,8 +111,8 @@
   relay.UpdateRows({Put("c", 9)}, 9);
   const RelayResponse second =
       relay.Request({.after = first.version, .sequence = first.sequence});
-  CHECK(second.version == 9);
-  relay.UpdateRows({{.key = "a", .version = 4, .removed = true}}, 9);
+  CHECK(second.version.number == 9);
+  relay.UpdateRows({{.key = "a", .version = {0, 4}, .removed = true}}, 9);
   for (const std::uint64_t sequence : {second.sequence, std::uint64_t{0}}) {
     const RelayResponse third =
         relay.Request({.after = second.version, .sequence = sequence});
@@ -127,10 +127,10 @@
   RelayFixture relay;
   CHECK(relay.Request({.all_rows = true}).failure == TableFailure::kBehind);
   relay.UpdateRows({Put("a", 5)}, 5);
-  CHECK(relay.Request({.after = 6}).failure == TableFailure::kBehind);
+  CHECK(relay.Request({.after = {0, 6}}).failure == TableFailure::kBehind);
   // The relay does not have the removals from before its first read.
-  CHECK(relay.Request({.after = 3}).failure == TableFailure::kHistoryLost);
-  CHECK_FALSE(relay.Request({.after = 5}).failure);
+  CHECK(relay.Request({.after = {0, 3}}).failure == TableFailure::kHistoryLost);
+  CHECK_FALSE(relay.Request({.after = {0, 5}}).failure);
 }
 
 // Guards against memory that grows with every removed server.
@@ -139,10 +139,11 @@
   relay.UpdateRows({Put("a", 1)}, 1);
   for (std::uint64_t i = 2; i < 3000; ++i)
     relay.UpdateRows(
-        {{.key = std::to_string(i), .version = i, .removed = true}}, i);
+        {{.key = std::to_string(i), .version = {0, i}, .removed = true}}, i);
   CHECK(relay.state.rows.size() < 600);
-  CHECK(relay.Request({.after = 100}).failure == TableFailure::kHistoryLost);
-  CHECK(relay.Request({.after = 100, .sequence = 200}).failure ==
+  CHECK(relay.Request({.after = {0, 100}}).failure ==
+        TableFailure::kHistoryLost);
+  CHECK(relay.Request({.after = {0, 100}, .sequence = 200}).failure ==
         TableFailure::kHistoryLost);
   CHECK(relay.Request({.all_rows = true}).rows.size() == 1);
 }
@@ -249,7 +250,7 @@
   step(TableTimerExpired{}, kRelayStart);
   REQUIRE(Find<ReadTable>(actions) != nullptr);
   CHECK(Find<ReadTable>(actions)->peer.empty());
-  step(TableAnswered{.call = 1, .rows = {Put("a", 8)}, .version = 8},
+  step(TableAnswered{.call = 1, .rows = {Put("a", 8)}, .version = {0, 8}},
        kRelayStart);
   step(TableTimerExpired{}, kRelayStart + Seconds(2));
   REQUIRE(Find<FollowTable>(actions) != nullptr);
@@ -261,7 +262,7 @@
   step(TableFailed{2, TableFailure::kHistoryLost}, kRelayStart + Seconds(2));
   REQUIRE(Find<FollowTable>(actions) != nullptr);
   CHECK(Find<FollowTable>(actions)->peer.empty());
-  CHECK(Find<FollowTable>(actions)->after == 8);
+  CHECK(Find<FollowTable>(actions)->after.number == 8);
 }
 
 TEST_CASE("a full read goes to a peer while the store does not respond") {
@@ -347,6 +348,78 @@
   }
 }
 
+// Guards against full reads of every entry VM after a restore, and against
+// missing the changes that the store lost.
+TEST_CASE("a follower continues into a new era only by the peer's sequence") {
+  for (const bool has_sequence : {true, false}) {
+    CAPTURE(has_sequence);
+    TableState table = MakeTableState(MakeOptions(), 1);
+    TableActions actions;
+    const auto step = [&](const TableEvent& event, TimePoint at) {
+      actions.clear();
+      StepTable(table, event, at, actions);
+    };
+    step(TableTimerExpired{}, kRelayStart);
+    step(TableAnswered{.call = 1, .rows = {}, .version = {1, 8}}, kRelayStart);
+    step(SourcesChanged{.before_store = {"peer"}}, kRelayStart);
+    TimePoint now = kRelayStart + Seconds(2);
+    step(TableTimerExpired{}, now);
+    if (has_sequence) {
+      step(TableAnswered{.call = 2, .version = {1, 8}, .sequence = 5}, now);
+      now += Seconds(1);
+      step(TableTimerExpired{}, now);
+    }
+    step(TableAnswered{.call = has_sequence ? 3U : 2U,
+                       .rows = {{.key = "a", .version = {2, 4}}},
+                       .version = {2, 4},
+                       .sequence = 6},
+         now);
+    CHECK((Find<RowsChanged>(actions) != nullptr) == has_sequence);
+    CHECK((Find<ReadTable>(actions) != nullptr) != has_sequence);
+  }
+}
+
+TEST_CASE("a relay sends no changes between versions of two eras") {
+  RelayFixture relay;
+  relay.Step(RelayRowsUpdated{
+      {{.key = "a", .version = {1, 44}}}, {1, 44}, Duration::zero()});
+  const std::uint64_t sequence = relay.Request({.all_rows = true}).sequence;
+  relay.Step(RelayRowsUpdated{
+      {{.key = "b", .version = {2, 21}}}, {2, 21}, Duration::zero()});
+  const RelayResponse refusal = relay.Request({.after = {1, 50}});
+  CHECK(refusal.failure == TableFailure::kHistoryLost);
+  CHECK(refusal.version.era == 2);
+  const RelayResponse response =
+      relay.Request({.after = {1, 44}, .sequence = sequence});
+  REQUIRE(response.rows.size() == 1);
+  CHECK(response.version == TableVersion{2, 21});
+  CHECK(relay.Request({.after = {3, 1}}).failure == TableFailure::kBehind);
+  // A requester that knows no eras.
+  CHECK_FALSE(relay.Request({.after = {0, 21}}).failure);
+}
+
+// Guards against full reads from the relay by all entry VMs, and against an
+// entry VM that stays in the old era while it cannot reach the store.
+TEST_CASE("a peer of a newer era leads to a full read") {
+  TableState table = MakeTableState(MakeOptions(), 1);
+  TableActions actions;
+  const auto step = [&](const TableEvent& event, TimePoint at) {
+    actions.clear();
+    StepTable(table, event, at, actions);
+  };
+  step(TableTimerExpired{}, kRelayStart);
+  step(TableAnswered{.call = 1, .rows = {}, .version = {1, 8}}, kRelayStart);
+  step(SourcesChanged{.before_store = {"peer"}}, kRelayStart);
+  const TimePoint now = kRelayStart + Seconds(2);
+  step(TableTimerExpired{}, now);
+  step(TableFailed{2, TableFailure::kHistoryLost, 2}, now);
+  REQUIRE(Find<ReadTable>(actions) != nullptr);
+  CHECK(Find<ReadTable>(actions)->peer.empty());
+  step(TableFailed{3, TableFailure::kNoAnswer}, now);
+  REQUIRE(Find<ReadTable>(actions) != nullptr);
+  CHECK(Find<ReadTable>(actions)->peer == "peer");
+}
+
 // Guards against removing rows that a peer with an older copy does not have.
 TEST_CASE("a response of a peer with an older copy removes no rows") {
   TableState table = MakeTableState(MakeOptions(), 1);
@@ -356,14 +429,14 @@
     StepTable(table, event, at, actions);
   };
   step(TableTimerExpired{}, kRelayStart);
-  step(TableAnswered{.call = 1, .rows = {Put("a", 8)}, .version = 8},
+  step(TableAnswered{.call = 1, .rows = {Put("a", 8)}, .version = {0, 8}},
        kRelayStart);
   step(SourcesChanged{.before_store = {"peer"}}, kRelayStart);
   step(TableTimerExpired{}, kRelayStart + Seconds(2));
-  step(TableAnswered{.call = 2, .rows = {}, .version = 5},
+  step(TableAnswered{.call = 2, .rows = {}, .version = {0, 5}},
        kRelayStart + Seconds(2));
   CHECK(table.published_versions.contains("a"));
-  CHECK(table.version == 8);
+  CHECK(table.version.number == 8);
   // The next call goes to the store instead.
   step(TableTimerExpired{}, kRelayStart + Seconds(3));
   REQUIRE(Find<FollowTable>(actions) != nullptr);
--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -25,6 +25,8 @@
   std::uint64_t era = 0;  // Of the store in the next responses.
   std::vector<EraChanged> era_changes;
   std::vector<OldRowsIgnored> ignored;
+  std::size_t held_rows = 0;  // Of the last RestoredTableRead.
+  std::size_t settled_count = 0;
 
   void Step(const TableEvent& event) {
     TableActions actions;
@@ -42,6 +44,10 @@
         reachability.push_back(reached->reachable);
       if (const auto* change = std::get_if<EraChanged>(&action))
         era_changes.push_back(*change);
+      if (const auto* restored = std::get_if<RestoredTableRead>(&action))
+        held_rows = restored->held_rows;
+      if (std::holds_alternative<RestoredTableSettled>(action))
+        ++settled_count;
       if (const auto* old_rows = std::get_if<OldRowsIgnored>(&action))
         ignored.push_back(*old_rows);
       if (const auto* timer_wake = std::get_if<TableWake>(&action))
@@ -57,22 +63,26 @@
     Step(TableTimerExpired{});
   }
 
+  std::vector<TableRow> InEra(std::vector<TableRow> response) const {
+    for (TableRow& row : response)
+      row.version.era = era;
+    return response;
+  }
+
   void AnswerRead(std::vector<TableRow> response,
                   std::uint64_t version,
                   bool has_more = false) {
     Step(TableAnswered{.call = read->call,
-                       .rows = std::move(response),
-                       .version = version,
-                       .era = era,
+                       .rows = InEra(std::move(response)),
+                       .version = {era, version},
                        .has_more = has_more});
   }
 
   void AnswerFollow(std::vector<TableRow> response, std::uint64_t version) {
     Wait();
     Step(TableAnswered{.call = follow->call,
-                       .rows = std::move(response),
-                       .version = version,
-                       .era = era});
+                       .rows = InEra(std::move(response)),
+                       .version = {era, version}});
   }
 
   void FailFollow(TableFailure failure) {
@@ -87,11 +97,11 @@
 };
 
 TableRow Put(const std::string& key, std::uint64_t version) {
-  return {.key = key, .value = "value", .version = version};
+  return {.key = key, .value = "value", .version = {0, version}};
 }
 
 TableRow Removal(const std::string& key, std::uint64_t version) {
-  return {.key = key, .version = version, .removed = true};
+  return {.key = key, .version = {0, version}, .removed = true};
 }
 
 }  // namespace
@@ -109,7 +119,7 @@
   table.Wait();
   REQUIRE(table.follow);
   // Changes between the partial reads must not be missed.
-  CHECK(table.follow->after == 5);
+  CHECK(table.follow->after.number == 5);
 }
 
 // Guards against restoring a removed row: a server whose removal arrived in the
@@ -125,7 +135,7 @@
   table.AnswerFollow({Put("a", 4), Removal("a", 5), Put("a", 6)}, 6);
   const auto next_rows = table.TakeRows();
   REQUIRE(next_rows.size() == 1);
-  CHECK(next_rows[0].version == 6);
+  CHECK(next_rows[0].version.number == 6);
 }
 
 // Guards against missing changes that the change log no longer contains.
@@ -219,6 +229,94 @@
   CHECK(table.read->from.empty());
 }
 
+// Guards against using a server again that left between the copy and the
+// restore: the copy still has its row.
+TEST_CASE("a removed row that a restored store has again is held back") {
+  for (const char* change : {"none", "removal", "put"}) {
+    CAPTURE(change);
+    TableFixture table;
+    table.era = 1;
+    table.ReadTableOnce({Put("a", 1), Put("b", 2)}, 2);
+    table.AnswerFollow({Removal("b", 3)}, 44);
+    table.TakeRows();
+    table.era = 2;
+    table.FailFollow(TableFailure::kHistoryLost);
+    table.AnswerRead({Put("a", 1), Put("b", 2)}, 2);
+    const TimePoint restored = table.now;
+    auto rows = table.TakeRows();
+    REQUIRE(rows.size() == 1);
+    CHECK(rows[0].key == "a");
+    CHECK(table.held_rows == 1);
+    // Entry VMs that follow this one must not continue from the new era yet.
+    CHECK(table.state.complete_version == TableVersion{1, 44});
+    if (change == std::string("removal"))
+      table.AnswerFollow({Removal("b", 3)}, 3);
+    if (change == std::string("put")) {
+      table.AnswerFollow({Put("b", 3)}, 3);
+      CHECK(table.now < restored + table.state.options.restored_row_hold);
+      CHECK(table.TakeRows().size() == 1);
+    }
+    table.now = restored + table.state.options.restored_row_hold;
+    table.Step(TableTimerExpired{});
+    CHECK(table.TakeRows().size() == (change == std::string("none") ? 1 : 0));
+    CHECK(table.settled_count == 1);
+    CHECK(table.state.complete_version.era == 2);
+  }
+}
+
+// Guards against undoing an evacuation or removing a server that the operator
+// or the server writes again shortly after the restore.
+TEST_CASE("removals of rows that a restored store lacks are deferred") {
+  TableFixture table;
+  table.era = 1;
+  table.ReadTableOnce({Put("a", 1), Put("b", 40), Put("c", 41)}, 44);
+  table.TakeRows();
+  table.era = 2;
+  table.FailFollow(TableFailure::kHistoryLost);
+  table.AnswerRead({Put("a", 1)}, 2);
+  const TimePoint restored = table.now;
+  CHECK(table.TakeRows().size() == 1);
+  CHECK(table.state.complete_version == TableVersion{1, 44});
+  table.AnswerFollow({Put("b", 3)}, 3);
+  CHECK(table.TakeRows().size() == 1);
+  table.now = restored + table.state.options.recovery_grace_period;
+  table.Step(TableTimerExpired{});
+  const auto rows = table.TakeRows();
+  REQUIRE(rows.size() == 1);
+  CHECK(rows[0].key == "c");
+  CHECK(rows[0].removed);
+  CHECK(table.state.complete_version == TableVersion{2, 3});
+}
+
+// Guards against a table that is composed of rows from before and after a
+// restore.
+TEST_CASE("a full read starts again if the era changes during it") {
+  TableFixture table;
+  table.era = 1;
+  table.Step(TableTimerExpired{});
+  table.AnswerRead({Put("a", 1), Put("b", 2)}, 5, /*has_more=*/true);
+  table.era = 2;
+  table.AnswerRead({Put("c", 3)}, 4);
+  CHECK(table.TakeRows().empty());
+  CHECK(table.read->from.empty());
+  table.AnswerRead({Put("a", 1)}, 4);
+  CHECK(table.TakeRows().size() == 1);
+}
+
+// Guards against full reads after each response that does not name the era.
+TEST_CASE("a response without an era belongs to the last known era") {
+  TableFixture table;
+  table.era = 3;
+  table.ReadTableOnce({Put("a", 1)}, 5);
+  table.TakeRows();
+  table.read.reset();
+  table.era = 0;
+  table.AnswerFollow({Put("a", 6)}, 6);
+  CHECK(table.TakeRows().size() == 1);
+  CHECK_FALSE(table.read);
+  CHECK(table.state.version == TableVersion{3, 6});
+}
+
 // Guards against calls beyond the store's rate limit and against a back-off
 // that is longer than the bound within which a leaving server must be noticed.
 TEST_CASE("calls are paced and the back-off lasts at most a second") {
--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -264,6 +264,37 @@
       kRestoreTimeout));
 }
 
+// Guards against a copy of the store that brings back an older configuration or
+// a server that drains, and against an invalid configuration after it.
+TEST_CASE("a restored store undoes no configuration and no drain") {
+  SingleEntryDeployment entry;
+  const std::uint64_t copy = entry.store.version();
+  entry.store.Put("op", "config", ConfigurationBody(7, "/other/"));
+  entry.store.Put("servers", "s-one", entry.server_one.Row("draining", 0, 9));
+  REQUIRE(entry.WaitUntil([&] {
+    return entry.SendRequest(Request("/other/a", "x")).status == 503 &&
+           entry.SendRequest(Request("/read/a", "x")).status == 404;
+  }));
+  entry.store.Restore(copy);
+  const auto check_unchanged = [&] {
+    const TimePoint end = entry.loop.Now() + Seconds(2);
+    while (entry.loop.Now() < end) {
+      CHECK(entry.SendRequest(Request("/other/a", "y")).status == 503);
+      CHECK(entry.SendRequest(Request("/read/a", "y")).status == 404);
+    }
+  };
+  check_unchanged();
+  for (const char* table : {"op", "servers"})
+    REQUIRE(entry.WaitUntil([&] { return entry.store.IsPollWaiting(table); }));
+  entry.store.Put("op", "config", "{\"version\":8,\"routes\":[{}]}");
+  entry.store.Put("op", "config", ConfigurationBody(2, "/second/"));
+  check_unchanged();
+  entry.store.Put("servers", "s-one", entry.server_one.Row("ready", 0, 10));
+  CHECK(entry.WaitUntil(
+      [&] { return entry.SendRequest(Request("/other/a", "z")).status == 200; },
+      kRestoreTimeout));
+}
+
 TEST_CASE("a server that drains after a restore of the store is not used") {
   SingleEntryDeployment entry;
   const std::uint64_t copy = entry.store.version();
@@ -390,4 +421,32 @@
   CHECK(entry.WaitUntil([&] { return request_status() == 503; }));
 }
 
+// Guards against an entry VM that ignores what its peer passes on, because it
+// learns of the restore from the peer alone.
+TEST_CASE("an entry VM gets changes after a restore of the store from a peer") {
+  SingleEntryDeployment entry;
+  Settings second_settings = entry.MakeSettings("entry-2");
+  StoreStandIn refusing(entry.loop);
+  refusing.SetBehaviour(StoreBehaviour::kRefuses);
+  second_settings.store_address = refusing.address();
+  Front second_front(entry.loop, entry.kj_loop, second_settings,
+                     {.high = 1, .low = 2});
+  REQUIRE(second_front.Start());
+  const auto request_status = [&] {
+    return entry
+        .Call(second_settings.self.caller_address, Request("/read/a", "x"))
+        .second.status;
+  };
+  const std::uint64_t copy = entry.store.version();
+  for (int i = 0; i < 20; ++i)
+    entry.store.Put("servers", "s-one",
+                    entry.server_one.Row("ready", 0, 5 + i));
+  entry.store.Put("op", "evacuate/north-a", "{}");
+  REQUIRE(entry.WaitUntil([&] { return request_status() == 503; }));
+  entry.store.Restore(copy);
+  REQUIRE(entry.WaitUntil([&] { return request_status() == 200; }));
+  entry.store.Put("servers", "s-one", entry.server_one.Row("draining", 0, 30));
+  CHECK(entry.WaitUntil([&] { return request_status() == 503; }));
+}
+
 }  // namespace cicadadrum::platform
