LibDiscovery: Send a relayed change to followers below its version

While a relay defers removals, or holds rows of a restored store, its complete version stands still, and it noted that version for each change that it passed on. A follower that had read the store up to a version between the two and then asked the relay missed the change.

The relay notes the row's own version if it is the higher one.

--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -91,7 +91,8 @@
 struct RelayRow {
   TableRow row;
   std::uint64_t sequence = 0;  // Number of the row's last change.
-  TableVersion version;        // Of the table when the row was passed on.
+  // Of the table when the row was passed on, or the higher one of the row.
+  TableVersion version;
 };
 
 // A request that waits for the next change.
--- a/Libraries/LibDiscovery/relay.cc
+++ b/Libraries/LibDiscovery/relay.cc
@@ -101,7 +101,8 @@
   if (event.age)
     state.complete_at = std::max(state.complete_at, now - *event.age);
   for (const TableRow& row : event.rows)
-    state.rows[row.key] = {row, ++state.sequence, state.version};
+    state.rows[row.key] = {row, ++state.sequence,
+                           std::max(state.version, row.version)};
   DiscardOldRemovals(state);
   if (event.rows.empty())
     return;
--- a/Tests/LibDiscovery/test_relay.cc
+++ b/Tests/LibDiscovery/test_relay.cc
@@ -348,6 +348,19 @@
   }
 }
 
+// Guards against missing a change that the relay passed on while it deferred
+// removals: the table's complete version was below the version of the change.
+TEST_CASE("a change passed on during deferred removals has its own version") {
+  RelayFixture relay;
+  relay.UpdateRows({Put("a", 1)}, 50);
+  relay.UpdateRows({Put("b", 60)}, 50);
+  relay.UpdateRows({}, 60);
+  // The requester read the store up to version 55.
+  const RelayResponse response = relay.Request({.after = {0, 55}});
+  REQUIRE(response.rows.size() == 1);
+  CHECK(response.rows[0].key == "b");
+}
+
 // Guards against full reads of every entry VM after a restore, and against
 // missing the changes that the store lost.
 TEST_CASE("a follower continues into a new era only by the peer's sequence") {
