Tests/LibDiscovery: Cover a version number that is assigned again

The other tests only have lower numbers in the new era. TestDiscovery, 32 test cases passed; the test was written after the fix and has not run without it.

--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -214,6 +214,22 @@
   CHECK(rows[1].removed);
 }
 
+// Guards against a configuration that never comes into force because its row
+// has the number that an earlier change of the row had before the restore.
+TEST_CASE("a version that is assigned again stands for another change") {
+  TableFixture table;
+  table.era = 1;
+  table.ReadTableOnce({Put("a", 44)}, 44);
+  table.era = 2;
+  table.FailFollow(TableFailure::kHistoryLost);
+  table.AnswerRead({Put("a", 43)}, 43);
+  table.TakeRows();
+  table.AnswerFollow({Put("a", 44)}, 44);
+  const auto rows = table.TakeRows();
+  REQUIRE(rows.size() == 1);
+  CHECK(rows[0].version == TableVersion{2, 44});
+}
+
 // Guards against missing the changes between the copy and the last known
 // version: the store has passed that version again.
 TEST_CASE("a table is read in full again after a restore of the store") {
