LibDiscovery: Drop held rows that the next full read lacks

A row that is held after a restore of the store was published at the end of the hold even if a second restore, or a lost change log, led to a full read without it. Found by reading the diff; no caller was seen to suffer from it.

A full read now starts without held rows and holds again what it contains.

Before: test_table.cc: CHECK( table.held_rows == 0 ) is NOT correct, 1 == 0. After: TestDiscovery, 33 test cases passed.

--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -212,6 +212,7 @@
 // Applies a full read. Published rows that are absent from it are removed.
 void ApplyFullRead(TableState& state, TimePoint now, ResponseEffects& effects) {
   std::set<std::string> present;
+  state.held_rows.clear();
   for (const TableRow& row : state.full_read_rows) {
     present.insert(row.key);
     if (IsHeldBack(state, row))
--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -280,6 +280,26 @@
   }
 }
 
+// Guards against publishing a row that only the copy of an earlier restore had.
+TEST_CASE("a held row is dropped if the next full read lacks it") {
+  TableFixture table;
+  table.era = 1;
+  table.ReadTableOnce({Put("b", 2)}, 2);
+  table.AnswerFollow({Removal("b", 3)}, 44);
+  table.era = 2;
+  table.FailFollow(TableFailure::kHistoryLost);
+  table.AnswerRead({Put("b", 2)}, 2);
+  CHECK(table.held_rows == 1);
+  table.TakeRows();
+  table.era = 3;
+  table.FailFollow(TableFailure::kHistoryLost);
+  table.AnswerRead({}, 1);
+  CHECK(table.held_rows == 0);
+  table.now += table.state.options.restored_row_hold;
+  table.Step(TableTimerExpired{});
+  CHECK(table.TakeRows().empty());
+}
+
 // Guards against undoing an evacuation or removing a server that the operator
 // or the server writes again shortly after the restore.
 TEST_CASE("removals of rows that a restored store lacks are deferred") {
