--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 #include "advice.h"
 #include "cicadadrum/base/hash.h"
@@ -35,10 +36,17 @@
          a.address == b.address;
 }
 
+// Versions are ordered only within an era.
+bool HasOlderRow(const ServerEntry& known, const ServerEntry& received) {
+  return std::tie(received.row_era, received.row_version) <
+         std::tie(known.row_era, known.row_version);
+}
+
 void AddOrUpdate(RoutingState& state, const ServerEntry& entry, TimePoint now) {
   const auto found = state.servers.find(entry.id);
   if (found != state.servers.end()) {
-    if (entry.row_version < found->second.entry.row_version)
+    const ServerEntry& known = found->second.entry;
+    if (HasOlderRow(known, entry) || IsEarlierReport(known, entry))
       return;
     if (!IsSameIncarnation(found->second.entry, entry))
       Remove(state, entry.id, now);
@@ -59,7 +67,9 @@
 
 bool HasChanged(const ServerEntry& known, const ServerEntry& received) {
   ServerEntry comparable = received;
+  comparable.row_era = known.row_era;
   comparable.row_version = known.row_version;
+  comparable.sequence = known.sequence;
   // A cold time that has become shorter is no change: it only runs out.
   const bool is_colder = received.cold_left > known.cold_left ||
                          (received.cold_left > Duration::zero() &&
@@ -68,6 +78,11 @@
   return is_colder || comparable != known;
 }
 
+bool IsEarlierReport(const ServerEntry& known, const ServerEntry& received) {
+  return std::tie(received.started_unix_ms, received.sequence) <
+         std::tie(known.started_unix_ms, known.sequence);
+}
+
 void UpdateServers(RoutingState& state,
                    const ServersChanged& event,
                    TimePoint now) {
--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -19,6 +19,9 @@
 
 // Maximum time that a test waits for a condition.
 constexpr Duration kTestTimeout = Seconds(20);
+// Maximum time until a change written after a restore of the store must be in
+// force.
+constexpr Duration kRestoreTimeout = Seconds(5);
 // Interval between checks of the condition.
 constexpr Duration kPollInterval = Milliseconds(5);
 
@@ -384,6 +387,76 @@
   }));
 }
 
+// Guards against changes that are ignored because the store comes back from a
+// copy and assigns versions again that it assigned before.
+TEST_CASE(
+    "configurations and evacuations written after a restore take effect") {
+  SingleEntryDeployment entry;
+  const std::uint64_t copy = entry.store.version();
+  for (int i = 0; i < 20; ++i)
+    entry.store.Put("op", "note", std::to_string(i));
+  entry.store.Put("op", "config", ConfigurationBody(7, "/other/"));
+  REQUIRE(entry.WaitUntil([&] {
+    return entry.SendRequest(Request("/other/a", "x")).status == 200;
+  }));
+  entry.store.Restore(copy);
+  entry.store.Put("op", "config", ConfigurationBody(8, "/third/"));
+  CHECK(entry.WaitUntil(
+      [&] { return entry.SendRequest(Request("/third/a", "y")).status == 200; },
+      kRestoreTimeout));
+  entry.store.Put("op", "evacuate/north-a", "{}");
+  CHECK(entry.WaitUntil(
+      [&] { return entry.SendRequest(Request("/third/a", "z")).status == 503; },
+      kRestoreTimeout));
+}
+
+// Guards against a copy of the store that brings back an older configuration or
+// a server that drains, and against an invalid configuration after it.
+TEST_CASE("a restored store undoes no configuration and no drain") {
+  SingleEntryDeployment entry;
+  const std::uint64_t copy = entry.store.version();
+  entry.store.Put("op", "config", ConfigurationBody(7, "/other/"));
+  entry.store.Put("servers", "s-one", entry.server_one.Row("draining", 0, 9));
+  REQUIRE(entry.WaitUntil([&] {
+    return entry.SendRequest(Request("/other/a", "x")).status == 503 &&
+           entry.SendRequest(Request("/read/a", "x")).status == 404;
+  }));
+  entry.store.Restore(copy);
+  const auto check_unchanged = [&] {
+    const TimePoint end = entry.loop.Now() + Seconds(2);
+    while (entry.loop.Now() < end) {
+      CHECK(entry.SendRequest(Request("/other/a", "y")).status == 503);
+      CHECK(entry.SendRequest(Request("/read/a", "y")).status == 404);
+    }
+  };
+  check_unchanged();
+  for (const char* table : {"op", "servers"})
+    REQUIRE(entry.WaitUntil([&] { return entry.store.IsPollWaiting(table); }));
+  entry.store.Put("op", "config", "{\"version\":8,\"routes\":[{}]}");
+  entry.store.Put("op", "config", ConfigurationBody(2, "/second/"));
+  check_unchanged();
+  entry.store.Put("servers", "s-one", entry.server_one.Row("ready", 0, 10));
+  CHECK(entry.WaitUntil(
+      [&] { return entry.SendRequest(Request("/other/a", "z")).status == 200; },
+      kRestoreTimeout));
+}
+
+TEST_CASE("a server that drains after a restore of the store is not used") {
+  SingleEntryDeployment entry;
+  const std::uint64_t copy = entry.store.version();
+  for (int i = 0; i < 20; ++i)
+    entry.store.Put("servers", "s-one",
+                    entry.server_one.Row("ready", 0, 5 + i));
+  REQUIRE(entry.SendRequest(Request("/read/a", "x")).status == 200);
+  REQUIRE(
+      entry.WaitUntil([&] { return entry.store.IsPollWaiting("servers"); }));
+  entry.store.Restore(copy);
+  entry.store.Put("servers", "s-one", entry.server_one.Row("draining", 0, 30));
+  CHECK(entry.WaitUntil(
+      [&] { return entry.SendRequest(Request("/read/a", "y")).status == 503; },
+      kRestoreTimeout));
+}
+
 TEST_CASE(
     "an evacuated failure domain gets no requests until the evacuation ends") {
   SingleEntryDeployment entry;
@@ -494,4 +567,32 @@
   CHECK(entry.WaitUntil([&] { return request_status() == 503; }));
 }
 
+// Guards against an entry VM that ignores what its peer passes on, because it
+// learns of the restore from the peer alone.
+TEST_CASE("an entry VM gets changes after a restore of the store from a peer") {
+  SingleEntryDeployment entry;
+  Settings second_settings = entry.MakeSettings("entry-2");
+  StoreStandIn refusing(entry.loop);
+  refusing.SetBehaviour(StoreBehaviour::kRefuses);
+  second_settings.store_address = refusing.address();
+  Front second_front(entry.loop, entry.kj_loop, second_settings,
+                     {.high = 1, .low = 2});
+  REQUIRE(second_front.Start());
+  const auto request_status = [&] {
+    return entry
+        .Call(second_settings.self.caller_address, Request("/read/a", "x"))
+        .second.status;
+  };
+  const std::uint64_t copy = entry.store.version();
+  for (int i = 0; i < 20; ++i)
+    entry.store.Put("servers", "s-one",
+                    entry.server_one.Row("ready", 0, 5 + i));
+  entry.store.Put("op", "evacuate/north-a", "{}");
+  REQUIRE(entry.WaitUntil([&] { return request_status() == 503; }));
+  entry.store.Restore(copy);
+  REQUIRE(entry.WaitUntil([&] { return request_status() == 200; }));
+  entry.store.Put("servers", "s-one", entry.server_one.Row("draining", 0, 30));
+  CHECK(entry.WaitUntil([&] { return request_status() == 503; }));
+}
+
 }  // namespace cicadadrum::platform
