LibDiscovery: Date a confirmation of a table by when its source knew it

Found by the review of the incident on home regions, and by the soak's paused processes: an entry VM that was frozen, suspended or slow read a response that had waited in its buffers and took its configuration as confirmed at that moment, so that requests which waited beside it went to the old home; a relay passed the same on to its followers. Class of fault: acting on knowledge without asking how old it is. Change: the adapter measures the time from a call to its response with suspensions; LibDiscovery counts what exceeds the wait that the source was allowed as age, and reports TableConfirmed when it has accepted the response. Ages between relays now contain the way. A peer that names no era is taken as behind once the store has one: its rows may be of an earlier era (old process beside a new one). Result, before: a call that lasted 9 s longer than its wait confirmed the table as of now, and the rows of a peer without an era replaced newer ones; the four new cases of test_table.cc can't be written against the old interface (TableConfirmed is new).

--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -113,6 +113,9 @@
   // the peer's rows were known to be complete.
   std::uint64_t sequence = 0;
   Duration age{};
+  // Time from the call to this response, with the time for which the VM was
+  // suspended.
+  Duration delay{};
 };
 
 // The call with this number failed.
@@ -155,6 +158,11 @@
   bool is_first_read = false;  // This is the first full read of this process.
 };
 
+// All changes of the table up to `age` ago are known.
+struct TableConfirmed {
+  Duration age{};
+};
+
 // A response showed a new era of the store.
 struct EraChanged {
   std::uint64_t old_era = 0;
@@ -201,6 +209,7 @@
 using TableAction = std::variant<ReadTable,
                                  FollowTable,
                                  RowsChanged,
+                                 TableConfirmed,
                                  EraChanged,
                                  RestoredTableRead,
                                  RestoredTableSettled,
@@ -255,6 +264,7 @@
   TableVersion full_read_version;
   std::uint64_t next_call = 1;
   std::uint64_t open_call = 0;  // 0 if none.
+  Duration call_wait{};  // How long the source may keep the last call open.
   TimePoint next_call_at{};
   std::uint32_t consecutive_failures = 0;  // Of calls to the store.
   bool reachable = true;                   // The last reported state.
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -73,6 +73,7 @@
   state.call_peer = source.peer;
   const Duration timeout =
       is_peer_call ? options.peer_timeout : options.timeout;
+  state.call_wait = Duration::zero();
   if (state.phase == TablePhase::kUnread) {
     if (state.full_read_peer != source.peer)
       state.full_read_rows.clear();
@@ -91,6 +92,7 @@
   const bool has_peer_sequence =
       is_peer_call && state.sequence_peer == source.peer;
   const Duration wait = is_peer_call ? options.peer_wait : options.wait;
+  state.call_wait = wait;
   actions.emplace_back(
       FollowTable{.call = state.open_call,
                   .peer = source.peer,
@@ -333,7 +335,11 @@
                               event.rows.end());
   if (event.has_more && !event.rows.empty())
     return StartCall(state, now, actions);
+  // The pages of a longer read are of different ages.
+  const bool has_one_page = state.full_read_rows.size() == event.rows.size();
   CompleteFullRead(state, now, actions);
+  if (has_one_page)
+    actions.emplace_back(TableConfirmed{event.age});
 }
 
 void ApplyChanges(TableState& state,
@@ -346,17 +352,20 @@
   KeepLastChanges(effects.changed);
   state.version = std::max(state.version, event.version);
   PublishEffects(std::move(effects), /*is_first_read=*/false, actions);
+  actions.emplace_back(TableConfirmed{event.age});
 }
 
-// Returns the response with unknown eras replaced by the last known one.
-TableAnswered WithKnownEra(TableAnswered event, std::uint64_t era) {
-  const auto set_era = [era](TableVersion& version) {
+// Sets unknown eras to the last known one, and adds the time for which the
+// response was under way or waited to be read to its age.
+TableAnswered CompleteResponse(const TableState& state, TableAnswered event) {
+  const auto set_era = [&state](TableVersion& version) {
     if (version.era == 0)
-      version.era = era;
+      version.era = state.era;
   };
   set_era(event.version);
   for (TableRow& row : event.rows)
     set_era(row.version);
+  event.age += std::max(Duration::zero(), event.delay - state.call_wait);
   return event;
 }
 
@@ -401,10 +410,13 @@
 // may be, rows of a lower version may not.
 bool AcceptPeerAnswer(TableState& state,
                       const TableAnswered& event,
+                      bool names_era,
                       TimePoint now) {
   if (state.call_peer.empty())
     return true;
-  const bool is_behind = event.version < state.version;
+  // A peer that names no era may have rows of an earlier one.
+  const bool is_behind =
+      event.version < state.version || (!names_era && state.era != 0);
   if (is_behind || event.age > state.options.max_age) {
     if (TableSource* source = FindSource(state, state.call_peer))
       source->backoff_until = now + state.options.peer_backoff;
@@ -420,11 +432,11 @@
            TableActions& actions) {
   if (received.call != state.open_call)
     return;
-  const TableAnswered event = WithKnownEra(received, state.era);
+  const TableAnswered event = CompleteResponse(state, received);
   state.open_call = 0;
   state.next_call_at = now + kPeerPeriod;
   RecordEra(state, event.version.era, actions);
-  if (!AcceptPeerAnswer(state, event, now))
+  if (!AcceptPeerAnswer(state, event, received.version.era != 0, now))
     return;
   if (state.call_peer.empty()) {
     RecordStoreSuccess(state, now, actions);
--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -22,6 +22,7 @@
   bool is_first_read = false;
   TimePoint wake = kNever;
   std::vector<bool> reachability;
+  std::vector<Duration> confirmed_ages;
   std::uint64_t era = 0;  // Of the store in the next responses.
   std::vector<EraChanged> era_changes;
   std::vector<OldRowsIgnored> ignored;
@@ -42,6 +43,8 @@
       }
       if (const auto* reached = std::get_if<StoreReachabilityChanged>(&action))
         reachability.push_back(reached->reachable);
+      if (const auto* confirmed = std::get_if<TableConfirmed>(&action))
+        confirmed_ages.push_back(confirmed->age);
       if (const auto* change = std::get_if<EraChanged>(&action))
         era_changes.push_back(*change);
       if (const auto* restored = std::get_if<RestoredTableRead>(&action))
@@ -379,4 +382,67 @@
   CHECK(table.TakeRows().empty());
 }
 
+TEST_CASE(
+    "a response that waited to be read confirms nothing newer than itself") {
+  TableFixture table;
+  table.Step(TableTimerExpired{});
+  table.AnswerRead({{.key = "a", .value = "1", .version = {0, 5}}}, 5);
+  table.Wait();
+  table.confirmed_ages.clear();
+  const Duration waited = Seconds(9);
+  table.Step(TableAnswered{.call = table.follow->call,
+                           .version = {0, 5},
+                           .delay = table.follow->wait + waited});
+  REQUIRE(table.confirmed_ages.size() == 1);
+  CHECK(table.confirmed_ages[0] == waited);
+}
+
+TEST_CASE("a peer's rows are as old as the peer says and the way took") {
+  TableFixture table;
+  table.Step(TableTimerExpired{});
+  table.AnswerRead({}, 5);
+  table.Step(SourcesChanged{.before_store = {"relay"}});
+  table.Wait();
+  REQUIRE(table.follow->peer == "relay");
+  table.confirmed_ages.clear();
+  table.Step(TableAnswered{.call = table.follow->call,
+                           .version = {0, 5},
+                           .sequence = 1,
+                           .age = Milliseconds(200),
+                           .delay = table.follow->wait + Milliseconds(50)});
+  REQUIRE(table.confirmed_ages.size() == 1);
+  CHECK(table.confirmed_ages[0] == Milliseconds(250));
+}
+
+TEST_CASE("a peer with an older version confirms nothing") {
+  TableFixture table;
+  table.Step(TableTimerExpired{});
+  table.AnswerRead({}, 5);
+  table.Step(SourcesChanged{.before_store = {"relay"}});
+  table.Wait();
+  table.confirmed_ages.clear();
+  table.Step(TableAnswered{
+      .call = table.follow->call, .version = {0, 4}, .sequence = 1});
+  CHECK(table.confirmed_ages.empty());
+}
+
+TEST_CASE("a peer that names no era gives no rows once the store has an era") {
+  TableFixture table;
+  table.era = 1;
+  table.Step(TableTimerExpired{});
+  table.AnswerRead({{.key = "a", .value = "1", .version = {0, 5}}}, 5);
+  table.TakeRows();
+  table.Step(SourcesChanged{.before_store = {"relay"}});
+  table.Wait();
+  REQUIRE(table.follow->peer == "relay");
+  table.Step(
+      TableAnswered{.call = table.follow->call,
+                    .rows = {{.key = "a", .value = "old", .version = {0, 44}}},
+                    .version = {0, 44},
+                    .sequence = 1});
+  CHECK(table.TakeRows().empty());
+  table.Wait();
+  CHECK(table.follow->peer.empty());
+}
+
 }  // namespace cicadadrum::discovery
--- a/Tests/LibRouting/test_home_regions.cc
+++ b/Tests/LibRouting/test_home_regions.cc
@@ -93,6 +93,9 @@
   HomeRegionsFixture fixture;
   fixture.Step(SuspensionEnded{.duration = Seconds(5)});
   CHECK(fixture.ServeHome().empty());
+  // A response that arrived during the suspension.
+  fixture.Step(ConfigurationConfirmed{.age = Seconds(5)});
+  CHECK(fixture.ServeHome().empty());
   fixture.Step(ConfigurationConfirmed{});
   CHECK(fixture.ServeHome() == "s22");
 }
