Tests/PlatformStandIns: Let servers lie in failure domains and record arrivals

The soak test can't check home regions: every server's row names the failure domain north-a, every route of ConfigurationBody has no home regions, and a server records no times. ServerStandIn now takes its failure domain (north-a by default), counts the sequence of its row, and keeps time, request id, host and path of each arrival with whether it named another server. ConfigurationBody(version, routes) takes any routes; the old function calls it and returns the same two routes. Users of the old functions are unchanged.

--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -153,8 +153,12 @@
     RespondToPoll(poll.id, poll.table, poll.after);
 }
 
-ServerStandIn::ServerStandIn(EventLoop& loop, std::string id)
-    : id_(std::move(id)),
+ServerStandIn::ServerStandIn(EventLoop& loop,
+                             std::string id,
+                             std::string failure_domain)
+    : loop_(loop),
+      id_(std::move(id)),
+      failure_domain_(std::move(failure_domain)),
       server_(
           loop,
           {},
@@ -175,17 +179,24 @@
 
 std::string ServerStandIn::Row(const std::string& state, double cold_ms) const {
   return "{\"service\":\"desk\",\"address\":\"" + address_ +
-         "\",\"failureDomain\":\"north-a\",\"version\":\"v1\",\"slots\":4,"
-         "\"state\":\"" +
-         state + "\",\"coldLeftMilliseconds\":" + std::to_string(cold_ms) +
-         ",\"sequence\":4}";
+         "\",\"failureDomain\":\"" + failure_domain_ +
+         "\",\"version\":\"v1\",\"slots\":4,\"state\":\"" + state +
+         "\",\"coldLeftMilliseconds\":" + std::to_string(cold_ms) +
+         ",\"sequence\":" + std::to_string(sequence_) + "}";
 }
 
 void ServerStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
   requests_.push_back(request);
   const std::string request_id(FindField(request.headers, kRequestId));
+  const bool names_other_server =
+      FindField(request.headers, kExpectedServer) != id_;
+  arrivals_.push_back({.at = loop_.Now(),
+                       .request_id = request_id,
+                       .host = std::string(FindField(request.headers, "Host")),
+                       .path = request.path,
+                       .names_other_server = names_other_server});
   HttpResponse response{.headers = {{std::string(kRequestId), request_id}}};
-  if (FindField(request.headers, kExpectedServer) != id_) {
+  if (names_other_server) {
     response.status = 421;
     return server_.Respond(id, response);
   }
@@ -206,19 +217,31 @@
   server_.Respond(id, response);
 }
 
+namespace {
+
+std::string RouteJson(const ConfiguredRoute& route) {
+  std::string homes;
+  for (const std::string& region : route.home_regions)
+    homes += (homes.empty() ? "\"" : ",\"") + region + "\"";
+  return "{\"name\":\"" + route.name + "\",\"prefix\":\"" + route.prefix +
+         "\",\"kind\":\"" + route.kind + "\",\"host\":\"" + route.host +
+         "\",\"timeoutMilliseconds\":" + std::to_string(route.timeout_ms) +
+         ",\"latencyObjectiveMilliseconds\":300,\"priority\":1,"
+         "\"service\":\"desk\",\"attempts\":" +
+         std::to_string(route.attempts) + ",\"sticky\":true,\"homeRegions\":[" +
+         homes + "]}";
+}
+
+}  // namespace
+
 std::string ConfigurationBody(std::uint64_t version,
-                              const std::string& prefix) {
-  const std::string common =
-      "\"host\":\"host\",\"timeoutMilliseconds\":1000,"
-      "\"latencyObjectiveMilliseconds\":300,\"priority\":1,"
-      "\"service\":\"desk\",\"attempts\":2,\"sticky\":true,"
-      "\"homeRegions\":[]";
-  return "{\"version\":" + std::to_string(version) +
-         ",\"routes\":[{\"name\":\"r1\",\"prefix\":\"" + prefix +
-         "\",\"kind\":\"safe\"," + common +
-         "},{\"name\":\"r2\",\"prefix\":\"/write/\",\"kind\":\"unsafe\"," +
-         common +
-         "}],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
+                              const std::vector<ConfiguredRoute>& routes) {
+  std::string routes_json;
+  for (const ConfiguredRoute& route : routes)
+    routes_json += (routes_json.empty() ? "" : ",") + RouteJson(route);
+  return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+         routes_json +
+         "],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
          "\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false,"
          "\"coldStartSeconds\":3.0,\"coldRequestsPerSecond\":10.0}],"
          "\"limits\":{\"headerBytes\":16384,\"bodyBytes\":67108864,"
@@ -226,4 +249,11 @@
          "15000}}";
 }
 
+std::string ConfigurationBody(std::uint64_t version,
+                              const std::string& prefix) {
+  return ConfigurationBody(
+      version, {{.name = "r1", .prefix = prefix},
+                {.name = "r2", .prefix = "/write/", .kind = "unsafe"}});
+}
+
 }  // namespace cicadadrum::platform
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -93,12 +93,26 @@
   kErrorWithoutProof,
 };
 
+// One request that a server substitute received.
+struct ServerArrival {
+  TimePoint at;
+  std::string request_id;
+  std::string host;
+  std::string path;
+  // The server responded with status 421 because the request names another
+  // server.
+  bool names_other_server = false;
+};
+
 // A backend server that records the requests that it receives.
 class ServerStandIn {
  public:
-  ServerStandIn(EventLoop& loop, std::string id);
+  ServerStandIn(EventLoop& loop,
+                std::string id,
+                std::string failure_domain = "north-a");
 
   const std::string& id() const { return id_; }
+  const std::string& failure_domain() const { return failure_domain_; }
   const std::string& address() const { return address_; }
 
   // Returns the row that the server publishes about itself in the store.
@@ -106,27 +120,53 @@
   // Returns the row with `address`, that of a proxy, instead of the server's.
   std::string RowAt(const std::string& address, const std::string& state) const;
 
+  // Makes the next rows carry a higher sequence, as each heartbeat does.
+  void AdvanceSequence() { ++sequence_; }
+
   void SetBehaviour(ServerBehaviour behaviour) { behaviour_ = behaviour; }
   // Returns the ids of the executed requests in the order of execution.
   const std::vector<std::string>& executed_requests() const {
     return executed_requests_;
   }
   const std::vector<HttpRequest>& requests() const { return requests_; }
+  // Returns all requests in the order of arrival.
+  const std::vector<ServerArrival>& arrivals() const { return arrivals_; }
   // Returns the number of callers that disconnected before the response.
   std::size_t disconnected_count() const { return disconnected_count_; }
 
  private:
   void Handle(std::uint64_t id, const HttpRequest& request);
 
+  EventLoop& loop_;
   std::string id_;
+  std::string failure_domain_;
+  std::uint64_t sequence_ = 4;
   HttpServer server_;
   std::string address_;
   ServerBehaviour behaviour_ = ServerBehaviour::kAnswers;
   std::vector<std::string> executed_requests_;
   std::vector<HttpRequest> requests_;
+  std::vector<ServerArrival> arrivals_;
   std::size_t disconnected_count_ = 0;
 };
 
+// A route of a configuration that the operator writes. All routes lead to the
+// service of the server substitutes.
+struct ConfiguredRoute {
+  std::string name;
+  std::string host = "host";
+  std::string prefix;
+  std::string kind = "safe";
+  std::uint32_t timeout_ms = 1000;
+  std::uint32_t attempts = 2;
+  // The route's requests may reach servers of any region if this is empty.
+  std::vector<std::string> home_regions;
+};
+
+// Returns a configuration with the given routes.
+std::string ConfigurationBody(std::uint64_t version,
+                              const std::vector<ConfiguredRoute>& routes);
+
 // Returns a configuration with one idempotent and one non-idempotent route.
 std::string ConfigurationBody(std::uint64_t version,
                               const std::string& prefix = "/read/");
