Tests/Soak: Check home regions and the versions of configurations

In the soak test all VMs and servers lay in one failure domain, no route had homes and nothing compared a decision with the configuration.

Change: entry VMs and servers lie in three regions of two failure domains each. Each version moves the homes of five routes (safe, unsafe, nested prefix, long timeout with four attempts, same prefix at a second host), adds a route and drops one; 55% of the requests use routes with homes and 15% the routes that come and go. records.h holds configurations, requests and arrivals; checks.cc finds arrivals and 404s that no configuration in force allows (HOME, CONFIG) and returns to an older version within a process (CONFIG downgrade). An entry VM counts as in touch 4 s after the last fault of its process, its link to the store or the store; the bound is the settings' 2 s and 0.5 s for the machine. Attempts that are accepted only since their request was sent before the change are printed, but do not fail the run.

The settle time grows from 6 to 10 s and continues to write configurations, because all entry VMs are in touch only then. Servers write heartbeats every 1.5 s, and entries without one lapse after three. The class Soak moves from main.cc to soak.cc, the faults to faults.cc.

--- a/Tests/Soak/callers.cc
+++ b/Tests/Soak/callers.cc
@@ -2,16 +2,24 @@
 
 #include "callers.h"
 
+#include <algorithm>
+
+#include "configurations.h"
 #include "headers.h"
 
 namespace cicadadrum::platform {
 
 namespace {
 
-constexpr Duration kCallerTimeout = Seconds(2);
+// Minimum time for which a caller waits for the response.
+constexpr Duration kMinCallerTimeout = Seconds(2);
+// Time for which a caller waits beyond the timeout of the route.
+constexpr Duration kCallerMargin = Milliseconds(500);
 constexpr std::uint64_t kObjectCount = 24;
-// On average, one of this number of requests is a write.
-constexpr std::uint64_t kRequestsPerWrite = 3;
+
+bool IsWrite(const ConfiguredRoute& route) {
+  return route.kind == "unsafe";
+}
 
 }  // namespace
 
@@ -20,32 +28,45 @@
       random_{.state = seed},
       client_(loop, {.connect_timeout = Seconds(1)}) {}
 
-void Callers::Send(const std::string& address) {
+void Callers::Send(const EntryProcess& entry,
+                   std::uint64_t version,
+                   bool is_in_touch) {
   const std::string id = "id-" + std::to_string(next_id_++);
-  const bool is_write = RandomBelow(random_, kRequestsPerWrite) == 0;
+  const ConfiguredRoute route = ChooseRoute(version, random_);
   const std::string object = std::to_string(RandomBelow(random_, kObjectCount));
+  const Duration timeout = std::max(
+      kMinCallerTimeout, Milliseconds(route.timeout_ms) + kCallerMargin);
   HttpRequest request{
-      .method = is_write ? HttpMethod::kPost : HttpMethod::kGet,
-      .target = (is_write ? "/write/" : "/read/") + object + "/" + id,
-      .headers = {{"Host", "host"},
-                  {std::string(kRequestId), id},
-                  {std::string(kDeadline), "2000"},
-                  {"Cookie", std::string(kObjectCookie) + "=" + object}}};
-  if (is_write) {
+      .method = IsWrite(route) ? HttpMethod::kPost : HttpMethod::kGet,
+      .target = route.prefix + object + "/" + id,
+      .headers = {
+          {"Host", route.host},
+          {std::string(kRequestId), id},
+          {std::string(kDeadline), std::to_string(timeout / Milliseconds(1))},
+          {"Cookie", std::string(kObjectCookie) + "=" + object}}};
+  if (IsWrite(route)) {
     request.body = "body of " + id;
     record_.writes.insert(id);
   }
-  ++record_.sent;
+  record_.requests[id] = {.id = id,
+                          .host = route.host,
+                          .path = request.target,
+                          .entry = entry.name,
+                          .process = entry.process_count,
+                          .is_in_touch = is_in_touch,
+                          .sent_at = loop_.Now()};
+  if (IsLastingRoute(route))
+    ++record_.sent_on_lasting_routes;
   ++open_requests_;
   client_.Send(
-      address, request, loop_.Now() + kCallerTimeout,
-      [this, id, is_write](HttpOutcome outcome, const HttpResponse& response) {
-        RecordOutcome(id, is_write, outcome, response);
+      entry.caller_address, request, loop_.Now() + timeout,
+      [this, id, route](HttpOutcome outcome, const HttpResponse& response) {
+        RecordOutcome(id, route, outcome, response);
       });
 }
 
 void Callers::RecordOutcome(const std::string& id,
-                            bool is_write,
+                            const ConfiguredRoute& route,
                             HttpOutcome outcome,
                             const HttpResponse& response) {
   --open_requests_;
@@ -54,11 +75,15 @@
     return;
   }
   ++record_.responses[response.status];
-  if (response.status == 503 && is_write)
+  RequestRecord& request = record_.requests.at(id);
+  request.status = response.status;
+  request.answered_at = loop_.Now();
+  if (response.status == 503 && IsWrite(route))
     record_.refused_writes.insert(id);
   if (response.status != 200)
     return;
-  ++record_.succeeded;
+  if (IsLastingRoute(route))
+    ++record_.succeeded_on_lasting_routes;
   if (response.body != "answer to " + id ||
       FindField(response.headers, kSeal) != "seal-of-" + id)
     record_.mismatched.push_back(id);
--- a/Tests/Soak/callers.h
+++ b/Tests/Soak/callers.h
@@ -12,6 +12,8 @@
 #include "cicadadrum/base/random.h"
 #include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/loop/http_client.h"
+#include "fleet.h"
+#include "records.h"
 
 namespace cicadadrum::platform {
 
@@ -28,23 +30,28 @@
   // Ids of requests that received status 200 with another body or seal than the
   // servers send for the request.
   std::vector<std::string> mismatched;
-  std::uint64_t sent = 0;
-  std::uint64_t succeeded = 0;
+  // All requests, by id.
+  std::map<std::string, RequestRecord> requests;
+  // Requests on routes that all versions of the configuration have, and those
+  // of them that received status 200.
+  std::uint64_t sent_on_lasting_routes = 0;
+  std::uint64_t succeeded_on_lasting_routes = 0;
 };
 
 class Callers {
  public:
   Callers(EventLoop& loop, std::uint64_t seed);
 
-  // Sends one read or write to the entry VM at `address`.
-  void Send(const std::string& address);
+  // Sends one request on a random route to the entry VM. The newest version of
+  // the configuration is `version`; `is_in_touch` is recorded.
+  void Send(const EntryProcess& entry, std::uint64_t version, bool is_in_touch);
 
-  CallerRecord& record() { return record_; }
+  const CallerRecord& record() const { return record_; }
   std::uint64_t open_requests() const { return open_requests_; }
 
  private:
   void RecordOutcome(const std::string& id,
-                     bool is_write,
+                     const ConfiguredRoute& route,
                      HttpOutcome outcome,
                      const HttpResponse& response);
 
--- /dev/null
+++ b/Tests/Soak/checks.cc
@@ -0,0 +1,213 @@
+// Compares what callers and servers saw with the configurations.
+
+#include "checks.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace cicadadrum::platform {
+
+namespace {
+
+constexpr std::uint16_t kNotFound = 404;
+
+// An effect of a decision: a request reached a server, or the entry VM refused
+// it with status 404.
+struct Effect {
+  const RequestRecord* request = nullptr;
+  const ArrivalRecord* arrival = nullptr;  // Null for a refusal.
+  TimePoint at;
+};
+
+// Range of versions of configurations.
+struct VersionRange {
+  std::uint64_t oldest = 0;
+  std::uint64_t newest = 0;
+};
+
+const ConfiguredRoute* FindRoute(const ConfigurationRecord& configuration,
+                                 const RequestRecord& request) {
+  const ConfiguredRoute* longest = nullptr;
+  for (const ConfiguredRoute& route : configuration.routes) {
+    if (route.host == request.host && request.path.starts_with(route.prefix) &&
+        (longest == nullptr || route.prefix.size() > longest->prefix.size()))
+      longest = &route;
+  }
+  return longest;
+}
+
+bool Allows(const ConfigurationRecord& configuration, const Effect& effect) {
+  const ConfiguredRoute* route = FindRoute(configuration, *effect.request);
+  if (effect.arrival == nullptr || route == nullptr)
+    return (effect.arrival == nullptr) == (route == nullptr);
+  const std::vector<std::string>& homes = route->home_regions;
+  return homes.empty() || std::find(homes.begin(), homes.end(),
+                                    effect.arrival->region) != homes.end();
+}
+
+std::vector<Effect> EffectsInOrder(const SoakRecords& records) {
+  std::vector<Effect> effects;
+  for (const ArrivalRecord& arrival : records.arrivals) {
+    const auto request = records.requests.find(arrival.request_id);
+    if (request != records.requests.end())
+      effects.push_back({&request->second, &arrival, arrival.at});
+  }
+  for (const auto& [id, request] : records.requests) {
+    if (request.status == kNotFound)
+      effects.push_back({&request, nullptr, request.answered_at});
+  }
+  std::stable_sort(
+      effects.begin(), effects.end(),
+      [](const Effect& a, const Effect& b) { return a.at < b.at; });
+  return effects;
+}
+
+// Returns the oldest version that an entry VM in touch may use at `time`.
+std::uint64_t OldestVersionInForce(const SoakRecords& records, TimePoint time) {
+  const TimePoint due = time - kConfigurationBound - kMachineAllowance;
+  std::uint64_t oldest = 0;
+  for (const ConfigurationRecord& configuration : records.configurations) {
+    if (configuration.acknowledged_at <= due)
+      oldest = configuration.version;
+  }
+  return oldest;
+}
+
+// Returns the versions from `oldest` on that allow the effect and were written
+// before it, or nothing if there is none.
+std::optional<VersionRange> AllowingVersions(const SoakRecords& records,
+                                             const Effect& effect,
+                                             std::uint64_t oldest) {
+  std::optional<VersionRange> range;
+  for (const ConfigurationRecord& configuration : records.configurations) {
+    if (configuration.version < oldest ||
+        configuration.acknowledged_at > effect.at ||
+        !Allows(configuration, effect))
+      continue;
+    if (!range)
+      range = {.oldest = configuration.version};
+    range->newest = configuration.version;
+  }
+  return range;
+}
+
+std::string FormatMilliseconds(Duration duration) {
+  return std::to_string(duration.count() / 1000) + " ms";
+}
+
+std::string Describe(const SoakRecords& records,
+                     const Effect& effect,
+                     std::uint64_t oldest) {
+  const RequestRecord& request = *effect.request;
+  std::string text = request.host + request.path + " from " + request.entry +
+                     " (process " + std::to_string(request.process) +
+                     (request.is_in_touch ? ", in touch)" : ")");
+  text += effect.arrival == nullptr ? " was answered 404"
+                                    : " reached " + effect.arrival->server +
+                                          " in " + effect.arrival->region;
+  text +=
+      " " + FormatMilliseconds(effect.at - request.sent_at) + " after sending";
+  const auto allowing = AllowingVersions(records, effect, 0);
+  text += allowing
+              ? ", as version " + std::to_string(allowing->newest) + " allows"
+              : ", as no version allows";
+  text += "; oldest version in force: " + std::to_string(oldest);
+  for (const ConfigurationRecord& configuration : records.configurations) {
+    if (configuration.version == oldest)
+      text +=
+          ", acknowledged " +
+          FormatMilliseconds(request.sent_at - configuration.acknowledged_at) +
+          " before sending";
+  }
+  return text;
+}
+
+// Returns the rule that an effect breaks which no version from `oldest` on
+// allows.
+Rule BrokenRule(const SoakRecords& records,
+                const Effect& effect,
+                std::uint64_t oldest) {
+  for (const ConfigurationRecord& configuration : records.configurations) {
+    if (effect.arrival != nullptr && configuration.version >= oldest &&
+        configuration.acknowledged_at <= effect.at &&
+        FindRoute(configuration, *effect.request) != nullptr)
+      return Rule::kHome;
+  }
+  return Rule::kConfiguration;
+}
+
+// The oldest version that a process may still use after a time.
+struct VersionFloor {
+  TimePoint seen_at;
+  std::uint64_t version = 0;
+};
+
+// Returns the floor that applies to a request sent at `sent_at`.
+std::uint64_t FloorAt(const std::vector<VersionFloor>& floors,
+                      TimePoint sent_at) {
+  std::uint64_t version = 0;
+  for (const VersionFloor& floor : floors) {
+    if (floor.seen_at + kDowngradeBound <= sent_at)
+      version = floor.version;
+  }
+  return version;
+}
+
+}  // namespace
+
+std::vector<Violation> FindOutdatedDecisions(const SoakRecords& records) {
+  std::vector<Violation> violations;
+  for (const Effect& effect : EffectsInOrder(records)) {
+    const std::uint64_t oldest =
+        effect.request->is_in_touch
+            ? OldestVersionInForce(records, effect.request->sent_at)
+            : 0;
+    if (!AllowingVersions(records, effect, oldest))
+      violations.push_back({BrokenRule(records, effect, oldest),
+                            effect.request->id,
+                            Describe(records, effect, oldest)});
+  }
+  return violations;
+}
+
+std::vector<Violation> FindOutdatedRetries(const SoakRecords& records) {
+  std::vector<Violation> violations;
+  for (const Effect& effect : EffectsInOrder(records)) {
+    if (effect.arrival == nullptr || !effect.request->is_in_touch)
+      continue;
+    const std::uint64_t at_sending =
+        OldestVersionInForce(records, effect.request->sent_at);
+    const std::uint64_t at_arrival = OldestVersionInForce(records, effect.at);
+    if (AllowingVersions(records, effect, at_sending) &&
+        !AllowingVersions(records, effect, at_arrival))
+      violations.push_back({BrokenRule(records, effect, at_arrival),
+                            effect.request->id,
+                            Describe(records, effect, at_arrival)});
+  }
+  return violations;
+}
+
+std::vector<Violation> FindDowngrades(const SoakRecords& records) {
+  std::vector<Violation> violations;
+  std::map<std::pair<std::string, std::uint64_t>, std::vector<VersionFloor>>
+      floors_by_process;
+  for (const Effect& effect : EffectsInOrder(records)) {
+    const auto allowing = AllowingVersions(records, effect, 0);
+    if (!allowing)
+      continue;
+    const RequestRecord& request = *effect.request;
+    std::vector<VersionFloor>& floors =
+        floors_by_process[{request.entry, request.process}];
+    const std::uint64_t floor = FloorAt(floors, request.sent_at);
+    if (allowing->newest < floor)
+      violations.push_back(
+          {Rule::kDowngrade, request.id, Describe(records, effect, floor)});
+    const std::uint64_t newest = floors.empty() ? 0 : floors.back().version;
+    if (effect.arrival != nullptr && allowing->oldest > newest)
+      floors.push_back({effect.at, allowing->oldest});
+  }
+  return violations;
+}
+
+}  // namespace cicadadrum::platform
--- /dev/null
+++ b/Tests/Soak/checks.h
@@ -0,0 +1,74 @@
+// Checks that entry VMs decide by a configuration that may be in force.
+
+#ifndef CICADADRUM_TESTS_SOAK_CHECKS_H_
+#define CICADADRUM_TESTS_SOAK_CHECKS_H_
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "cicadadrum/base/enum_names.h"
+#include "records.h"
+
+namespace cicadadrum::platform {
+
+// Time within which an entry VM in touch uses a configuration that the store
+// has acknowledged. The settings of the entry VMs have the same value.
+constexpr Duration kConfigurationBound = Seconds(2);
+// Time by which the entry VMs, the store and the callers, which share one
+// machine, may delay each other.
+constexpr Duration kMachineAllowance = Milliseconds(500);
+// An entry VM is in touch if neither its process, its link to the store nor the
+// store had a fault for this time.
+constexpr Duration kStableWindow = Seconds(4);
+// Time after which an entry VM may no longer decide by a version older than one
+// by which it has decided.
+constexpr Duration kDowngradeBound = Milliseconds(250);
+
+enum class Rule : std::uint8_t {
+  // A request reached a server outside the home regions of its route.
+  kHome,
+  // A request was handled as only an old configuration allows.
+  kConfiguration,
+  // An entry VM returned to an older configuration within one process.
+  kDowngrade,
+};
+
+// A request that was handled against a rule.
+struct Violation {
+  Rule rule = Rule::kHome;
+  std::string request_id;
+  std::string detail;
+};
+
+// Returns the requests that reached a server, or were refused with status 404,
+// as none of the configurations allows that may have been in force from the
+// sending of the request on.
+std::vector<Violation> FindOutdatedDecisions(const SoakRecords& records);
+
+// Returns the arrivals that FindOutdatedDecisions accepts only because the
+// request was sent earlier: none of the configurations allows them that may
+// have been in force at the arrival. Retries that use the route of the first
+// attempt lead to such arrivals.
+std::vector<Violation> FindOutdatedRetries(const SoakRecords& records);
+
+// Returns the requests that an entry VM handled by an older configuration than
+// one of which a server had seen the effect before, in one process.
+std::vector<Violation> FindDowngrades(const SoakRecords& records);
+
+}  // namespace cicadadrum::platform
+
+namespace cicadadrum {
+
+template <>
+struct EnumNames<platform::Rule> {
+  static constexpr auto kTable = std::to_array<EnumName<platform::Rule>>({
+      {platform::Rule::kHome, "HOME"},
+      {platform::Rule::kConfiguration, "CONFIG"},
+      {platform::Rule::kDowngrade, "CONFIG downgrade"},
+  });
+};
+
+}  // namespace cicadadrum
+
+#endif  // CICADADRUM_TESTS_SOAK_CHECKS_H_
--- /dev/null
+++ b/Tests/Soak/faults.h
@@ -0,0 +1,63 @@
+// The faults that the soak test injects.
+
+#ifndef CICADADRUM_TESTS_SOAK_FAULTS_H_
+#define CICADADRUM_TESTS_SOAK_FAULTS_H_
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include <boost/leaf.hpp>
+
+#include "cicadadrum/base/enum_names.h"
+
+namespace cicadadrum::platform {
+
+enum class Fault : std::uint8_t {
+  kKill,
+  kStop,
+  kPause,
+  kStoreLink,
+  kServerLink,
+  kServerBehaviour,
+  kReplaceServer,
+  kConfiguration,
+  kTruncateChangeLog,
+  kStoreBehaviour,
+};
+
+}  // namespace cicadadrum::platform
+
+namespace cicadadrum {
+
+template <>
+struct EnumNames<platform::Fault> {
+  static constexpr auto kTable = std::to_array<EnumName<platform::Fault>>({
+      {platform::Fault::kKill, "kill"},
+      {platform::Fault::kStop, "stop"},
+      {platform::Fault::kPause, "pause"},
+      {platform::Fault::kStoreLink, "store-link"},
+      {platform::Fault::kServerLink, "server-link"},
+      {platform::Fault::kServerBehaviour, "server-behaviour"},
+      {platform::Fault::kReplaceServer, "replace-server"},
+      {platform::Fault::kConfiguration, "configuration"},
+      {platform::Fault::kTruncateChangeLog, "forget-history"},
+      {platform::Fault::kStoreBehaviour, "store-behaviour"},
+  });
+};
+
+}  // namespace cicadadrum
+
+namespace cicadadrum::platform {
+
+// Returns all faults in the order of their table.
+std::vector<Fault> AllFaults();
+
+// Parses a list of names that are separated by commas. Error:
+// kInvalidSettings for an unknown name.
+boost::leaf::result<std::vector<Fault>> ParseFaults(std::string_view names);
+
+}  // namespace cicadadrum::platform
+
+#endif  // CICADADRUM_TESTS_SOAK_FAULTS_H_
--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -11,6 +11,9 @@
 #include <csignal>
 #include <fstream>
 
+#include "checks.h"
+#include "configurations.h"
+
 namespace cicadadrum::platform {
 
 namespace {
@@ -58,6 +61,14 @@
   return "  \"" + key + "\": \"" + value + "\",\n";
 }
 
+std::string FormatFailureDomains() {
+  std::string text;
+  for (const SoakFailureDomain& domain : SoakFailureDomains())
+    text += (text.empty() ? "" : ", ") + std::string("{\"failureDomain\": \"") +
+            domain.name + "\", \"region\": \"" + domain.region + "\"}";
+  return text;
+}
+
 }  // namespace
 
 Fleet::Fleet(EventLoop& loop,
@@ -76,6 +87,7 @@
              std::to_string(i + 2) + ":1\"";
   for (std::size_t i = 0; i < count; ++i) {
     EntryProcess& entry = entries_[i];
+    const SoakFailureDomain& domain = SoakFailureDomainOf(i);
     entry.name = "entry-" + std::to_string(i + 1);
     entry.settings_path = folder + "/" + entry.name + ".json";
     entry.caller_address = FindFreeAddress();
@@ -84,8 +96,8 @@
     std::ofstream file(entry.settings_path);
     file << "{\n"
          << FormatSetting("name", entry.name)
-         << FormatSetting("region", "north")
-         << FormatSetting("failureDomain", "north-a")
+         << FormatSetting("region", domain.region)
+         << FormatSetting("failureDomain", domain.name)
          << FormatSetting("callerAddress", entry.caller_address)
          << FormatSetting("readinessAddress", entry.readiness_address)
          << FormatSetting("lookupAddress", FindFreeAddress())
@@ -93,9 +105,10 @@
                           "127.0.0." + std::to_string(i + 2) + peer_port)
          << FormatSetting("storeAddress", entry.store_proxy->address())
          << "  \"seeds\": [" << seeds << "],\n"
-         << "  \"failureDomains\": [{\"failureDomain\": \"north-a\", "
-            "\"region\": \"north\"}],\n"
-         << "  \"bounds\": {\"retryBudgetExtra\": 60, \"stopSeconds\": 3}\n}\n";
+         << "  \"failureDomains\": [" << FormatFailureDomains() << "],\n"
+         << "  \"bounds\": {\"retryBudgetExtra\": 60, \"stopSeconds\": 3, "
+            "\"configurationMilliseconds\": "
+         << kConfigurationBound / Milliseconds(1) << "}\n}\n";
   }
 }
 
@@ -112,6 +125,8 @@
   entry.restart_at = kNever;
   entry.started_at = loop_.Now();
   entry.is_stopped_early = false;
+  entry.is_stopping = false;
+  ++entry.process_count;
   const std::string log_path = entry.settings_path + ".log";
   entry.pid = fork();
   if (entry.pid != 0)
@@ -131,6 +146,8 @@
   kill(entry.pid, signal_number);
   if (signal_number == SIGTERM && loop_.Now() < entry.started_at + kLoadTime)
     entry.is_stopped_early = true;
+  if (signal_number == SIGTERM)
+    entry.is_stopping = true;
   if (signal_number == SIGSTOP)
     entry.is_paused = true;
   if (signal_number == SIGCONT)
--- a/Tests/Soak/fleet.h
+++ b/Tests/Soak/fleet.h
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,6 +25,8 @@
   std::unique_ptr<FaultProxy> store_proxy;
   pid_t pid = 0;  // 0 while the process does not run.
   bool is_paused = false;
+  bool is_stopping = false;         // The process has received SIGTERM.
+  std::uint64_t process_count = 0;  // Number of processes started so far.
   TimePoint restart_at = kNever;
   TimePoint started_at = kNever;
   // The process received SIGTERM within kLoadTime of its start, possibly before
@@ -34,7 +37,8 @@
 
 class Fleet {
  public:
-  // Writes the settings of `count` entry VMs to files in `folder`.
+  // Writes the settings of `count` entry VMs in the failure domains of
+  // SoakFailureDomainOf to files in `folder`.
   Fleet(EventLoop& loop,
         const std::string& program,
         const std::string& folder,
--- /dev/null
+++ b/Tests/Soak/records.h
@@ -0,0 +1,58 @@
+// What the soak test records of a run: the configurations, the callers'
+// requests and the arrivals at servers.
+
+#ifndef CICADADRUM_TESTS_SOAK_RECORDS_H_
+#define CICADADRUM_TESTS_SOAK_RECORDS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cicadadrum/base/time.h"
+#include "stand_ins.h"
+
+namespace cicadadrum::platform {
+
+// A configuration and the time of its first write to the store.
+struct ConfigurationRecord {
+  std::uint64_t version = 0;
+  TimePoint acknowledged_at;
+  std::vector<ConfiguredRoute> routes;
+};
+
+// A request that a caller sent to an entry VM.
+struct RequestRecord {
+  std::string id;
+  std::string host;
+  std::string path;
+  std::string entry;
+  // Number of the entry VM's process: 1 for the first, one more at each start.
+  std::uint64_t process = 0;
+  // Neither the entry VM nor the store had a fault within kStableWindow before
+  // the request was sent.
+  bool is_in_touch = false;
+  TimePoint sent_at;
+  std::uint16_t status = 0;  // 0 if no response arrived.
+  TimePoint answered_at = kNever;
+};
+
+// A request that a server accepted: it did not respond with status 421.
+struct ArrivalRecord {
+  TimePoint at;
+  std::string request_id;
+  std::string host;
+  std::string path;
+  std::string server;
+  std::string region;  // The server's.
+};
+
+struct SoakRecords {
+  std::vector<ConfigurationRecord> configurations;  // By ascending version.
+  std::map<std::string, RequestRecord> requests;    // By id.
+  std::vector<ArrivalRecord> arrivals;
+};
+
+}  // namespace cicadadrum::platform
+
+#endif  // CICADADRUM_TESTS_SOAK_RECORDS_H_
--- /dev/null
+++ b/Tests/Soak/soak.cc
@@ -0,0 +1,330 @@
+// Injects faults in an order that the seed determines.
+
+#include "soak.h"
+
+#include <algorithm>
+#include <csignal>
+#include <ostream>
+
+#include "checks.h"
+#include "configurations.h"
+
+namespace cicadadrum::platform {
+
+namespace {
+
+// Two in each region.
+constexpr std::size_t kServerCount = 6;
+constexpr Duration kLoopInterval = Milliseconds(10);
+constexpr Duration kHeartbeatInterval = Milliseconds(1500);
+// The entry of a server that sends no heartbeat for this time is removed.
+constexpr Duration kEntryLifetime = 3 * kHeartbeatInterval;
+// Time at the end of the run without faults other than new configurations.
+constexpr Duration kSettleTime = Seconds(10);
+// Last part of kSettleTime, in which the recovery is checked.
+constexpr Duration kRecoveryCheckTime = Seconds(2);
+// Minimum share of successful requests in the recovery check.
+constexpr double kMinRecoveredShare = 0.95;
+constexpr Duration kMinClearInterval = Milliseconds(1500);
+constexpr Duration kMaxClearInterval = Milliseconds(4500);
+
+}  // namespace
+
+Soak::Soak(SoakOptions options)
+    : options_(std::move(options)),
+      random_{.state = options_.seed},
+      store_(loop_),
+      fleet_(loop_,
+             options_.program,
+             options_.folder,
+             store_.address(),
+             options_.entry_count),
+      callers_(loop_, options_.seed) {}
+
+Duration Soak::RandomDuration(Duration min, Duration max) {
+  return min + Duration(static_cast<std::int64_t>(RandomNumberBelow(
+                   static_cast<std::uint64_t>((max - min).count()))));
+}
+
+void Soak::WriteConfiguration() {
+  const std::uint64_t version = configurations_.size() + 1;
+  configurations_.push_back({.version = version,
+                             .acknowledged_at = loop_.Now(),
+                             .routes = RoutesOfVersion(version)});
+  store_.Put("op", "config",
+             ConfigurationBody(version, configurations_.back().routes));
+}
+
+void Soak::WriteServerRow(SoakServer& server, const std::string& state) {
+  store_.Put("servers", server.server->id(),
+             server.server->RowAt(server.proxy->address(), state));
+}
+
+void Soak::AddServer() {
+  SoakServer added;
+  added.server = std::make_unique<ServerStandIn>(
+      loop_, "s-" + std::to_string(servers_.size()),
+      SoakFailureDomainOf(servers_.size()).name);
+  added.proxy = std::make_unique<FaultProxy>(loop_, added.server->address());
+  added.last_heartbeat_at = loop_.Now();
+  added.next_heartbeat_at = loop_.Now() + kHeartbeatInterval;
+  WriteServerRow(added, "ready");
+  servers_.push_back(std::move(added));
+}
+
+// The new server lies in the failure domain of the server that leaves.
+void Soak::ReplaceServer() {
+  AddServer();
+  WriteServerRow(servers_[first_listed_], "draining");
+  store_.Remove("servers", servers_[first_listed_].server->id());
+  ++first_listed_;
+}
+
+// Writes the rows of the servers whose heartbeat is due, if the store accepts
+// writes, and removes the entries whose lifetime has ended.
+void Soak::SendHeartbeats() {
+  const TimePoint now = loop_.Now();
+  for (std::size_t i = first_listed_; i < servers_.size(); ++i) {
+    SoakServer& server = servers_[i];
+    if (server.last_heartbeat_at != kNever &&
+        now >= server.last_heartbeat_at + kEntryLifetime) {
+      store_.Remove("servers", server.server->id());
+      server.last_heartbeat_at = kNever;
+    }
+    if (now < server.next_heartbeat_at ||
+        store_behaviour_ != StoreBehaviour::kAnswers)
+      continue;
+    server.server->AdvanceSequence();
+    server.last_heartbeat_at = now;
+    server.next_heartbeat_at = now + kHeartbeatInterval;
+    WriteServerRow(server, "ready");
+  }
+}
+
+void Soak::InjectFault(Fault fault) {
+  ++faults_[fault];
+  EntryProcess& entry =
+      fleet_.entries()[RandomNumberBelow(fleet_.entries().size())];
+  const std::size_t listed_count = servers_.size() - first_listed_;
+  SoakServer& server =
+      servers_[first_listed_ + RandomNumberBelow(listed_count)];
+  const auto mode = static_cast<ProxyMode>(1 + RandomNumberBelow(4));
+  switch (fault) {
+    case Fault::kKill:
+      return fleet_.Signal(entry, SIGKILL);
+    case Fault::kStop:
+      return fleet_.Signal(entry, SIGTERM);
+    case Fault::kPause:
+      entry.resume_at =
+          loop_.Now() + RandomDuration(Milliseconds(200), Milliseconds(1700));
+      return fleet_.Signal(entry, SIGSTOP);
+    case Fault::kStoreLink:
+      return entry.store_proxy->SetMode(mode);
+    case Fault::kServerLink:
+      return server.proxy->SetMode(mode);
+    case Fault::kServerBehaviour:
+      return server.server->SetBehaviour(
+          static_cast<ServerBehaviour>(RandomNumberBelow(5)));
+    case Fault::kReplaceServer:
+      return ReplaceServer();
+    case Fault::kConfiguration:
+      return WriteConfiguration();
+    case Fault::kTruncateChangeLog:
+      return store_.TruncateChangeLog();
+    case Fault::kStoreBehaviour:
+      store_behaviour_ = static_cast<StoreBehaviour>(RandomNumberBelow(3));
+      return store_.SetBehaviour(store_behaviour_);
+  }
+}
+
+void Soak::ClearFaults() {
+  store_behaviour_ = StoreBehaviour::kAnswers;
+  store_.SetBehaviour(store_behaviour_);
+  for (SoakServer& server : servers_) {
+    server.proxy->SetMode(ProxyMode::kPass);
+    server.server->SetBehaviour(ServerBehaviour::kAnswers);
+  }
+  for (EntryProcess& entry : fleet_.entries())
+    entry.store_proxy->SetMode(ProxyMode::kPass);
+}
+
+void Soak::RecordImpairments() {
+  const bool is_store_impaired = store_behaviour_ != StoreBehaviour::kAnswers;
+  for (const EntryProcess& entry : fleet_.entries()) {
+    if (is_store_impaired || entry.pid == 0 || entry.is_paused ||
+        entry.is_stopping || entry.store_proxy->mode() != ProxyMode::kPass)
+      impaired_at_[entry.name] = loop_.Now();
+  }
+}
+
+// Callers send requests to an entry VM until its process has exited, also while
+// the process is paused or stopping.
+void Soak::SendRequests() {
+  for (EntryProcess& entry : fleet_.entries()) {
+    if (entry.pid == 0 || RandomNumberBelow(3) != 0)
+      continue;
+    const TimePoint impaired_at =
+        std::max(entry.started_at, impaired_at_[entry.name]);
+    callers_.Send(entry, configurations_.back().version,
+                  loop_.Now() >= impaired_at + kStableWindow);
+  }
+}
+
+// Runs the loop for kLoopInterval.
+void Soak::RunOnce() {
+  Timer timer(loop_, [this] { loop_.Stop(); });
+  timer.Schedule(loop_.Now() + kLoopInterval);
+  loop_.Run();
+  const TimePoint now = loop_.Now();
+  if (last_iteration_at_ != kNever)
+    longest_stall_ = std::max(longest_stall_, now - last_iteration_at_);
+  last_iteration_at_ = now;
+}
+
+void Soak::RunFor(Duration duration, const FaultPlan& plan) {
+  const TimePoint end = loop_.Now() + duration;
+  while (loop_.Now() < end) {
+    RunOnce();
+    fleet_.Advance(loop_.Now());
+    SendHeartbeats();
+    RecordImpairments();
+    SendRequests();
+    if (!plan.faults.empty() && loop_.Now() >= next_fault_) {
+      InjectFault(plan.faults[RandomNumberBelow(plan.faults.size())]);
+      next_fault_ =
+          loop_.Now() + RandomDuration(plan.min_interval, plan.max_interval);
+    }
+    if (loop_.Now() >= next_clear_) {
+      ClearFaults();
+      next_clear_ =
+          loop_.Now() + RandomDuration(kMinClearInterval, kMaxClearInterval);
+    }
+    RecordImpairments();
+  }
+}
+
+std::size_t Soak::CountExecutionsOnRemovedServers() const {
+  std::size_t executions = 0;
+  for (std::size_t i = 0; i < first_listed_; ++i)
+    executions += servers_[i].server->executed_requests().size();
+  return executions;
+}
+
+void Soak::Run(Duration duration) {
+  const FaultPlan all{.faults = options_.faults,
+                      .min_interval = Milliseconds(50),
+                      .max_interval = Milliseconds(550)};
+  // While faults settle, a new version follows after the previous one has to be
+  // in force.
+  FaultPlan settle{
+      .min_interval = kConfigurationBound + kMachineAllowance,
+      .max_interval = kConfigurationBound + kMachineAllowance + Seconds(1)};
+  if (std::find(all.faults.begin(), all.faults.end(), Fault::kConfiguration) !=
+      all.faults.end())
+    settle.faults = {Fault::kConfiguration};
+  WriteConfiguration();
+  for (std::size_t i = 0; i < kServerCount; ++i)
+    AddServer();
+  for (EntryProcess& entry : fleet_.entries())
+    fleet_.Start(entry);
+  RunFor(Seconds(1), {});
+  next_clear_ = loop_.Now();
+  RunFor(duration, all);
+  ClearFaults();
+  next_clear_ = kNever;
+  RunFor(kSettleTime - kRecoveryCheckTime, settle);
+  const std::uint64_t sent = callers_.record().sent_on_lasting_routes;
+  const std::uint64_t succeeded = callers_.record().succeeded_on_lasting_routes;
+  const std::size_t on_removed = CountExecutionsOnRemovedServers();
+  RunFor(kRecoveryCheckTime, settle);
+  settled_on_removed_ = CountExecutionsOnRemovedServers() - on_removed;
+  settled_sent_ = callers_.record().sent_on_lasting_routes - sent;
+  settled_succeeded_ =
+      callers_.record().succeeded_on_lasting_routes - succeeded;
+  // Requests that are still open end at the callers' timeout.
+  while (callers_.open_requests() > 0)
+    RunOnce();
+}
+
+SoakRecords Soak::CollectRecords() const {
+  SoakRecords records{.configurations = configurations_,
+                      .requests = callers_.record().requests};
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    for (const ServerArrival& arrival : servers_[i].server->arrivals()) {
+      if (!arrival.names_other_server)
+        records.arrivals.push_back({.at = arrival.at,
+                                    .request_id = arrival.request_id,
+                                    .host = arrival.host,
+                                    .path = arrival.path,
+                                    .server = servers_[i].server->id(),
+                                    .region = SoakFailureDomainOf(i).region});
+    }
+  }
+  return records;
+}
+
+std::vector<std::string> Soak::FindProblems(const SoakRecords& records) const {
+  const CallerRecord& record = callers_.record();
+  std::map<std::string, int> executions;
+  for (const SoakServer& server : servers_) {
+    for (const std::string& id : server.server->executed_requests())
+      ++executions[id];
+  }
+  std::vector<std::string> problems;
+  for (const std::string& id : record.writes) {
+    if (executions.contains(id) && executions.at(id) > 1)
+      problems.push_back("write " + id + " was executed more than once");
+  }
+  for (const std::string& id : record.refused_writes) {
+    if (executions.contains(id))
+      problems.push_back("write " + id +
+                         " was refused as not executed but was executed");
+  }
+  for (const std::string& id : record.mismatched)
+    problems.push_back("request " + id +
+                       " received a response that does not belong to it");
+  for (const std::string& name : fleet_.unexpected_exits())
+    problems.push_back(name + ", which no injected fault explains");
+  if (settled_on_removed_ > 0)
+    problems.push_back(std::to_string(settled_on_removed_) +
+                       " requests were executed on servers that had been "
+                       "removed from the store before the recovery check");
+  if (static_cast<double>(settled_succeeded_) <
+      static_cast<double>(settled_sent_) * kMinRecoveredShare)
+    problems.push_back("after the faults ended, only " +
+                       std::to_string(settled_succeeded_) + " of " +
+                       std::to_string(settled_sent_) + " requests succeeded");
+  for (const std::vector<Violation>& violations :
+       {FindOutdatedDecisions(records), FindDowngrades(records)}) {
+    for (const Violation& violation : violations)
+      problems.push_back(std::string(NameOf(violation.rule)) + ": request " +
+                         violation.request_id + " for " + violation.detail);
+  }
+  return problems;
+}
+
+bool Soak::Report(std::ostream& out) {
+  const CallerRecord& record = callers_.record();
+  const SoakRecords records = CollectRecords();
+  out << "sent " << record.requests.size() << ", in touch "
+      << std::count_if(
+             record.requests.begin(), record.requests.end(),
+             [](const auto& entry) { return entry.second.is_in_touch; })
+      << ", writes " << record.writes.size();
+  for (const auto& [status, count] : record.responses)
+    out << ", " << status << ": " << count;
+  out << "\nfaults";
+  for (const auto& [fault, count] : faults_)
+    out << ", " << NameOf(fault) << " " << count;
+  out << "; longest stall of the soak " << longest_stall_ / Milliseconds(1)
+      << " ms\n";
+  for (const Violation& retry : FindOutdatedRetries(records))
+    out << "retry by an older route: " << retry.request_id << " for "
+        << retry.detail << "\n";
+  const std::vector<std::string> problems = FindProblems(records);
+  for (const std::string& problem : problems)
+    out << "BROKEN: " << problem << "\n";
+  return problems.empty();
+}
+
+}  // namespace cicadadrum::platform
--- /dev/null
+++ b/Tests/Soak/soak.h
@@ -0,0 +1,106 @@
+// Runs the entry VMs, servers, store and callers, injects faults, and checks
+// what was recorded.
+
+#ifndef CICADADRUM_TESTS_SOAK_SOAK_H_
+#define CICADADRUM_TESTS_SOAK_SOAK_H_
+
+#include <cstdint>
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "callers.h"
+#include "cicadadrum/base/random.h"
+#include "faults.h"
+#include "fleet.h"
+#include "records.h"
+#include "stand_ins.h"
+
+namespace cicadadrum::platform {
+
+struct SoakOptions {
+  std::string program;  // Path of cicadadrum-platform.
+  std::string folder;   // For the settings and logs of the entry VMs.
+  std::uint64_t seed = 1;
+  std::size_t entry_count = 4;
+  std::vector<Fault> faults;
+};
+
+// A backend server and the proxy between the entry VMs and the server.
+struct SoakServer {
+  std::unique_ptr<ServerStandIn> server;
+  std::unique_ptr<FaultProxy> proxy;
+  TimePoint next_heartbeat_at;
+  TimePoint last_heartbeat_at;
+};
+
+// Faults that are injected for a time. The time from one fault to the next is
+// random, from `min_interval` to less than `max_interval`.
+struct FaultPlan {
+  std::vector<Fault> faults;
+  Duration min_interval;
+  Duration max_interval;
+};
+
+class Soak {
+ public:
+  explicit Soak(SoakOptions options);
+
+  void Run(Duration duration);
+  // Writes counts and all problems. Returns whether there is no problem.
+  bool Report(std::ostream& out);
+
+ private:
+  void AddServer();
+  void ReplaceServer();
+  void WriteConfiguration();
+  void WriteServerRow(SoakServer& server, const std::string& state);
+  void SendHeartbeats();
+  void InjectFault(Fault fault);
+  void ClearFaults();
+  void RecordImpairments();
+  void SendRequests();
+  void RunFor(Duration duration, const FaultPlan& plan);
+  void RunOnce();
+  // Returns the number of requests executed by servers that are no longer in
+  // the store.
+  std::size_t CountExecutionsOnRemovedServers() const;
+  SoakRecords CollectRecords() const;
+  std::vector<std::string> FindProblems(const SoakRecords& records) const;
+  // Returns a random duration from `min` to less than `max`.
+  Duration RandomDuration(Duration min, Duration max);
+  std::uint64_t RandomNumberBelow(std::uint64_t bound) {
+    return RandomBelow(random_, bound);
+  }
+
+  SoakOptions options_;
+  Random random_;
+  EventLoop loop_;
+  StoreStandIn store_;
+  StoreBehaviour store_behaviour_ = StoreBehaviour::kAnswers;
+  Fleet fleet_;
+  Callers callers_;
+  // All servers, first those removed from the store, then the listed servers,
+  // which begin at index first_listed_.
+  std::vector<SoakServer> servers_;
+  std::size_t first_listed_ = 0;
+  std::vector<ConfigurationRecord> configurations_;
+  // Time at which each entry VM, or the store for all, last had a fault.
+  std::map<std::string, TimePoint> impaired_at_;
+  std::map<Fault, std::uint64_t> faults_;
+  TimePoint next_fault_;
+  TimePoint next_clear_ = kNever;
+  // Longest time from one iteration of the loop to the next, for which store,
+  // servers and callers stood still.
+  Duration longest_stall_{};
+  TimePoint last_iteration_at_ = kNever;
+  std::uint64_t settled_sent_ = 0;
+  std::uint64_t settled_succeeded_ = 0;
+  std::size_t settled_on_removed_ = 0;
+};
+
+}  // namespace cicadadrum::platform
+
+#endif  // CICADADRUM_TESTS_SOAK_SOAK_H_
