Tests/PlatformStandIns: Restore the store from a copy

The operators' store can come back from a copy some seconds old: versions go back and are given out again for other changes, the header Store-Era of all answers rises by one, and the feed answers 410 to a version that it doesn't know. StoreStandIn::Restore(age) does that; open polls for unknown versions are answered 410 too. The change log is kept whole for it; truncating moves only its begin.

--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Number of times the store has been restored, plus one.
+constexpr const char* kStoreEra = "Store-Era";
+
 std::string Listen(HttpServer& server) {
   const auto port = server.Listen("127.0.0.1:0");
   return "127.0.0.1:" + std::to_string(port.value());
@@ -54,6 +57,7 @@
 
 void StoreStandIn::AppendChange(Change change) {
   change.version = ++version_;
+  change.at = loop_.Now();
   if (change.removed)
     rows_.erase({change.table, change.key});
   else
@@ -73,22 +77,53 @@
 }
 
 void StoreStandIn::TruncateChangeLog() {
-  change_log_.clear();
   change_log_begin_ = version_;
 }
 
+void StoreStandIn::Restore(Duration age) {
+  const TimePoint copied_at = loop_.Now() - age;
+  std::erase_if(change_log_, [copied_at](const Change& change) {
+    return change.at > copied_at;
+  });
+  rows_.clear();
+  for (const Change& change : change_log_) {
+    if (change.removed)
+      rows_.erase({change.table, change.key});
+    else
+      rows_[{change.table, change.key}] = change;
+  }
+  version_ = change_log_.empty() ? 0 : change_log_.back().version;
+  change_log_begin_ = std::min(change_log_begin_, version_);
+  ++era_;
+  RespondToUnknownVersions();
+}
+
+void StoreStandIn::RespondToUnknownVersions() {
+  std::erase_if(pending_polls_, [this](const PendingPoll& poll) {
+    if (poll.after <= version_)
+      return false;
+    Respond(poll.id, {.status = 410});
+    return true;
+  });
+}
+
+void StoreStandIn::Respond(std::uint64_t id, HttpResponse response) {
+  response.headers.emplace_back(kStoreEra, std::to_string(era_));
+  server_.Respond(id, response);
+}
+
 void StoreStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
   ++calls_;
   if (behaviour_ == StoreBehaviour::kSilent)
     return;
   if (behaviour_ == StoreBehaviour::kRefuses)
-    return server_.Respond(id, {.status = 503});
+    return Respond(id, {.status = 503});
   const std::string table = QueryValue(request, "table");
   if (request.path == kReadRowsPath)
     return RespondToRead(id, table);
   const std::uint64_t after = std::stoull(QueryValue(request, "after"));
-  if (after < change_log_begin_)
-    return server_.Respond(id, {.status = 410});
+  if (after < change_log_begin_ || after > version_)
+    return Respond(id, {.status = 410});
   if (HasChanges(table, after))
     return RespondToPoll(id, table, after);
   PendingPoll poll{.id = id, .table = table, .after = after};
@@ -112,8 +147,8 @@
             "\",\"value\":\"" + EncodeBase64(row.value) +
             "\",\"rowVersion\":" + std::to_string(row.version) + "}";
   }
-  server_.Respond(
-      id, Json("{\"rows\":[" + rows + "],\"hasMore\":false,\"rowVersion\":" +
+  Respond(id,
+          Json("{\"rows\":[" + rows + "],\"hasMore\":false,\"rowVersion\":" +
                std::to_string(version_) + ",\"now_ms\":1}"));
 }
 
@@ -137,8 +172,8 @@
             "\",\"removed\":" + (change.removed ? "true" : "false") +
             ",\"rowVersion\":" + std::to_string(change.version) + "}";
   }
-  server_.Respond(id, Json("{\"rows\":[" + rows + "],\"rowVersion\":" +
-                           std::to_string(version_) + "}"));
+  Respond(id, Json("{\"rows\":[" + rows +
+                   "],\"rowVersion\":" + std::to_string(version_) + "}"));
 }
 
 void StoreStandIn::RespondToPendingPolls() {
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -40,6 +40,11 @@
   // Makes the feed respond with status 410 to polls for versions before the
   // current one.
   void TruncateChangeLog();
+  // Returns to the rows and the version as they were `age` ago, as a store that
+  // comes back from a copy does. Later versions are given out again for other
+  // changes, the header Store-Era of all responses rises by one, and the feed
+  // responds with status 410 to versions that have not been given out yet.
+  void Restore(Duration age);
   void SetBehaviour(StoreBehaviour behaviour) { behaviour_ = behaviour; }
 
  private:
@@ -49,6 +54,7 @@
     std::string value;
     std::uint64_t version = 0;
     bool removed = false;
+    TimePoint at;
   };
 
   struct PendingPoll {
@@ -65,15 +71,20 @@
                      std::uint64_t after);
   bool HasChanges(const std::string& table, std::uint64_t after) const;
   void RespondToPendingPolls();
+  void RespondToUnknownVersions();
   void AppendChange(Change change);
+  void Respond(std::uint64_t id, HttpResponse response);
 
   EventLoop& loop_;
   HttpServer server_;
   std::string address_;
   std::map<std::pair<std::string, std::string>, Change> rows_;
+  // All changes of the store's present history. The feed serves those after
+  // version change_log_begin_; Restore needs the others, too.
   std::vector<Change> change_log_;
   std::uint64_t version_ = 0;
   std::uint64_t change_log_begin_ = 0;
+  std::uint64_t era_ = 1;
   std::vector<PendingPoll> pending_polls_;
   StoreBehaviour behaviour_ = StoreBehaviour::kAnswers;
   std::uint64_t calls_ = 0;
