Tests/Soak: Add the fault restore-store

The store returns to its state of 1 to 8 s ago. Servers write their rows again with the next heartbeat, the operator its configuration and the removals of servers after 1 to 2 s. Until then the store counts as impaired.

--- a/Tests/Soak/faults.h
+++ b/Tests/Soak/faults.h
@@ -25,6 +25,7 @@
   kConfiguration,
   kTruncateChangeLog,
   kStoreBehaviour,
+  kRestoreStore,
 };
 
 }  // namespace cicadadrum::platform
@@ -44,6 +45,7 @@
       {platform::Fault::kConfiguration, "configuration"},
       {platform::Fault::kTruncateChangeLog, "forget-history"},
       {platform::Fault::kStoreBehaviour, "store-behaviour"},
+      {platform::Fault::kRestoreStore, "restore-store"},
   });
 };
 
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -25,6 +25,12 @@
 constexpr Duration kRecoveryCheckTime = Seconds(2);
 // Minimum share of successful requests in the recovery check.
 constexpr double kMinRecoveredShare = 0.95;
+// Age of the copy from which the store is restored, and the time after which
+// the operator has written again what the copy lacks.
+constexpr Duration kMinCopyAge = Seconds(1);
+constexpr Duration kMaxCopyAge = Seconds(8);
+constexpr Duration kMinRewriteDelay = Seconds(1);
+constexpr Duration kMaxRewriteDelay = Seconds(2);
 constexpr Duration kMinClearInterval = Milliseconds(1500);
 constexpr Duration kMaxClearInterval = Milliseconds(4500);
 
@@ -77,9 +83,30 @@
   AddServer();
   WriteServerRow(servers_[first_listed_], "draining");
   store_.Remove("servers", servers_[first_listed_].server->id());
+  servers_[first_listed_].removed_at = loop_.Now();
   ++first_listed_;
 }
 
+void Soak::RestoreStore() {
+  const TimePoint now = loop_.Now();
+  const Duration age =
+      std::min(RandomDuration(kMinCopyAge, kMaxCopyAge), now - first_copy_at_);
+  store_.Restore(age);
+  restored_copy_at_ = std::min(restored_copy_at_, now - age);
+  rewrite_at_ = now + RandomDuration(kMinRewriteDelay, kMaxRewriteDelay);
+}
+
+void Soak::RewriteStore() {
+  const ConfigurationRecord& newest = configurations_.back();
+  store_.Put("op", "config", ConfigurationBody(newest.version, newest.routes));
+  for (std::size_t i = 0; i < first_listed_; ++i) {
+    if (servers_[i].removed_at >= restored_copy_at_)
+      store_.Remove("servers", servers_[i].server->id());
+  }
+  restored_copy_at_ = kNever;
+  rewrite_at_ = kNever;
+}
+
 // Writes the rows of the servers whose heartbeat is due, if the store accepts
 // writes, and removes the entries whose lifetime has ended.
 void Soak::SendHeartbeats() {
@@ -134,6 +161,8 @@
     case Fault::kStoreBehaviour:
       store_behaviour_ = static_cast<StoreBehaviour>(RandomNumberBelow(3));
       return store_.SetBehaviour(store_behaviour_);
+    case Fault::kRestoreStore:
+      return RestoreStore();
   }
 }
 
@@ -149,7 +178,8 @@
 }
 
 void Soak::RecordImpairments() {
-  const bool is_store_impaired = store_behaviour_ != StoreBehaviour::kAnswers;
+  const bool is_store_impaired =
+      store_behaviour_ != StoreBehaviour::kAnswers || rewrite_at_ != kNever;
   for (const EntryProcess& entry : fleet_.entries()) {
     if (is_store_impaired || entry.pid == 0 || entry.is_paused ||
         entry.is_stopping || entry.store_proxy->mode() != ProxyMode::kPass)
@@ -187,6 +217,8 @@
     RunOnce();
     fleet_.Advance(loop_.Now());
     SendHeartbeats();
+    if (loop_.Now() >= rewrite_at_)
+      RewriteStore();
     RecordImpairments();
     SendRequests();
     if (!plan.faults.empty() && loop_.Now() >= next_fault_) {
@@ -225,6 +257,7 @@
   WriteConfiguration();
   for (std::size_t i = 0; i < kServerCount; ++i)
     AddServer();
+  first_copy_at_ = loop_.Now();
   for (EntryProcess& entry : fleet_.entries())
     fleet_.Start(entry);
   RunFor(Seconds(1), {});
--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -34,6 +34,7 @@
   std::unique_ptr<FaultProxy> proxy;
   TimePoint next_heartbeat_at;
   TimePoint last_heartbeat_at;
+  TimePoint removed_at = kNever;  // When the server left the store.
 };
 
 // Faults that are injected for a time. The time from one fault to the next is
@@ -56,6 +57,10 @@
   void AddServer();
   void ReplaceServer();
   void WriteConfiguration();
+  // Restores the store from a copy. Heartbeats and RewriteStore write again
+  // what the copy lacks.
+  void RestoreStore();
+  void RewriteStore();
   void WriteServerRow(SoakServer& server, const std::string& state);
   void SendHeartbeats();
   void InjectFault(Fault fault);
@@ -87,6 +92,11 @@
   std::vector<SoakServer> servers_;
   std::size_t first_listed_ = 0;
   std::vector<ConfigurationRecord> configurations_;
+  // Time from which on copies of the store exist.
+  TimePoint first_copy_at_ = kNever;
+  // Time of the oldest copy that was restored and not yet rewritten.
+  TimePoint restored_copy_at_ = kNever;
+  TimePoint rewrite_at_ = kNever;
   // Time at which each entry VM, or the store for all, last had a fault.
   std::map<std::string, TimePoint> impaired_at_;
   std::map<Fault, std::uint64_t> faults_;
