--- a/Meta/cicadadrum.sh
+++ b/Meta/cicadadrum.sh
@@ -53,10 +53,10 @@
   "$bench" run "$1" "${2:-quiet-1}" --why "played by hand"
 }
 
-run_soak() { # $1: first seed, $2: last seed
+run_soak() { # $1: first seed, $2: last seed, $3...: options of cicadadrum-soak
   local seed failed=0
   for seed in $(seq "${1:-1}" "${2:-${1:-1}}"); do
-    "$build/Tests/Soak/cicadadrum-soak" --program "$build/platform/cicadadrum-platform" --seed "$seed" || failed=1
+    "$build/Tests/Soak/cicadadrum-soak" --program "$build/platform/cicadadrum-platform" --seed "$seed" "${@:3}" || failed=1
   done
   return $failed
 }
