--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -377,8 +377,9 @@
     out << ", " << NameOf(fault) << " " << count;
   out << "; longest stall of the soak " << longest_stall_ / Milliseconds(1)
       << " ms\n";
-  out << "retries by an older route: " << FindOutdatedRetries(records).size()
-      << "\n";
+  for (const Violation& retry : FindOutdatedRetries(records))
+    out << "retry by an older route: request " << retry.request_id << " for "
+        << retry.detail << "\n";
   const std::vector<std::string> problems = FindProblems(records);
   for (const std::string& problem : problems)
     out << "BROKEN: " << problem << "\n";
