Tests/Soak: Pause processes for longer than the configuration bound

Pauses of at most 1.7 s ended before the version that a paused entry VM knows was too old, unless several hit the same VM. They now last up to 4.2 s.

--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -31,6 +31,10 @@
 constexpr Duration kMaxCopyAge = Seconds(8);
 constexpr Duration kMinRewriteDelay = Seconds(1);
 constexpr Duration kMaxRewriteDelay = Seconds(2);
+// The longest pause exceeds the bound within which a new configuration is in
+// force, so that requests wait at a paused entry VM whose version is too old.
+constexpr Duration kMinPause = Milliseconds(200);
+constexpr Duration kMaxPause = Milliseconds(4200);
 constexpr Duration kMinClearInterval = Milliseconds(1500);
 constexpr Duration kMaxClearInterval = Milliseconds(4500);
 
@@ -165,8 +169,7 @@
     case Fault::kStop:
       return fleet_.Signal(entry, SIGTERM);
     case Fault::kPause:
-      entry.resume_at =
-          loop_.Now() + RandomDuration(Milliseconds(200), Milliseconds(1700));
+      entry.resume_at = loop_.Now() + RandomDuration(kMinPause, kMaxPause);
       return fleet_.Signal(entry, SIGSTOP);
     case Fault::kStoreLink:
       return entry.store_proxy->SetMode(mode);
