Tests/Soak: Let servers crash, so that their entries lapse

A server that leaves reported draining and removed its row, so an entry never lapsed but in a store fault of 4.5 s. Half of the replaced servers now reset all connections and send no more heartbeats; their entry is removed after three.

--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -105,13 +105,17 @@
   servers_.push_back(std::move(added));
 }
 
-// The new server lies in the failure domain of the server that leaves.
+// The new server lies in the failure domain of the server that leaves or
+// crashes.
 void Soak::ReplaceServer() {
   AddServer();
-  WriteServerRow(servers_[first_listed_], "draining");
-  store_.Remove("servers", servers_[first_listed_].server->id());
-  servers_[first_listed_].removed_at = loop_.Now();
-  ++first_listed_;
+  SoakServer& leaving = servers_[first_running_++];
+  leaving.has_crashed = RandomNumberBelow(2) == 0;
+  if (leaving.has_crashed)
+    return leaving.proxy->SetMode(ProxyMode::kReset);
+  WriteServerRow(leaving, "draining");
+  store_.Remove("servers", leaving.server->id());
+  leaving.removed_at = loop_.Now();
 }
 
 void Soak::RestoreStore() {
@@ -126,42 +130,51 @@
 void Soak::RewriteStore() {
   const ConfigurationRecord& newest = configurations_.back();
   store_.Put("op", "config", ConfigurationBody(newest.version, newest.routes));
-  for (std::size_t i = 0; i < first_listed_; ++i) {
-    if (servers_[i].removed_at >= restored_copy_at_)
-      store_.Remove("servers", servers_[i].server->id());
+  for (const SoakServer& server : servers_) {
+    if (server.removed_at != kNever && server.removed_at >= restored_copy_at_)
+      store_.Remove("servers", server.server->id());
   }
   restored_copy_at_ = kNever;
   rewrite_at_ = kNever;
 }
 
 // Writes the rows of the servers whose heartbeat is due, if the store accepts
-// writes, and removes the entries whose lifetime has ended.
+// writes.
 void Soak::SendHeartbeats() {
   const TimePoint now = loop_.Now();
-  for (std::size_t i = first_listed_; i < servers_.size(); ++i) {
+  if (store_behaviour_ != StoreBehaviour::kAnswers)
+    return;
+  for (std::size_t i = first_running_; i < servers_.size(); ++i) {
     SoakServer& server = servers_[i];
-    if (server.last_heartbeat_at != kNever &&
-        now >= server.last_heartbeat_at + kEntryLifetime) {
-      store_.Remove("servers", server.server->id());
-      server.last_heartbeat_at = kNever;
-    }
-    if (now < server.next_heartbeat_at ||
-        store_behaviour_ != StoreBehaviour::kAnswers)
+    if (now < server.next_heartbeat_at)
       continue;
     server.server->AdvanceSequence();
     server.last_heartbeat_at = now;
     server.next_heartbeat_at = now + kHeartbeatInterval;
+    server.removed_at = kNever;
     WriteServerRow(server, "ready");
   }
 }
 
+// Removes the entries of crashed servers, and of servers that can't reach the
+// store, after their lifetime.
+void Soak::RemoveSilentServers() {
+  for (SoakServer& server : servers_) {
+    if (server.removed_at != kNever ||
+        loop_.Now() < server.last_heartbeat_at + kEntryLifetime)
+      continue;
+    store_.Remove("servers", server.server->id());
+    server.removed_at = loop_.Now();
+  }
+}
+
 void Soak::InjectFault(Fault fault) {
   ++faults_[fault];
   EntryProcess& entry =
       fleet_.entries()[RandomNumberBelow(fleet_.entries().size())];
-  const std::size_t listed_count = servers_.size() - first_listed_;
+  const std::size_t running_count = servers_.size() - first_running_;
   SoakServer& server =
-      servers_[first_listed_ + RandomNumberBelow(listed_count)];
+      servers_[first_running_ + RandomNumberBelow(running_count)];
   const auto mode = static_cast<ProxyMode>(1 + RandomNumberBelow(4));
   switch (fault) {
     case Fault::kKill:
@@ -196,7 +209,8 @@
   store_behaviour_ = StoreBehaviour::kAnswers;
   store_.SetBehaviour(store_behaviour_);
   for (SoakServer& server : servers_) {
-    server.proxy->SetMode(ProxyMode::kPass);
+    server.proxy->SetMode(server.has_crashed ? ProxyMode::kReset
+                                             : ProxyMode::kPass);
     server.server->SetBehaviour(ServerBehaviour::kAnswers);
   }
   for (EntryProcess& entry : fleet_.entries())
@@ -247,6 +261,7 @@
     RunOnce();
     fleet_.Advance(loop_.Now());
     SendHeartbeats();
+    RemoveSilentServers();
     if (loop_.Now() >= rewrite_at_)
       RewriteStore();
     RecordImpairments();
@@ -267,7 +282,7 @@
 
 std::size_t Soak::CountExecutionsOnRemovedServers() const {
   std::size_t executions = 0;
-  for (std::size_t i = 0; i < first_listed_; ++i)
+  for (std::size_t i = 0; i < first_running_; ++i)
     executions += servers_[i].server->executed_requests().size();
   return executions;
 }
--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -43,7 +43,8 @@
   std::unique_ptr<FaultProxy> proxy;
   TimePoint next_heartbeat_at;
   TimePoint last_heartbeat_at;
-  TimePoint removed_at = kNever;            // When the server left the store.
+  TimePoint removed_at = kNever;  // When the server left the store.
+  bool has_crashed = false;       // The server resets all connections.
   std::vector<ImpairedTime> link_impaired;  // In ascending order.
 };
 
@@ -73,6 +74,7 @@
   void RewriteStore();
   void WriteServerRow(SoakServer& server, const std::string& state);
   void SendHeartbeats();
+  void RemoveSilentServers();
   void InjectFault(Fault fault);
   void ClearFaults();
   // Records which entry VMs and which links to servers have a fault now.
@@ -101,10 +103,10 @@
   StoreBehaviour store_behaviour_ = StoreBehaviour::kAnswers;
   Fleet fleet_;
   Callers callers_;
-  // All servers, first those removed from the store, then the listed servers,
-  // which begin at index first_listed_.
+  // All servers, first those that have left or crashed, then the running
+  // servers, which begin at index first_running_.
   std::vector<SoakServer> servers_;
-  std::size_t first_listed_ = 0;
+  std::size_t first_running_ = 0;
   std::vector<ConfigurationRecord> configurations_;
   // Time from which on copies of the store exist.
   TimePoint first_copy_at_ = kNever;
