Tests/Soak: Except entry VMs cut off from the store from the strict check

A request now records also whether the store or the entry VM's link to it had a fault within the window, and such requests are left to the normal check. Decisions just after a pause or a start stay.

--- a/Tests/Soak/callers.cc
+++ b/Tests/Soak/callers.cc
@@ -30,7 +30,7 @@
 
 void Callers::Send(const EntryProcess& entry,
                    std::uint64_t version,
-                   bool is_in_touch) {
+                   Touch touch) {
   const std::string id = "id-" + std::to_string(next_id_++);
   const ConfiguredRoute route = ChooseRoute(version, random_);
   const std::string object = std::to_string(RandomBelow(random_, kObjectCount));
@@ -53,7 +53,8 @@
                           .path = request.target,
                           .entry = entry.name,
                           .process = entry.process_count,
-                          .is_in_touch = is_in_touch,
+                          .is_in_touch = touch.is_in_touch,
+                          .is_cut_off = touch.is_cut_off,
                           .sent_at = loop_.Now()};
   if (IsLastingRoute(route))
     ++record_.sent_on_lasting_routes;
--- a/Tests/Soak/callers.h
+++ b/Tests/Soak/callers.h
@@ -38,13 +38,20 @@
   std::uint64_t succeeded_on_lasting_routes = 0;
 };
 
+// Whether an entry VM is in touch when a caller sends a request; see
+// RequestRecord.
+struct Touch {
+  bool is_in_touch = false;
+  bool is_cut_off = false;
+};
+
 class Callers {
  public:
   Callers(EventLoop& loop, std::uint64_t seed);
 
   // Sends one request on a random route to the entry VM. The newest version of
-  // the configuration is `version`; `is_in_touch` is recorded.
-  void Send(const EntryProcess& entry, std::uint64_t version, bool is_in_touch);
+  // the configuration is `version`.
+  void Send(const EntryProcess& entry, std::uint64_t version, Touch touch);
 
   const CallerRecord& record() const { return record_; }
   std::uint64_t open_requests() const { return open_requests_; }
--- a/Tests/Soak/checks.cc
+++ b/Tests/Soak/checks.cc
@@ -195,7 +195,9 @@
   for (const Effect& effect : EffectsInOrder(records)) {
     const std::uint64_t oldest =
         OldestVersionInForce(records, effect.request->sent_at);
-    if (!effect.request->is_in_touch && AllowingVersions(records, effect, 0) &&
+    if (effect.request->is_in_touch || effect.request->is_cut_off)
+      continue;
+    if (AllowingVersions(records, effect, 0) &&
         !AllowingVersions(records, effect, oldest))
       violations.push_back({BrokenRule(records, effect, oldest),
                             effect.request->id,
--- a/Tests/Soak/checks.h
+++ b/Tests/Soak/checks.h
@@ -54,8 +54,9 @@
 std::vector<Violation> FindOutdatedRetries(const SoakRecords& records);
 
 // Returns the decisions of entry VMs out of touch that would be outdated at an
-// entry VM in touch. An entry VM that was paused, or has just started, makes
-// such decisions before it receives the newest configuration.
+// entry VM in touch, but for entry VMs that were cut off from the store. An
+// entry VM that was paused, or has just started, makes such decisions before it
+// receives the newest configuration.
 std::vector<Violation> FindOutdatedDecisionsOutOfTouch(
     const SoakRecords& records);
 
--- a/Tests/Soak/records.h
+++ b/Tests/Soak/records.h
@@ -32,6 +32,9 @@
   // Neither the entry VM nor the store had a fault within kStableWindow before
   // the request was sent.
   bool is_in_touch = false;
+  // The store, or the entry VM's link to it, had such a fault, so that the
+  // entry VM may have had no way to learn of a configuration.
+  bool is_cut_off = false;
   TimePoint sent_at;
   std::uint16_t status = 0;  // 0 if no response arrived.
   TimePoint answered_at = kNever;
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -221,9 +221,10 @@
   const bool is_store_impaired =
       store_behaviour_ != StoreBehaviour::kAnswers || rewrite_at_ != kNever;
   for (const EntryProcess& entry : fleet_.entries()) {
-    if (is_store_impaired || entry.pid == 0 || entry.is_paused ||
-        entry.is_stopping || entry.store_proxy->mode() != ProxyMode::kPass)
-      impaired_at_[entry.name] = loop_.Now();
+    if (entry.pid == 0 || entry.is_paused || entry.is_stopping)
+      process_impaired_at_[entry.name] = loop_.Now();
+    if (is_store_impaired || entry.store_proxy->mode() != ProxyMode::kPass)
+      cut_off_at_[entry.name] = loop_.Now();
   }
   for (SoakServer& server : servers_) {
     if (server.proxy->mode() != ProxyMode::kPass)
@@ -231,16 +232,23 @@
   }
 }
 
+Touch Soak::TouchOf(const EntryProcess& entry) {
+  const TimePoint window_begin = loop_.Now() - kStableWindow;
+  const bool is_cut_off = cut_off_at_[entry.name] > window_begin;
+  const bool was_process_impaired =
+      std::max(entry.started_at, process_impaired_at_[entry.name]) >
+      window_begin;
+  return {.is_in_touch = !is_cut_off && !was_process_impaired,
+          .is_cut_off = is_cut_off};
+}
+
 // Callers send requests to an entry VM until its process has exited, also while
 // the process is paused or stopping.
 void Soak::SendRequests() {
   for (EntryProcess& entry : fleet_.entries()) {
     if (entry.pid == 0 || RandomNumberBelow(3) != 0)
       continue;
-    const TimePoint impaired_at =
-        std::max(entry.started_at, impaired_at_[entry.name]);
-    callers_.Send(entry, configurations_.back().version,
-                  loop_.Now() >= impaired_at + kStableWindow);
+    callers_.Send(entry, configurations_.back().version, TouchOf(entry));
   }
 }
 
--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -79,6 +79,7 @@
   void ClearFaults();
   // Records which entry VMs and which links to servers have a fault now.
   void RecordImpairments();
+  Touch TouchOf(const EntryProcess& entry);
   void SendRequests();
   void RunFor(Duration duration, const FaultPlan& plan);
   void RunOnce();
@@ -113,8 +114,10 @@
   // Time of the oldest copy that was restored and not yet rewritten.
   TimePoint restored_copy_at_ = kNever;
   TimePoint rewrite_at_ = kNever;
-  // Time at which each entry VM, or the store for all, last had a fault.
-  std::map<std::string, TimePoint> impaired_at_;
+  // Time at which each entry VM's process last had a fault.
+  std::map<std::string, TimePoint> process_impaired_at_;
+  // Time at which the store, or each entry VM's link to it, last had a fault.
+  std::map<std::string, TimePoint> cut_off_at_;
   std::map<Fault, std::uint64_t> faults_;
   TimePoint next_fault_;
   TimePoint next_clear_ = kNever;
--- a/Tests/Soak/test_checks.cc
+++ b/Tests/Soak/test_checks.cc
@@ -150,6 +150,9 @@
   run.Arrive(run.Send("/home/1", at, false), HomeRegion(3, "/home/"));
   run.Arrive(run.Send("/home/1", at, true), HomeRegion(2, "/home/"));
   run.Arrive(run.Send("/home/1", at, false), "elsewhere");
+  RequestRecord& cut_off = run.Send("/home/1", at, false);
+  cut_off.is_cut_off = true;
+  run.Arrive(cut_off, HomeRegion(2, "/home/"));
   CHECK(FindOutdatedDecisionsOutOfTouch(run.records).empty());
   run.Arrive(run.Send("/home/1", at, false), HomeRegion(2, "/home/"));
   const auto violations = FindOutdatedDecisionsOutOfTouch(run.records);
