--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -19,10 +19,13 @@
 constexpr Duration kHeartbeatInterval = Milliseconds(1500);
 // The entry of a server that sends no heartbeat for this time is removed.
 constexpr Duration kEntryLifetime = 3 * kHeartbeatInterval;
-// Time at the end of the run without faults other than new configurations.
-constexpr Duration kSettleTime = Seconds(10);
-// Last part of kSettleTime, in which the recovery is checked.
+// At the end of the run there are no faults other than new configurations: for
+// this time until the recovery is checked, ...
+constexpr Duration kRecoveryTime = Seconds(4);
+// ... for this time while it is checked, ...
 constexpr Duration kRecoveryCheckTime = Seconds(2);
+// ... and for this time in which all entry VMs are in touch.
+constexpr Duration kCalmTime = Seconds(4);
 // Minimum share of successful requests in the recovery check.
 constexpr double kMinRecoveredShare = 0.95;
 // Age of the copy from which the store is restored, and the time after which
@@ -318,15 +321,16 @@
   RunFor(duration, all);
   ClearFaults();
   next_clear_ = kNever;
-  RunFor(kSettleTime - kRecoveryCheckTime, settle);
+  RunFor(kRecoveryTime, settle);
   const std::uint64_t sent = callers_.record().sent_on_lasting_routes;
   const std::uint64_t succeeded = callers_.record().succeeded_on_lasting_routes;
   const std::size_t on_removed = CountExecutionsOnRemovedServers();
   RunFor(kRecoveryCheckTime, settle);
-  settled_on_removed_ = CountExecutionsOnRemovedServers() - on_removed;
   settled_sent_ = callers_.record().sent_on_lasting_routes - sent;
   settled_succeeded_ =
       callers_.record().succeeded_on_lasting_routes - succeeded;
+  RunFor(kCalmTime, settle);
+  settled_on_removed_ = CountExecutionsOnRemovedServers() - on_removed;
   // Requests that are still open end at the callers' timeout.
   while (callers_.open_requests() > 0)
     RunOnce();
