--- a/Tests/Soak/callers.h
+++ b/Tests/Soak/callers.h
@@ -12,17 +12,11 @@
 #include "cicadadrum/base/random.h"
 #include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/loop/http_client.h"
+#include "fleet.h"
+#include "records.h"
 
 namespace cicadadrum::platform {
 
-// A request of a caller to an entry VM.
-struct SentRequest {
-  std::string entry_address;
-  TimePoint sent_at;
-  // When a response arrived that says that its server is leaving.
-  TimePoint leaving_received_at = kNever;
-};
-
 // Counts of responses, and the request ids that the checks of the soak test
 // use.
 struct CallerRecord {
@@ -37,24 +31,34 @@
   // servers send for the request.
   std::vector<std::string> mismatched;
   // All requests, by id.
-  std::map<std::string, SentRequest> requests;
-  std::uint64_t sent = 0;
-  std::uint64_t succeeded = 0;
+  std::map<std::string, RequestRecord> requests;
+  // Requests on routes that all versions of the configuration have, and those
+  // of them that received status 200.
+  std::uint64_t sent_on_lasting_routes = 0;
+  std::uint64_t succeeded_on_lasting_routes = 0;
+};
+
+// Whether an entry VM is in touch when a caller sends a request; see
+// RequestRecord.
+struct Touch {
+  bool is_in_touch = false;
+  bool is_cut_off = false;
 };
 
 class Callers {
  public:
   Callers(EventLoop& loop, std::uint64_t seed);
 
-  // Sends one read or write to the entry VM at `address`.
-  void Send(const std::string& address);
+  // Sends one request on a random route to the entry VM. The newest version of
+  // the configuration is `version`.
+  void Send(const EntryProcess& entry, std::uint64_t version, Touch touch);
 
-  CallerRecord& record() { return record_; }
+  const CallerRecord& record() const { return record_; }
   std::uint64_t open_requests() const { return open_requests_; }
 
  private:
   void RecordOutcome(const std::string& id,
-                     bool is_write,
+                     const ConfiguredRoute& route,
                      HttpOutcome outcome,
                      const HttpResponse& response);
 
