Tests/Soak: Remove servers again after each restore that brings them back

RewriteStore compared the time of a server's first removal with the copy's. A copy from before the rewrite but after this first removal has the entry that an earlier restore brought back, and nobody removed it. Each removal now counts from its own time.

--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -131,9 +131,11 @@
 void Soak::RewriteStore() {
   const ConfigurationRecord& newest = configurations_.back();
   store_.Put("op", "config", ConfigurationBody(newest.version, newest.routes));
-  for (const SoakServer& server : servers_) {
-    if (server.removed_at != kNever && server.removed_at >= restored_copy_at_)
-      store_.Remove("servers", server.server->id());
+  for (SoakServer& server : servers_) {
+    if (server.removed_at == kNever || server.removed_at < restored_copy_at_)
+      continue;
+    store_.Remove("servers", server.server->id());
+    server.removed_at = loop_.Now();
   }
   restored_copy_at_ = kNever;
   rewrite_at_ = kNever;
