--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -55,6 +55,7 @@
 
 void StoreStandIn::AppendChange(Change change) {
   change.version = ++version_;
+  change.at = loop_.Now();
   if (change.removed)
     rows_.erase({change.table, change.key});
   else
@@ -80,6 +81,19 @@
                      });
 }
 
+std::uint64_t StoreStandIn::VersionAt(TimePoint at) const {
+  std::uint64_t version = 0;
+  for (const Change& change : change_log_) {
+    if (change.at <= at)
+      version = change.version;
+  }
+  return version;
+}
+
+void StoreStandIn::TruncateChangeLog() {
+  change_log_begin_ = version_;
+}
+
 void StoreStandIn::Restore(std::uint64_t version) {
   std::erase_if(change_log_, [version](const Change& change) {
     return change.version > version;
@@ -92,18 +106,22 @@
       rows_[{change.table, change.key}] = change;
   }
   version_ = version;
+  change_log_begin_ = std::min(change_log_begin_, version_);
   ++era_;
-  for (const PendingPoll& poll : std::exchange(pending_polls_, {}))
-    Respond(poll.id, {.status = 410});
+  RespondToUnknownVersions();
 }
 
-void StoreStandIn::TruncateChangeLog() {
-  change_log_.clear();
-  change_log_begin_ = version_;
+void StoreStandIn::RespondToUnknownVersions() {
+  std::erase_if(pending_polls_, [this](const PendingPoll& poll) {
+    if (poll.after <= version_)
+      return false;
+    Respond(poll.id, {.status = 410});
+    return true;
+  });
 }
 
 void StoreStandIn::Respond(std::uint64_t id, HttpResponse response) {
-  response.headers.emplace_back(kStoreEra, std::to_string(era_));
+  response.headers.emplace_back(std::string(kStoreEra), std::to_string(era_));
   server_.Respond(id, response);
 }
 
@@ -183,9 +201,12 @@
     RespondToPoll(poll.id, poll.table, poll.after);
 }
 
-ServerStandIn::ServerStandIn(EventLoop& loop, std::string id)
+ServerStandIn::ServerStandIn(EventLoop& loop,
+                             std::string id,
+                             std::string failure_domain)
     : loop_(loop),
       id_(std::move(id)),
+      failure_domain_(std::move(failure_domain)),
       server_(
           loop,
           {},
@@ -206,30 +227,38 @@
 
 std::string ServerStandIn::Row(const std::string& state,
                                double cold_ms,
-                               int sequence) const {
+                               std::optional<std::uint64_t> sequence) const {
   return "{\"service\":\"desk\",\"address\":\"" + address_ +
-         "\",\"failureDomain\":\"north-a\",\"version\":\"v1\",\"slots\":4,"
-         "\"state\":\"" +
-         state + "\",\"coldLeftMilliseconds\":" + std::to_string(cold_ms) +
-         ",\"sequence\":" + std::to_string(sequence) + "}";
+         "\",\"failureDomain\":\"" + failure_domain_ +
+         "\",\"version\":\"v1\",\"slots\":4,\"state\":\"" + state +
+         "\",\"coldLeftMilliseconds\":" + std::to_string(cold_ms) +
+         ",\"sequence\":" + std::to_string(sequence.value_or(sequence_)) + "}";
 }
 
 void ServerStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
   requests_.push_back(request);
   const std::string request_id(FindField(request.headers, kRequestId));
+  const bool names_other_server =
+      FindField(request.headers, kExpectedServer) != id_;
+  const bool asks_for_pause =
+      !names_other_server && behaviour_ == ServerBehaviour::kAsksForPause;
+  const bool responds =
+      names_other_server || (behaviour_ != ServerBehaviour::kHangs &&
+                             behaviour_ != ServerBehaviour::kClosesLate);
+  arrivals_.push_back({.at = loop_.Now(),
+                       .request_id = request_id,
+                       .host = std::string(FindField(request.headers, "Host")),
+                       .path = request.path,
+                       .names_other_server = names_other_server,
+                       .said_leaving = leaving_ && responds,
+                       .asked_for_pause = asks_for_pause});
   HttpResponse response{.headers = {{std::string(kRequestId), request_id}}};
   if (leaving_)
     response.headers.emplace_back(kLeaving, "1");
-  if (FindField(request.headers, kExpectedServer) != id_) {
+  if (names_other_server) {
     response.status = 421;
     return server_.Respond(id, response);
   }
-  const bool asks_for_pause = behaviour_ == ServerBehaviour::kAsksForPause;
-  handled_requests_.push_back(
-      {.id = request_id,
-       .at = loop_.Now(),
-       .said_leaving = leaving_ && behaviour_ != ServerBehaviour::kHangs,
-       .asked_for_pause = asks_for_pause});
   if (behaviour_ == ServerBehaviour::kSheds || asks_for_pause) {
     response.status = 503;
     response.headers.emplace_back(kNotRun, "1");
@@ -242,6 +271,8 @@
   executed_requests_.push_back(request_id);
   if (behaviour_ == ServerBehaviour::kHangs)
     return;
+  if (behaviour_ == ServerBehaviour::kClosesLate)
+    return CloseLate(id);
   if (behaviour_ == ServerBehaviour::kErrorWithoutProof)
     response.status = 503;
   if (behaviour_ == ServerBehaviour::kAnswers)
@@ -251,19 +282,37 @@
   server_.Respond(id, response);
 }
 
+void ServerStandIn::CloseLate(std::uint64_t id) {
+  const auto [timer, added] =
+      late_closes_.try_emplace(id, loop_, [this, id] { server_.Abort(id); });
+  timer->second.Schedule(loop_.Now() + kLateCloseDelay);
+}
+
+namespace {
+
+std::string RouteJson(const ConfiguredRoute& route) {
+  std::string homes;
+  for (const std::string& region : route.home_regions)
+    homes += (homes.empty() ? "\"" : ",\"") + region + "\"";
+  return "{\"name\":\"" + route.name + "\",\"prefix\":\"" + route.prefix +
+         "\",\"kind\":\"" + route.kind + "\",\"host\":\"" + route.host +
+         "\",\"timeoutMilliseconds\":" + std::to_string(route.timeout_ms) +
+         ",\"latencyObjectiveMilliseconds\":300,\"priority\":1,"
+         "\"service\":\"desk\",\"attempts\":" +
+         std::to_string(route.attempts) + ",\"sticky\":true,\"homeRegions\":[" +
+         homes + "]}";
+}
+
+}  // namespace
+
 std::string ConfigurationBody(std::uint64_t version,
-                              const std::string& prefix) {
-  const std::string common =
-      "\"host\":\"host\",\"timeoutMilliseconds\":1000,"
-      "\"latencyObjectiveMilliseconds\":300,\"priority\":1,"
-      "\"service\":\"desk\",\"attempts\":2,\"sticky\":true,"
-      "\"homeRegions\":[]";
-  return "{\"version\":" + std::to_string(version) +
-         ",\"routes\":[{\"name\":\"r1\",\"prefix\":\"" + prefix +
-         "\",\"kind\":\"safe\"," + common +
-         "},{\"name\":\"r2\",\"prefix\":\"/write/\",\"kind\":\"unsafe\"," +
-         common +
-         "}],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
+                              const std::vector<ConfiguredRoute>& routes) {
+  std::string routes_json;
+  for (const ConfiguredRoute& route : routes)
+    routes_json += (routes_json.empty() ? "" : ",") + RouteJson(route);
+  return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+         routes_json +
+         "],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
          "\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false,"
          "\"coldStartSeconds\":3.0,\"coldRequestsPerSecond\":10.0}],"
          "\"limits\":{\"headerBytes\":16384,\"bodyBytes\":67108864,"
@@ -271,4 +320,11 @@
          "15000}}";
 }
 
+std::string ConfigurationBody(std::uint64_t version,
+                              const std::string& prefix) {
+  return ConfigurationBody(
+      version, {{.name = "r1", .prefix = prefix},
+                {.name = "r2", .prefix = "/write/", .kind = "unsafe"}});
+}
+
 }  // namespace cicadadrum::platform
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,13 +44,16 @@
   std::uint64_t version() const { return version_; }
   // Whether a reader of the table that has all changes waits for the next one.
   bool IsPollWaiting(const std::string& table) const;
-  // Returns to the state at an earlier version, as a store does that comes back
-  // from a copy: the changes since are lost, their versions are assigned again,
-  // and the era rises. The change log must reach back to the beginning.
-  void Restore(std::uint64_t version);
+  // The version of the last change up to `at`.
+  std::uint64_t VersionAt(TimePoint at) const;
   // Makes the feed respond with status 410 to polls for versions before the
   // current one.
   void TruncateChangeLog();
+  // Returns to the rows at an earlier version, as a store that comes back from
+  // a copy does. Later versions are given out again for other changes, the
+  // header Store-Era of all responses rises by one, and the feed responds with
+  // status 410 to versions that have not been given out yet.
+  void Restore(std::uint64_t version);
   void SetBehaviour(StoreBehaviour behaviour) { behaviour_ = behaviour; }
 
  private:
@@ -59,6 +63,7 @@
     std::string value;
     std::uint64_t version = 0;
     bool removed = false;
+    TimePoint at;
   };
 
   struct PendingPoll {
@@ -75,6 +80,7 @@
                      std::uint64_t after);
   bool HasChanges(const std::string& table, std::uint64_t after) const;
   void RespondToPendingPolls();
+  void RespondToUnknownVersions();
   // Responds with the header that names the era.
   void Respond(std::uint64_t id, HttpResponse response);
   void AppendChange(Change change);
@@ -83,6 +89,8 @@
   HttpServer server_;
   std::string address_;
   std::map<std::pair<std::string, std::string>, Change> rows_;
+  // All changes of the store's present history. The feed serves those after
+  // version change_log_begin_; Restore needs the others, too.
   std::vector<Change> change_log_;
   std::uint64_t version_ = 0;
   std::uint64_t change_log_begin_ = 0;
@@ -106,6 +114,9 @@
   kErrorWithoutProof,
   // Responds like kSheds and asks for no requests for kServerPause.
   kAsksForPause,
+  // Executes the request and closes the connection without a response after
+  // kLateCloseDelay.
+  kClosesLate,
 };
 
 }  // namespace cicadadrum::platform
@@ -123,6 +134,7 @@
           {platform::ServerBehaviour::kErrorWithoutProof,
            "error-without-proof"},
           {platform::ServerBehaviour::kAsksForPause, "asks-for-pause"},
+          {platform::ServerBehaviour::kClosesLate, "closes-late"},
       });
 };
 
@@ -133,11 +145,18 @@
 // Time for which a server with ServerBehaviour::kAsksForPause wants no requests
 // from the entry VM to which it responds.
 constexpr Duration kServerPause = Milliseconds(1250);
-
-// A request that named this server, and what the response announced.
-struct HandledRequest {
-  std::string id;
-  TimePoint at;  // Of the arrival and of the response, if there is one.
+constexpr Duration kLateCloseDelay = Seconds(4);
+
+// One request that a server substitute received, and what the response
+// announced.
+struct ServerArrival {
+  TimePoint at;  // Of the arrival and of an immediate response.
+  std::string request_id;
+  std::string host;
+  std::string path;
+  // The server responded with status 421 because the request names another
+  // server.
+  bool names_other_server = false;
   bool said_leaving = false;
   bool asked_for_pause = false;
 };
@@ -145,18 +164,25 @@
 // A backend server that records the requests that it receives.
 class ServerStandIn {
  public:
-  ServerStandIn(EventLoop& loop, std::string id);
+  ServerStandIn(EventLoop& loop,
+                std::string id,
+                std::string failure_domain = "north-a");
 
   const std::string& id() const { return id_; }
+  const std::string& failure_domain() const { return failure_domain_; }
   const std::string& address() const { return address_; }
 
-  // Returns the row that the server publishes about itself in the store.
+  // Returns the row that the server publishes about itself in the store. Its
+  // sequence is that of AdvanceSequence if none is given.
   std::string Row(const std::string& state,
                   double cold_ms = 0,
-                  int sequence = 4) const;
+                  std::optional<std::uint64_t> sequence = {}) const;
   // Returns the row with `address`, that of a proxy, instead of the server's.
   std::string RowAt(const std::string& address, const std::string& state) const;
 
+  // Makes the next rows carry a higher sequence, as each heartbeat does.
+  void AdvanceSequence() { ++sequence_; }
+
   void SetBehaviour(ServerBehaviour behaviour) { behaviour_ = behaviour; }
   // From now on, all responses say that the server is leaving.
   void AnnounceLeaving() { leaving_ = true; }
@@ -166,27 +192,48 @@
     return executed_requests_;
   }
   const std::vector<HttpRequest>& requests() const { return requests_; }
-  const std::vector<HandledRequest>& handled_requests() const {
-    return handled_requests_;
-  }
+  // Returns all requests in the order of arrival.
+  const std::vector<ServerArrival>& arrivals() const { return arrivals_; }
   // Returns the number of callers that disconnected before the response.
   std::size_t disconnected_count() const { return disconnected_count_; }
 
  private:
   void Handle(std::uint64_t id, const HttpRequest& request);
+  void CloseLate(std::uint64_t id);
 
   EventLoop& loop_;
   std::string id_;
+  std::string failure_domain_;
+  std::uint64_t sequence_ = 4;
   HttpServer server_;
   std::string address_;
   ServerBehaviour behaviour_ = ServerBehaviour::kAnswers;
   bool leaving_ = false;
   std::vector<std::string> executed_requests_;
   std::vector<HttpRequest> requests_;
-  std::vector<HandledRequest> handled_requests_;
+  std::vector<ServerArrival> arrivals_;
+  // Timers of requests whose connections are closed late, by id.
+  std::map<std::uint64_t, Timer> late_closes_;
   std::size_t disconnected_count_ = 0;
 };
 
+// A route of a configuration that the operator writes. All routes lead to the
+// service of the server substitutes.
+struct ConfiguredRoute {
+  std::string name;
+  std::string host = "host";
+  std::string prefix;
+  std::string kind = "safe";
+  std::uint32_t timeout_ms = 1000;
+  std::uint32_t attempts = 2;
+  // The route's requests may reach servers of any region if this is empty.
+  std::vector<std::string> home_regions;
+};
+
+// Returns a configuration with the given routes.
+std::string ConfigurationBody(std::uint64_t version,
+                              const std::vector<ConfiguredRoute>& routes);
+
 // Returns a configuration with one idempotent and one non-idempotent route.
 std::string ConfigurationBody(std::uint64_t version,
                               const std::string& prefix = "/read/");
