LibDiscovery: Pass on removals of rows that the relay never published

The relay ignored the removal, because it had never published the row itself, or had read the table in full after it, and answered all the same as if it knew every change. Class of fault: claiming completeness beyond what is known. It doesn't need a restore: a row added and removed between a follower's read of the store and a full read of its relay stayed too. Change: the removal of an unknown or held row is published like any other, and a relay that has read the table in full refuses requests from before that read (history lost), so that the follower asks the store. The case 'removal' of 'a removed row that a restored store has again is held back' expected that the removal publishes nothing; it now expects exactly that removal and, as before, no row after the hold.

--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -48,6 +48,7 @@
 struct RelayRowsUpdated {
   std::vector<TableRow> rows;
   TableVersion version;         // TableState::complete_version.
+  TableVersion history_begin;   // TableState::history_begin.
   std::optional<Duration> age;  // Of the response, if there was one.
 };
 
@@ -105,7 +106,8 @@
 struct RelayState {
   bool has_data = false;       // The first RelayRowsUpdated has arrived.
   std::uint64_t sequence = 0;  // Of the last change.
-  // Removals among the changes up to these numbers have been discarded.
+  // Removals among the changes up to these numbers have been discarded, or are
+  // unknown because the table was read in full.
   std::uint64_t discarded_sequence = 0;
   TableVersion discarded_version;
   TableVersion version;     // The rows are complete up to it.
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -262,6 +262,9 @@
   std::map<std::string, RemovedRow> removed_rows;
   std::vector<TableRow> full_read_rows;  // Of the full read in progress.
   TableVersion full_read_version;
+  // Of the last full read. Rows that were added and removed before it are
+  // unknown.
+  TableVersion history_begin;
   std::uint64_t next_call = 1;
   std::uint64_t open_call = 0;  // 0 if none.
   Duration call_wait{};  // How long the source may keep the last call open.
--- a/Libraries/LibDiscovery/relay.cc
+++ b/Libraries/LibDiscovery/relay.cc
@@ -97,6 +97,8 @@
   if (!state.has_data)
     state.discarded_version = event.version;
   state.has_data = true;
+  state.discarded_version =
+      std::max(state.discarded_version, event.history_begin);
   state.version = std::max(state.version, event.version);
   if (event.age)
     state.complete_at = std::max(state.complete_at, now - *event.age);
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -194,11 +194,12 @@
       Publish(state, row, effects.changed);
     return;
   }
-  if (!state.published_versions.contains(row.key))
-    return;
-  if (now < state.removals_deferred_until)
+  // A removal of an unknown row is published too: a follower may have the row
+  // from another source.
+  const bool is_published = state.published_versions.contains(row.key);
+  if (is_published && now < state.removals_deferred_until)
     state.deferred_removals[row.key] = row.version;
-  else
+  else if (is_published || known == nullptr || *known < row.version)
     PublishRemoval(state, row, now, effects.changed);
 }
 
@@ -304,6 +305,7 @@
       !is_first_read && state.full_read_version.era > state.version.era;
   // The first FollowTable returns the changes made during the full read.
   state.version = state.full_read_version;
+  state.history_begin = state.full_read_version;
   state.phase = TablePhase::kFollowing;
   if (is_new_era) {
     state.removals_deferred_until =
--- a/Tests/LibDiscovery/relay_world.cc
+++ b/Tests/LibDiscovery/relay_world.cc
@@ -118,6 +118,7 @@
     }
   }
   update.version = entry.table.complete_version;
+  update.history_begin = entry.table.history_begin;
   const auto* answered = std::get_if<TableAnswered>(&event);
   if (answered != nullptr)
     update.age = answered->age;
--- a/Tests/LibDiscovery/test_relay.cc
+++ b/Tests/LibDiscovery/test_relay.cc
@@ -41,7 +41,9 @@
   }
 
   void UpdateRows(std::vector<TableRow> rows, std::uint64_t version) {
-    Step(RelayRowsUpdated{std::move(rows), {0, version}, Duration::zero()});
+    Step(RelayRowsUpdated{.rows = std::move(rows),
+                          .version = {0, version},
+                          .age = Duration::zero()});
   }
 
   RelayResponse Request(const RelayRequest& request) {
@@ -394,11 +396,13 @@
 
 TEST_CASE("a relay sends no changes between versions of two eras") {
   RelayFixture relay;
-  relay.Step(RelayRowsUpdated{
-      {{.key = "a", .version = {1, 44}}}, {1, 44}, Duration::zero()});
+  relay.Step(RelayRowsUpdated{.rows = {{.key = "a", .version = {1, 44}}},
+                              .version = {1, 44},
+                              .age = Duration::zero()});
   const std::uint64_t sequence = relay.Request({.all_rows = true}).sequence;
-  relay.Step(RelayRowsUpdated{
-      {{.key = "b", .version = {2, 21}}}, {2, 21}, Duration::zero()});
+  relay.Step(RelayRowsUpdated{.rows = {{.key = "b", .version = {2, 21}}},
+                              .version = {2, 21},
+                              .age = Duration::zero()});
   const RelayResponse refusal = relay.Request({.after = {1, 50}});
   CHECK(refusal.failure == TableFailure::kHistoryLost);
   CHECK(refusal.version.era == 2);
@@ -456,4 +460,15 @@
   CHECK(Find<FollowTable>(actions)->peer.empty());
 }
 
+TEST_CASE(
+    "a relay that has read the table in full doesn't hide removals before") {
+  RelayFixture relay;
+  relay.UpdateRows({Put("a", 1)}, 1);
+  // The row "b" was added at version 5 and removed at version 8.
+  relay.Step(RelayRowsUpdated{
+      .version = {0, 10}, .history_begin = {0, 10}, .age = Duration::zero()});
+  CHECK(relay.Request({.after = {0, 6}}).failure == TableFailure::kHistoryLost);
+  CHECK_FALSE(relay.Request({.after = {0, 10}}).failure);
+}
+
 }  // namespace cicadadrum::discovery
--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -268,8 +268,14 @@
     CHECK(table.held_rows == 1);
     // Entry VMs that follow this one must not continue from the new era yet.
     CHECK(table.state.complete_version == TableVersion{1, 44});
-    if (change == std::string("removal"))
+    if (change == std::string("removal")) {
       table.AnswerFollow({Removal("b", 3)}, 3);
+      // Followers that hold the row back too must learn of the removal.
+      const auto removals = table.TakeRows();
+      REQUIRE(removals.size() == 1);
+      CHECK(removals[0].key == "b");
+      CHECK(removals[0].removed);
+    }
     if (change == std::string("put")) {
       table.AnswerFollow({Put("b", 3)}, 3);
       CHECK(table.now < restored + table.state.options.restored_row_hold);
