LibLoop: Bound the memory of large responses on their way

A response of a server is read whole and then sent to the caller. What callers do not read was counted nowhere, and a body was copied into the caller's connection. 50 callers that read nothing of 540 kB each hold 27 MB; nothing kept servers from sending more.

Bodies are now moved to libevent and counted until it frees them, also when the connection is lost. The client can be told how much incomplete responses may hold; beyond that it stops reading all large ones but one, whose end frees memory. Ruled out: ending the largest response, as for responses without end, because these are valid and would be asked for again.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -66,6 +66,8 @@
     connection.skipped_response = true;
     ResetParser(connection.parser, connection.call->head_request);
   }
+  // May pause this connection, but not close it.
+  PauseIfNeeded(connection);
   LimitBufferedBytes();
 }
 
@@ -88,6 +90,7 @@
     Close(*std::exchange(largest.connection, nullptr));
     ScheduleCompletion(largest, HttpOutcome::kLost);
   }
+  ResumeReading();
 }
 
 // Returns how many bytes of the call's connection are no part of the body of
@@ -166,6 +169,7 @@
     ReturnToIdle(connection, KeepAliveTimeout(response, options.idle_timeout));
   else
     Close(connection);
+  ResumeReading();
   callback(outcome, std::move(response));
 }
 
@@ -264,6 +268,7 @@
   if (found->second.connection != nullptr)
     impl_->Close(*found->second.connection);
   impl_->calls.erase(found);
+  impl_->ResumeReading();
 }
 
 const HttpClientCounters& HttpClient::counters() const {
--- a/Libraries/LibLoop/http_client_connections.cc
+++ b/Libraries/LibLoop/http_client_connections.cc
@@ -115,6 +115,8 @@
   std::erase(address_connections.idle, &connection);
   --address_connections.open_count;
   counters.buffered_bytes -= connection.buffered_bytes;
+  if (connection.paused)
+    --paused_count;
   bufferevent_free(connection.bev);
   delete &connection;
 }
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -5,6 +5,9 @@
 
 #include <event2/bufferevent.h>
 
+#include <cstddef>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,6 +36,8 @@
     std::uint64_t received_bytes = 0;  // During the current call.
     // The share of this connection in HttpClientCounters::buffered_bytes.
     std::uint64_t buffered_bytes = 0;
+    // No bytes are read until enough memory is free.
+    bool paused = false;
     // A response that does not belong to the call arrived.
     bool skipped_response = false;
     TimePoint usable_until;  // Set while the connection is idle.
@@ -71,6 +76,9 @@
   // calls.
   std::map<std::uint64_t, Call> calls;
   std::uint64_t next_id = 1;
+  std::uint64_t reading_limit = std::numeric_limits<std::uint64_t>::max();
+  // Invariant: the number of paused connections.
+  std::size_t paused_count = 0;
   HttpClientCounters counters;
 
   Connection* ReuseIdle(AddressConnections& address_connections,
@@ -88,6 +96,14 @@
   void Read(Connection& connection);
   void CountBufferedBytes(Connection& connection);
   void LimitBufferedBytes();
+  // Pauses the connection if it receives a large response while too much is
+  // buffered and another large response is being read.
+  void PauseIfNeeded(Connection& connection);
+  // Resumes paused connections, the oldest call first, as far as memory allows.
+  // At least one large response is always read, so that memory becomes free.
+  void ResumeReading();
+  // Whether a large response other than that of `except` is being read.
+  bool IsReadingLarge(const Connection* except) const;
   std::uint64_t DiscardedBytes(const Connection& connection) const;
   bool IsResponseToCall(const Connection& connection) const;
   void HandleEvent(Connection& connection, short what);
--- a/Libraries/LibLoop/http_parser_state.cc
+++ b/Libraries/LibLoop/http_parser_state.cc
@@ -10,6 +10,9 @@
 
 constexpr std::uint16_t kFirstFinalStatus = 200;
 
+// Largest body whose memory is allocated at once when its length is declared.
+constexpr std::uint64_t kMaxReservedBytes = 1'048'576;
+
 ResponseParser& StateOf(http_parser* parser) {
   return *static_cast<ResponseParser*>(parser->data);
 }
@@ -58,6 +61,8 @@
     return 1;
   state.too_large =
       DeclaresLength(parser) && parser->content_length > state.max_body_bytes;
+  if (DeclaresLength(parser) && parser->content_length <= kMaxReservedBytes)
+    state.response.body.reserve(parser->content_length);
   return 0;
 }
 
--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 
 #include <map>
+#include <utility>
 
 #include "cicadadrum/base/error.h"
 #include "cicadadrum/loop/address.h"
@@ -74,6 +75,53 @@
   return true;
 }
 
+// Bodies of responses that libevent still holds. Shared with these bodies,
+// because libevent may free a connection after the server.
+struct UnsentBodies {
+  std::uint64_t bytes = 0;
+  std::function<void(std::uint64_t unsent_bytes)> changed;
+};
+
+void AddUnsent(UnsentBodies& unsent, std::uint64_t added) {
+  unsent.bytes += added;
+  if (unsent.changed)
+    unsent.changed(unsent.bytes);
+}
+
+void RemoveUnsent(UnsentBodies& unsent, std::uint64_t removed) {
+  unsent.bytes -= removed;
+  if (unsent.changed)
+    unsent.changed(unsent.bytes);
+}
+
+// One body that libevent sends without a copy of it.
+struct SentBody {
+  std::shared_ptr<UnsentBodies> unsent;
+  std::string bytes;
+};
+
+// Appends the body to `buffer`. It is freed when it has been sent, or when its
+// connection has been closed.
+void AppendBody(evbuffer* buffer,
+                std::shared_ptr<UnsentBodies> unsent,
+                std::string bytes) {
+  if (bytes.empty())
+    return;
+  auto body =
+      std::make_unique<SentBody>(SentBody{std::move(unsent), std::move(bytes)});
+  const auto release = [](const void* /*data*/, std::size_t /*size*/,
+                          void* argument) {
+    const std::unique_ptr<SentBody> sent(static_cast<SentBody*>(argument));
+    RemoveUnsent(*sent->unsent, sent->bytes.size());
+  };
+  SentBody& appended = *body;
+  if (evbuffer_add_reference(buffer, appended.bytes.data(),
+                             appended.bytes.size(), release, &appended) != 0)
+    return;
+  AddUnsent(*appended.unsent, appended.bytes.size());
+  static_cast<void>(body.release());
+}
+
 std::uint16_t BoundPort(evutil_socket_t fd) {
   sockaddr_storage storage{};
   socklen_t length = sizeof(storage);
@@ -114,6 +162,7 @@
   // Responses not yet written to the kernel's socket buffers.
   std::uint64_t unsent_responses = 0;
   std::unique_ptr<Timer> flush_timer;
+  std::shared_ptr<UnsentBodies> unsent = std::make_shared<UnsentBodies>();
   HttpServerCounters counters;
 
   static std::map<evconnlistener*, Impl*>& Listeners();
@@ -191,6 +240,7 @@
     : impl_(std::make_unique<Impl>(loop,
                                    std::move(on_request),
                                    std::move(on_close))) {
+  impl_->unsent->changed = options.unsent_changed;
   impl_->http = evhttp_new(loop.base());
   evhttp_set_max_body_size(impl_->http,
                            static_cast<ev_ssize_t>(options.max_body_bytes));
@@ -205,6 +255,7 @@
 
 HttpServer::~HttpServer() {
   Impl::Listeners().erase(impl_->listener);
+  impl_->unsent->changed = nullptr;
   for (auto& [id, pending_request] : impl_->pending_requests) {
     Impl::StopWatchingForClose(pending_request);
     evhttp_connection* connection =
@@ -246,7 +297,7 @@
   impl_->socket = nullptr;
 }
 
-void HttpServer::Respond(std::uint64_t id, const HttpResponse& response) {
+void HttpServer::Respond(std::uint64_t id, HttpResponse response) {
   const auto found = impl_->pending_requests.find(id);
   if (found == impl_->pending_requests.end())
     return;
@@ -265,7 +316,7 @@
     evhttp_request_set_on_complete_cb(request, sent, impl_.get());
   }
   evbuffer* body = evbuffer_new();
-  evbuffer_add(body, response.body.data(), response.body.size());
+  AppendBody(body, impl_->unsent, std::move(response.body));
   evhttp_send_reply(request, response.status, nullptr, body);
   evbuffer_free(body);
 }
@@ -294,6 +345,10 @@
   impl_->flush_timer->Schedule(impl_->loop.Now() + wait);
 }
 
+std::uint64_t HttpServer::unsent_bytes() const {
+  return impl_->unsent->bytes;
+}
+
 const HttpServerCounters& HttpServer::counters() const {
   return impl_->counters;
 }
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -94,6 +94,8 @@
   std::uint64_t unsolicited_responses = 0;
   // Size of the incomplete responses at this moment.
   std::uint64_t buffered_bytes = 0;
+  // Responses whose reading was paused (see LimitReading).
+  std::uint64_t pauses = 0;
 };
 
 class HttpClient {
@@ -119,6 +121,11 @@
   // request. An unknown id is ignored.
   void Cancel(std::uint64_t id);
 
+  // While incomplete responses hold more than `bytes`, only one of the large
+  // responses is read; the servers of the others have to wait. Without a call,
+  // nothing is paused.
+  void LimitReading(std::uint64_t bytes);
+
   const HttpClientCounters& counters() const;
 
  private:
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
@@ -20,6 +20,9 @@
   std::uint64_t max_body_bytes = 262144;
   std::uint64_t max_header_bytes = 16384;
   int idle_timeout_seconds = 60;
+  // Called with the new number of unsent bytes whenever it changes. May be
+  // empty.
+  std::function<void(std::uint64_t unsent_bytes)> unsent_changed;
 };
 
 struct HttpServerCounters {
@@ -56,7 +59,7 @@
   void StopListening();
 
   // Sends the response to the request `id`. An unknown id is ignored.
-  void Respond(std::uint64_t id, const HttpResponse& response);
+  void Respond(std::uint64_t id, HttpResponse response);
 
   // Closes the connection of the request `id` without sending a response. An
   // unknown id is ignored.
@@ -66,6 +69,10 @@
   // socket buffers, or after half a second at the latest.
   void WhenFlushed(std::function<void()> callback);
 
+  // Size of the bodies of responses that hold memory: their clients have not
+  // read them yet.
+  std::uint64_t unsent_bytes() const;
+
   const HttpServerCounters& counters() const;
 
  private:
