--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -319,7 +319,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(891cfc27c6698aec, 2, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(891cfc27c6698aec, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1934,6 +1934,8 @@
 
   inline double getLinkMegabitsPerSecond() const;
 
+  inline double getProcessorShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2013,6 +2015,9 @@
   inline double getLinkMegabitsPerSecond();
   inline void setLinkMegabitsPerSecond(double value);
 
+  inline double getProcessorShare();
+  inline void setProcessorShare(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6385,6 +6390,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline double MemberUpdate::Reader::getProcessorShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double MemberUpdate::Builder::getProcessorShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void MemberUpdate::Builder::setProcessorShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ItemVersion::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibModel/include/cicadadrum/model/deployment.h
+++ b/Libraries/LibModel/include/cicadadrum/model/deployment.h
@@ -32,6 +32,7 @@
   std::string caller_address;           // IP:port for callers and operators.
   std::string peer_address;             // IP:port for other entry VMs.
   double link_megabits_per_second = 0;  // 0 if unknown.
+  double processor_share = 0;           // In cores; 0 if unknown.
   bool operator==(const EntryVm&) const = default;
 };
 
--- a/Libraries/LibPeer/codec_exchange.cc
+++ b/Libraries/LibPeer/codec_exchange.cc
@@ -22,6 +22,7 @@
   to.setCallerAddress(TextToWire(member.entry.caller_address));
   to.setPeerAddress(TextToWire(member.entry.peer_address));
   to.setLinkMegabitsPerSecond(member.entry.link_megabits_per_second);
+  to.setProcessorShare(member.entry.processor_share);
   WriteIncarnation(member.incarnation, to.initIncarnation());
   to.setSequence(member.sequence);
   to.setState(EnumToWire<schema::MemberState>(member.state));
@@ -38,7 +39,9 @@
   member.entry.caller_address = TextFromWire(from.getCallerAddress());
   member.entry.peer_address = TextFromWire(from.getPeerAddress());
   member.entry.link_megabits_per_second = from.getLinkMegabitsPerSecond();
-  if (!(member.entry.link_megabits_per_second >= 0))
+  member.entry.processor_share = from.getProcessorShare();
+  if (!(member.entry.link_megabits_per_second >= 0) ||
+      !(member.entry.processor_share >= 0))
     return std::nullopt;
   member.incarnation = ReadIncarnation(from.getIncarnation());
   member.sequence = from.getSequence();
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -171,6 +171,7 @@
   sequence @6 :UInt32;  # Grows when the member contradicts a report about itself.
   state @7 :MemberState;
   linkMegabitsPerSecond @8 :Float64;  # 0 if unknown.
+  processorShare @9 :Float64;  # In cores; 0 if unknown.
 }
 
 # One item of versioned state: a configuration version, a leaving mark or a blocked fingerprint.
