platform: Refuse only the parts of a configuration that are unknown

A configuration was decoded as one message, and a route of a kind that is not known was an error of the whole.

The kind download is known now: idempotent, with large responses. Ruled out: keeping the last good configuration, because every other change in it would break its time bound, and a new process would have nothing to serve. What no release allows (no service, a time of 0 or less) is an error of the whole as before.

--- a/Generated/schemas/routing.capnp.h
+++ b/Generated/schemas/routing.capnp.h
@@ -23,7 +23,7 @@
 CAPNP_DECLARE_SCHEMA(a984e2cdd93e1165);
 CAPNP_DECLARE_SCHEMA(8159e731bd87cc9b);
 CAPNP_DECLARE_SCHEMA(a3cbe716244ce0df);
-CAPNP_DECLARE_SCHEMA(ef2948c474f3a146);
+CAPNP_DECLARE_SCHEMA(c0c675ac6a4e041b);
 CAPNP_DECLARE_SCHEMA(f7e2e5793865ef14);
 CAPNP_DECLARE_SCHEMA(86fc930e90aae461);
 CAPNP_DECLARE_SCHEMA(9a33a204e547bfda);
@@ -98,15 +98,15 @@
   };
 };
 
-struct RoutingDocument {
-  RoutingDocument() = delete;
+struct ConfigurationHead {
+  ConfigurationHead() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ef2948c474f3a146, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c0c675ac6a4e041b, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -211,7 +211,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b1393057c751c22, 2, 13)
+    CAPNP_DECLARE_STRUCT_HEADER(9b1393057c751c22, 5, 13)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -670,9 +670,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class RoutingDocument::Reader {
+class ConfigurationHead::Reader {
 public:
-  typedef RoutingDocument Reads;
+  typedef ConfigurationHead Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -689,15 +689,6 @@
 
   inline  ::uint64_t getVersion() const;
 
-  inline bool hasRoutes() const;
-  inline  ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>::Reader getRoutes() const;
-
-  inline bool hasServices() const;
-  inline  ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>::Reader getServices() const;
-
-  inline bool hasLimits() const;
-  inline  ::cicadadrum::schema::CallerLimits::Reader getLimits() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -710,9 +701,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class RoutingDocument::Builder {
+class ConfigurationHead::Builder {
 public:
-  typedef RoutingDocument Builds;
+  typedef ConfigurationHead Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -729,27 +720,6 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
-  inline bool hasRoutes();
-  inline  ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>::Builder getRoutes();
-  inline void setRoutes( ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>::Builder initRoutes(unsigned int size);
-  inline void adoptRoutes(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>> disownRoutes();
-
-  inline bool hasServices();
-  inline  ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>::Builder getServices();
-  inline void setServices( ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
-  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>> disownServices();
-
-  inline bool hasLimits();
-  inline  ::cicadadrum::schema::CallerLimits::Builder getLimits();
-  inline void setLimits( ::cicadadrum::schema::CallerLimits::Reader value);
-  inline  ::cicadadrum::schema::CallerLimits::Builder initLimits();
-  inline void adoptLimits(::capnp::Orphan< ::cicadadrum::schema::CallerLimits>&& value);
-  inline ::capnp::Orphan< ::cicadadrum::schema::CallerLimits> disownLimits();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -760,15 +730,14 @@
 };
 
 #if !CAPNP_LITE
-class RoutingDocument::Pipeline {
+class ConfigurationHead::Pipeline {
 public:
-  typedef RoutingDocument Pipelines;
+  typedef ConfigurationHead Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::cicadadrum::schema::CallerLimits::Pipeline getLimits();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1479,6 +1448,12 @@
 
   inline double getLinkMegabitsPerSecond() const;
 
+  inline double getProcessorShare() const;
+
+  inline double getProcessorSpeed() const;
+
+  inline double getMemoryMegabytes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1605,6 +1580,15 @@
   inline double getLinkMegabitsPerSecond();
   inline void setLinkMegabitsPerSecond(double value);
 
+  inline double getProcessorShare();
+  inline void setProcessorShare(double value);
+
+  inline double getProcessorSpeed();
+  inline void setProcessorSpeed(double value);
+
+  inline double getMemoryMegabytes();
+  inline void setMemoryMegabytes(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2160,127 +2144,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4669471951536783360ull);
 }
 
-inline  ::uint64_t RoutingDocument::Reader::getVersion() const {
+inline  ::uint64_t ConfigurationHead::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RoutingDocument::Builder::getVersion() {
+inline  ::uint64_t ConfigurationHead::Builder::getVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RoutingDocument::Builder::setVersion( ::uint64_t value) {
+inline void ConfigurationHead::Builder::setVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RoutingDocument::Reader::hasRoutes() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool RoutingDocument::Builder::hasRoutes() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>::Reader RoutingDocument::Reader::getRoutes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>::Builder RoutingDocument::Builder::getRoutes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void RoutingDocument::Builder::setRoutes( ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>::Builder RoutingDocument::Builder::initRoutes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void RoutingDocument::Builder::adoptRoutes(
-    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>> RoutingDocument::Builder::disownRoutes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::RouteRule,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool RoutingDocument::Reader::hasServices() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool RoutingDocument::Builder::hasServices() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>::Reader RoutingDocument::Reader::getServices() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>::Builder RoutingDocument::Builder::getServices() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void RoutingDocument::Builder::setServices( ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>::Builder RoutingDocument::Builder::initServices(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void RoutingDocument::Builder::adoptServices(
-    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>> RoutingDocument::Builder::disownServices() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ServiceRule,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool RoutingDocument::Reader::hasLimits() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool RoutingDocument::Builder::hasLimits() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::cicadadrum::schema::CallerLimits::Reader RoutingDocument::Reader::getLimits() const {
-  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::CallerLimits>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::cicadadrum::schema::CallerLimits::Builder RoutingDocument::Builder::getLimits() {
-  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::CallerLimits>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::cicadadrum::schema::CallerLimits::Pipeline RoutingDocument::Pipeline::getLimits() {
-  return  ::cicadadrum::schema::CallerLimits::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void RoutingDocument::Builder::setLimits( ::cicadadrum::schema::CallerLimits::Reader value) {
-  ::capnp::_::PointerHelpers< ::cicadadrum::schema::CallerLimits>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::cicadadrum::schema::CallerLimits::Builder RoutingDocument::Builder::initLimits() {
-  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::CallerLimits>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void RoutingDocument::Builder::adoptLimits(
-    ::capnp::Orphan< ::cicadadrum::schema::CallerLimits>&& value) {
-  ::capnp::_::PointerHelpers< ::cicadadrum::schema::CallerLimits>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::cicadadrum::schema::CallerLimits> RoutingDocument::Builder::disownLimits() {
-  return ::capnp::_::PointerHelpers< ::cicadadrum::schema::CallerLimits>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 inline bool ServerDocument::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3387,12 +3264,12 @@
 inline  ::capnp::Text::Reader PlatformSettings::Reader::getLogLevel() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<12>() * ::capnp::POINTERS),
-        ::capnp::schemas::bp_9b1393057c751c22 + 245, 4);
+        ::capnp::schemas::bp_9b1393057c751c22 + 266, 4);
 }
 inline  ::capnp::Text::Builder PlatformSettings::Builder::getLogLevel() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<12>() * ::capnp::POINTERS),
-        ::capnp::schemas::bp_9b1393057c751c22 + 245, 4);
+        ::capnp::schemas::bp_9b1393057c751c22 + 266, 4);
 }
 inline void PlatformSettings::Builder::setLogLevel( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
@@ -3440,6 +3317,48 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline double PlatformSettings::Reader::getProcessorShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double PlatformSettings::Builder::getProcessorShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PlatformSettings::Builder::setProcessorShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PlatformSettings::Reader::getProcessorSpeed() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4607182418800017408ull);
+}
+
+inline double PlatformSettings::Builder::getProcessorSpeed() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, 4607182418800017408ull);
+}
+inline void PlatformSettings::Builder::setProcessorSpeed(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, 4607182418800017408ull);
+}
+
+inline double PlatformSettings::Reader::getMemoryMegabytes() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double PlatformSettings::Builder::getMemoryMegabytes() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PlatformSettings::Builder::setMemoryMegabytes(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/configuration.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/configuration.h
@@ -22,6 +22,8 @@
   kSafe,    // The request is idempotent and may run more than once.
   kUnsafe,  // The request runs at most once.
   kUpload,  // The request has a large body and runs at most once.
+  // The response has a large body; the request is idempotent.
+  kDownload,
 };
 
 }  // namespace cicadadrum::routing
@@ -34,6 +36,7 @@
       {routing::RouteKind::kSafe, "safe"},
       {routing::RouteKind::kUnsafe, "unsafe"},
       {routing::RouteKind::kUpload, "upload"},
+      {routing::RouteKind::kDownload, "download"},
   });
 };
 
@@ -42,7 +45,7 @@
 namespace cicadadrum::routing {
 
 constexpr bool IsIdempotent(RouteKind kind) {
-  return kind == RouteKind::kSafe;
+  return kind == RouteKind::kSafe || kind == RouteKind::kDownload;
 }
 
 // A service that receives part of a route's requests.
@@ -69,7 +72,10 @@
   bool sticky = false;  // Servers work faster on objects in their cache.
   // Regions whose servers may run the requests. Empty allows all regions.
   std::vector<std::string> home_regions;
-  std::vector<ServiceShare> shares;  // Never empty.
+  std::vector<ServiceShare> shares;  // Empty only if the route is unreadable.
+  // Whether the route could be read. Requests of a route that could not are
+  // refused; of it, only host and prefix are known.
+  bool is_readable = true;
   bool operator==(const Route&) const = default;
 };
 
--- a/Libraries/LibRouting/request_route.cc
+++ b/Libraries/LibRouting/request_route.cc
@@ -52,7 +52,7 @@
   if (request.configuration == state.table.configuration.version)
     return true;
   const Route* route = FindRoute(state.table, request.host, request.path);
-  if (route == nullptr)
+  if (route == nullptr || !route->is_readable)
     return false;
   // Earlier attempts may have relied on the kind of the earlier route.
   const RouteKind kind =
--- a/Schemas/routing.capnp
+++ b/Schemas/routing.capnp
@@ -15,7 +15,7 @@
   name @0 :Text;
   host @1 :Text;
   prefix @2 :Text;
-  kind @3 :Text;  # safe, unsafe or upload
+  kind @3 :Text;  # safe, unsafe, upload or download
   timeoutMilliseconds @4 :Float64 = -1;
   latencyObjectiveMilliseconds @5 :Float64 = -1;
   priority @6 :UInt32 = 1000;
@@ -41,11 +41,10 @@
   idleTimeoutMilliseconds @3 :Float64 = 15000;
 }
 
-struct RoutingDocument {
+# Part of a configuration. Its lists `routes` (of RouteRule) and `services` (of ServiceRule), and `limits` (CallerLimits),
+# are decoded one by one.
+struct ConfigurationHead {
   version @0 :UInt64;
-  routes @1 :List(RouteRule);
-  services @2 :List(ServiceRule);
-  limits @3 :CallerLimits;
 }
 
 # State of a backend server, which the server itself writes.
@@ -115,4 +114,7 @@
   logLevel @12 :Text = "info";
   logLinesPerSecond @13 :UInt32 = 100;
   linkMegabitsPerSecond @14 :Float64;  # Speed of this VM's link; 0 if unknown.
+  processorShare @15 :Float64;  # Part of a core that this VM has; 0 if unknown.
+  processorSpeed @16 :Float64 = 1;  # Of this VM's core, relative to the usual speed.
+  memoryMegabytes @17 :Float64;  # That this process may use; 0 if unknown.
 }
