LibRouting: Learn response sizes and limit downloads by link and memory

A choice counted the bytes of requests only. A download of 90 kB to 540 kB counted as nothing, although 52 of the 64 entry VMs of the grown deployment have links of 10 Mbit/s and 160 MB.

Each entry VM learns the mean response size of a route. It adds to the cost of servers elsewhere, puts large transfers last among the requests that leave a region (unless the service has little else), and bounds what is on its way: a download is refused at once if all of them would take more than half of the time left on the VM's link, or more than a quarter of its memory. Ruled out: streaming, because a cut response could not be repeated (docs/design.md, section 6.11).

--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -12,6 +12,7 @@
 #include "observations.h"
 #include "region_shares.h"
 #include "server_limit.h"
+#include "transfers.h"
 
 namespace cicadadrum::routing {
 
@@ -45,6 +46,10 @@
 constexpr double kOtherRegionMs = 60;
 constexpr double kOtherDomainMsPerKilobyte = 4;
 constexpr double kOtherRegionMsPerKilobyte = 10;
+// The same for a response. Unlike a request's body, its bytes do not delay the
+// server's work, so what counts is the share of the links that they take.
+constexpr double kOtherDomainMsPerResponseKilobyte = 0.05;
+constexpr double kOtherRegionMsPerResponseKilobyte = 0.5;
 
 // Cost of a server that fails every request, in multiples of the work on an
 // object that the server has not handled recently.
@@ -95,11 +100,16 @@
 double DistanceMs(const RoutingState& state,
                   const RequestState& request,
                   const Server& server) {
-  const double kilobytes = static_cast<double>(request.body_bytes) / 1024;
+  constexpr double kKilobyte = 1024;
+  const double sent = static_cast<double>(request.body_bytes) / kKilobyte;
+  const double received =
+      static_cast<double>(ExpectedResponseBytes(state, request)) / kKilobyte;
   if (server.region != state.options.region)
-    return kOtherRegionMs + kilobytes * kOtherRegionMsPerKilobyte;
+    return kOtherRegionMs + sent * kOtherRegionMsPerKilobyte +
+           received * kOtherRegionMsPerResponseKilobyte;
   if (server.entry.failure_domain != state.options.failure_domain)
-    return kOtherDomainMs + kilobytes * kOtherDomainMsPerKilobyte;
+    return kOtherDomainMs + sent * kOtherDomainMsPerKilobyte +
+           received * kOtherDomainMsPerResponseKilobyte;
   return 0;
 }
 
@@ -272,12 +282,16 @@
     candidates[i].rank = std::min(i, kMaxRank);
 }
 
-ServerChoice MakeServerChoice(Server& server,
+ServerChoice MakeServerChoice(const RoutingState& state,
+                              Server& server,
                               const RequestState& request,
                               const Cost& cost,
                               TimePoint now) {
   ServerChoice choice{.server = &server,
-                      .inputs = {.cache_affinity = cost.cache_affinity,
+                      .inputs = {.kind = request.route.kind,
+                                 .cache_affinity = cost.cache_affinity,
+                                 .expected_response_bytes =
+                                     ExpectedResponseBytes(state, request),
                                  .cost_ms = cost.total_ms,
                                  .in_flight = server.in_flight,
                                  .slowness = ValueAt(server.slowness, 1, now),
@@ -323,7 +337,7 @@
     return {};
   const auto& [server, cost] =
       best_by_region.at(ChooseRegion(state, request, costs, now));
-  return MakeServerChoice(*server, request, cost, now);
+  return MakeServerChoice(state, *server, request, cost, now);
 }
 
 std::optional<TimePoint> FirstPauseEnd(const RoutingState& state,
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -33,6 +33,8 @@
   std::optional<std::uint64_t> object;
   Duration remaining{};  // Time until the caller gives up.
   std::uint64_t body_bytes = 0;
+  // Size of earlier responses that still wait to be sent to callers.
+  std::uint64_t unsent_bytes = 0;
   // Hash that is equal for repeats of a request.
   std::uint64_t fingerprint = 0;
 };
@@ -49,6 +51,7 @@
   std::uint32_t attempt = 0;
   ServerOutcome outcome = ServerOutcome::kLost;
   std::optional<LoadReport> report;
+  std::uint64_t response_bytes = 0;  // Size of the body of a complete response.
   // Time for which the server stays cold according to the response, or zero if
   // the response does not say.
   Duration cold_left{};
@@ -172,13 +175,18 @@
 // server.
 enum class RefusalReason : std::uint8_t {
   kNone,
-  kNotReady,  // The entry VM has no configuration or no list of servers.
-  kNoRoute,   // No route matches the request.
+  kNotReady,         // The entry VM has no configuration or no list of servers.
+  kNoRoute,          // No route matches the request.
+  kUnreadableRoute,  // The route is written for a later release.
   // The route has home regions, and they may have changed: no source has
   // confirmed the configuration lately.
   kConfigurationOutdated,
-  kNoServer,     // No server may receive the request at present.
-  kOverloaded,   // The servers are too full to respond in time.
+  kNoServer,    // No server may receive the request at present.
+  kOverloaded,  // The servers are too full to respond in time.
+  // The responses that are on their way fill the link of this entry VM.
+  kLinkFull,
+  // The responses that are on their way fill the memory of this entry VM.
+  kMemoryFull,
   kRejected,     // Servers rejected the request and no attempt is left.
   kUnreachable,  // No server could be reached.
   kFailed,       // An attempt ended without a usable response.
@@ -198,10 +206,13 @@
           {routing::RefusalReason::kNone, "none"},
           {routing::RefusalReason::kNotReady, "not-ready"},
           {routing::RefusalReason::kNoRoute, "no-route"},
+          {routing::RefusalReason::kUnreadableRoute, "unreadable-route"},
           {routing::RefusalReason::kConfigurationOutdated,
            "configuration-outdated"},
           {routing::RefusalReason::kNoServer, "no-server"},
           {routing::RefusalReason::kOverloaded, "overloaded"},
+          {routing::RefusalReason::kLinkFull, "link-full"},
+          {routing::RefusalReason::kMemoryFull, "memory-full"},
           {routing::RefusalReason::kRejected, "rejected"},
           {routing::RefusalReason::kUnreachable, "unreachable"},
           {routing::RefusalReason::kFailed, "failed"},
@@ -245,8 +256,10 @@
 
 // The values that decided the choice of a server, for the log.
 struct ChoiceInputs {
+  RouteKind kind = RouteKind::kUnsafe;
   std::uint64_t object = 0;  // Hash of the object that the request concerns.
   CacheAffinity cache_affinity = CacheAffinity::kFresh;
+  std::uint64_t expected_response_bytes = 0;
   double cost_ms = 0;           // Total cost by which servers are compared.
   std::uint32_t in_flight = 0;  // Attempts of this entry VM at the server.
   // Requests that were running and waiting according to the server's last load
@@ -288,6 +301,7 @@
 struct DeliverResponse {
   std::uint64_t request = 0;
   std::string server;
+  RouteKind kind = RouteKind::kUnsafe;
 };
 
 // Refuse the request with an error response of this entry VM.
@@ -295,6 +309,8 @@
   std::uint64_t request = 0;
   RefusalReason reason = RefusalReason::kNone;
   Verdict verdict = Verdict::kNotRun;
+  // Of the request's route, if one matched and could be read.
+  std::optional<RouteKind> kind;
   // Delay after which the caller should retry; zero if the response states
   // none.
   Duration retry_after{};
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -34,6 +34,9 @@
   std::string failure_domain;
   // Region of each failure domain of the deployment.
   std::map<std::string, std::string> region_by_domain;
+  double link_megabits_per_second = 0;  // Of this entry VM; 0 if unknown.
+  // Memory for responses on their way from servers to callers; 0 for no bound.
+  std::uint64_t response_memory_bytes = 0;
   FleetBounds bounds;
 };
 
@@ -59,6 +62,8 @@
   std::uint64_t object = 0;  // A random number if the caller named none.
   std::uint64_t fingerprint = 0;
   std::uint64_t body_bytes = 0;
+  // Estimated size of the response's body, as of the last attempt.
+  std::uint64_t expected_response_bytes = 0;
   TimePoint arrived_at;
   TimePoint caller_deadline;
   // The earlier of the route's timeout and the caller's deadline, the latter
@@ -94,6 +99,15 @@
   std::uint32_t samples = 0;
 };
 
+// Sizes of the bodies of a route's responses.
+struct ResponseSize {
+  double mean_bytes = 0;
+  std::uint32_t samples = 0;
+  // The mean is above the size of a large transfer. Has hysteresis, so that the
+  // requests of a route do not change their split again and again.
+  bool is_large = false;
+};
+
 // Work estimates for the requests of one route.
 struct RouteWorkEstimates {
   WorkEstimate fresh;  // The server has not handled the object recently.
@@ -123,6 +137,8 @@
   // the others.
   SplitState split;
   TimePoint next_advance{};
+  // Number of requests by name of the split. The counts decay with time.
+  std::map<std::string, double> requests_by_split;
   // Number of requests sent to another region than the split assigns, and of
   // all requests. Both counts decay with time.
   double overrides = 0;
@@ -182,6 +198,11 @@
   std::unordered_map<std::uint64_t, RequestState> requests;  // By id.
   // Deadline and id of each request in progress.
   std::set<std::pair<TimePoint, std::uint64_t>> deadlines;
+  // By name of the route.
+  std::unordered_map<std::string, ResponseSize> response_sizes;
+  // Mean size of the bodies of a request and its response, over all routes; 0
+  // before the first response.
+  double mean_transfer_bytes = 0;
   // Credits of the weighted round robin between a route's services, by name of
   // the route. Only routes with several services have an entry.
   std::unordered_map<std::string, std::vector<double>> split_credit;
--- a/Libraries/LibRouting/region_shares.cc
+++ b/Libraries/LibRouting/region_shares.cc
@@ -8,6 +8,7 @@
 
 #include "advice.h"
 #include "server_limit.h"
+#include "transfers.h"
 
 namespace cicadadrum::routing {
 
@@ -18,6 +19,8 @@
 
 // Half-life of the counts of requests and overrides, in ms.
 constexpr double kOverrideHalfLifeMs = 1000;
+// Half-life of the counts of requests by split, in ms.
+constexpr double kRequestsHalfLifeMs = 5000;
 
 // Load limits of this entry VM's region, in requests per slot. Above
 // `leave_above`, requests move to a region whose load is smaller by at least
@@ -33,11 +36,12 @@
 // Load of a server whose limit allows this entry VM no request at present.
 constexpr double kLoadAtLimit = 1;
 
-// Requests with large bodies fill the links between regions, so they leave the
-// region last and return first.
-constexpr LoadLimits kLargeBodyLoadLimits{.leave_above = 1.3,
-                                          .return_below = 1};
-constexpr std::uint64_t kLargeBodyBytes = 16384;
+// Large transfers fill the links between regions, so they leave the region last
+// and return first. This holds only while the service has enough other requests
+// that can leave before them.
+constexpr LoadLimits kLargeTransferLoadLimits{.leave_above = 1.3,
+                                              .return_below = 1};
+constexpr double kMinShareOfOtherRequests = 0.2;
 
 // A request may run in another region than the split assigns if that makes it
 // faster by this many ms or avoids a refusal.
@@ -51,10 +55,6 @@
 // arrive.
 constexpr double kSplitCapShare = 0.85;
 
-bool HasLargeBody(const RequestState& request) {
-  return request.body_bytes >= kLargeBodyBytes;
-}
-
 std::set<std::string> RegionsOf(const RoutingState& state) {
   std::set<std::string> regions;
   for (const auto& [domain, region] : state.options.region_by_domain)
@@ -134,16 +134,33 @@
                                  bounds.shift_window);
 }
 
-// Suffix of the name of a split for requests with large bodies.
-constexpr std::string_view kLargeBodySuffix = " large";
+// Suffix of the name of a split for large transfers.
+constexpr std::string_view kLargeSuffix = " large";
 
-std::string SplitNameOf(const RequestState& request) {
+std::string SplitNameOf(const RoutingState& state,
+                        const RequestState& request) {
   std::string name = request.service;
-  if (HasLargeBody(request))
-    name += kLargeBodySuffix;
+  if (IsLargeTransfer(state, request))
+    name += kLargeSuffix;
   return name;
 }
 
+double RecentRequests(const RegionShares& shares, const std::string& split) {
+  const auto found = shares.requests_by_split.find(split);
+  return found == shares.requests_by_split.end() ? 0 : found->second;
+}
+
+// Returns the limits of the service's split for large transfers.
+const LoadLimits& LargeTransferLimits(const RegionShares& shares,
+                                      const std::string& service) {
+  const double others = RecentRequests(shares, service);
+  const double large =
+      RecentRequests(shares, service + std::string(kLargeSuffix));
+  return others >= (others + large) * kMinShareOfOtherRequests
+             ? kLargeTransferLoadLimits
+             : kDefaultLoadLimits;
+}
+
 // Returns the mean load of the service's servers in use, in requests per slot,
 // by region. Regions without such a server have no entry.
 std::map<std::string, double> RegionLoads(RoutingState& state,
@@ -251,20 +268,21 @@
   const double decay = std::exp2(-age_ms / kOverrideHalfLifeMs);
   shares.overrides *= decay;
   shares.requests *= decay;
+  for (auto& [split, count] : shares.requests_by_split)
+    count *= std::exp2(-age_ms / kRequestsHalfLifeMs);
   std::map<std::string, std::uint64_t> demands;
   std::map<std::string, std::map<std::string, double>> loads;  // By service.
   for (const auto& [name, route_split] : shares.split.services) {
     demands[name] = 1;
-    const bool has_large_body = name.ends_with(kLargeBodySuffix);
+    const bool is_large = name.ends_with(kLargeSuffix);
     const std::string service =
-        has_large_body ? name.substr(0, name.size() - kLargeBodySuffix.size())
-                       : name;
+        is_large ? name.substr(0, name.size() - kLargeSuffix.size()) : name;
     if (!state.services.contains(service))
       continue;
     if (!loads.contains(service))
       loads[service] = RegionLoads(state, service, now);
     const LoadLimits& limits =
-        has_large_body ? kLargeBodyLoadLimits : kDefaultLoadLimits;
+        is_large ? LargeTransferLimits(shares, service) : kDefaultLoadLimits;
     SplitTarget target{.target = ChooseTargetSplit(route_split.current,
                                                    loads[service], limits,
                                                    state.options.region)};
@@ -303,10 +321,11 @@
                          TimePoint now) {
   RegionShares& shares = state.shares;
   InitializeSplitState(state);
-  const std::string name = SplitNameOf(request);
+  const std::string name = SplitNameOf(state, request);
   if (!shares.split.services.contains(name))
-    shares.split.services[name].current =
-        InitialSplit(state, request.service, HasLargeBody(request));
+    shares.split.services[name].current = InitialSplit(
+        state, request.service, request.body_bytes >= kLargeTransferBytes);
+  shares.requests_by_split[name] += 1;
   const RegionCost& best =
       *std::min_element(costs.begin(), costs.end(), IsBetter);
   shares.requests += 1;
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -15,6 +15,7 @@
 #include "server_limit.h"
 #include "server_table.h"
 #include "sharing.h"
+#include "transfers.h"
 
 namespace cicadadrum::routing {
 
@@ -65,6 +66,7 @@
                         .inputs = inputs};
   if (found != state.requests.end()) {
     refusal.verdict = found->second.verdict;
+    refusal.kind = found->second.route.kind;
     EndRequest(state, found);
   }
   actions.emplace_back(refusal);
@@ -148,6 +150,7 @@
   request.server_started_unix_ms = server.entry.started_unix_ms;
   request.tried_servers.push_back(server.entry.id);
   request.sent_at = now;
+  request.expected_response_bytes = choice.inputs.expected_response_bytes;
   request.expected_duration = choice.expected_duration;
   request.expected_work_ms = choice.work_ms;
   request.expected_slowness = choice.inputs.slowness;
@@ -184,6 +187,9 @@
   const Route* route = FindRoute(state.table, event.host, event.path);
   if (route == nullptr)
     return Refuse(state, event.request, RefusalReason::kNoRoute, {}, actions);
+  if (!route->is_readable)
+    return Refuse(state, event.request, RefusalReason::kUnreadableRoute, {},
+                  actions);
   if (state.blocked_fingerprints.contains(event.fingerprint))
     return Refuse(state, event.request, RefusalReason::kBlocked, {}, actions);
   RequestState request{
@@ -202,7 +208,12 @@
           now + std::min(event.remaining - kResponseMargin, route->timeout),
           state.stop_at)};
   state.deadlines.emplace(request.deadline, event.request);
+  const auto limit = FindTransferLimit(state, request, event.unsent_bytes, now);
+  const Duration remaining = request.deadline - now;
   state.requests.emplace(event.request, std::move(request));
+  if (limit)
+    return Refuse(state, event.request, limit->reason,
+                  std::min(limit->retry_after, remaining / 3), actions);
   Dispatch(state, event.request, RefusalReason::kNoServer, now, actions);
 }
 
@@ -283,6 +294,7 @@
   RecordAdvice(state, request, event, now, actions);
   if (Server* server = FindServer(state, IncarnationOf(request))) {
     RecordAttemptEnd(state, *server, request, event, now);
+    RecordResponseSize(state, request, event);
     AttemptEnded observed = event;
     if (!RecordLimit(state, *server, event, now, actions))
       observed.limit.reset();
@@ -292,7 +304,8 @@
       event.outcome == ServerOutcome::kFailed) {
     if (event.outcome == ServerOutcome::kSucceeded)
       state.crash_counts.erase(request.fingerprint);
-    actions.emplace_back(DeliverResponse{event.request, request.server});
+    actions.emplace_back(
+        DeliverResponse{event.request, request.server, request.route.kind});
     return EndRequest(state, found);
   }
   if (!ProvesNotRun(event.outcome))
--- /dev/null
+++ b/Tests/Platform/test_settings.cc
@@ -0,0 +1,90 @@
+// Tests of the settings that describe the VM.
+
+#include <doctest/doctest.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <string>
+
+#include "cicadadrum/base/error.h"
+#include "settings.h"
+
+namespace cicadadrum::platform {
+
+namespace {
+
+namespace leaf = boost::leaf;
+
+// A settings file with one more line than the required ones.
+class SettingsFile {
+ public:
+  explicit SettingsFile(const std::string& line) {
+    char path[] = "/tmp/cicadadrum-settings-XXXXXX";
+    const int fd = mkstemp(path);
+    REQUIRE(fd >= 0);
+    close(fd);
+    path_ = path;
+    std::ofstream(path_) << "{\"name\": \"entry-1\", \"region\": \"north\",\n"
+                         << "\"failureDomain\": \"north-a\",\n"
+                         << "\"callerAddress\": \"127.0.0.1:1\",\n"
+                         << "\"readinessAddress\": \"127.0.0.1:2\",\n"
+                         << "\"lookupAddress\": \"127.0.0.1:3\",\n"
+                         << "\"peerAddress\": \"127.0.0.1:4\",\n"
+                         << "\"storeAddress\": \"127.0.0.1:5\"" << line
+                         << "}\n";
+  }
+  ~SettingsFile() { unlink(path_.c_str()); }
+  SettingsFile(const SettingsFile&) = delete;
+  SettingsFile& operator=(const SettingsFile&) = delete;
+
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+std::string ErrorOf(const std::string& line) {
+  const SettingsFile file(line);
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(LoadSettings(file.path()));
+        return std::string();
+      },
+      [](const Error& error) { return error.detail; },
+      [] { return std::string("unknown error"); });
+}
+
+}  // namespace
+
+TEST_CASE("link, processor and memory of the VM are read in their units") {
+  const SettingsFile file(
+      ", \"linkMegabitsPerSecond\": 10, \"processorShare\": 0.2,"
+      " \"processorSpeed\": 2, \"memoryMegabytes\": 160");
+  const auto settings = LoadSettings(file.path());
+  REQUIRE(settings);
+  CHECK(settings->self.link_megabits_per_second == 10);
+  CHECK(settings->self.processor_share == doctest::Approx(0.4));
+  CHECK(settings->routing.link_megabits_per_second == 10);
+  CHECK(settings->routing.response_memory_bytes == 40'000'000);
+}
+
+TEST_CASE("an unknown VM has no bounds") {
+  const SettingsFile file("");
+  const auto settings = LoadSettings(file.path());
+  REQUIRE(settings);
+  CHECK(settings->self.processor_share == 0);
+  CHECK(settings->routing.response_memory_bytes == 0);
+}
+
+TEST_CASE("negative sizes of the VM are refused with their key") {
+  for (const std::string key : {"linkMegabitsPerSecond", "processorShare",
+                                "processorSpeed", "memoryMegabytes"}) {
+    CAPTURE(key);
+    const std::string error = ErrorOf(", \"" + key + "\": -1");
+    CHECK(error.find(key) != std::string::npos);
+    CHECK(error.find("at least 0") != std::string::npos);
+  }
+}
+
+}  // namespace cicadadrum::platform
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -201,6 +201,18 @@
     RespondToPoll(poll.id, poll.table, poll.after);
 }
 
+std::string AnswerTo(const std::string& path,
+                     const std::string& request_id,
+                     std::size_t download_bytes) {
+  const std::string answer = "answer to " + request_id;
+  if (!path.starts_with(kDownloadPrefix))
+    return answer;
+  std::string body;
+  while (body.size() < download_bytes)
+    body += answer + "\n";
+  return body;
+}
+
 ServerStandIn::ServerStandIn(EventLoop& loop,
                              std::string id,
                              std::string failure_domain)
@@ -282,7 +294,7 @@
   if (behaviour_ == ServerBehaviour::kAnswers)
     response.headers.emplace_back(kSeal, "seal-of-" + request_id);
   response.headers.emplace_back(kServerLoad, "1,0,4,100");
-  response.body = "answer to " + request_id;
+  response.body = AnswerTo(request.path, request_id, download_bytes_);
   server_.Respond(id, response);
 }
 
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cicadadrum/base/enum_names.h"
@@ -100,6 +101,17 @@
   std::uint64_t calls_ = 0;
 };
 
+// Requests for paths with this prefix get a large response.
+constexpr std::string_view kDownloadPrefix = "/download/";
+
+// Returns the body of the response of a server substitute.
+std::string AnswerTo(const std::string& path,
+                     const std::string& request_id,
+                     std::size_t download_bytes);
+
+// Size of the response to a download unless a test sets another one.
+constexpr std::size_t kDownloadBytes = 60'000;
+
 // How the server substitute handles the next requests.
 enum class ServerBehaviour : std::uint8_t {
   kAnswers,
@@ -185,6 +197,8 @@
   void AdvanceSequence() { ++sequence_; }
 
   void SetBehaviour(ServerBehaviour behaviour) { behaviour_ = behaviour; }
+  // Sets the size of the responses to requests for downloads.
+  void SetDownloadBytes(std::size_t bytes) { download_bytes_ = bytes; }
   // From now on, all responses say that the server is leaving.
   void AnnounceLeaving() { leaving_ = true; }
   bool is_leaving() const { return leaving_; }
@@ -212,6 +226,7 @@
   HttpServer server_;
   std::string address_;
   ServerBehaviour behaviour_ = ServerBehaviour::kAnswers;
+  std::size_t download_bytes_ = kDownloadBytes;
   bool leaving_ = false;
   double limit_ = 0;
   std::vector<std::string> executed_requests_;
