--- a/Meta/cicadadrum.sh
+++ b/Meta/cicadadrum.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds, runs, tests and benchmarks cicadadrum. Every command except platform installs missing packages.
-# Usage: Meta/cicadadrum.sh build|test|run|bench|reaction|lint|generate|platform|soak
+# Usage: Meta/cicadadrum.sh build|test|run|bench|reaction|transfers|lint|generate|platform|soak
 set -euo pipefail
 cd "$(dirname "$0")/.."
 root=$PWD
@@ -68,6 +68,8 @@
   run) build "$build" && shift && Meta/demonstration.sh "$build" "$@" ;;
   reaction) build "$build" && shift && "$build/Utilities/ReactionBench/cicadadrum-reaction-bench" \
     --program "$build/platform/cicadadrum-platform" "$@" ;;
+  transfers) build "$build" && shift && "$build/Utilities/TransferBench/cicadadrum-transfer-bench" \
+    --program "$build/platform/cicadadrum-platform" "$@" ;;
   bench) build "$build" && shift && "$build/Utilities/Bench/cicadadrum-bench" "$@" ;;
   platform) shift && play_platform "$@" ;;
   soak) build "$build" && shift && run_soak "$@" ;;
--- a/Tests/Soak/callers.cc
+++ b/Tests/Soak/callers.cc
@@ -23,16 +23,27 @@
 
 }  // namespace
 
-Callers::Callers(EventLoop& loop, std::uint64_t seed)
+Callers::Callers(EventLoop& loop,
+                 std::uint64_t seed,
+                 std::uint64_t requests_per_download)
     : loop_(loop),
       random_{.state = seed},
+      requests_per_download_(requests_per_download),
       client_(loop, {.connect_timeout = Seconds(1)}) {}
 
+// Downloads take nothing from the random numbers, so a seed plays the same
+// other requests with and without them.
+ConfiguredRoute Callers::NextRoute(std::uint64_t version) {
+  if (requests_per_download_ > 0 && next_id_ % requests_per_download_ == 0)
+    return DownloadRoute();
+  return ChooseRoute(version, random_);
+}
+
 void Callers::Send(const EntryProcess& entry,
                    std::uint64_t version,
                    Touch touch) {
+  const ConfiguredRoute route = NextRoute(version);
   const std::string id = "id-" + std::to_string(next_id_++);
-  const ConfiguredRoute route = ChooseRoute(version, random_);
   const std::string object = std::to_string(RandomBelow(random_, kObjectCount));
   const Duration timeout = std::max(
       kMinCallerTimeout, Milliseconds(route.timeout_ms) + kCallerMargin);
@@ -86,7 +97,7 @@
     return;
   if (IsLastingRoute(route))
     ++record_.succeeded_on_lasting_routes;
-  if (response.body != "answer to " + id ||
+  if (response.body != AnswerTo(request.path, id, kDownloadBytes) ||
       FindField(response.headers, kSeal) != "seal-of-" + id)
     record_.mismatched.push_back(id);
 }
--- a/Tests/Soak/callers.h
+++ b/Tests/Soak/callers.h
@@ -47,7 +47,10 @@
 
 class Callers {
  public:
-  Callers(EventLoop& loop, std::uint64_t seed);
+  // Of `requests_per_download` requests, one is a download; none if it is 0.
+  Callers(EventLoop& loop,
+          std::uint64_t seed,
+          std::uint64_t requests_per_download);
 
   // Sends one request on a random route to the entry VM. The newest version of
   // the configuration is `version`.
@@ -61,9 +64,11 @@
                      const ConfiguredRoute& route,
                      HttpOutcome outcome,
                      const HttpResponse& response);
+  ConfiguredRoute NextRoute(std::uint64_t version);
 
   EventLoop& loop_;
   Random random_;
+  std::uint64_t requests_per_download_;
   HttpClient client_;
   CallerRecord record_;
   std::uint64_t next_id_ = 1;
--- a/Tests/Soak/configurations.cc
+++ b/Tests/Soak/configurations.cc
@@ -3,6 +3,9 @@
 #include "configurations.h"
 
 #include <array>
+#include <string>
+
+#include "stand_ins.h"
 
 namespace cicadadrum::platform {
 
@@ -74,6 +77,7 @@
 
 std::vector<ConfiguredRoute> RoutesOfVersion(std::uint64_t version) {
   std::vector<ConfiguredRoute> routes = RoutesWithoutHome();
+  routes.push_back(DownloadRoute());
   for (ConfiguredRoute& route : RoutesWithHome(version))
     routes.push_back(std::move(route));
   for (std::uint64_t i = 0; i < kTemporaryVersions && i < version; ++i)
@@ -81,6 +85,13 @@
   return routes;
 }
 
+ConfiguredRoute DownloadRoute() {
+  return {.name = "r3",
+          .prefix = std::string(kDownloadPrefix),
+          .kind = "download",
+          .timeout_ms = 2000};
+}
+
 bool IsLastingRoute(const ConfiguredRoute& route) {
   return !route.prefix.starts_with(kTemporaryPrefix);
 }
--- a/Tests/Soak/configurations.h
+++ b/Tests/Soak/configurations.h
@@ -30,6 +30,10 @@
 // the route that the version before the previous one added.
 std::vector<ConfiguredRoute> RoutesOfVersion(std::uint64_t version);
 
+// Returns the route for downloads, which all versions have. ChooseRoute never
+// chooses it.
+ConfiguredRoute DownloadRoute();
+
 // Returns whether all versions have the route.
 bool IsLastingRoute(const ConfiguredRoute& route);
 
--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -75,7 +75,8 @@
              const std::string& program,
              const std::string& folder,
              const std::string& store_address,
-             std::size_t count)
+             std::size_t count,
+             double memory_megabytes)
     : loop_(loop), program_(program), entries_(count) {
   // An entry VM connects to the seeds on its own peer port, so all entry VMs
   // share this port and differ in the IP address.
@@ -104,6 +105,7 @@
          << FormatSetting("peerAddress",
                           "127.0.0." + std::to_string(i + 2) + peer_port)
          << FormatSetting("storeAddress", entry.store_proxy->address())
+         << "  \"memoryMegabytes\": " << memory_megabytes << ",\n"
          << "  \"seeds\": [" << seeds << "],\n"
          << "  \"failureDomains\": [" << FormatFailureDomains() << "],\n"
          << "  \"bounds\": {\"retryBudgetExtra\": 60, \"stopSeconds\": 3, "
--- a/Tests/Soak/fleet.h
+++ b/Tests/Soak/fleet.h
@@ -37,6 +37,9 @@
   std::vector<TimePoint> disturbances;
 };
 
+// Memory of an entry VM.
+constexpr double kDefaultMemoryMegabytes = 160;
+
 class Fleet {
  public:
   // Writes the settings of `count` entry VMs in the failure domains of
@@ -45,7 +48,8 @@
         const std::string& program,
         const std::string& folder,
         const std::string& store_address,
-        std::size_t count);
+        std::size_t count,
+        double memory_megabytes = kDefaultMemoryMegabytes);
   // Kills all running processes of the entry VMs.
   ~Fleet();
   Fleet(const Fleet&) = delete;
--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -32,6 +32,8 @@
       "number of entry VMs, 1 to 200")(
       "faults", po::value<std::string>()->default_value(""),
       "names of the faults to inject, separated by commas; all by default")(
+      "requests-per-download", po::value<std::uint64_t>()->default_value(0),
+      "of so many requests, one is a download; 0 for none")(
       "strict", po::bool_switch(),
       "fail also on retries by an older route than the one in force and on "
       "outdated decisions of entry VMs that were out of touch");
@@ -51,6 +53,8 @@
              .seed = seed,
              .entry_count = values["entries"].as<std::size_t>(),
              .faults = faults.empty() ? AllFaults() : faults,
+             .requests_per_download =
+                 values["requests-per-download"].as<std::uint64_t>(),
              .is_strict = values["strict"].as<bool>()});
   soak.Run(Seconds(values["seconds"].as<std::int64_t>()));
   const bool passed = soak.Report(std::cout);
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -68,7 +68,7 @@
              options_.folder,
              store_.address(),
              options_.entry_count),
-      callers_(loop_, options_.seed) {}
+      callers_(loop_, options_.seed, options_.requests_per_download) {}
 
 Duration Soak::RandomDuration(Duration min, Duration max) {
   return min + Duration(static_cast<std::int64_t>(RandomNumberBelow(
--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -27,6 +27,8 @@
   std::uint64_t seed = 1;
   std::size_t entry_count = 4;
   std::vector<Fault> faults;
+  // Of so many requests, one is a download; none if it is 0.
+  std::uint64_t requests_per_download = 0;
   // Retries by an older route than the one in force, and outdated decisions of
   // entry VMs out of touch, are problems.
   bool is_strict = false;
