LibRouting: Count only servers in use in the first split

From 32 s on an entry VM knows no load, so its first split between regions decides: it counted all listed servers, also those of the domain that was evacuated at 21.4 s. Half of the region's slots were not there, and 327 requests of lagos were refused in two seconds. Ruled out: the cap on shifts (the split has no history then), cold servers (seconds 34 to 38 have 0.9 of the load reports of later ones).

The first split counts servers in use. Test: an entry VM that starts with half of its region evacuated sends a third of its requests to the other region, and sent none before.

--- a/Libraries/LibRouting/region_shares.cc
+++ b/Libraries/LibRouting/region_shares.cc
@@ -85,18 +85,21 @@
 
 // Returns the split to use before any load is observed. It assumes that every
 // region has the same demand: this entry VM's region serves its demand up to
-// the number of its slots, and the rest goes to regions with more slots than
-// demand. Requests with large bodies assume half of the demand, because the
-// requests of other routes leave the region before them.
+// the number of its slots in use, and the rest goes to regions with more slots
+// than demand. Requests with large bodies assume half of the demand, because
+// the requests of other routes leave the region before them.
 Split InitialSplit(const RoutingState& state,
                    const std::string& service,
-                   bool has_large_body) {
+                   bool has_large_body,
+                   TimePoint now) {
   std::map<std::string, double> slots;
   double total = 0;
   const auto found = state.services.find(service);
   if (found != state.services.end()) {
     for (const std::string& id : found->second.servers) {
       const Server& server = state.servers.at(id);
+      if (!IsInUse(state, server, now))
+        continue;
       slots[server.region] += server.entry.slots;
       total += server.entry.slots;
     }
@@ -111,8 +114,10 @@
   double spare = 0;
   for (const auto& [region, count] : slots)
     spare += std::max(0.0, count - demand);
+  if (spare == 0)
+    return {{own_region, kPartsPerSplit}};
   for (const auto& [region, count] : slots) {
-    if (region != own_region && spare > 0)
+    if (region != own_region)
       weights[region] =
           (demand - slots[own_region]) * std::max(0.0, count - demand) / spare;
   }
@@ -324,7 +329,7 @@
   const std::string name = SplitNameOf(state, request);
   if (!shares.split.services.contains(name))
     shares.split.services[name].current = InitialSplit(
-        state, request.service, request.body_bytes >= kLargeTransferBytes);
+        state, request.service, request.body_bytes >= kLargeTransferBytes, now);
   shares.requests_by_split[name] += 1;
   const RegionCost& best =
       *std::min_element(costs.begin(), costs.end(), IsBetter);
--- a/Tests/LibRouting/test_choice.cc
+++ b/Tests/LibRouting/test_choice.cc
@@ -407,6 +407,33 @@
   CHECK(ran["write"]["north"] > 900);
 }
 
+// Guards against a restarted entry VM that sends everything to a region half of
+// whose servers are evacuated, and refuses what these would have served.
+TEST_CASE("the first split counts only the servers that are in use") {
+  const auto share_in_south = [](bool evacuates) {
+    RoutingFixture fixture({MakeLargeServer("s1"),
+                            MakeLargeServer("s22", "north-b"),
+                            MakeLargeServer("s333", "south-a"),
+                            MakeLargeServer("s4444", "south-a")});
+    if (evacuates)
+      fixture.Step(EvacuationsChanged{{"north-a"}});
+    constexpr int kRequests = 300;
+    int in_south = 0;
+    for (std::uint64_t object = 1; object <= kRequests; ++object) {
+      const std::string server =
+          fixture.Serve("read", object, Microseconds(100));
+      if (fixture.state.servers.at(server).region == "south")
+        ++in_south;
+    }
+    return static_cast<double>(in_south) / kRequests;
+  };
+  CHECK(share_in_south(false) < 0.05);
+  // Three servers are left for two regions with equal demand, one of them in
+  // the north, so a third of its requests has no room there.
+  CHECK(share_in_south(true) > 0.25);
+  CHECK(share_in_south(true) < 0.45);
+}
+
 TEST_CASE("requests leave a region without servers at once") {
   RoutingFixture fixture({MakeServer("s1"), MakeServer("s22", "south-a")});
   CHECK(fixture.Serve("read", 1, Milliseconds(10)) == "s1");
