Tests/Platform: Take ports that the kernel gives to nobody else

The fixture found a free port in the range from which the kernel also takes ports for outgoing connections, and another process had taken it before the front end bound it. The soak had the same fault and uses ports below that range since; its function is shared now.

--- a/Tests/LibRouting/link_simulation.cc
+++ b/Tests/LibRouting/link_simulation.cc
@@ -117,7 +117,7 @@
     const auto named =
         SelectEntries(vms_, "north",
                       {.responder = responder.vm.name,
-         .responder_region = responder.vm.region,
+                       .responder_region = responder.vm.region,
                        .request_bytes = responder.core.mean_transfer_bytes});
     const std::string& name = named[RandomBelow(random_, named.size())].name;
     const auto found =
--- a/Tests/Platform/front_fixture.h
+++ b/Tests/Platform/front_fixture.h
@@ -4,9 +4,6 @@
 #define CICADADRUM_TESTS_PLATFORM_FRONT_FIXTURE_H_
 
 #include <doctest/doctest.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <functional>
 #include <optional>
@@ -14,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "free_address.h"
 #include "front.h"
 #include "headers.h"
 #include "scripted_server.h"
@@ -29,18 +27,6 @@
 // Interval between checks of the condition.
 constexpr Duration kPollInterval = Milliseconds(5);
 
-// Returns an address on which nothing listens at this moment.
-inline std::string FindUnusedAddress() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{.sin_family = AF_INET};
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(address);
-  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-  close(fd);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-}
-
 // A store, two servers and a client on one loop. Only server_one is listed in
 // the store at first.
 struct Deployment {
@@ -61,11 +47,11 @@
     Settings settings{.self = {.name = name,
                                .region = "north",
                                .failure_domain = "north-a",
-                               .caller_address = FindUnusedAddress(),
-                               .peer_address = FindUnusedAddress()},
-                      .readiness_address = FindUnusedAddress(),
-                      .lookup_address = FindUnusedAddress(),
-                      .metrics_address = FindUnusedAddress(),
+                               .caller_address = FindFreeAddress(),
+                               .peer_address = FindFreeAddress()},
+                      .readiness_address = FindFreeAddress(),
+                      .lookup_address = FindFreeAddress(),
+                      .metrics_address = FindFreeAddress(),
                       .store_address = store.address(),
                       .seeds = peers,
                       .routing = {.name = name,
--- a/Tests/Platform/test_front_downloads.cc
+++ b/Tests/Platform/test_front_downloads.cc
@@ -1,12 +1,13 @@
 // End-to-end tests of routes whose responses are large, and of routes that this
 // release does not know.
 
-#include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <list>
 
-#include "cicadadrum/loop/address.h"
 #include "front_fixture.h"
 
 namespace cicadadrum::platform {
--- a/Tests/Soak/fleet.cc
+++ b/Tests/Soak/fleet.cc
@@ -3,8 +3,6 @@
 #include "fleet.h"
 
 #include <fcntl.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,6 +11,7 @@
 
 #include "checks.h"
 #include "configurations.h"
+#include "free_address.h"
 
 namespace cicadadrum::platform {
 
@@ -24,32 +23,6 @@
 // handler for SIGTERM, and the signal's default action ends the process.
 constexpr Duration kLoadTime = Milliseconds(250);
 
-// The range lies below the ports that the kernel assigns to outgoing
-// connections, so that the ports of a process are still free when the process
-// restarts.
-constexpr std::uint16_t kFirstPort = 12000;
-constexpr std::uint16_t kPortCount = 18000;
-
-bool IsPortFree(std::uint16_t port) {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(port)};
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const bool is_free =
-      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-  close(fd);
-  return is_free;
-}
-
-// Returns a loopback address with a free port, a different one at each call
-// until the range wraps around.
-std::string FindFreeAddress() {
-  static auto next = static_cast<std::uint16_t>(getpid() * 97 % kPortCount);
-  do {
-    next = static_cast<std::uint16_t>((next + 1) % kPortCount);
-  } while (!IsPortFree(static_cast<std::uint16_t>(kFirstPort + next)));
-  return "127.0.0.1:" + std::to_string(kFirstPort + next);
-}
-
 // Describes an exit status that waitpid() has reported.
 std::string DescribeExit(int status) {
   return WIFSIGNALED(status)
