LibLookup, LibRouting: Treat entry VMs of unknown capacity as the strongest

Read in review: one entry VM that tells neither link nor processor counted as infinitely strong, so all others were named by nobody beyond the minimum of four. That is every upgrade from the release before. Test: ten known and two unknown ones are all named; 4 of 12 before.

Also from the review: the expected size of the response is looked up once a choice instead of once a server, and a body that libevent can't refer to is copied instead of left out.

--- a/Libraries/LibLookup/select_entries.cc
+++ b/Libraries/LibLookup/select_entries.cc
@@ -1,4 +1,5 @@
-// Selects entry VMs by their capacity and a hash of the responder.
+// Selects entry VMs by their capacity and the place of the responder among its
+// neighbours.
 
 #include "cicadadrum/lookup/select_entries.h"
 
@@ -100,9 +101,12 @@
                                    const SelectionOptions& options) {
   std::vector<Candidate> candidates =
       CandidatesIn(std::move(live), region, options);
+  // One of unknown capacity counts as one of the strongest that are known.
   double max_capacity = 0;
-  for (const Candidate& candidate : candidates)
-    max_capacity = std::max(max_capacity, candidate.capacity);
+  for (const Candidate& candidate : candidates) {
+    if (std::isfinite(candidate.capacity))
+      max_capacity = std::max(max_capacity, candidate.capacity);
+  }
   // The candidates that are selected with the smallest shares come last.
   const auto margin = [&](const Candidate& candidate) {
     return candidate.position - ShareOf(candidate.capacity, max_capacity);
--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -116,8 +116,10 @@
   };
   SentBody& appended = *body;
   if (evbuffer_add_reference(buffer, appended.bytes.data(),
-                             appended.bytes.size(), release, &appended) != 0)
+                             appended.bytes.size(), release, &appended) != 0) {
+    evbuffer_add(buffer, appended.bytes.data(), appended.bytes.size());
     return;
+  }
   AddUnsent(*appended.unsent, appended.bytes.size());
   static_cast<void>(body.release());
 }
--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -99,11 +99,11 @@
 
 double DistanceMs(const RoutingState& state,
                   const RequestState& request,
+                  double response_bytes,
                   const Server& server) {
   constexpr double kKilobyte = 1024;
   const double sent = static_cast<double>(request.body_bytes) / kKilobyte;
-  const double received =
-      static_cast<double>(ExpectedResponseBytes(state, request)) / kKilobyte;
+  const double received = response_bytes / kKilobyte;
   if (server.region != state.options.region)
     return kOtherRegionMs + sent * kOtherRegionMsPerKilobyte +
            received * kOtherRegionMsPerResponseKilobyte;
@@ -131,10 +131,12 @@
 }
 
 // Expected duration of the work on a request at a server of usual speed, on an
-// object that the server has not handled recently (fresh) or has (known).
+// object that the server has not handled recently (fresh) or has (known), and
+// what the server will send.
 struct ExpectedWork {
   double fresh_ms = 0;
   double known_ms = 0;
+  double response_bytes = 0;  // Size of the response's body.
 };
 
 ExpectedWork EstimateWork(const RoutingState& state,
@@ -142,7 +144,9 @@
   const double default_ms =
       ToMs(request.route.latency_objective) * kDefaultWorkShare;
   ExpectedWork work{.fresh_ms = default_ms,
-                    .known_ms = default_ms * kKnownObjectWorkShare};
+                    .known_ms = default_ms * kKnownObjectWorkShare,
+                    .response_bytes = static_cast<double>(
+                        ExpectedResponseBytes(state, request))};
   const ServiceState& service = state.services.at(request.service);
   const auto found = service.work.find(request.route.name);
   if (found == service.work.end())
@@ -236,13 +240,14 @@
       std::min(1.0, occupancy / slots) * work.known_ms * kOccupancyCostShare;
   const double failure_ms =
       ValueAt(server.failures, 0, now) * work.fresh_ms * kFailureCostFactor;
-  Cost cost{.total_ms = DistanceMs(state, request, server) + queue_ms +
-                        service_time_ms + affinity_ms + occupancy_ms +
-                        failure_ms,
-            .expected_ms = queue_ms + service_time_ms,
-            .queue_ms = queue_ms,
-            .work_ms = known ? work.known_ms : work.fresh_ms,
-            .cache_affinity = cache_affinity};
+  Cost cost{
+      .total_ms = DistanceMs(state, request, work.response_bytes, server) +
+                  queue_ms + service_time_ms + affinity_ms + occupancy_ms +
+                  failure_ms,
+      .expected_ms = queue_ms + service_time_ms,
+      .queue_ms = queue_ms,
+      .work_ms = known ? work.known_ms : work.fresh_ms,
+      .cache_affinity = cache_affinity};
   cost.admits = Admits(request, server, occupancy, cost);
   return cost;
 }
@@ -282,28 +287,29 @@
     candidates[i].rank = std::min(i, kMaxRank);
 }
 
-ServerChoice MakeServerChoice(const RoutingState& state,
-                              Server& server,
+ServerChoice MakeServerChoice(Server& server,
                               const RequestState& request,
+                              const ExpectedWork& work,
                               const Cost& cost,
                               TimePoint now) {
-  ServerChoice choice{.server = &server,
-                      .inputs = {.kind = request.route.kind,
-                                 .cache_affinity = cost.cache_affinity,
-                                 .expected_response_bytes =
-                                     ExpectedResponseBytes(state, request),
-                                 .cost_ms = cost.total_ms,
-                                 .in_flight = server.in_flight,
-                                 .slowness = ValueAt(server.slowness, 1, now),
-                                 .work_factor = CurrentWorkFactor(server, now),
-                                 .route = request.route.name,
-                                 .server_region = server.region,
-                                 .configuration = request.configuration},
-                      .expected_duration = FromMs(cost.expected_ms),
-                      .work_ms = cost.work_ms,
-                      .is_queued = cost.queue_ms > 0,
-                      .admitted = cost.admits,
-                      .cache_affinity = cost.cache_affinity};
+  ServerChoice choice{
+      .server = &server,
+      .inputs = {.kind = request.route.kind,
+                 .cache_affinity = cost.cache_affinity,
+                 .expected_response_bytes =
+                     static_cast<std::uint64_t>(work.response_bytes),
+                 .cost_ms = cost.total_ms,
+                 .in_flight = server.in_flight,
+                 .slowness = ValueAt(server.slowness, 1, now),
+                 .work_factor = CurrentWorkFactor(server, now),
+                 .route = request.route.name,
+                 .server_region = server.region,
+                 .configuration = request.configuration},
+      .expected_duration = FromMs(cost.expected_ms),
+      .work_ms = cost.work_ms,
+      .is_queued = cost.queue_ms > 0,
+      .admitted = cost.admits,
+      .cache_affinity = cost.cache_affinity};
   if (server.report) {
     choice.inputs.reported = server.report->running + server.report->waiting;
     choice.inputs.report_age_ms = (now - server.reported_at).count() / 1000;
@@ -337,7 +343,7 @@
     return {};
   const auto& [server, cost] =
       best_by_region.at(ChooseRegion(state, request, costs, now));
-  return MakeServerChoice(state, *server, request, cost, now);
+  return MakeServerChoice(*server, request, work, cost, now);
 }
 
 std::optional<TimePoint> FirstPauseEnd(const RoutingState& state,
--- a/Tests/LibLookup/test_select_entries.cc
+++ b/Tests/LibLookup/test_select_entries.cc
@@ -134,6 +134,15 @@
   }
 }
 
+// Guards against an upgrade during which everybody uses the entry VMs of the
+// earlier release, which do not tell what they can carry.
+TEST_CASE("entry VMs of unknown capacity leave the others their callers") {
+  auto live = MakeEntries(10, "known-", 100, 0.2);
+  for (EntryVm& unknown : MakeEntries(2, "unknown-", 0, 0))
+    live.push_back(std::move(unknown));
+  CHECK(SelectBy(live.front(), live, 9e4).size() == 12);
+}
+
 TEST_CASE("no more entry VMs are named than allowed") {
   CHECK(SelectEntries(MakeEntries(200, "e", 100, 0.2), "north",
                       {.responder = "a", .max_count = 64})
