--- a/Libraries/LibConfiguration/json.cc
+++ b/Libraries/LibConfiguration/json.cc
@@ -18,6 +18,8 @@
 #include <sstream>
 #include <vector>
 
+#include "cicadadrum/configuration/json_parts.h"
+
 namespace cicadadrum {
 
 namespace {
@@ -213,13 +215,9 @@
                                             ErrorCode code,
                                             capnp::StructSchema schema,
                                             capnp::MessageBuilder& message) {
-  const capnp::JsonCodec codec;
-  auto root = message.initRoot<capnp::DynamicStruct>(schema);
-  const auto failure = kj::runCatchingExceptions(
-      [&] { codec.decode(kj::ArrayPtr(text.data(), text.size()), root); });
-  KJ_IF_MAYBE (exception, failure)
-    return Fail(code, source, exception->getDescription().cStr());
-  return {};
+  capnp::MallocMessageBuilder parsed;
+  BOOST_LEAF_AUTO(json, ParseForeignJson(text, source, code, parsed));
+  return DecodeForeignPart(json, source, code, schema, message);
 }
 
 std::string EncodeJson(capnp::DynamicStruct::Reader value) {
--- a/Meta/cicadadrum.sh
+++ b/Meta/cicadadrum.sh
@@ -46,7 +46,7 @@
 }
 
 play_platform() { # $1: site file, $2: day
-  local bench=$root/../given/kit/more/system/bin/fleetbench
+  local bench=$root/../given/kit/more/system/more/bench-d17393/bin/fleetbench
   if [ ! -x "$bench" ]; then
     echo "the users' bench is not beside the repository; the tests play the path without it" >&2
     return 2
--- a/Tests/LibLookup/test_select_entries.cc
+++ b/Tests/LibLookup/test_select_entries.cc
@@ -20,6 +20,7 @@
                                  double link_megabits_per_second,
                                  double processor_share) {
   std::vector<EntryVm> entries;
+  entries.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i)
     entries.push_back({.name = prefix + std::to_string(i),
                        .region = "north",
--- a/Tests/LibLoop/test_http_transfers.cc
+++ b/Tests/LibLoop/test_http_transfers.cc
@@ -80,6 +80,7 @@
     fixture.client.LimitReading(0);
     std::size_t ended = 0;
     std::vector<std::uint64_t> calls;
+    calls.reserve(3);
     for (int i = 0; i < 3; ++i)
       calls.push_back(fixture.client.Send(
           fixture.address, {.target = "/"}, fixture.loop.Now() + kTestTimeout,
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -204,7 +204,7 @@
 std::string AnswerTo(const std::string& path,
                      const std::string& request_id,
                      std::size_t download_bytes) {
-  const std::string answer = "answer to " + request_id;
+  std::string answer = "answer to " + request_id;
   if (!path.starts_with(kDownloadPrefix))
     return answer;
   std::string body;
