LibRouting: Move the dispatch of requests out of routing.cc

Cause: routing.cc had 455 lines and held the events of requests, the choice between sending and refusing, and the delays before callers retry in one file. Change: dispatch.cc sends, refuses and ends requests; StartAttempt is a function of its own. No behaviour changes. Ruled out: a class for requests in progress; free functions over RoutingState are the shape of the code. Measured: TestRouting passes as before; routing.cc has 314 lines, dispatch.cc 160.

--- /dev/null
+++ b/Libraries/LibRouting/dispatch.cc
@@ -0,0 +1,160 @@
+// Sends requests in progress to servers, or refuses them.
+
+#include "dispatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "choice.h"
+#include "home_regions.h"
+#include "observations.h"
+#include "request_route.h"
+#include "server_limit.h"
+
+namespace cicadadrum::routing {
+
+namespace {
+
+constexpr Duration kMaxRetryAfter = Seconds(2);
+
+// Bounds of the delay before a refused caller retries, as shares of the time
+// that the caller has left.
+constexpr double kMinRetryAfterShare = 0.16;
+constexpr double kMaxRetryAfterShare = 0.33;
+
+// Returns the delay after which a caller should retry at servers that are full
+// now. The delay is random, so that callers which are refused at the same time
+// retry at different times, and leaves enough time for a response.
+Duration RandomRetryAfter(RoutingState& state, Duration remaining) {
+  const double share =
+      kMinRetryAfterShare +
+      (kMaxRetryAfterShare - kMinRetryAfterShare) * RandomUnit(state.random);
+  const auto wait = Duration(static_cast<std::int64_t>(
+      static_cast<double>(remaining.count()) * share));
+  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+}
+
+// Returns the time that a server is given for a request that has `remaining`
+// left.
+Duration ServerTimeout(const RoutingState& state,
+                       Duration remaining,
+                       TimePoint now) {
+  if (!state.stopping)
+    return remaining;
+  return std::clamp(state.stop_at - now - kStopMargin, kMinAttemptTime,
+                    std::max(remaining, kMinAttemptTime));
+}
+
+// Sends the request to the chosen server.
+void StartAttempt(RoutingState& state,
+                  std::uint64_t id,
+                  const ServerChoice& choice,
+                  TimePoint now,
+                  RoutingActions& actions) {
+  RequestState& request = state.requests.at(id);
+  Server& server = *choice.server;
+  CountAttempt(state.services[request.service], state.options.bounds,
+               request.attempts > 0, now);
+  ++request.attempts;
+  request.attempt_in_progress = true;
+  request.server = server.entry.id;
+  request.server_started_unix_ms = server.entry.started_unix_ms;
+  request.tried_servers.push_back(server.entry.id);
+  request.sent_at = now;
+  request.expected_response_bytes = choice.inputs.expected_response_bytes;
+  request.expected_duration = choice.expected_duration;
+  request.expected_work_ms = choice.work_ms;
+  request.expected_slowness = choice.inputs.slowness;
+  request.expected_work_factor = choice.inputs.work_factor;
+  request.cache_affinity = choice.cache_affinity;
+  ChoiceInputs inputs = choice.inputs;
+  inputs.object = request.object;
+  RecordAttemptStart(server, request, now);
+  CountLimitedRequest(state, server, now);
+  actions.emplace_back(SendAttempt{
+      .request = id,
+      .attempt = request.attempts,
+      .server = server.entry.id,
+      .address = server.entry.address,
+      .deadline = request.deadline,
+      .server_timeout = ServerTimeout(state, request.deadline - now, now),
+      .fresh_connection =
+          !IsIdempotent(request.route.kind) &&
+          now <
+              state.services[request.service].connection_reuse_suspended_until,
+      .inputs = std::move(inputs)});
+}
+
+}  // namespace
+
+void EndRequest(RoutingState& state, std::uint64_t id) {
+  const auto found = state.requests.find(id);
+  if (found == state.requests.end())
+    return;
+  state.deadlines.erase({found->second.deadline, id});
+  state.requests.erase(found);
+}
+
+void Refuse(RoutingState& state,
+            std::uint64_t id,
+            RefusalReason reason,
+            Duration retry_after,
+            RoutingActions& actions,
+            const std::optional<ChoiceInputs>& inputs) {
+  const auto found = state.requests.find(id);
+  RefuseRequest refusal{.request = id,
+                        .reason = reason,
+                        .retry_after = retry_after,
+                        .inputs = inputs};
+  if (found != state.requests.end()) {
+    refusal.verdict = found->second.verdict;
+    refusal.kind = found->second.route.kind;
+    EndRequest(state, id);
+  }
+  actions.emplace_back(refusal);
+}
+
+Duration RetryAfterForEstimate(Duration expected_duration, Duration remaining) {
+  const Duration estimate =
+      std::clamp(expected_duration / 2, kMinRetryAfter, kMaxRetryAfter);
+  return std::min(estimate, std::max(remaining / 3, kMinRetryAfter));
+}
+
+Duration RetryAfterPauses(const RoutingState& state,
+                          const RequestState& request,
+                          Duration estimate,
+                          TimePoint now) {
+  const auto end = FirstPauseEnd(state, request, now);
+  return end && *end < request.caller_deadline ? *end - now : estimate;
+}
+
+void Dispatch(RoutingState& state,
+              std::uint64_t id,
+              RefusalReason reason_without_server,
+              TimePoint now,
+              RoutingActions& actions) {
+  RequestState& request = state.requests.at(id);
+  const Duration remaining = request.deadline - now;
+  if (!AreHomeRegionsCertain(state, request.route, now))
+    return Refuse(state, id, RefusalReason::kConfigurationOutdated,
+                  RetryAfterForEstimate(Seconds(1), remaining), actions);
+  const ServerChoice choice = ChooseServer(state, request, now);
+  if (choice.server == nullptr && IsHeldByLimits(state, request, now))
+    return Refuse(state, id, RefusalReason::kOverloaded,
+                  RandomRetryAfter(state, remaining), actions);
+  if (choice.server == nullptr)
+    return Refuse(
+        state, id, reason_without_server,
+        RetryAfterPauses(state, request,
+                         RetryAfterForEstimate(Seconds(1), remaining), now),
+        actions);
+  // A long work estimate without a queue is no reason to refuse the request: if
+  // no request were sent, the estimate would never be corrected.
+  if (!choice.admitted ||
+      (choice.is_queued && choice.expected_duration > remaining))
+    return Refuse(state, id, RefusalReason::kOverloaded,
+                  RandomRetryAfter(state, remaining), actions, choice.inputs);
+  StartAttempt(state, id, choice, now, actions);
+}
+
+}  // namespace cicadadrum::routing
--- /dev/null
+++ b/Libraries/LibRouting/dispatch.h
@@ -0,0 +1,54 @@
+// Sends requests in progress to servers, or refuses them.
+
+#ifndef CICADADRUM_ROUTING_DISPATCH_H_
+#define CICADADRUM_ROUTING_DISPATCH_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "cicadadrum/routing/routing.h"
+
+namespace cicadadrum::routing {
+
+// While the entry VM stops, a server's time ends this much before the request's
+// deadline, so that the server's own answer reaches the caller in time.
+constexpr Duration kStopMargin = Milliseconds(150);
+
+// Minimum time until the deadline for which another attempt is worth a retry.
+constexpr Duration kMinAttemptTime = Milliseconds(20);
+
+constexpr Duration kMinRetryAfter = Milliseconds(100);
+
+// Removes the request. An unknown request is ignored.
+void EndRequest(RoutingState& state, std::uint64_t id);
+
+// Refuses the request and removes it.
+void Refuse(RoutingState& state,
+            std::uint64_t id,
+            RefusalReason reason,
+            Duration retry_after,
+            RoutingActions& actions,
+            const std::optional<ChoiceInputs>& inputs = {});
+
+// Returns the delay after which a caller should retry, from the estimated
+// duration of an attempt and the time that the caller has left.
+Duration RetryAfterForEstimate(Duration expected_duration, Duration remaining);
+
+// Returns the delay after which the caller of a refused request should retry:
+// until a server may receive requests again, if all servers in use have asked
+// for a pause that ends before the caller gives up, and `estimate` otherwise.
+Duration RetryAfterPauses(const RoutingState& state,
+                          const RequestState& request,
+                          Duration estimate,
+                          TimePoint now);
+
+// Sends the request to the server with the least cost, or refuses the request.
+void Dispatch(RoutingState& state,
+              std::uint64_t id,
+              RefusalReason reason_without_server,
+              TimePoint now,
+              RoutingActions& actions);
+
+}  // namespace cicadadrum::routing
+
+#endif  // CICADADRUM_ROUTING_DISPATCH_H_
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -7,6 +7,7 @@
 #include "advice.h"
 #include "choice.h"
 #include "cicadadrum/base/hash.h"
+#include "dispatch.h"
 #include "fleet_shares.h"
 #include "home_regions.h"
 #include "observations.h"
@@ -24,155 +25,13 @@
 // The caller receives a response at least this long before it gives up.
 constexpr Duration kResponseMargin = Milliseconds(20);
 
-// Minimum time until the deadline for which another attempt is worth a retry.
-constexpr Duration kMinAttemptTime = Milliseconds(20);
-
 // A fingerprint is blocked once requests with it have crashed this many
 // servers.
 constexpr std::uint32_t kCrashesToBlock = 3;
 
-// While the entry VM stops, a server's time ends this much before the request's
-// deadline, so that the server's own answer reaches the caller in time.
-constexpr Duration kStopMargin = Milliseconds(150);
-
 // Minimum time until the end of the stop for which a request is accepted.
 constexpr Duration kMinStoppingTime = kStopMargin + Milliseconds(50);
 
-constexpr Duration kMinRetryAfter = Milliseconds(100);
-constexpr Duration kMaxRetryAfter = Seconds(2);
-
-// Bounds of the delay before a refused caller retries, as shares of the time
-// that the caller has left.
-constexpr double kMinRetryAfterShare = 0.16;
-constexpr double kMaxRetryAfterShare = 0.33;
-
-using Requests = std::unordered_map<std::uint64_t, RequestState>;
-
-void EndRequest(RoutingState& state, Requests::iterator request) {
-  state.deadlines.erase({request->second.deadline, request->first});
-  state.requests.erase(request);
-}
-
-void Refuse(RoutingState& state,
-            std::uint64_t id,
-            RefusalReason reason,
-            Duration retry_after,
-            RoutingActions& actions,
-            const std::optional<ChoiceInputs>& inputs = {}) {
-  const auto found = state.requests.find(id);
-  RefuseRequest refusal{.request = id,
-                        .reason = reason,
-                        .retry_after = retry_after,
-                        .inputs = inputs};
-  if (found != state.requests.end()) {
-    refusal.verdict = found->second.verdict;
-    refusal.kind = found->second.route.kind;
-    EndRequest(state, found);
-  }
-  actions.emplace_back(refusal);
-}
-
-// Returns the delay after which a caller should retry at servers that are full
-// now. The delay is random, so that callers which are refused at the same time
-// retry at different times, and leaves enough time for a response.
-Duration RandomRetryAfter(RoutingState& state, Duration remaining) {
-  const double share =
-      kMinRetryAfterShare +
-      (kMaxRetryAfterShare - kMinRetryAfterShare) * RandomUnit(state.random);
-  const auto wait = Duration(static_cast<std::int64_t>(
-      static_cast<double>(remaining.count()) * share));
-  return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
-}
-
-// Returns the delay after which a caller should retry, from the estimated
-// duration of an attempt and the time that the caller has left.
-Duration RetryAfterForEstimate(Duration expected_duration, Duration remaining) {
-  const Duration estimate =
-      std::clamp(expected_duration / 2, kMinRetryAfter, kMaxRetryAfter);
-  return std::min(estimate, std::max(remaining / 3, kMinRetryAfter));
-}
-
-// Returns the delay after which the caller of a refused request should retry:
-// until a server may receive requests again, if all servers in use have asked
-// for a pause that ends before the caller gives up, and `estimate` otherwise.
-Duration RetryAfterPauses(const RoutingState& state,
-                          const RequestState& request,
-                          Duration estimate,
-                          TimePoint now) {
-  const auto end = FirstPauseEnd(state, request, now);
-  return end && *end < request.caller_deadline ? *end - now : estimate;
-}
-
-// Returns the time that a server is given for a request that has `remaining`
-// left.
-Duration ServerTimeout(const RoutingState& state,
-                       Duration remaining,
-                       TimePoint now) {
-  if (!state.stopping)
-    return remaining;
-  return std::clamp(state.stop_at - now - kStopMargin, kMinAttemptTime,
-                    std::max(remaining, kMinAttemptTime));
-}
-
-// Sends the request to the server with the least cost, or refuses the request.
-void Dispatch(RoutingState& state,
-              std::uint64_t id,
-              RefusalReason reason_without_server,
-              TimePoint now,
-              RoutingActions& actions) {
-  RequestState& request = state.requests.at(id);
-  const Duration remaining = request.deadline - now;
-  if (!AreHomeRegionsCertain(state, request.route, now))
-    return Refuse(state, id, RefusalReason::kConfigurationOutdated,
-                  RetryAfterForEstimate(Seconds(1), remaining), actions);
-  ServerChoice choice = ChooseServer(state, request, now);
-  if (choice.server == nullptr && IsHeldByLimits(state, request, now))
-    return Refuse(state, id, RefusalReason::kOverloaded,
-                  RandomRetryAfter(state, remaining), actions);
-  if (choice.server == nullptr)
-    return Refuse(
-        state, id, reason_without_server,
-        RetryAfterPauses(state, request,
-                         RetryAfterForEstimate(Seconds(1), remaining), now),
-        actions);
-  // A long work estimate without a queue is no reason to refuse the request: if
-  // no request were sent, the estimate would never be corrected.
-  if (!choice.admitted ||
-      (choice.is_queued && choice.expected_duration > remaining))
-    return Refuse(state, id, RefusalReason::kOverloaded,
-                  RandomRetryAfter(state, remaining), actions, choice.inputs);
-  Server& server = *choice.server;
-  CountAttempt(state.services[request.service], state.options.bounds,
-               request.attempts > 0, now);
-  ++request.attempts;
-  request.attempt_in_progress = true;
-  request.server = server.entry.id;
-  request.server_started_unix_ms = server.entry.started_unix_ms;
-  request.tried_servers.push_back(server.entry.id);
-  request.sent_at = now;
-  request.expected_response_bytes = choice.inputs.expected_response_bytes;
-  request.expected_duration = choice.expected_duration;
-  request.expected_work_ms = choice.work_ms;
-  request.expected_slowness = choice.inputs.slowness;
-  request.expected_work_factor = choice.inputs.work_factor;
-  request.cache_affinity = choice.cache_affinity;
-  choice.inputs.object = request.object;
-  RecordAttemptStart(server, request, now);
-  CountLimitedRequest(state, server, now);
-  actions.emplace_back(SendAttempt{
-      .request = id,
-      .attempt = request.attempts,
-      .server = server.entry.id,
-      .address = server.entry.address,
-      .deadline = request.deadline,
-      .server_timeout = ServerTimeout(state, remaining, now),
-      .fresh_connection =
-          !IsIdempotent(request.route.kind) &&
-          now <
-              state.services[request.service].connection_reuse_suspended_until,
-      .inputs = choice.inputs});
-}
-
 void Apply(RoutingState& state,
            const RequestArrived& event,
            TimePoint now,
@@ -237,7 +96,7 @@
     actions.emplace_back(CancelAttempt{event.request, request.attempts});
     AbandonAttempt(state, request);
   }
-  EndRequest(state, found);
+  EndRequest(state, event.request);
 }
 
 // Counts a possible crash: a server that is lost while it runs a request may
@@ -306,7 +165,7 @@
       state.crash_counts.erase(request.fingerprint);
     actions.emplace_back(
         DeliverResponse{event.request, request.server, request.route.kind});
-    return EndRequest(state, found);
+    return EndRequest(state, event.request);
   }
   if (!ProvesNotRun(event.outcome))
     request.verdict = Verdict::kMayHaveRun;
