LibRouting, LibNode, platform: Block crashing requests by evidence along a chain of lost servers

The other side of it: one crash with several equal harmless requests in flight blocked these for good, at all entry VMs, with a 502 that named no time.

Cause: a connection that is lost is an ambiguous signal. On a reused connection it was always read as a closed idle connection (kLostUnused, not counted), on a new one always as a crash, once for each attempt. Counts stayed with one entry VM, and nothing took a block back.

Ruled out: fingerprints that differ (the object is equal in all lines), successes that clear the count (there was none).

Every lost connection makes a fingerprint a suspect; suspects are tried alone over new connections, at other servers and failure domains; only a further incarnation that is lost after the last loss was known counts; after the second loss trials wait for a random time; three losses block for a time that doubles, with a trial after it; a complete response clears everywhere. Evidence is replicated in 128 slots whose versions order it. Refusals are 503 with a time if nothing was sent. Operators list and clear suspects at the address for metrics. Why this works: a guilty request never gets a response, so its chain only grows; a harmless one is cleared by its first.

--- a/Generated/schemas/peer.capnp.c++
+++ b/Generated/schemas/peer.capnp.c++
@@ -1803,6 +1803,84 @@
   0, 5, i_a21b746b9cb3c9f0, nullptr, nullptr, { &s_a21b746b9cb3c9f0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<67> b_d1446188bab87b19 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     25, 123, 184, 186, 136,  97,  68, 209,
+     11,   0,   0,   0,   1,   0,   2,   0,
+    171, 112,  68,  42, 199,  35, 177, 252,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 186,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112, 101, 101, 114,  46,  99,  97, 112,
+    110, 112,  58,  83, 117, 115, 112, 101,
+     99, 116,  73, 116, 101, 109,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+    104,   0,   0,   0,   2,   0,   1,   0,
+    102, 105, 110, 103, 101, 114, 112, 114,
+    105, 110, 116,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 111, 115, 115, 101, 115,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d1446188bab87b19 = b_d1446188bab87b19.words;
+#if !CAPNP_LITE
+static const uint16_t m_d1446188bab87b19[] = {0, 1, 2};
+static const uint16_t i_d1446188bab87b19[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_d1446188bab87b19 = {
+  0xd1446188bab87b19, b_d1446188bab87b19.words, 67, nullptr, m_d1446188bab87b19,
+  0, 3, i_d1446188bab87b19, nullptr, nullptr, { &s_d1446188bab87b19, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<134> b_f4fb808a20c1e7da = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     218, 231, 193,  32, 138, 128, 251, 244,
@@ -4309,6 +4387,14 @@
 constexpr ::capnp::_::RawSchema const* ItemVersion::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// SuspectItem
+constexpr uint16_t SuspectItem::_capnpPrivate::dataWordSize;
+constexpr uint16_t SuspectItem::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind SuspectItem::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* SuspectItem::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // ExchangeMessage
 constexpr uint16_t ExchangeMessage::_capnpPrivate::dataWordSize;
 constexpr uint16_t ExchangeMessage::_capnpPrivate::pointerCount;
--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -98,6 +98,7 @@
 CAPNP_DECLARE_SCHEMA(e7d1a1e57a926e00);
 CAPNP_DECLARE_SCHEMA(891cfc27c6698aec);
 CAPNP_DECLARE_SCHEMA(a21b746b9cb3c9f0);
+CAPNP_DECLARE_SCHEMA(d1446188bab87b19);
 CAPNP_DECLARE_SCHEMA(f4fb808a20c1e7da);
 CAPNP_DECLARE_SCHEMA(8021b3d217d33f62);
 CAPNP_DECLARE_SCHEMA(d3199c697849d1dc);
@@ -341,6 +342,21 @@
   };
 };
 
+struct SuspectItem {
+  SuspectItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1446188bab87b19, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ExchangeMessage {
   ExchangeMessage() = delete;
 
@@ -2156,6 +2172,98 @@
 };
 #endif  // !CAPNP_LITE
 
+class SuspectItem::Reader {
+public:
+  typedef SuspectItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::uint32_t getLosses() const;
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getServers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectItem::Builder {
+public:
+  typedef SuspectItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::uint32_t getLosses();
+  inline void setLosses( ::uint32_t value);
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getServers();
+  inline void setServers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownServers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectItem::Pipeline {
+public:
+  typedef SuspectItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ExchangeMessage::Reader {
 public:
   typedef ExchangeMessage Reads;
@@ -6534,6 +6642,72 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t SuspectItem::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SuspectItem::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SuspectItem::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SuspectItem::Reader::getLosses() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SuspectItem::Builder::getLosses() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SuspectItem::Builder::setLosses( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectItem::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectItem::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SuspectItem::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SuspectItem::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SuspectItem::Builder::setServers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void SuspectItem::Builder::setServers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SuspectItem::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SuspectItem::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SuspectItem::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::cicadadrum::schema::ExchangeKind ExchangeMessage::Reader::getKind() const {
   return _reader.getDataField< ::cicadadrum::schema::ExchangeKind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibMembership/include/cicadadrum/membership/item.h
+++ b/Libraries/LibMembership/include/cicadadrum/membership/item.h
@@ -4,6 +4,7 @@
 //   configuration           configuration version  hash of the body
 //   leaving/<server>        sequence of the mark   a name of MarkValue
 //   blocked/<fingerprint>   1                      empty
+//   suspect/<slot>          evidence of the slot   a SuspectItem of peer.capnp
 //   shift-plan              fencing token          the plan
 //
 // Only a configuration has a body in addition to its value.
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -10,6 +10,7 @@
 #include "observations.h"
 #include "request_route.h"
 #include "server_limit.h"
+#include "suspects.h"
 
 namespace cicadadrum::routing {
 
@@ -45,6 +46,36 @@
                     std::max(remaining, kMinAttemptTime));
 }
 
+// Whether servers may close idle connections so often that a request which
+// can't be repeated needs a new connection.
+bool IsReuseSuspended(RoutingState& state,
+                      const RequestState& request,
+                      TimePoint now) {
+  return !IsIdempotent(request.route.kind) &&
+         now < state.services[request.service].connection_reuse_suspended_until;
+}
+
+// Leaves out the servers at which a trial would say little, unless no other
+// server can receive the request.
+ServerChoice ChooseServerForTrial(RoutingState& state,
+                                  const RequestState& request,
+                                  TimePoint now) {
+  const ServersToAvoid avoid = FindServersToAvoid(state, request, now);
+  RequestState restricted = request;
+  auto& tried = restricted.tried_servers;
+  tried.insert(tried.end(), avoid.servers.begin(), avoid.servers.end());
+  const std::size_t size = tried.size();
+  tried.insert(tried.end(), avoid.neighbours.begin(), avoid.neighbours.end());
+  ServerChoice choice = ChooseServer(state, restricted, now);
+  if (choice.server != nullptr && choice.admitted)
+    return choice;
+  tried.resize(size);
+  choice = ChooseServer(state, restricted, now);
+  if (choice.server != nullptr && choice.admitted)
+    return choice;
+  return ChooseServer(state, request, now);
+}
+
 // Sends the request to the chosen server.
 void StartAttempt(RoutingState& state,
                   std::uint64_t id,
@@ -69,6 +100,9 @@
   request.cache_affinity = choice.cache_affinity;
   ChoiceInputs inputs = choice.inputs;
   inputs.object = request.object;
+  const bool is_suspect = IsSuspect(state, request.fingerprint, now);
+  if (is_suspect)
+    StartTrial(state, id, now);
   RecordAttemptStart(server, request, now);
   CountLimitedRequest(state, server, now);
   actions.emplace_back(SendAttempt{
@@ -78,10 +112,8 @@
       .address = server.entry.address,
       .deadline = request.deadline,
       .server_timeout = ServerTimeout(state, request.deadline - now, now),
-      .fresh_connection =
-          !IsIdempotent(request.route.kind) &&
-          now <
-              state.services[request.service].connection_reuse_suspended_until,
+      // A server may close a reused connection for other reasons than a crash.
+      .fresh_connection = is_suspect || IsReuseSuspended(state, request, now),
       .inputs = std::move(inputs)});
 }
 
@@ -135,10 +167,19 @@
               RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
   const Duration remaining = request.deadline - now;
+  if (const auto end = BlockedUntil(state, request.fingerprint, now))
+    return Refuse(state, id, RefusalReason::kBlocked, *end - now, actions);
+  if (NextTrialTime(state, request.fingerprint, now) > now) {
+    state.suspicions.waiting[request.fingerprint].push_back(
+        {.request = id, .reason_without_server = reason_without_server});
+    return;
+  }
   if (!AreHomeRegionsCertain(state, request.route, now))
     return Refuse(state, id, RefusalReason::kConfigurationOutdated,
                   RetryAfterForEstimate(Seconds(1), remaining), actions);
-  const ServerChoice choice = ChooseServer(state, request, now);
+  const ServerChoice choice = IsSuspect(state, request.fingerprint, now)
+                                  ? ChooseServerForTrial(state, request, now)
+                                  : ChooseServer(state, request, now);
   if (choice.server == nullptr && IsHeldByLimits(state, request, now))
     return Refuse(state, id, RefusalReason::kOverloaded,
                   RandomRetryAfter(state, remaining), actions);
@@ -157,4 +198,30 @@
   StartAttempt(state, id, choice, now, actions);
 }
 
+void DispatchWaiting(RoutingState& state,
+                     TimePoint now,
+                     RoutingActions& actions) {
+  auto& waiting = state.suspicions.waiting;
+  if (waiting.empty())
+    return;
+  std::vector<std::uint64_t> fingerprints;
+  for (const auto& [fingerprint, requests] : waiting) {
+    if (NextTrialTime(state, fingerprint, now) <= now)
+      fingerprints.push_back(fingerprint);
+  }
+  // The first request may become the next trial, for which the others wait.
+  for (const std::uint64_t fingerprint : fingerprints) {
+    const auto node = waiting.extract(fingerprint);
+    for (const WaitingRequest& next : node.mapped()) {
+      const auto found = state.requests.find(next.request);
+      if (found == state.requests.end())
+        continue;
+      if (RefreshRoute(state, next.request, found->second))
+        Dispatch(state, next.request, next.reason_without_server, now, actions);
+      else
+        Refuse(state, next.request, next.reason_without_server, {}, actions);
+    }
+  }
+}
+
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/dispatch.h
+++ b/Libraries/LibRouting/dispatch.h
@@ -42,13 +42,19 @@
                           Duration estimate,
                           TimePoint now);
 
-// Sends the request to the server with the least cost, or refuses the request.
+// Sends the request to the server with the least cost, refuses it, or lets it
+// wait for the trial of an equal request (see cicadadrum/routing/suspicion.h).
 void Dispatch(RoutingState& state,
               std::uint64_t id,
               RefusalReason reason_without_server,
               TimePoint now,
               RoutingActions& actions);
 
+// Dispatches the requests that waited for a trial which has ended.
+void DispatchWaiting(RoutingState& state,
+                     TimePoint now,
+                     RoutingActions& actions);
+
 }  // namespace cicadadrum::routing
 
 #endif  // CICADADRUM_ROUTING_DISPATCH_H_
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -18,6 +18,7 @@
 #include "cicadadrum/routing/configuration.h"
 #include "cicadadrum/routing/fleet_bounds.h"
 #include "cicadadrum/routing/server.h"
+#include "cicadadrum/routing/suspicion.h"
 
 namespace cicadadrum::routing {
 
@@ -130,9 +131,13 @@
   std::vector<ServerObservation> observations;
 };
 
-// Some entry VM blocked a fingerprint because requests with that fingerprint
-// crashed servers.
-struct FingerprintBlocked {
+// Another entry VM published evidence about a suspect.
+struct SuspectRecordReceived {
+  SuspectRecord record;
+};
+
+// The operator cleared a fingerprint of suspicion.
+struct SuspectCleared {
   std::uint64_t fingerprint = 0;
 };
 
@@ -164,7 +169,8 @@
                                   EvacuationsChanged,
                                   MembersChanged,
                                   ObservationsReceived,
-                                  FingerprintBlocked,
+                                  SuspectRecordReceived,
+                                  SuspectCleared,
                                   SettingsChanged,
                                   StopRequested,
                                   TimerExpired>;
@@ -191,7 +197,7 @@
   kUnreachable,  // No server could be reached.
   kFailed,       // An attempt ended without a usable response.
   kTimedOut,     // The deadline of the route or of the caller has passed.
-  kBlocked,      // Equal requests have crashed servers.
+  kBlocked,      // Equal requests were lost with several servers.
   kStopping,     // The entry VM is stopping.
 };
 
@@ -319,9 +325,22 @@
   std::optional<ChoiceInputs> inputs;
 };
 
-// Tell the other entry VMs to block the fingerprint.
-struct PublishBlockedFingerprint {
+// Tell all other entry VMs about a suspect. A record with a lower version for
+// the same slot is out of date.
+struct PublishSuspect {
+  SuspectRecord record;
+};
+
+// Record that the evidence about a fingerprint has changed.
+struct ReportSuspicion {
+  // The request whose attempt ended, and its server; 0 and empty if another
+  // entry VM or the operator caused the change.
+  std::uint64_t request = 0;
+  std::string server;
   std::uint64_t fingerprint = 0;
+  SuspicionChange change = SuspicionChange::kSuspected;
+  std::uint32_t losses = 0;  // Servers that were lost one after the other.
+  Duration block_time{};     // Set for kBlocked.
 };
 
 // Record that the server announced for the first time that it is leaving.
@@ -366,7 +385,8 @@
                                    CancelAttempt,
                                    DeliverResponse,
                                    RefuseRequest,
-                                   PublishBlockedFingerprint,
+                                   PublishSuspect,
+                                   ReportSuspicion,
                                    ReportServerLeaving,
                                    ReportServerPause,
                                    ReportServerLimit,
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -206,9 +206,7 @@
   // Credits of the weighted round robin between a route's services, by name of
   // the route. Only routes with several services have an entry.
   std::unordered_map<std::string, std::vector<double>> split_credit;
-  // Number of servers that were lost while they ran a request, by fingerprint.
-  std::unordered_map<std::uint64_t, std::uint32_t> crash_counts;
-  std::set<std::uint64_t> blocked_fingerprints;
+  Suspicions suspicions;
 };
 
 // Returns the state before the first event. Equal seeds, events and times
@@ -223,6 +221,18 @@
                  TimePoint now,
                  RoutingActions& actions);
 
+// A suspect, for operators.
+struct SuspectSummary {
+  std::uint64_t fingerprint = 0;
+  std::uint32_t losses = 0;  // Servers that were lost one after the other.
+  // Time for which its requests are refused; zero if they are not.
+  Duration blocked_for{};
+};
+
+// Returns the suspects that this entry VM knows, in no particular order.
+std::vector<SuspectSummary> ListSuspects(const RoutingState& state,
+                                         TimePoint now);
+
 // Whether the entry VM can serve callers: it has a configuration and a full
 // list of servers, and is not stopping.
 bool IsReady(const RoutingState& state);
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -16,6 +16,7 @@
 #include "server_limit.h"
 #include "server_table.h"
 #include "sharing.h"
+#include "suspects.h"
 #include "transfers.h"
 
 namespace cicadadrum::routing {
@@ -25,10 +26,6 @@
 // The caller receives a response at least this long before it gives up.
 constexpr Duration kResponseMargin = Milliseconds(20);
 
-// A fingerprint is blocked once requests with it have crashed this many
-// servers.
-constexpr std::uint32_t kCrashesToBlock = 3;
-
 // Minimum time until the end of the stop for which a request is accepted.
 constexpr Duration kMinStoppingTime = kStopMargin + Milliseconds(50);
 
@@ -49,8 +46,6 @@
   if (!route->is_readable)
     return Refuse(state, event.request, RefusalReason::kUnreadableRoute, {},
                   actions);
-  if (state.blocked_fingerprints.contains(event.fingerprint))
-    return Refuse(state, event.request, RefusalReason::kBlocked, {}, actions);
   RequestState request{
       .host = event.host,
       .path = event.path,
@@ -77,8 +72,11 @@
 }
 
 // Marks the current attempt as ended without an outcome.
-void AbandonAttempt(RoutingState& state, RequestState& request) {
+void AbandonAttempt(RoutingState& state,
+                    std::uint64_t id,
+                    RequestState& request) {
   request.attempt_in_progress = false;
+  EndTrial(state, id, request.fingerprint);
   Server* server = FindServer(state, IncarnationOf(request));
   if (server != nullptr && server->in_flight > 0)
     --server->in_flight;
@@ -94,22 +92,11 @@
   RequestState& request = found->second;
   if (request.attempt_in_progress) {
     actions.emplace_back(CancelAttempt{event.request, request.attempts});
-    AbandonAttempt(state, request);
+    AbandonAttempt(state, event.request, request);
   }
   EndRequest(state, event.request);
 }
 
-// Counts a possible crash: a server that is lost while it runs a request may
-// have been crashed by the request. Blocks the fingerprint at the limit.
-void CountCrash(RoutingState& state,
-                const RequestState& request,
-                RoutingActions& actions) {
-  if (++state.crash_counts[request.fingerprint] < kCrashesToBlock)
-    return;
-  if (state.blocked_fingerprints.insert(request.fingerprint).second)
-    actions.emplace_back(PublishBlockedFingerprint{request.fingerprint});
-}
-
 RefusalReason RefusalReasonFor(ServerOutcome outcome) {
   switch (outcome) {
     case ServerOutcome::kRejected:
@@ -135,7 +122,7 @@
   return IsRepeatable(request) &&
          request.attempts < request.route.max_attempts &&
          now + kMinAttemptTime < request.deadline &&
-         !state.blocked_fingerprints.contains(request.fingerprint) &&
+         !BlockedUntil(state, request.fingerprint, now) &&
          HasRetryAllowance(state, request.service, now);
 }
 
@@ -150,6 +137,7 @@
     return;
   RequestState& request = found->second;
   request.attempt_in_progress = false;
+  EndTrial(state, event.request, request.fingerprint);
   RecordAdvice(state, request, event, now, actions);
   if (Server* server = FindServer(state, IncarnationOf(request))) {
     RecordAttemptEnd(state, *server, request, event, now);
@@ -161,20 +149,23 @@
   }
   if (event.outcome == ServerOutcome::kSucceeded ||
       event.outcome == ServerOutcome::kFailed) {
-    if (event.outcome == ServerOutcome::kSucceeded)
-      state.crash_counts.erase(request.fingerprint);
+    ClearSuspect(state, request.fingerprint, event.request, now, actions);
     actions.emplace_back(
         DeliverResponse{event.request, request.server, request.route.kind});
     return EndRequest(state, event.request);
   }
   if (!ProvesNotRun(event.outcome))
     request.verdict = Verdict::kMayHaveRun;
-  if (event.outcome == ServerOutcome::kLost)
-    CountCrash(state, request, actions);
+  const bool was_lost = event.outcome == ServerOutcome::kLost ||
+                        event.outcome == ServerOutcome::kLostUnused;
+  if (was_lost)
+    RecordLoss(state, event.request, now, actions);
   const RefusalReason reason = RefusalReasonFor(event.outcome);
   if (IsRepeatable(request) && RefreshRoute(state, event.request, request) &&
       MayRetry(state, request, now))
     return Dispatch(state, event.request, reason, now, actions);
+  if (was_lost)
+    PublishFirstLoss(state, request.fingerprint, now, actions);
   const Duration estimate = RetryAfterForEstimate(
       request.expected_duration, request.caller_deadline - now);
   Refuse(state, event.request, reason,
@@ -235,10 +226,17 @@
 }
 
 void Apply(RoutingState& state,
-           const FingerprintBlocked& event,
-           TimePoint /*now*/,
-           RoutingActions& /*actions*/) {
-  state.blocked_fingerprints.insert(event.fingerprint);
+           const SuspectRecordReceived& event,
+           TimePoint now,
+           RoutingActions& actions) {
+  ApplySuspectRecord(state, event.record, now, actions);
+}
+
+void Apply(RoutingState& state,
+           const SuspectCleared& event,
+           TimePoint now,
+           RoutingActions& actions) {
+  ClearSuspect(state, event.fingerprint, 0, now, actions);
 }
 
 void Apply(RoutingState& state,
@@ -272,7 +270,7 @@
     if (request.attempt_in_progress) {
       actions.emplace_back(CancelAttempt{id, request.attempts});
       request.verdict = Verdict::kMayHaveRun;
-      AbandonAttempt(state, request);
+      AbandonAttempt(state, id, request);
     }
     Refuse(state, id, RefusalReason::kTimedOut, {}, actions);
   }
@@ -298,12 +296,14 @@
   std::visit(
       [&](const auto& typed_event) { Apply(state, typed_event, now, actions); },
       event);
+  DispatchWaiting(state, now, actions);
   if (state.stopping && state.requests.empty())
     actions.emplace_back(DrainCompleted{});
   SendObservationsIfDue(state, now, actions);
   const TimePoint at =
       state.deadlines.empty() ? kNever : state.deadlines.begin()->first;
-  actions.emplace_back(WakeAt{std::min(at, state.sharing.send_at)});
+  actions.emplace_back(WakeAt{
+      std::min({at, state.sharing.send_at, NextWaitingTime(state, now)})});
 }
 
 bool IsReady(const RoutingState& state) {
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -174,7 +174,7 @@
   processorShare @9 :Float64;  # In cores; 0 if unknown.
 }
 
-# One item of versioned state: a configuration version, a leaving mark or a blocked fingerprint.
+# One item of versioned state: a configuration version, a leaving mark, a blocked fingerprint or a suspect.
 struct ItemVersion {
   key @0 :Text;
   version @1 :UInt64;
@@ -183,6 +183,13 @@
   plainBytes @4 :UInt32;  # Size of the value before its compression with zlib.
 }
 
+# Value of an item with the evidence that requests crash servers, as JSON.
+struct SuspectItem {
+  fingerprint @0 :UInt64;
+  losses @1 :UInt32;  # Servers that were lost one after the other; 0 if the fingerprint is cleared.
+  servers @2 :List(UInt64);  # Tags of the lost incarnations of servers.
+}
+
 # A membership message with the state of members and the versions of items.
 struct ExchangeMessage {
   kind @0 :ExchangeKind;
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -197,6 +197,13 @@
   void AdvanceSequence() { ++sequence_; }
 
   void SetBehaviour(ServerBehaviour behaviour) { behaviour_ = behaviour; }
+  // From now on, a request for this path crashes the server when it runs.
+  void SetCrashingPath(std::string path) { crashing_path_ = std::move(path); }
+  // Closes the connections of all requests that run, as a crash of the server
+  // does.
+  void Crash();
+  // Responds to all requests that ServerBehaviour::kHangs has left running.
+  void RespondToAll();
   // Sets the size of the responses to requests for downloads.
   void SetDownloadBytes(std::size_t bytes) { download_bytes_ = bytes; }
   // From now on, all responses say that the server is leaving.
@@ -227,6 +234,9 @@
   std::string address_;
   ServerBehaviour behaviour_ = ServerBehaviour::kAnswers;
   std::size_t download_bytes_ = kDownloadBytes;
+  std::string crashing_path_;
+  // The requests that run, with their responses.
+  std::map<std::uint64_t, HttpResponse> running_;
   bool leaving_ = false;
   double limit_ = 0;
   std::vector<std::string> executed_requests_;
