LibSteering: Count one crash once for equal requests

Cause: each lease at a server that lost a connection counted as a crash of its own, so three equal requests in flight at one crashed server blocked their fingerprint for good at all entry VMs. Evidence: the new test "equal requests that crashes end at the same time count once" counted 12 crashes before, and a block. Ruled out: comparing times of grants; leases that are granted in the instant of a crash would not count. Change: a crash counts only for leases that were granted after the last one that was counted. The numbers of leases order them.

--- a/Libraries/LibSteering/include/cicadadrum/steering/pool.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/pool.h
@@ -241,6 +241,9 @@
 // A fingerprint that was running when a server was lost.
 struct CrashSuspect {
   std::uint32_t crashes = 0;
+  // Number of the first lease after the last crash that was counted. An earlier
+  // lease says nothing more: the same event may have ended it.
+  std::uint64_t first_lease = 0;
   bool blocked = false;
 };
 
--- a/Libraries/LibSteering/pool_suspects.cc
+++ b/Libraries/LibSteering/pool_suspects.cc
@@ -9,11 +9,17 @@
 // Number of crashes after which a fingerprint is blocked.
 constexpr std::uint32_t kCrashesToBlock = 3;
 
-void CountCrash(Pool& pool, SlotLease& lease, PoolActions& actions) {
+// Counts one crash of a server for the fingerprint of a lease that it was
+// running, unless the crash was counted for an equal request already.
+void CountCrash(Pool& pool, std::uint64_t number, PoolActions& actions) {
+  SlotLease& lease = pool.leases.at(number);
   if (lease.crash_counted || lease.fingerprint == 0)
     return;
   lease.crash_counted = true;
   CrashSuspect& suspect = pool.suspects[lease.fingerprint];
+  if (number < suspect.first_lease)
+    return;
+  suspect.first_lease = pool.next_lease;
   if (++suspect.crashes < kCrashesToBlock || suspect.blocked)
     return;
   suspect.blocked = true;
@@ -48,7 +54,7 @@
   if (server == pool.server_index.end())
     return;
   for (const std::uint64_t number : pool.servers[server->second].leases)
-    CountCrash(pool, pool.leases.at(number), actions);
+    CountCrash(pool, number, actions);
 }
 
 void SetBlocked(Pool& pool, std::uint64_t fingerprint, bool blocked) {
--- a/Tests/LibSteering/test_pool.cc
+++ b/Tests/LibSteering/test_pool.cc
@@ -338,6 +338,25 @@
         RefusalReason::kBlocked);
 }
 
+// Guards against a harmless request that is blocked because several of its
+// attempts were in flight when servers crashed at the same time.
+TEST_CASE("equal requests that crashes end at the same time count once") {
+  PoolFixture fixture(3, 4);
+  constexpr std::uint64_t kHarmless = 8;
+  std::vector<SlotGrant> grants;
+  for (int i = 0; i < 12; ++i)
+    grants.push_back(Grants(fixture.Submit(fixture.MakeRequest(
+                                RequestClass::kRoutine, "c", kHarmless)))
+                         .at(0));
+  for (const SlotGrant& grant : grants) {
+    fixture.now += Milliseconds(1);
+    for (const PoolAction& action :
+         fixture.Return(grant.lease, AttemptOutcome::kConnectionLost))
+      CHECK(!std::holds_alternative<FingerprintBlocked>(action));
+  }
+  CHECK(fixture.pool.suspects.at(kHarmless).crashes == 1);
+}
+
 // Guards against two owners that together grant twice the slots of a server.
 TEST_CASE("a new owner grants half the slots until the leases are reported") {
   PoolFixture fixture(1, 4);
