--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -100,8 +100,7 @@
   const ResponseParser& parser = connection.parser;
   const bool keeps_body =
       parser.headers_complete && IsResponseToCall(connection);
-  return connection.received_bytes -
-         (keeps_body ? parser.response.body.size() : 0);
+  return connection.received_bytes - (keeps_body ? parser.body_bytes : 0);
 }
 
 // Returns whether the response belongs to the connection's call. An error
--- a/Libraries/LibLoop/http_parser_state.cc
+++ b/Libraries/LibLoop/http_parser_state.cc
@@ -2,6 +2,8 @@
 
 #include "http_parser_state.h"
 
+#include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace cicadadrum {
@@ -10,8 +12,10 @@
 
 constexpr std::uint16_t kFirstFinalStatus = 200;
 
-// Largest body whose memory is allocated at once when its length is declared.
-constexpr std::uint64_t kMaxReservedBytes = 1'048'576;
+// Sizes of the pieces of a body. The rest of the last piece is not counted as
+// held: it has not been written to.
+constexpr std::uint64_t kMinPieceBytes = 4096;
+constexpr std::uint64_t kMaxPieceBytes = 262'144;
 
 ResponseParser& StateOf(http_parser* parser) {
   return *static_cast<ResponseParser*>(parser->data);
@@ -21,6 +25,8 @@
 // keep.
 void DiscardResponse(ResponseParser& state) {
   std::exchange(state.response, {});
+  std::exchange(state.body_pieces, {});
+  state.body_bytes = 0;
   state.held_bytes = 0;
   state.in_value = false;
   state.headers_complete = false;
@@ -59,21 +65,59 @@
   state.headers_complete = true;
   if (state.head_request)
     return 1;
-  state.too_large =
-      DeclaresLength(parser) && parser->content_length > state.max_body_bytes;
-  if (DeclaresLength(parser) && parser->content_length <= kMaxReservedBytes)
-    state.response.body.reserve(parser->content_length);
+  state.declared_bytes = DeclaresLength(parser) ? parser->content_length : 0;
+  state.too_large = state.declared_bytes > state.max_body_bytes;
   return 0;
 }
 
+// Returns the size of the next piece: as much as there is already, but no more
+// than the rest of a body whose length is declared.
+std::uint64_t NextPieceBytes(const ResponseParser& state) {
+  const std::uint64_t size =
+      std::clamp(state.body_bytes, kMinPieceBytes, kMaxPieceBytes);
+  return DeclaresLength(&state.parser)
+             ? std::min(size, state.declared_bytes - state.body_bytes)
+             : size;
+}
+
+void AppendToBody(ResponseParser& state, std::string_view bytes) {
+  while (!bytes.empty()) {
+    if (state.body_pieces.empty() || state.body_pieces.back().size() ==
+                                         state.body_pieces.back().capacity()) {
+      std::string& added = state.body_pieces.emplace_back();
+      added.reserve(NextPieceBytes(state));
+    }
+    std::string& piece = state.body_pieces.back();
+    const std::size_t size =
+        std::min(bytes.size(), piece.capacity() - piece.size());
+    piece.append(bytes.substr(0, size));
+    state.body_bytes += size;
+    state.held_bytes += size;
+    bytes.remove_prefix(size);
+  }
+}
+
+// Joins the pieces. Each is freed when it has been copied, so that the memory
+// of the body is not needed twice.
+void JoinBody(ResponseParser& state) {
+  std::vector<std::string> pieces = std::exchange(state.body_pieces, {});
+  std::string& body = state.response.body;
+  if (pieces.size() == 1) {
+    body = std::move(pieces.front());
+    return;
+  }
+  body.reserve(state.body_bytes);
+  for (std::string& piece : pieces)
+    body.append(std::exchange(piece, {}));
+}
+
 int OnBody(http_parser* parser, const char* at, std::size_t length) {
   ResponseParser& state = StateOf(parser);
-  if (state.response.body.size() + length > state.max_body_bytes) {
+  if (state.body_bytes + length > state.max_body_bytes) {
     state.too_large = true;
     return 1;
   }
-  state.held_bytes += length;
-  state.response.body.append(at, length);
+  AppendToBody(state, {at, length});
   return 0;
 }
 
@@ -85,6 +129,7 @@
     DiscardResponse(state);
     return 0;
   }
+  JoinBody(state);
   state.complete = true;
   state.reusable = http_should_keep_alive(parser) != 0;
   http_parser_pause(parser, 1);
--- a/Libraries/LibLoop/http_parser_state.h
+++ b/Libraries/LibLoop/http_parser_state.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "cicadadrum/loop/http_message.h"
 
@@ -25,8 +26,15 @@
 struct ResponseParser {
   http_parser parser{};
   HttpResponse response;
+  // The body until it is complete, in pieces that are then joined. One growing
+  // string would be copied again and again, and take up to three times its size
+  // meanwhile.
+  std::vector<std::string> body_pieces;
+  std::uint64_t body_bytes = 0;      // Size of the body so far.
+  std::uint64_t declared_bytes = 0;  // Length of the body that the head states.
   std::uint64_t max_body_bytes = 0;
-  std::uint64_t held_bytes = 0;  // Size of the headers and body in `response`.
+  // Size of the headers in `response` and of `body_pieces`.
+  std::uint64_t held_bytes = 0;
   // The most recent header callback delivered part of a value.
   bool in_value = false;
   // The status and the headers of `response` are complete.
--- a/Tests/LibLoop/test_http_client_endless.cc
+++ b/Tests/LibLoop/test_http_client_endless.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "cicadadrum/loop/http_server.h"
+#include "endless_responses.h"
 #include "http_client_fixture.h"
 
 namespace cicadadrum {
@@ -16,59 +17,9 @@
 // closes: those that the client reads, and the socket buffers of both sides.
 constexpr std::size_t kMaxEndlessBytes = 16 << 20;
 
-struct EndlessCase {
-  std::string name;
-  ScriptedResponse response;
-};
-
-std::vector<EndlessCase> EndlessHeads() {
-  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
-  return {
-      {"zeros", {.endless_bytes = std::string(64, '\0')}},
-      {"empty lines", {.endless_bytes = "\r\n"}},
-      {"status line", {.bytes = "HTTP/1.1 200 ", .endless_bytes = "O"}},
-      {"header name", {.bytes = head, .endless_bytes = "N"}},
-      {"header value", {.bytes = head + "Name: ", .endless_bytes = "v"}},
-      {"spaces before a value",
-       {.bytes = head + "Name:", .endless_bytes = " "}},
-      {"headers", {.bytes = head, .endless_bytes = "A:\r\n"}},
-      {"interim responses", {.endless_bytes = "HTTP/1.1 100 Continue\r\n\r\n"}},
-      {"interim responses with headers",
-       {.endless_bytes = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"}},
-      {"responses with another id",
-       {.endless_bytes = MakeResponse("x", "surplus")}},
-      {"responses without an id",
-       {.endless_bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}},
-  };
-}
-
-std::vector<EndlessCase> EndlessBodies() {
-  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
-  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
-  const std::string long_extension(1000, 'x');
-  return {
-      {"body without a length", {.bytes = head + "\r\n", .endless_bytes = "b"}},
-      {"chunks", {.bytes = head + chunked, .endless_bytes = "4\r\nbody\r\n"}},
-      {"chunk size", {.bytes = head + chunked, .endless_bytes = "0"}},
-      {"chunk extension",
-       {.bytes = head + chunked + "4;", .endless_bytes = "x"}},
-      {"chunks with long extensions",
-       {.bytes = head + chunked,
-        .endless_bytes = "1;" + long_extension + "\r\nb\r\n"}},
-      {"trailers",
-       {.bytes = head + chunked + "0\r\n", .endless_bytes = "T: 1\r\n"}},
-      {"length beyond the limit",
-       {.bytes = head + "Content-Length: 99999999999\r\n\r\n",
-        .endless_bytes = "b"}},
-      {"chunk beyond the limit",
-       {.bytes = head + chunked + "fffffffff\r\n", .endless_bytes = "b"}},
-      {"body of a response with another id",
-       {.bytes = "HTTP/1.1 200 OK\r\nRequest-Id: x\r\n\r\n",
-        .endless_bytes = "b"}},
-  };
-}
+const std::string kIdentification = "Request-Id: a\r\n";
 
-void CheckEndsAsLost(const EndlessCase& endless_case) {
+void CheckEndsAsLost(const EndlessResponse& endless_case) {
   CAPTURE(endless_case.name);
   ClientFixture fixture({endless_case.response});
   CHECK(fixture.Call("a").first == HttpOutcome::kLost);
@@ -83,12 +34,12 @@
 // Guards against a call that lasts until its deadline and a connection that
 // reads all the time.
 TEST_CASE("a head without end is lost and the connection is closed") {
-  for (const EndlessCase& endless_case : EndlessHeads())
+  for (const EndlessResponse& endless_case : EndlessHeads(kIdentification))
     CheckEndsAsLost(endless_case);
 }
 
 TEST_CASE("a body without end is lost and the connection is closed") {
-  for (const EndlessCase& endless_case : EndlessBodies())
+  for (const EndlessResponse& endless_case : EndlessBodies(kIdentification))
     CheckEndsAsLost(endless_case);
 }
 
--- a/Tests/LibSteering/test_pool.cc
+++ b/Tests/LibSteering/test_pool.cc
@@ -343,8 +343,10 @@
 TEST_CASE("equal requests that crashes end at the same time count once") {
   PoolFixture fixture(3, 4);
   constexpr std::uint64_t kHarmless = 8;
+  constexpr std::size_t kEqualRequests = 12;
   std::vector<SlotGrant> grants;
-  for (int i = 0; i < 12; ++i)
+  grants.reserve(kEqualRequests);
+  for (std::size_t i = 0; i < kEqualRequests; ++i)
     grants.push_back(Grants(fixture.Submit(fixture.MakeRequest(
                                 RequestClass::kRoutine, "c", kHarmless)))
                          .at(0));
--- a/Utilities/TransferBench/main.cc
+++ b/Utilities/TransferBench/main.cc
@@ -1,5 +1,6 @@
 // cicadadrum-transfer-bench: measures the memory of an entry VM whose callers
-// read large responses slowly or not at all. It starts one real process of
+// read large responses slowly or not at all, or whose servers send responses
+// without end. It starts one real process of
 // cicadadrum-platform for each row, on loopback.
 
 #include <arpa/inet.h>
@@ -20,8 +21,9 @@
 #include "cicadadrum/base/error.h"
 #include "cicadadrum/program/program.h"
 #include "configurations.h"
-#include "fleet.h"
+#include "endless.h"
 #include "headers.h"
+#include "measured_entry.h"
 
 namespace cicadadrum::platform {
 
@@ -30,8 +32,6 @@
 namespace leaf = boost::leaf;
 namespace po = boost::program_options;
 
-constexpr Duration kPollInterval = Milliseconds(20);
-constexpr Duration kStartTimeout = Seconds(20);
 // Time between the begins of two readers.
 constexpr Duration kReaderInterval = Milliseconds(20);
 // Time for which the readers wait after the last one has begun.
@@ -57,22 +57,13 @@
   options.add_options()("program", po::value<std::string>()->required(),
                         "path of the program cicadadrum-platform")(
       "response-bytes", po::value<std::size_t>()->default_value(540'000),
-      "size of the response to each reader");
+      "size of the response to each reader")(
+      "endless", "measure responses without end instead of slow readers")(
+      "memory-megabytes", po::value<double>()->default_value(160),
+      "memory of the entry VM, with --endless");
   return options;
 }
 
-// Returns a figure of /proc/PID/status, in megabytes.
-double ReadMemory(pid_t pid, const std::string& key) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-  std::string word;
-  double kilobytes = 0;
-  while (file >> word) {
-    if (word == key + ":" && file >> kilobytes)
-      break;
-  }
-  return kilobytes / 1000;
-}
-
 // Sends a request for a download and reads nothing. Returns the socket.
 int StartReader(const std::string& address, std::size_t number) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -96,44 +87,18 @@
   return fd;
 }
 
-bool WaitUntil(EventLoop& loop,
-               const std::function<bool()>& condition,
-               Duration timeout) {
-  const TimePoint end = loop.Now() + timeout;
-  Timer timer(loop, [&loop] { loop.Stop(); });
-  while (!condition() && loop.Now() < end) {
-    timer.Schedule(loop.Now() + kPollInterval);
-    loop.Run();
-  }
-  return condition();
-}
-
 Result RunRow(const Row& row,
               const std::string& program,
               const std::string& folder,
               std::size_t response_bytes) {
   EventLoop loop;
-  StoreStandIn store(loop);
+  MeasuredEntry measured(loop, program, folder, row.memory_megabytes);
   ServerStandIn server(loop, "s-one", SoakFailureDomainOf(0).name);
   server.SetDownloadBytes(response_bytes);
-  store.Put("op", "config", ConfigurationBody(1, {DownloadRoute()}));
-  store.Put("servers", server.id(), server.Row("ready"));
-  Fleet fleet(loop, program, folder, store.address(), 1, row.memory_megabytes);
-  EntryProcess& entry = fleet.entries().front();
-  fleet.Start(entry);
-  HttpClient client(loop, {});
-  bool ready = false;
-  WaitUntil(
-      loop,
-      [&] {
-        client.Send(entry.readiness_address, {.target = "/readiness"},
-                    loop.Now() + kPollInterval * 10,
-                    [&](HttpOutcome, const HttpResponse& response) {
-                      ready = ready || response.status == 200;
-                    });
-        return ready;
-      },
-      kStartTimeout);
+  measured.store.Put("op", "config", ConfigurationBody(1, {DownloadRoute()}));
+  measured.store.Put("servers", server.id(), server.Row("ready"));
+  measured.Start();
+  EntryProcess& entry = measured.process();
   Result result{.resident_before_megabytes = ReadMemory(entry.pid, "VmRSS")};
   std::list<int> readers;
   for (std::size_t i = 0; i < row.readers; ++i) {
@@ -152,17 +117,17 @@
 
 leaf::result<ExitCode> Run(const po::variables_map& values) {
   std::signal(SIGPIPE, SIG_IGN);
+  const auto program = values["program"].as<std::string>();
+  if (values.count("endless") > 0)
+    return MeasureEndlessResponses(program,
+                                   values["memory-megabytes"].as<double>());
   std::printf("readers  memory-MB | resident-MB  peak-MB  accepted\n");
   const std::vector<Row> rows = {{0, 160},   {10, 160}, {50, 160},
                                  {200, 160}, {50, 0},   {200, 0}};
   for (const Row& row : rows) {
-    char folder[] = "/tmp/cicadadrum-transfer-XXXXXX";
-    if (mkdtemp(folder) == nullptr)
-      return leaf::new_error(
-          Error{ErrorCode::kFileUnreadable, "can't create a folder in /tmp"});
-    const Result result =
-        RunRow(row, values["program"].as<std::string>(), folder,
-               values["response-bytes"].as<std::size_t>());
+    BOOST_LEAF_AUTO(folder, MakeFolder());
+    const Result result = RunRow(row, program, folder,
+                                 values["response-bytes"].as<std::size_t>());
     std::printf("%7zu %10.0f | %11.1f %8.1f %9llu\n", row.readers,
                 row.memory_megabytes, result.resident_before_megabytes,
                 result.peak_resident_megabytes,
