LibLoop, LibRouting, platform: Tell malformed responses from lost connections

What callers could see: with the evidence about crashing requests, a request that gets spoilt or endless responses at three servers would be blocked as one that crashes servers. Cause: HttpOutcome::kLost stood for connections that ended and for connections that the client itself closed, because the response was no HTTP or exceeded a limit. In the second case the server lives. Change: kMalformed is an outcome of its own, in the HTTP client and in LibRouting. It counts for the server's failures and for the verdict as a lost connection does, and is no evidence about requests. Ruled out: mapping it to kInvalid, which does not let the server rest after repeated failures. Tests: "malformed responses are no evidence of crashes" (with kLost in place of kMalformed, as before, the request is blocked, see "equal requests that have crashed servers are blocked"); the tests of endless and spoilt responses expect the new outcome instead of kLost; "a write that may have run is not sent again" covers it too.

--- a/Libraries/LibEntry/backend_link.cc
+++ b/Libraries/LibEntry/backend_link.cc
@@ -25,6 +25,7 @@
     {HttpOutcome::kNotConnected, AttemptOutcome::kConnectionRefused},
     {HttpOutcome::kConnectionUnavailable, AttemptOutcome::kNotSent},
     {HttpOutcome::kLost, AttemptOutcome::kConnectionLost},
+    {HttpOutcome::kMalformed, AttemptOutcome::kConnectionLost},
     {HttpOutcome::kLostUnused, AttemptOutcome::kConnectionLost},
     {HttpOutcome::kTimedOut, AttemptOutcome::kTimedOut},
 });
--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -59,7 +59,7 @@
       return Complete(connection, HttpOutcome::kAnswered);
     if (progress == ParseProgress::kMalformed ||
         DiscardedBytes(connection) > options.max_discarded_bytes)
-      return Complete(connection, HttpOutcome::kLost);
+      return Complete(connection, HttpOutcome::kMalformed);
     if (progress == ParseProgress::kNeedMore)
       continue;
     ++counters.unsolicited_responses;
@@ -88,7 +88,7 @@
   while (counters.buffered_bytes > options.max_buffered_bytes) {
     Call& largest = std::ranges::max_element(calls, {}, buffered_bytes)->second;
     Close(*std::exchange(largest.connection, nullptr));
-    ScheduleCompletion(largest, HttpOutcome::kLost);
+    ScheduleCompletion(largest, HttpOutcome::kMalformed);
   }
   ResumeReading();
 }
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -28,9 +28,11 @@
   // address is reached, the address is invalid or no socket is available.
   // Nothing was sent.
   kConnectionUnavailable,
-  // The connection ended, the response was malformed or a limit of received
-  // bytes was exceeded after the request was sent.
+  // The connection ended after the request was sent.
   kLost,
+  // The client closed the connection, because the response was malformed or
+  // exceeded a limit of received bytes. The server is alive.
+  kMalformed,
   // A reused connection ended before any byte of a response arrived. The server
   // may have closed the connection while it was idle.
   kLostUnused,
@@ -46,6 +48,7 @@
       {HttpOutcome::kNotConnected, "not-connected"},
       {HttpOutcome::kConnectionUnavailable, "no-connection"},
       {HttpOutcome::kLost, "lost"},
+      {HttpOutcome::kMalformed, "malformed"},
       {HttpOutcome::kLostUnused, "lost-unused"},
       {HttpOutcome::kTimedOut, "timed-out"},
   });
@@ -60,10 +63,11 @@
   // A response with a larger body is treated as malformed.
   std::uint64_t max_response_bytes = 8'388'608;
   // Limit of the headers and bodies of all incomplete responses together. While
-  // it is exceeded, the call with the largest incomplete response is lost.
+  // it is exceeded, the call with the largest incomplete response ends as
+  // kMalformed.
   std::uint64_t max_buffered_bytes = 67'108'864;
-  // A call is lost if more bytes arrive for it that are no part of its
-  // response's body: heads, the framing of chunks, interim responses and
+  // A call ends as kMalformed if more bytes arrive for it that are no part of
+  // its response's body: heads, the framing of chunks, interim responses and
   // responses to other requests.
   std::uint64_t max_discarded_bytes = 1'048'576;
   // If bytes of the response have arrived since the last check, a call whose
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -111,6 +111,8 @@
   kLost,
   // A reused connection was lost before any byte of a response arrived.
   kLostUnused,
+  // The response is not HTTP, or has no end.
+  kMalformed,
   // The response is not the complete response of the server itself.
   kInvalid,
   // The attempt was sent and then given up at its deadline.
@@ -132,6 +134,7 @@
           {routing::ServerOutcome::kNotSent, "not-sent"},
           {routing::ServerOutcome::kLost, "lost"},
           {routing::ServerOutcome::kLostUnused, "lost-unused"},
+          {routing::ServerOutcome::kMalformed, "malformed"},
           {routing::ServerOutcome::kInvalid, "invalid"},
           {routing::ServerOutcome::kTimedOut, "timed-out"},
       });
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -283,6 +283,7 @@
       AddSample(server.failures, 0, 1, kFailureWeight, now);
       return RecordUnreachable(server, now);
     case ServerOutcome::kLost:
+    case ServerOutcome::kMalformed:
     case ServerOutcome::kTimedOut:
       AddSample(server.failures, 0, 1, kFailureWeight, now);
       if (++server.consecutive_failures >= kFailuresToBackOff)
--- a/Tests/LibLoop/test_http_client.cc
+++ b/Tests/LibLoop/test_http_client.cc
@@ -71,9 +71,9 @@
   CHECK(reset.Call("a").first == HttpOutcome::kLost);
 }
 
-TEST_CASE("bytes that are not an HTTP response have the outcome kLost") {
+TEST_CASE("bytes that are not an HTTP response have the outcome kMalformed") {
   ClientFixture fixture({{.bytes = "garbage\r\n\r\n"}});
-  CHECK(fixture.Call("a").first == HttpOutcome::kLost);
+  CHECK(fixture.Call("a").first == HttpOutcome::kMalformed);
 }
 
 // Guards against sending a request on a connection after the server announced
--- a/Tests/LibLoop/test_http_client_endless.cc
+++ b/Tests/LibLoop/test_http_client_endless.cc
@@ -22,7 +22,7 @@
 void CheckEndsAsLost(const EndlessResponse& endless_case) {
   CAPTURE(endless_case.name);
   ClientFixture fixture({endless_case.response});
-  CHECK(fixture.Call("a").first == HttpOutcome::kLost);
+  CHECK(fixture.Call("a").first == HttpOutcome::kMalformed);
   while (fixture.server.open_count() > 0)
     event_base_loop(fixture.loop.base(), EVLOOP_ONCE);
   CHECK(fixture.server.endless_byte_count() < kMaxEndlessBytes);
@@ -59,7 +59,7 @@
   ClientFixture fixture(
       {{"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
         "Content-Length: 99999999999\r\n\r\n"}});
-  CHECK(fixture.Call("a").first == HttpOutcome::kLost);
+  CHECK(fixture.Call("a").first == HttpOutcome::kMalformed);
 }
 
 // Guards against an entry VM that runs out of memory. Each response alone is
@@ -79,7 +79,7 @@
   std::size_t lost = 0;
   std::size_t answered = 0;
   const auto record = [&](HttpOutcome outcome, const HttpResponse& response) {
-    if (outcome == HttpOutcome::kLost)
+    if (outcome == HttpOutcome::kMalformed)
       ++lost;
     if (outcome == HttpOutcome::kAnswered && response.body == body)
       ++answered;
--- a/Tests/LibRouting/test_requests.cc
+++ b/Tests/LibRouting/test_requests.cc
@@ -22,8 +22,8 @@
 // Guards against running a non-idempotent request twice.
 TEST_CASE("a write that may have run is not sent again") {
   for (const ServerOutcome outcome :
-       {ServerOutcome::kLost, ServerOutcome::kInvalid,
-        ServerOutcome::kTimedOut}) {
+       {ServerOutcome::kLost, ServerOutcome::kMalformed,
+        ServerOutcome::kInvalid, ServerOutcome::kTimedOut}) {
     RoutingFixture fixture({MakeServer("s1"), MakeServer("s22")});
     fixture.Arrive("write");
     fixture.End(outcome);
--- a/Tests/LibRouting/test_suspects.cc
+++ b/Tests/LibRouting/test_suspects.cc
@@ -118,6 +118,20 @@
   CHECK(fixture.state.suspicions.suspects.at(1).losses == 1);
 }
 
+// Guards against blocking a request because servers spoil responses.
+TEST_CASE("malformed responses are no evidence of crashes") {
+  RoutingFixture fixture(MakeServers(6));
+  for (int i = 0; i < 6; ++i) {
+    fixture.Arrive("write", 1);
+    fixture.now += Milliseconds(10);
+    fixture.End(ServerOutcome::kMalformed);
+    fixture.now += Seconds(5);
+  }
+  CHECK(fixture.refused.back().verdict == Verdict::kMayHaveRun);
+  CHECK(fixture.suspicions.empty());
+  CHECK(fixture.sent.size() == 6);
+}
+
 TEST_CASE("a complete response clears a suspect at all entry VMs") {
   for (const ServerOutcome outcome :
        {ServerOutcome::kSucceeded, ServerOutcome::kFailed}) {
