Tests/Soak: Add a request that crashes servers

Change: the fault crashing-request sends one; FindLateCrashRetries finds retries beyond the third that entry VMs in touch send later than the stable window after the third crash.

--- a/Tests/Soak/callers.cc
+++ b/Tests/Soak/callers.cc
@@ -77,6 +77,30 @@
       });
 }
 
+void Callers::SendCrashingRequest(const EntryProcess& entry, Touch touch) {
+  const std::string id = "crash-" + std::to_string(next_id_++);
+  record_.requests[id] = {.id = id,
+                          .host = "host",
+                          .path = std::string(kCrashingPath),
+                          .entry = entry.name,
+                          .process = entry.process_count,
+                          .is_in_touch = touch.is_in_touch,
+                          .is_cut_off = touch.is_cut_off,
+                          .sent_at = loop_.Now()};
+  ++open_requests_;
+  client_.Send(entry.caller_address,
+               {.target = std::string(kCrashingPath),
+                .headers = {{"Host", "host"},
+                            {std::string(kRequestId), id},
+                            {std::string(kDeadline), "3000"}}},
+               loop_.Now() + kMinCallerTimeout,
+               [this, id](HttpOutcome outcome, const HttpResponse& response) {
+                 --open_requests_;
+                 record_.requests.at(id).status =
+                     outcome == HttpOutcome::kAnswered ? response.status : 0;
+               });
+}
+
 void Callers::RecordOutcome(const std::string& id,
                             const ConfiguredRoute& route,
                             HttpOutcome outcome,
--- a/Tests/Soak/callers.h
+++ b/Tests/Soak/callers.h
@@ -56,6 +56,9 @@
   // the configuration is `version`.
   void Send(const EntryProcess& entry, std::uint64_t version, Touch touch);
 
+  // Sends the request that crashes servers, each time with an id of its own.
+  void SendCrashingRequest(const EntryProcess& entry, Touch touch);
+
   const CallerRecord& record() const { return record_; }
   std::uint64_t open_requests() const { return open_requests_; }
 
--- a/Tests/Soak/checks.cc
+++ b/Tests/Soak/checks.cc
@@ -4,9 +4,15 @@
 #include "checks.h"
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <utility>
 
+#include "configurations.h"
+
 namespace cicadadrum::platform {
 
 namespace {
@@ -323,6 +329,31 @@
   return violations;
 }
 
+std::vector<Violation> FindLateCrashRetries(const SoakRecords& records) {
+  std::multimap<TimePoint, const ArrivalRecord*> crashes;
+  for (const ArrivalRecord& arrival : records.arrivals) {
+    if (arrival.path == kCrashingPath)
+      crashes.emplace(arrival.at, &arrival);
+  }
+  if (crashes.size() <= kAllowedCrashes)
+    return {};
+  const TimePoint blocked_from =
+      std::next(crashes.begin(), kAllowedCrashes - 1)->first + kStableWindow;
+  std::vector<Violation> retries;
+  std::set<std::string> arrived;
+  for (const auto& [at, arrival] : crashes) {
+    const RequestRecord& request = records.requests.at(arrival->request_id);
+    const bool is_retry = !arrived.insert(request.id).second;
+    if (is_retry && request.is_in_touch && at > blocked_from)
+      retries.push_back({Rule::kCrash, request.id,
+                         request.entry + " retried it at " + arrival->server});
+  }
+  retries.erase(retries.begin(),
+                retries.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                      retries.size(), kAllowedCrashRetries)));
+  return retries;
+}
+
 bool IsLinkImpaired(const std::vector<LinkChange>& changes,
                     TimePoint begin,
                     TimePoint end) {
--- a/Tests/Soak/checks.h
+++ b/Tests/Soak/checks.h
@@ -38,6 +38,9 @@
 constexpr Duration kLimitWindow = Seconds(4);
 constexpr double kAcceptedLimitFactor = 1.5;
 constexpr double kAcceptedLimitExtra = 5;
+// Servers that a request may crash, and retries of it after that.
+constexpr std::size_t kAllowedCrashes = 3;
+constexpr std::size_t kAllowedCrashRetries = 3;
 
 enum class Rule : std::uint8_t {
   // A request reached a server outside the home regions of its route.
@@ -52,6 +55,8 @@
   kPause,
   // More requests than accepted reached a server that states a limit.
   kLimit,
+  // A request that crashes servers was retried too often.
+  kCrash,
 };
 
 // A request that was handled against a rule.
@@ -101,6 +106,11 @@
 // link, excuse the entry VM's requests.
 std::vector<Violation> FindBrokenLimits(const SoakRecords& records);
 
+// Returns the retries of the request that crashes servers, beyond the first
+// kAllowedCrashRetries, that entry VMs in touch sent later than kStableWindow
+// after it had crashed the third server.
+std::vector<Violation> FindLateCrashRetries(const SoakRecords& records);
+
 // Returns whether the link had a fault at any time from `begin` to `end`.
 bool IsLinkImpaired(const std::vector<LinkChange>& changes,
                     TimePoint begin,
@@ -119,6 +129,7 @@
       {platform::Rule::kLeaving, "LEAVING"},
       {platform::Rule::kPause, "PAUSE"},
       {platform::Rule::kLimit, "LIMIT"},
+      {platform::Rule::kCrash, "CRASH"},
   });
 };
 
--- a/Tests/Soak/configurations.h
+++ b/Tests/Soak/configurations.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cicadadrum/base/random.h"
@@ -34,6 +35,10 @@
 // chooses it.
 ConfiguredRoute DownloadRoute();
 
+// Path of the request that crashes each server that runs it. All versions have
+// its route, which is idempotent.
+constexpr std::string_view kCrashingPath = "/read/crash";
+
 // Returns whether all versions have the route.
 bool IsLastingRoute(const ConfiguredRoute& route);
 
--- a/Tests/Soak/faults.h
+++ b/Tests/Soak/faults.h
@@ -29,6 +29,8 @@
   kTruncateChangeLog,
   kStoreBehaviour,
   kRestoreStore,
+  // A caller sends the request that crashes each server that runs it.
+  kCrashingRequest,
 };
 
 }  // namespace cicadadrum::platform
@@ -52,6 +54,7 @@
       {platform::Fault::kTruncateChangeLog, "forget-history"},
       {platform::Fault::kStoreBehaviour, "store-behaviour"},
       {platform::Fault::kRestoreStore, "restore-store"},
+      {platform::Fault::kCrashingRequest, "crashing-request"},
   });
 };
 
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -93,6 +93,7 @@
   SoakServer added{.failure_domain = failure_domain};
   added.server = std::make_unique<ServerStandIn>(
       loop_, "s-" + std::to_string(servers_.size()), failure_domain.name);
+  added.server->SetCrashingPath(std::string(kCrashingPath));
   added.proxy = std::make_unique<FaultProxy>(loop_, added.server->address());
   added.last_heartbeat_at = loop_.Now();
   added.next_heartbeat_at = loop_.Now() + kHeartbeatInterval;
@@ -220,6 +221,10 @@
       return store_.SetBehaviour(store_behaviour_);
     case Fault::kRestoreStore:
       return RestoreStore();
+    case Fault::kCrashingRequest:
+      if (entry.pid != 0)
+        callers_.SendCrashingRequest(entry, TouchOf(entry));
+      return;
   }
 }
 
@@ -431,6 +436,7 @@
   AppendViolations("", FindRequestsAfterLeaving(records), problems);
   AppendViolations("", FindBrokenPauses(records), problems);
   AppendViolations("", FindBrokenLimits(records), problems);
+  AppendViolations("", FindLateCrashRetries(records), problems);
   return problems;
 }
 
--- a/Tests/Soak/test_checks.cc
+++ b/Tests/Soak/test_checks.cc
@@ -421,4 +421,25 @@
   CHECK(IsLinkImpaired(changes, kRunBegin - instant, kRunBegin + Seconds(2)));
 }
 
+// The third server crashes at second 2; retries count from second 6 on.
+TEST_CASE("retries of a crashing request count after its third crash") {
+  Run run;
+  const std::string path(kCrashingPath);
+  const auto send = [&](int second, bool is_in_touch = true) {
+    const RequestRecord& request =
+        run.Send(path, TimePoint() + Seconds(second), is_in_touch);
+    run.Arrive(request, "north");
+    run.Arrive(request, "north", Milliseconds(60));
+  };
+  for (int second = 1; second <= 5; ++second)
+    send(second);
+  send(7, false);
+  for (int second = 8; second <= 10; ++second)
+    send(second);
+  CHECK(FindLateCrashRetries(run.records).empty());
+  send(11);
+  REQUIRE(FindLateCrashRetries(run.records).size() == 1);
+  CHECK(FindLateCrashRetries(run.records)[0].rule == Rule::kCrash);
+}
+
 }  // namespace cicadadrum::platform
