Tests, TransferBench: Say once which responses have no end, and how a metric is read

Cause: the test of the entry VM and the bench each put the table of all places together, and the test read a metric with a copy of MetricOf. Change: AllEndlessResponses stands in endless_responses.h, MetricOf in front_fixture.h. Assertions and bounds are unchanged; the bench now plays bytes behind a 503 as the test does, before it was a sealed 200. Ruled out: one header for HasMetric of two fixtures; they find their settings in different ways.

--- a/Tests/LibLoop/endless_responses.h
+++ b/Tests/LibLoop/endless_responses.h
@@ -3,6 +3,8 @@
 #ifndef CICADADRUM_TESTS_LIBLOOP_ENDLESS_RESPONSES_H_
 #define CICADADRUM_TESTS_LIBLOOP_ENDLESS_RESPONSES_H_
 
+#include <algorithm>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -72,6 +74,20 @@
   };
 }
 
+// Returns responses without end for all places, those behind a response
+// included.
+inline std::vector<EndlessResponse> AllEndlessResponses(
+    const std::string& identification) {
+  std::vector<EndlessResponse> responses = EndlessHeads(identification);
+  std::ranges::move(EndlessBodies(identification),
+                    std::back_inserter(responses));
+  responses.push_back({"bytes behind a response",
+                       {.bytes = "HTTP/1.1 503 Unavailable\r\n" +
+                                 identification + "Content-Length: 0\r\n\r\n",
+                        .endless_bytes = "behind"}});
+  return responses;
+}
+
 }  // namespace cicadadrum
 
 #endif  // CICADADRUM_TESTS_LIBLOOP_ENDLESS_RESPONSES_H_
--- a/Tests/Platform/front_fixture.h
+++ b/Tests/Platform/front_fixture.h
@@ -112,6 +112,18 @@
                       {"Cookie", std::string(kObjectCookie) + "=17"}}};
 }
 
+// Returns the value of a metric without labels.
+inline double MetricOf(Deployment& deployment,
+                       const Settings& settings,
+                       const std::string& name) {
+  const std::string metrics =
+      deployment.Call(settings.metrics_address, {.target = "/metrics"})
+          .second.body;
+  const std::size_t line = metrics.find("\n" + name + " ");
+  REQUIRE(line != std::string::npos);
+  return std::stod(metrics.substr(line + name.size() + 2));
+}
+
 // A deployment with one entry VM that is ready.
 struct SingleEntryDeployment : Deployment {
   Settings settings = MakeSettings("entry-1");
--- a/Tests/Platform/test_front_downloads.cc
+++ b/Tests/Platform/test_front_downloads.cc
@@ -68,17 +68,6 @@
   return std::count(executed.begin(), executed.end(), id);
 }
 
-double MetricOf(Deployment& deployment,
-                const Settings& settings,
-                const std::string& name) {
-  const std::string metrics =
-      deployment.Call(settings.metrics_address, {.target = "/metrics"})
-          .second.body;
-  const std::size_t line = metrics.find("\n" + name + " ");
-  REQUIRE(line != std::string::npos);
-  return std::stod(metrics.substr(line + name.size() + 2));
-}
-
 double MetricOf(SingleEntryDeployment& entry, const std::string& name) {
   return MetricOf(entry, entry.settings, name);
 }
--- a/Tests/Platform/test_front_endless.cc
+++ b/Tests/Platform/test_front_endless.cc
@@ -17,27 +17,12 @@
 // All requests carry the same id, so that every response names it.
 constexpr std::string_view kSharedId = "endless";
 
-std::vector<EndlessResponse> AllEndlessResponses() {
-  const std::string identification =
-      std::string(kRequestId) + ": " + std::string(kSharedId) + "\r\n";
-  std::vector<EndlessResponse> responses = EndlessHeads(identification);
-  std::ranges::move(EndlessBodies(identification),
-                    std::back_inserter(responses));
-  responses.push_back({"bytes behind a response",
-                       {.bytes = "HTTP/1.1 503 Unavailable\r\n" +
-                                 identification + "Content-Length: 0\r\n\r\n",
-                        .endless_bytes = "behind"}});
-  return responses;
+std::string Identification() {
+  return std::string(kRequestId) + ": " + std::string(kSharedId) + "\r\n";
 }
 
 double IncompleteBytes(Deployment& deployment, const Settings& settings) {
-  const std::string metrics =
-      deployment.Call(settings.metrics_address, {.target = "/metrics"})
-          .second.body;
-  const std::string name = "\ncicadadrum_incomplete_response_bytes ";
-  const std::size_t at = metrics.find(name);
-  REQUIRE(at != std::string::npos);
-  return std::stod(metrics.substr(at + name.size()));
+  return MetricOf(deployment, settings, "cicadadrum_incomplete_response_bytes");
 }
 
 }  // namespace
@@ -45,7 +30,7 @@
 // Guards against an entry VM that runs out of memory, with the requests of all
 // its callers, because several servers send bytes without end at once.
 TEST_CASE("responses without end hold no more than the VM's memory for them") {
-  for (const EndlessResponse& endless : AllEndlessResponses()) {
+  for (const EndlessResponse& endless : AllEndlessResponses(Identification())) {
     CAPTURE(endless.name);
     Deployment deployment;
     deployment.store.Remove("servers", "s-one");
--- a/Utilities/TransferBench/endless.cc
+++ b/Utilities/TransferBench/endless.cc
@@ -35,18 +35,8 @@
   bool is_alive = false;
 };
 
-std::vector<EndlessResponse> AllResponses() {
-  const std::string identification =
-      std::string(kRequestId) + ": " + std::string(kSharedId) + "\r\n";
-  std::vector<EndlessResponse> responses = EndlessHeads(identification);
-  std::ranges::move(EndlessBodies(identification),
-                    std::back_inserter(responses));
-  responses.push_back(
-      {"bytes behind a response",
-       {.bytes = "HTTP/1.1 200 OK\r\n" + identification + std::string(kSeal) +
-                 ": seal\r\nContent-Length: 0\r\n\r\n",
-        .endless_bytes = "behind"}});
-  return responses;
+std::string Identification() {
+  return std::string(kRequestId) + ": " + std::string(kSharedId) + "\r\n";
 }
 
 Result Measure(const EndlessResponse& endless,
@@ -94,7 +84,7 @@
   std::printf("%zu responses at once, memory %.0f MB\n", kResponses,
               memory_megabytes);
   std::printf("%-36s | resident-MB  peak-MB  ended  alive\n", "without end");
-  for (const EndlessResponse& endless : AllResponses()) {
+  for (const EndlessResponse& endless : AllEndlessResponses(Identification())) {
     BOOST_LEAF_AUTO(folder, MakeFolder());
     const Result result = Measure(endless, program, folder, memory_megabytes);
     std::printf("%-36s | %11.1f %8.1f %6zu  %s\n", endless.name.c_str(),
