--- /dev/null
+++ b/Tests/Platform/test_front_log.cc
@@ -0,0 +1,76 @@
+// End-to-end tests of the structured log of an entry VM.
+
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <memory>
+#include <sstream>
+
+#include "cicadadrum/explain/explain.h"
+#include "front_fixture.h"
+
+namespace cicadadrum::platform {
+
+namespace {
+
+// An entry VM that writes its log to a temporary file.
+struct LoggedDeployment : Deployment {
+  std::unique_ptr<std::FILE, int (*)(std::FILE*)> file{std::tmpfile(),
+                                                       &std::fclose};
+  Settings settings = MakeSettings("entry-1");
+  std::optional<Front> front;
+
+  LoggedDeployment() {
+    settings.log_lines_per_second = 100;
+    settings.log_descriptor = fileno(file.get());
+    front.emplace(loop, kj_loop, settings, Incarnation{.high = 1, .low = 1});
+    REQUIRE(front->Start());
+    REQUIRE(WaitUntil([this] { return IsReady(settings); }));
+  }
+
+  std::vector<LogRecord> Records() const {
+    std::string text(std::size_t{1} << 20, '\0');
+    const ssize_t size =
+        pread(fileno(file.get()), text.data(), text.size(), /*offset=*/0);
+    REQUIRE(size >= 0);
+    text.resize(static_cast<std::size_t>(size));
+    std::istringstream input(text);
+    return ReadLog(input);
+  }
+
+  // Returns the only record on the end of an attempt of the request.
+  LogRecord AttemptOf(const std::string& request) const {
+    std::vector<LogRecord> found;
+    for (const LogRecord& step : ExplainRequest(Records(), request).steps) {
+      if (step.event == "attempt-ended")
+        found.push_back(step);
+    }
+    REQUIRE(found.size() == 1);
+    return found[0];
+  }
+
+  HttpResponse SendRequest(const HttpRequest& request) {
+    return Call(settings.self.caller_address, request).second;
+  }
+};
+
+}  // namespace
+
+// Guards against a status in the record of an attempt without a response.
+TEST_CASE("only an attempt with a response is logged with a status") {
+  LoggedDeployment entry;
+  CHECK(entry.SendRequest(Request("/read/a", "answered")).status == 200);
+  CHECK(entry.AttemptOf("answered").fields.at("status") == "200");
+  entry.server_one.SetBehaviour(ServerBehaviour::kHangs);
+  Timer crash(entry.loop, [&] { entry.server_one.Crash(); });
+  crash.Schedule(entry.loop.Now() + Milliseconds(100));
+  CHECK(entry.SendRequest(Request("/write/a", "lost", HttpMethod::kPost))
+            .status == 502);
+  const LogRecord lost = entry.AttemptOf("lost");
+  CHECK(lost.fields.at("outcome").starts_with("lost"));
+  CHECK_FALSE(lost.fields.contains("status"));
+  CHECK_FALSE(lost.fields.contains("response_bytes"));
+}
+
+}  // namespace cicadadrum::platform
