Platform: Log attempts that are given up

The line precedes that of the request's end, so that cicadadrum-explain still ends with the refusal or the disconnect.

--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -297,10 +297,34 @@
   ChoiceInputs inputs;
 };
 
+// Why an attempt is given up before its end.
+enum class CancelReason : std::uint8_t {
+  kTimedOut,    // The deadline of the request has passed.
+  kCallerLeft,  // The caller closed its connection.
+};
+
+}  // namespace cicadadrum::routing
+
+namespace cicadadrum {
+
+template <>
+struct EnumNames<routing::CancelReason> {
+  static constexpr auto kTable =
+      std::to_array<EnumName<routing::CancelReason>>({
+          {routing::CancelReason::kTimedOut, "timed-out"},
+          {routing::CancelReason::kCallerLeft, "cancelled"},
+      });
+};
+
+}  // namespace cicadadrum
+
+namespace cicadadrum::routing {
+
 // Close the connection of the attempt. Its outcome is ignored.
 struct CancelAttempt {
   std::uint64_t request = 0;
   std::uint32_t attempt = 0;
+  CancelReason reason = CancelReason::kTimedOut;
 };
 
 // Pass the response of the last attempt to the caller.
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -91,7 +91,8 @@
     return;
   RequestState& request = found->second;
   if (request.attempt_in_progress) {
-    actions.emplace_back(CancelAttempt{event.request, request.attempts});
+    actions.emplace_back(CancelAttempt{event.request, request.attempts,
+                                       CancelReason::kCallerLeft});
     AbandonAttempt(state, event.request, request);
   }
   EndRequest(state, event.request);
@@ -268,7 +269,8 @@
     const std::uint64_t id = state.deadlines.begin()->second;
     RequestState& request = state.requests.at(id);
     if (request.attempt_in_progress) {
-      actions.emplace_back(CancelAttempt{id, request.attempts});
+      actions.emplace_back(
+          CancelAttempt{id, request.attempts, CancelReason::kTimedOut});
       request.verdict = Verdict::kMayHaveRun;
       AbandonAttempt(state, id, request);
     }
--- a/Tests/LibRouting/test_requests.cc
+++ b/Tests/LibRouting/test_requests.cc
@@ -90,7 +90,8 @@
   CHECK(fixture.wake_at == kStart + Seconds(2));
   fixture.now = fixture.wake_at;
   fixture.Step(TimerExpired{});
-  CHECK(fixture.cancelled.size() == 1);
+  REQUIRE(fixture.cancelled.size() == 1);
+  CHECK(fixture.cancelled[0].reason == CancelReason::kTimedOut);
   REQUIRE(fixture.refused.size() == 1);
   CHECK(fixture.refused[0].reason == RefusalReason::kTimedOut);
   CHECK(fixture.refused[0].verdict == Verdict::kMayHaveRun);
@@ -115,6 +116,7 @@
   fixture.Step(CallerDisconnected{id});
   REQUIRE(fixture.cancelled.size() == 1);
   CHECK(fixture.cancelled[0].request == id);
+  CHECK(fixture.cancelled[0].reason == CancelReason::kCallerLeft);
   CHECK(fixture.state.requests.empty());
   CHECK(fixture.wake_at == kNever);
 }
--- a/Tests/Platform/test_front_log.cc
+++ b/Tests/Platform/test_front_log.cc
@@ -73,4 +73,32 @@
   CHECK_FALSE(lost.fields.contains("response_bytes"));
 }
 
+// Guards against attempts that are given up and leave no record of the inputs
+// of their choice.
+TEST_CASE("an attempt that is given up is logged before the request's end") {
+  LoggedDeployment entry;
+  entry.server_one.SetBehaviour(ServerBehaviour::kHangs);
+  CHECK(entry.SendRequest(Request("/write/a", "late", HttpMethod::kPost))
+            .status == 504);
+  const LogRecord late = entry.AttemptOf("late");
+  CHECK(late.fields.at("outcome") == "timed-out");
+  CHECK(late.fields.at("server") == "s-one");
+  CHECK(std::stod(late.fields.at("took_ms")) > 900);
+  CHECK(late.fields.contains("cost_ms"));
+  CHECK(ExplainRequest(entry.Records(), "late").steps.back().event ==
+        "refused");
+  const std::uint64_t call = entry.client.Send(
+      entry.settings.self.caller_address, Request("/read/a", "left"),
+      entry.loop.Now() + kTestTimeout, [](HttpOutcome, const HttpResponse&) {});
+  REQUIRE(entry.WaitUntil(
+      [&] { return entry.server_one.executed_requests().size() == 2; }));
+  entry.client.Cancel(call);
+  REQUIRE(entry.WaitUntil([&] {
+    return ExplainRequest(entry.Records(), "left").steps.size() == 2;
+  }));
+  CHECK(entry.AttemptOf("left").fields.at("outcome") == "cancelled");
+  CHECK(ExplainRequest(entry.Records(), "left").steps.back().event ==
+        "caller-left");
+}
+
 }  // namespace cicadadrum::platform
