LibRouting: Log what a choice knew of the server's incarnation

The log could not tell an entry VM that took a restarted server for its warm incarnation from one that exceeded its share of the cold rate. The inputs of a choice now have the start time of the incarnation, the age of the last applied row, the time for which the server was taken to be cold, and the attempts of this entry VM in the window of the cold rate.

--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -302,6 +302,11 @@
                  .in_flight = server.in_flight,
                  .slowness = ValueAt(server.slowness, 1, now),
                  .work_factor = CurrentWorkFactor(server, now),
+                 .server_started_unix_ms = server.entry.started_unix_ms,
+                 .row_age_ms = ToWholeMs(now - server.entry_applied_at),
+                 .cold_left_ms = ToWholeMs(
+                     std::max(Duration::zero(), server.cold_until - now)),
+                 .recent_sends = CountRecentSends(server, now),
                  .route = request.route.name,
                  .server_region = server.region,
                  .configuration = request.configuration},
@@ -312,7 +317,7 @@
       .cache_affinity = cost.cache_affinity};
   if (server.report) {
     choice.inputs.reported = server.report->running + server.report->waiting;
-    choice.inputs.report_age_ms = (now - server.reported_at).count() / 1000;
+    choice.inputs.report_age_ms = ToWholeMs(now - server.reported_at);
   }
   return choice;
 }
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -276,6 +276,13 @@
   double slowness = 1;
   // Of the server's VM, from its last report, weighted by the report's age.
   double work_factor = 1;
+  // What was known of the server's incarnation: its start, how long ago its
+  // last row was applied, how long it is taken to be cold (0 if warm), and the
+  // attempts of this entry VM that count towards its cold rate.
+  std::int64_t server_started_unix_ms = 0;
+  std::int64_t row_age_ms = 0;
+  std::int64_t cold_left_ms = 0;
+  std::uint32_t recent_sends = 0;
   std::string route;  // Name.
   std::string server_region;
   // Version of the configuration that the route was taken from.
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -193,7 +193,8 @@
 // A server with what this entry VM has observed itself or received from others.
 struct Server {
   ServerEntry entry;
-  std::uint64_t hash = 0;  // Of the id.
+  TimePoint entry_applied_at{};  // Time at which `entry` was applied here.
+  std::uint64_t hash = 0;        // Of the id.
   std::string region;
   std::uint32_t in_flight = 0;       // Attempts of this entry VM at the server.
   std::optional<LoadReport> report;  // The newest load report.
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -212,6 +212,13 @@
                          std::floor(fleet_allowance);
 }
 
+std::uint32_t CountRecentSends(const Server& server, TimePoint now) {
+  const std::deque<TimePoint>& sends = server.recent_sends;
+  const auto first =
+      std::upper_bound(sends.begin(), sends.end(), now - kColdRateWindow);
+  return static_cast<std::uint32_t>(sends.end() - first);
+}
+
 void CountAttempt(ServiceState& service,
                   const FleetBounds& bounds,
                   bool retry,
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -15,6 +15,10 @@
   return static_cast<double>(duration.count()) / 1000;
 }
 
+constexpr std::int64_t ToWholeMs(Duration duration) {
+  return duration.count() / 1000;
+}
+
 constexpr Duration FromMs(double milliseconds) {
   return Duration(static_cast<std::int64_t>(milliseconds * 1000));
 }
@@ -58,6 +62,10 @@
                             Server& server,
                             TimePoint now);
 
+// Returns the number of attempts of this entry VM that count towards the rate
+// limit of the server while it is cold.
+std::uint32_t CountRecentSends(const Server& server, TimePoint now);
+
 // Counts an attempt in the service's retry window.
 void CountAttempt(ServiceState& service,
                   const FleetBounds& bounds,
--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -58,6 +58,7 @@
     state.server_id_by_tag[ServerTag(entry.id)] = entry.id;
   }
   server.entry = entry;
+  server.entry_applied_at = now;
   server.region = RegionOf(state, entry.failure_domain);
   RestoreAdvice(state, server);
   server.cold_until = std::max(server.cold_until, now + entry.cold_left);
--- a/Tests/LibRouting/test_choice.cc
+++ b/Tests/LibRouting/test_choice.cc
@@ -232,6 +232,33 @@
   CHECK(fixture.sent.size() == before + 4);
 }
 
+// Guards against records that do not show whether an entry VM sent to a cold
+// server because it took it for the incarnation before.
+TEST_CASE("a choice records what was known of the server's incarnation") {
+  ServerEntry server = MakeServer("s1");
+  server.started_unix_ms = 5000;
+  RoutingFixture fixture({server});
+  fixture.now += Milliseconds(700);
+  fixture.Arrive("read");
+  const ChoiceInputs warm = fixture.sent[0].inputs;
+  CHECK(warm.server_started_unix_ms == 5000);
+  CHECK(warm.row_age_ms == 700);
+  CHECK(warm.cold_left_ms == 0);
+  CHECK(warm.recent_sends == 0);
+  server.cold_left = Seconds(3);
+  server.started_unix_ms = 9000;
+  server.row_version = 2;
+  fixture.Step(ServersChanged{.updated = {server}});
+  fixture.now += Milliseconds(100);
+  fixture.Arrive("read");
+  fixture.Arrive("read");
+  const ChoiceInputs cold = fixture.sent[2].inputs;
+  CHECK(cold.server_started_unix_ms == 9000);
+  CHECK(cold.row_age_ms == 100);
+  CHECK(cold.cold_left_ms == 2900);
+  CHECK(cold.recent_sends == 1);
+}
+
 // Guards against overloading cold servers after all entry VMs have lost power.
 // Each entry VM that had just started knew no other member and used the full
 // allowance of a cold server. Two days of randomised faults showed this.
