LibTelemetry: Report dropped lines with the second they belong to

The number of lines dropped beyond a budget was written with the next line of the same importance, without the time of the drop. The next line of any importance now brings the record, which names the start of the second.

--- a/Libraries/LibTelemetry/event_log.cc
+++ b/Libraries/LibTelemetry/event_log.cc
@@ -118,6 +118,9 @@
         sink(std::make_shared<DescriptorSink>(options.descriptor)),
         logger("events", sink) {}
 
+  // Begins a new second for each budget whose second is over, and reports the
+  // lines that the budget dropped in it.
+  void RenewBudgets(TimePoint now);
   void ReportDroppedLines(LogImportance importance,
                           LineBudget& budget,
                           TimePoint now);
@@ -129,12 +132,26 @@
   std::uint64_t dropped = 0;
 };
 
+void EventLog::Impl::RenewBudgets(TimePoint now) {
+  for (const auto& [importance, name] : EnumNames<LogImportance>::kTable) {
+    LineBudget& budget = budgets[static_cast<std::size_t>(importance)];
+    if (now - budget.second_started_at < Seconds(1))
+      continue;
+    if (budget.dropped > 0)
+      ReportDroppedLines(importance, budget, now);
+    budget.second_started_at = now;
+    budget.written = 0;
+  }
+}
+
 void EventLog::Impl::ReportDroppedLines(LogImportance importance,
                                         LineBudget& budget,
                                         TimePoint now) {
   LogLine line("log", "lines-dropped");
   line.Text("importance", NameOf(importance));
-  line.Number("lines", static_cast<std::int64_t>(budget.dropped));
+  line.Number("lines", static_cast<std::int64_t>(budget.dropped))
+      .Number("second_steady_ms",
+              budget.second_started_at.time_since_epoch().count() / 1000);
   budget.dropped = 0;
   std::string text = "{\"steady_ms\":";
   text.append(std::to_string(now.time_since_epoch().count() / 1000));
@@ -148,13 +165,8 @@
 EventLog::~EventLog() = default;
 
 bool EventLog::TryConsumeBudget(LogImportance importance, TimePoint now) {
+  impl_->RenewBudgets(now);
   LineBudget& budget = impl_->budgets[static_cast<std::size_t>(importance)];
-  if (now - budget.second_started_at >= Seconds(1)) {
-    if (budget.dropped > 0)
-      impl_->ReportDroppedLines(importance, budget, now);
-    budget.second_started_at = now;
-    budget.written = 0;
-  }
   if (budget.written < impl_->options.lines_per_second) {
     ++budget.written;
     return true;
--- a/Libraries/LibTelemetry/include/cicadadrum/telemetry/event_log.h
+++ b/Libraries/LibTelemetry/include/cicadadrum/telemetry/event_log.h
@@ -4,7 +4,7 @@
 // Writing never blocks. Lines of the same importance share a budget per second.
 // The log counts the lines that it drops, either because the budget is used up
 // or because the reader is too slow. A separate "lines-dropped" record reports
-// the lines beyond the budget.
+// the lines beyond the budget and the second that they belong to.
 
 #ifndef CICADADRUM_TELEMETRY_EVENT_LOG_H_
 #define CICADADRUM_TELEMETRY_EVENT_LOG_H_
