--- a/Tests/Platform/test_front_log.cc
+++ b/Tests/Platform/test_front_log.cc
@@ -101,4 +101,30 @@
         "caller-left");
 }
 
+// Guards against an update of many servers that takes the budget of all other
+// changes.
+TEST_CASE("the lines on one update of the servers are bounded and summed up") {
+  constexpr std::size_t kServers = 150;
+  LoggedDeployment entry;
+  for (std::size_t i = 0; i < kServers; ++i)
+    entry.store.Put("servers", "m-" + std::to_string(i),
+                    entry.server_one.Row("ready"));
+  std::size_t listed = 0;
+  std::size_t left_out = 0;
+  const auto count = [&] {
+    const std::vector<LogRecord> records = entry.Records();
+    listed = CountRecords(records)["server listed ready"];
+    left_out = 0;
+    for (const LogRecord& record : records) {
+      if (record.event == "rows-applied")
+        left_out += std::stoul(record.fields.at("lines_left_out"));
+    }
+    return listed + left_out;
+  };
+  CHECK(entry.WaitUntil([&] { return count() == kServers + 1; }));
+  // The first row of the change is an update of its own.
+  CHECK(listed <= 1 + 1 + 64);
+  CHECK(left_out > 0);
+}
+
 }  // namespace cicadadrum::platform
