Tests: Let the stand-ins of servers respond to health checks

Cause: the servers of the platform respond to their health path at once and name themselves there. The stand-in treated a health check as any other request, so it responded 421, and a scripted server spent a response of its list on it. Change: ServerStandIn responds with its id and its load, 503 while it is leaving, whatever its behaviour is, and counts health checks apart from requests. ScriptedServer can respond to some requests outside its list, which the tests and the bench of endless responses use for health checks. No assertion changes.

--- a/Tests/LibLoop/scripted_server.h
+++ b/Tests/LibLoop/scripted_server.h
@@ -1,5 +1,6 @@
 // A server on loopback that responds to each request with the next of a list of
-// byte strings, which need not be valid HTTP.
+// byte strings, which need not be valid HTTP. Requests that begin in a certain
+// way may get a response outside the list.
 
 #ifndef CICADADRUM_TESTS_LIBLOOP_SCRIPTED_SERVER_H_
 #define CICADADRUM_TESTS_LIBLOOP_SCRIPTED_SERVER_H_
@@ -75,6 +76,12 @@
   // Endless bytes that were passed to the kernel or wait for it.
   std::size_t endless_byte_count() const { return endless_byte_count_; }
 
+  // From now on, requests that begin with `request_begin` get this response and
+  // are not counted.
+  void AlwaysRespond(std::string request_begin, std::string bytes) {
+    constant_responses_[std::move(request_begin)] = std::move(bytes);
+  }
+
   // Writes bytes to the newest connection without having received a request.
   // The client's socket has received them when this returns.
   void WriteUnsolicited(const std::string& bytes) {
@@ -102,6 +109,8 @@
     evbuffer* input = bufferevent_get_input(connection);
     if (evbuffer_search(input, "\r\n\r\n", 4, nullptr).pos < 0)
       return;
+    if (RespondOutsideList(connection))
+      return;
     received_bytes_ += evbuffer_get_length(input);
     evbuffer_drain(input, evbuffer_get_length(input));
     if (next_ == responses_.size())
@@ -124,6 +133,19 @@
       CloseConnection(connection);
   }
 
+  bool RespondOutsideList(bufferevent* connection) {
+    evbuffer* input = bufferevent_get_input(connection);
+    for (const auto& [begin, bytes] : constant_responses_) {
+      if (evbuffer_search(input, begin.data(), begin.size(), nullptr).pos != 0)
+        continue;
+      evbuffer_drain(input, evbuffer_get_length(input));
+      send(bufferevent_getfd(connection), bytes.data(), bytes.size(),
+           MSG_NOSIGNAL);
+      return true;
+    }
+    return false;
+  }
+
   void WriteEndlessly(bufferevent* connection, const std::string& bytes) {
     std::string& block = endless_blocks_[connection];
     while (block.size() < kEndlessBlockBytes)
@@ -149,6 +171,8 @@
   }
 
   std::vector<ScriptedResponse> responses_;
+  // Responses outside the list, by the begin of their requests.
+  std::map<std::string, std::string> constant_responses_;
   std::size_t next_ = 0;
   std::size_t accepted_ = 0;
   std::size_t received_bytes_ = 0;  // Of requests with a complete head.
--- a/Tests/Platform/front_fixture.h
+++ b/Tests/Platform/front_fixture.h
@@ -153,6 +153,7 @@
 
   explicit ScriptedDeployment(std::vector<ScriptedResponse> responses)
       : server(loop, std::move(responses)) {
+    server.AlwaysRespond(HealthRequestBegin(), HealthResponse("s-one"));
     store.Put("servers", "s-one", server_one.RowAt(server.address(), "ready"));
     REQUIRE(front.Start());
     REQUIRE(WaitUntil([this] { return IsReady(settings); }));
--- a/Tests/Platform/test_front_endless.cc
+++ b/Tests/Platform/test_front_endless.cc
@@ -36,10 +36,12 @@
     deployment.store.Remove("servers", "s-one");
     std::vector<std::unique_ptr<ScriptedServer>> servers;
     for (std::size_t i = 0; i < kEndlessServers; ++i) {
+      const std::string id = "e-" + std::to_string(i);
       servers.push_back(std::make_unique<ScriptedServer>(
           deployment.loop, std::vector(kResponsesPerServer, endless.response)));
+      servers.back()->AlwaysRespond(HealthRequestBegin(), HealthResponse(id));
       deployment.store.Put(
-          "servers", "e-" + std::to_string(i),
+          "servers", id,
           deployment.server_one.RowAt(servers.back()->address(), "ready"));
     }
     Settings settings = deployment.MakeSettings("entry-1");
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr const char* kUsualLoad = "1,0,4,100";
+
 std::string Listen(HttpServer& server) {
   const auto port = server.Listen("127.0.0.1:0");
   return "127.0.0.1:" + std::to_string(port.value());
@@ -213,6 +215,16 @@
   return body;
 }
 
+std::string HealthRequestBegin() {
+  return "GET " + std::string(kHealthPath) + " ";
+}
+
+std::string HealthResponse(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\n" + std::string(kServerId) + ": " + id + "\r\n" +
+         std::string(kServerLoad) + ": " + kUsualLoad +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
 ServerStandIn::ServerStandIn(EventLoop& loop,
                              std::string id,
                              std::string failure_domain)
@@ -248,7 +260,24 @@
          ",\"sequence\":" + std::to_string(sequence.value_or(sequence_)) + "}";
 }
 
+void ServerStandIn::RespondToHealthCheck(std::uint64_t id,
+                                         const HttpRequest& request) {
+  ++health_check_count_;
+  HttpResponse response{.headers = {{std::string(kServerId), id_},
+                                    {std::string(kServerLoad), kUsualLoad}}};
+  const std::string_view request_id = FindField(request.headers, kRequestId);
+  if (!request_id.empty())
+    response.headers.emplace_back(kRequestId, request_id);
+  if (leaving_) {
+    response.status = 503;
+    response.headers.emplace_back(kLeaving, "1");
+  }
+  server_.Respond(id, std::move(response));
+}
+
 void ServerStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
+  if (request.method == HttpMethod::kGet && request.path == kHealthPath)
+    return RespondToHealthCheck(id, request);
   requests_.push_back(request);
   const std::string request_id(FindField(request.headers, kRequestId));
   const bool names_other_server =
@@ -297,7 +326,7 @@
   if (behaviour_ == ServerBehaviour::kAnswers ||
       behaviour_ == ServerBehaviour::kHangs)
     response.headers.emplace_back(kSeal, "seal-of-" + request_id);
-  response.headers.emplace_back(kServerLoad, "1,0,4,100");
+  response.headers.emplace_back(kServerLoad, kUsualLoad);
   response.body = AnswerTo(request.path, request_id, download_bytes_);
   if (behaviour_ == ServerBehaviour::kHangs)
     running_[id] = std::move(response);
@@ -344,8 +373,9 @@
   for (const ConfiguredRoute& route : routes)
     routes_json += (routes_json.empty() ? "" : ",") + RouteJson(route);
   return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
-         routes_json +
-         "],\"services\":[{\"name\":\"desk\",\"healthPath\":\"/health\","
+         routes_json + "],\"services\":[{\"name\":\"desk\",\"healthPath\":\"" +
+         std::string(kHealthPath) +
+         "\","
          "\"maxConnections\":100,\"protocol\":\"h1\",\"tls\":false,"
          "\"coldStartSeconds\":3.0,\"coldRequestsPerSecond\":10.0}],"
          "\"limits\":{\"headerBytes\":16384,\"bodyBytes\":67108864,"
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -112,7 +112,17 @@
 // Size of the response to a download unless a test sets another one.
 constexpr std::size_t kDownloadBytes = 60'000;
 
-// How the server substitute handles the next requests.
+// Path of the health checks in the configurations below.
+constexpr std::string_view kHealthPath = "/health";
+
+// Returns the first bytes of a health check.
+std::string HealthRequestBegin();
+
+// Returns the response of the warm server `id` to a health check.
+std::string HealthResponse(const std::string& id);
+
+// How the server substitute handles the next requests. It responds to health
+// checks whatever the behaviour is.
 enum class ServerBehaviour : std::uint8_t {
   kAnswers,
   // Responds 503 with the header that proves that the request was not executed.
@@ -174,7 +184,8 @@
   double stated_limit = 0;  // 0 if the response states none.
 };
 
-// A backend server that records the requests that it receives.
+// A backend server that records the requests that it receives, other than
+// health checks.
 class ServerStandIn {
  public:
   ServerStandIn(EventLoop& loop,
@@ -219,11 +230,13 @@
   const std::vector<HttpRequest>& requests() const { return requests_; }
   // Returns all requests in the order of arrival.
   const std::vector<ServerArrival>& arrivals() const { return arrivals_; }
+  std::size_t health_check_count() const { return health_check_count_; }
   // Returns the number of callers that disconnected before the response.
   std::size_t disconnected_count() const { return disconnected_count_; }
 
  private:
   void Handle(std::uint64_t id, const HttpRequest& request);
+  void RespondToHealthCheck(std::uint64_t id, const HttpRequest& request);
   void CloseLate(std::uint64_t id);
 
   EventLoop& loop_;
@@ -242,6 +255,7 @@
   std::vector<std::string> executed_requests_;
   std::vector<HttpRequest> requests_;
   std::vector<ServerArrival> arrivals_;
+  std::size_t health_check_count_ = 0;
   // Timers of requests whose connections are closed late, by id.
   std::map<std::uint64_t, Timer> late_closes_;
   std::size_t disconnected_count_ = 0;
--- a/Utilities/TransferBench/endless.cc
+++ b/Utilities/TransferBench/endless.cc
@@ -49,9 +49,11 @@
   const ServerStandIn row(loop, "e", SoakFailureDomainOf(0).name);
   measured.store.Put("op", "config", ConfigurationBody(1, {DownloadRoute()}));
   for (std::size_t i = 0; i < kResponses; ++i) {
+    const std::string id = "e-" + std::to_string(i);
     servers.push_back(std::make_unique<ScriptedServer>(
         loop, std::vector(kRequestsPerServer, endless.response)));
-    measured.store.Put("servers", "e-" + std::to_string(i),
+    servers.back()->AlwaysRespond(HealthRequestBegin(), HealthResponse(id));
+    measured.store.Put("servers", id,
                        row.RowAt(servers.back()->address(), "ready"));
   }
   measured.Start();
