Tests: Restart a server cold under its id and count what reaches it

Cause: no test restarted a server under its id, so none showed how many requests the entry VMs send to it while its row is still that of the warm incarnation. Change: ServerStandIn::RestartCold closes all connections, idle ones too, and starts the server again at its address with another start time and a cold time, which its health responses state. It counts the requests that arrive within one second while it is cold.

--- a/Tests/Platform/front_fixture.h
+++ b/Tests/Platform/front_fixture.h
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -103,13 +104,14 @@
 
 inline HttpRequest Request(const std::string& target,
                            const std::string& id,
-                           HttpMethod method = HttpMethod::kGet) {
+                           HttpMethod method = HttpMethod::kGet,
+                           const std::string& object = "17") {
   return {.method = method,
           .target = target,
           .headers = {{"Host", "host"},
                       {std::string(kRequestId), id},
                       {std::string(kDeadline), "3000"},
-                      {"Cookie", std::string(kObjectCookie) + "=17"}}};
+                      {"Cookie", std::string(kObjectCookie) + "=" + object}}};
 }
 
 // Returns the value of a metric without labels.
@@ -145,6 +147,33 @@
   }
 };
 
+// A deployment with several entry VMs that are ready and know each other.
+struct FleetDeployment : Deployment {
+  std::vector<Settings> settings;
+  std::vector<std::unique_ptr<Front>> fronts;
+
+  // Servers must be in the store by then, so that the entry VMs become ready.
+  void StartEntries(std::uint64_t count) {
+    for (std::uint64_t i = 1; i <= count; ++i) {
+      settings.push_back(MakeSettings("entry-" + std::to_string(i)));
+      fronts.push_back(std::make_unique<Front>(
+          loop, kj_loop, settings.back(), Incarnation{.high = i, .low = i}));
+      REQUIRE(fronts.back()->Start());
+    }
+    const std::string live = "cicadadrum_live_entries " + std::to_string(count);
+    for (std::size_t i = 0; i < count; ++i)
+      REQUIRE(WaitUntil(
+          [&] { return IsReady(settings[i]) && HasMetric(i, live); }));
+  }
+
+  bool HasMetric(std::size_t entry, const std::string& line) {
+    const std::string metrics =
+        Call(settings[entry].metrics_address, {.target = "/metrics"})
+            .second.body;
+    return metrics.find("\n" + line + "\n") != std::string::npos;
+  }
+};
+
 // A deployment with one entry VM that is ready and one scripted server.
 struct ScriptedDeployment : Deployment {
   ScriptedServer server;
--- a/Tests/Platform/test_front_suspects.cc
+++ b/Tests/Platform/test_front_suspects.cc
@@ -14,10 +14,8 @@
 constexpr std::size_t kAllowedCrashes = 3;
 
 // Two entry VMs that know each other, and six servers.
-struct CrashDeployment : Deployment {
+struct CrashDeployment : FleetDeployment {
   std::vector<std::unique_ptr<ServerStandIn>> servers;
-  std::vector<Settings> settings;
-  std::vector<std::unique_ptr<Front>> fronts;
   std::size_t next_id = 1;
 
   CrashDeployment() {
@@ -27,25 +25,7 @@
           std::make_unique<ServerStandIn>(loop, "c-" + std::to_string(i)));
       store.Put("servers", servers[i]->id(), servers[i]->Row("ready"));
     }
-    for (std::uint64_t i = 1; i <= 2; ++i) {
-      settings.push_back(MakeSettings("entry-" + std::to_string(i)));
-      fronts.push_back(std::make_unique<Front>(
-          loop, kj_loop, settings.back(), Incarnation{.high = i, .low = i}));
-      REQUIRE(fronts.back()->Start());
-    }
-    REQUIRE(WaitUntil(
-        [this] { return IsReady(settings[0]) && IsReady(settings[1]); }));
-    REQUIRE(WaitUntil([this] {
-      return HasMetric(0, "cicadadrum_live_entries 2") &&
-             HasMetric(1, "cicadadrum_live_entries 2");
-    }));
-  }
-
-  bool HasMetric(std::size_t entry, const std::string& line) {
-    const std::string metrics =
-        Call(settings[entry].metrics_address, {.target = "/metrics"})
-            .second.body;
-    return metrics.find("\n" + line + "\n") != std::string::npos;
+    StartEntries(2);
   }
 
   HttpRequest NewRequest(const std::string& path) {
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -6,6 +6,8 @@
 #include <kj/encoding.h>
 
 #include <algorithm>
+#include <chrono>
+#include <deque>
 #include <utility>
 
 #include "headers.h"
@@ -16,6 +18,15 @@
 
 constexpr const char* kUsualLoad = "1,0,4,100";
 
+// The rate of a cold server is counted in windows of this length.
+constexpr Duration kColdRateWindow = Seconds(1);
+
+std::int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string Listen(HttpServer& server) {
   const auto port = server.Listen("127.0.0.1:0");
   return "127.0.0.1:" + std::to_string(port.value());
@@ -231,18 +242,52 @@
     : loop_(loop),
       id_(std::move(id)),
       failure_domain_(std::move(failure_domain)),
-      server_(
-          loop,
-          {},
-          [this](std::uint64_t request_id, const HttpRequest& request) {
-            Handle(request_id, request);
-          },
-          [this](std::uint64_t request_id) {
-            ++disconnected_count_;
-            running_.erase(request_id);
-            server_.Abort(request_id);
-          }),
-      address_(Listen(server_)) {}
+      started_unix_ms_(UnixMilliseconds()),
+      server_(MakeServer()),
+      address_(Listen(*server_)) {}
+
+std::unique_ptr<HttpServer> ServerStandIn::MakeServer() {
+  return std::make_unique<HttpServer>(
+      loop_, HttpServerOptions{},
+      [this](std::uint64_t request_id, const HttpRequest& request) {
+        Handle(request_id, request);
+      },
+      [this](std::uint64_t request_id) {
+        ++disconnected_count_;
+        running_.erase(request_id);
+        server_->Abort(request_id);
+      });
+}
+
+void ServerStandIn::RestartCold(Duration cold_time) {
+  late_closes_.clear();
+  running_.clear();
+  sequence_ = 0;
+  started_unix_ms_ = std::max(UnixMilliseconds(), started_unix_ms_ + 1);
+  cold_until_ = loop_.Now() + cold_time;
+  // Closes the connections and frees the address.
+  server_.reset();
+  server_ = MakeServer();
+  server_->Listen(address_).value();
+}
+
+Duration ServerStandIn::ColdTimeLeft() const {
+  return std::max(cold_until_ - loop_.Now(), Duration::zero());
+}
+
+std::size_t ServerStandIn::CountColdArrivals() const {
+  std::size_t most = 0;
+  std::deque<TimePoint> window;
+  for (const ServerArrival& arrival : arrivals_) {
+    if (arrival.names_other_server || !arrival.is_at_cold_server)
+      continue;
+    window.push_back(arrival.at);
+    while (window.front() <= arrival.at - kColdRateWindow)
+      window.pop_front();
+    most = std::max(most, window.size());
+  }
+  return most;
+}
 
 std::string ServerStandIn::RowAt(const std::string& address,
                                  const std::string& state) const {
@@ -251,13 +296,16 @@
 }
 
 std::string ServerStandIn::Row(const std::string& state,
-                               double cold_ms,
+                               std::optional<double> cold_ms,
                                std::optional<std::uint64_t> sequence) const {
   return "{\"service\":\"desk\",\"address\":\"" + address_ +
          "\",\"failureDomain\":\"" + failure_domain_ +
          "\",\"version\":\"v1\",\"slots\":4,\"state\":\"" + state +
-         "\",\"coldLeftMilliseconds\":" + std::to_string(cold_ms) +
-         ",\"sequence\":" + std::to_string(sequence.value_or(sequence_)) + "}";
+         "\",\"coldLeftMilliseconds\":" +
+         std::to_string(cold_ms.value_or(
+             static_cast<double>(ColdTimeLeft() / Milliseconds(1)))) +
+         ",\"sequence\":" + std::to_string(sequence.value_or(sequence_)) +
+         ",\"born\":" + std::to_string(started_unix_ms_) + "}";
 }
 
 void ServerStandIn::RespondToHealthCheck(std::uint64_t id,
@@ -268,11 +316,14 @@
   const std::string_view request_id = FindField(request.headers, kRequestId);
   if (!request_id.empty())
     response.headers.emplace_back(kRequestId, request_id);
+  if (ColdTimeLeft() > Duration::zero())
+    response.headers.emplace_back(
+        kColdLeft, std::to_string(ColdTimeLeft() / Milliseconds(1)));
   if (leaving_) {
     response.status = 503;
     response.headers.emplace_back(kLeaving, "1");
   }
-  server_.Respond(id, std::move(response));
+  server_->Respond(id, std::move(response));
 }
 
 void ServerStandIn::Handle(std::uint64_t id, const HttpRequest& request) {
@@ -295,7 +346,8 @@
        .names_other_server = names_other_server,
        .said_leaving = leaving_ && responds,
        .asked_for_pause = asks_for_pause,
-       .stated_limit = responds && !names_other_server ? limit_ : 0});
+       .stated_limit = responds && !names_other_server ? limit_ : 0,
+       .is_at_cold_server = ColdTimeLeft() > Duration::zero()});
   HttpResponse response{.headers = {{std::string(kRequestId), request_id}}};
   if (leaving_)
     response.headers.emplace_back(kLeaving, "1");
@@ -303,7 +355,7 @@
     response.headers.emplace_back(kLimit, std::to_string(limit_));
   if (names_other_server) {
     response.status = 421;
-    return server_.Respond(id, response);
+    return server_->Respond(id, response);
   }
   if (behaviour_ == ServerBehaviour::kSheds || asks_for_pause) {
     response.status = 503;
@@ -312,7 +364,7 @@
       response.headers.emplace_back(
           kRetryAfter,
           std::to_string(std::chrono::duration<double>(kServerPause).count()));
-    return server_.Respond(id, response);
+    return server_->Respond(id, response);
   }
   executed_requests_.push_back(request_id);
   if (!crashing_path_.empty() && request.path == crashing_path_) {
@@ -331,22 +383,22 @@
   if (behaviour_ == ServerBehaviour::kHangs)
     running_[id] = std::move(response);
   else
-    server_.Respond(id, std::move(response));
+    server_->Respond(id, std::move(response));
 }
 
 void ServerStandIn::Crash() {
   for (const auto& [id, response] : std::exchange(running_, {}))
-    server_.Abort(id);
+    server_->Abort(id);
 }
 
 void ServerStandIn::RespondToAll() {
   for (auto& [id, response] : std::exchange(running_, {}))
-    server_.Respond(id, std::move(response));
+    server_->Respond(id, std::move(response));
 }
 
 void ServerStandIn::CloseLate(std::uint64_t id) {
   const auto [timer, added] =
-      late_closes_.try_emplace(id, loop_, [this, id] { server_.Abort(id); });
+      late_closes_.try_emplace(id, loop_, [this, id] { server_->Abort(id); });
   timer->second.Schedule(loop_.Now() + kLateCloseDelay);
 }
 
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -182,6 +182,7 @@
   bool said_leaving = false;
   bool asked_for_pause = false;
   double stated_limit = 0;  // 0 if the response states none.
+  bool is_at_cold_server = false;
 };
 
 // A backend server that records the requests that it receives, other than
@@ -197,9 +198,10 @@
   const std::string& address() const { return address_; }
 
   // Returns the row that the server publishes about itself in the store. Its
-  // sequence is that of AdvanceSequence if none is given.
+  // cold time is what is left of that of RestartCold, and its sequence that of
+  // AdvanceSequence, if none is given.
   std::string Row(const std::string& state,
-                  double cold_ms = 0,
+                  std::optional<double> cold_ms = {},
                   std::optional<std::uint64_t> sequence = {}) const;
   // Returns the row with `address`, that of a proxy, instead of the server's.
   std::string RowAt(const std::string& address, const std::string& state) const;
@@ -213,6 +215,10 @@
   // Closes the connections of all requests that run, as a crash of the server
   // does.
   void Crash();
+  // Crashes the server and starts it again at its address and under its id,
+  // cold for this time. All connections are closed, also idle ones. Must not be
+  // called while the server handles a request.
+  void RestartCold(Duration cold_time);
   // Responds to all requests that ServerBehaviour::kHangs has left running.
   void RespondToAll();
   // Sets the size of the responses to requests for downloads.
@@ -230,11 +236,16 @@
   const std::vector<HttpRequest>& requests() const { return requests_; }
   // Returns all requests in the order of arrival.
   const std::vector<ServerArrival>& arrivals() const { return arrivals_; }
+  Duration ColdTimeLeft() const;
+  // Returns the highest number of requests that arrived within one second at
+  // the server while it was cold. Requests for other servers do not count.
+  std::size_t CountColdArrivals() const;
   std::size_t health_check_count() const { return health_check_count_; }
   // Returns the number of callers that disconnected before the response.
   std::size_t disconnected_count() const { return disconnected_count_; }
 
  private:
+  std::unique_ptr<HttpServer> MakeServer();
   void Handle(std::uint64_t id, const HttpRequest& request);
   void RespondToHealthCheck(std::uint64_t id, const HttpRequest& request);
   void CloseLate(std::uint64_t id);
@@ -243,7 +254,9 @@
   std::string id_;
   std::string failure_domain_;
   std::uint64_t sequence_ = 4;
-  HttpServer server_;
+  std::int64_t started_unix_ms_;
+  TimePoint cold_until_{};
+  std::unique_ptr<HttpServer> server_;
   std::string address_;
   ServerBehaviour behaviour_ = ServerBehaviour::kAnswers;
   std::size_t download_bytes_ = kDownloadBytes;
