LibLoop: Check a new connection before a request is sent on it

A connection leads to one incarnation of a server from its opening to its end, but the client can't tell to which one: a server that restarts at its address answers on the next connection like the one before.

HttpClient::Send takes an optional check. On a new connection the check's request goes first, and the call's own request follows only if its response is accepted. Otherwise the outcome is kCheckFailed, nothing of the request was sent, and the connection stays for calls without a check. A connection is checked once; one that has been open for long enough needs no check. The check has what is left of the connect timeout.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "cicadadrum/base/hash.h"
+#include "cicadadrum/loop/event_pointer.h"
 #include "http_client_impl.h"
 #include "http_head.h"
 
@@ -20,16 +21,35 @@
 // that are kept for it.
 constexpr std::size_t kMaxRequestsPerConnection = 512;
 
+// Number of connections that are checked for one call if servers respond to the
+// check and close the connection.
+constexpr std::uint32_t kMaxChecksPerCall = 2;
+
+constexpr Duration kMinCheckTimeout = Milliseconds(1);
+
 }  // namespace
 
 void HttpClient::Impl::SendRequest(Call& call, const HttpRequest& request) {
+  if (!options.echoed_header.empty())
+    call.connection->sent_ids.push_back(HashBytes(call.echo));
+  WriteRequest(call, request);
+}
+
+void HttpClient::Impl::SendCheck(Call& call, const HttpRequest& request) {
+  ++counters.checks;
+  ++call.checks;
+  call.request_after_check = request;
+  call.connection->check_sent = true;
+  WriteRequest(call, call.check->request);
+}
+
+void HttpClient::Impl::WriteRequest(Call& call, const HttpRequest& request) {
   Connection& connection = *call.connection;
-  ResetParser(connection.parser, call.head_request);
+  ResetParser(connection.parser, request.method == HttpMethod::kHead);
+  CountBufferedBytes(connection);
   connection.skipped_response = false;
   connection.received_bytes = 0;
   connection.call = &call;
-  if (!options.echoed_header.empty())
-    connection.sent_ids.push_back(HashBytes(call.echo));
   const std::string head = SerializeHead(call.address, request);
   evbuffer* output = bufferevent_get_output(connection.bev);
   evbuffer_add(output, head.data(), head.size());
@@ -56,7 +76,9 @@
     connection.received_bytes += consumed;
     CountBufferedBytes(connection);
     if (progress == ParseProgress::kComplete && IsResponseToCall(connection))
-      return Complete(connection, HttpOutcome::kAnswered);
+      return connection.call->request_after_check
+                 ? CompleteCheck(connection)
+                 : Complete(connection, HttpOutcome::kAnswered);
     if (progress == ParseProgress::kMalformed ||
         DiscardedBytes(connection) > options.max_discarded_bytes)
       return Complete(connection, HttpOutcome::kMalformed);
@@ -107,24 +129,36 @@
 // response may lack the echoed header, because the server may have sent it
 // before it read the request's header. It is accepted only as the first
 // response on a new connection: on a reused connection it may be the repeated
-// response to an earlier request.
+// response to an earlier request, or to the check.
 bool HttpClient::Impl::IsResponseToCall(const Connection& connection) const {
-  if (options.echoed_header.empty())
+  if (options.echoed_header.empty() || connection.call->request_after_check)
     return true;
   const HttpResponse& response = connection.parser.response;
   const std::string_view echo =
       FindField(response.headers, options.echoed_header);
   if (echo.empty())
     return response.status >= 300 && !connection.reused &&
-           !connection.skipped_response;
+           !connection.check_sent && !connection.skipped_response;
   return echo == connection.call->echo;
 }
 
+// The check has the time that is left of the connect timeout, so that a request
+// is not sent long after its server was chosen.
+void HttpClient::Impl::SetConnectedTimeout(Connection& connection) {
+  const bool is_check =
+      connection.call != nullptr && connection.call->request_after_check;
+  const Duration passed = connection.connected_at - connection.opened_at;
+  const timeval check_time =
+      ToTimeval(std::max(options.connect_timeout - passed, kMinCheckTimeout));
+  bufferevent_set_timeouts(connection.bev, is_check ? &check_time : nullptr,
+                           nullptr);
+}
+
 void HttpClient::Impl::HandleEvent(Connection& connection, short what) {
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     connection.connected = true;
-    bufferevent_set_timeouts(connection.bev, nullptr, nullptr);
-    return;
+    connection.connected_at = loop.Now();
+    return SetConnectedTimeout(connection);
   }
   if (connection.call == nullptr)
     return Close(connection);
@@ -140,6 +174,36 @@
   Complete(connection, unused ? HttpOutcome::kLostUnused : HttpOutcome::kLost);
 }
 
+// If the connection can't carry the call's own request, another connection is
+// opened and checked.
+void HttpClient::Impl::CompleteCheck(Connection& connection) {
+  Call& call = *connection.call;
+  if (!call.check->accepts(connection.parser.response))
+    return Complete(connection, HttpOutcome::kCheckFailed);
+  if (IsReusable(connection)) {
+    connection.check_passed = true;
+    bufferevent_set_timeouts(connection.bev, nullptr, nullptr);
+    const HttpRequest request =
+        *std::exchange(call.request_after_check, std::nullopt);
+    return SendRequest(call, request);
+  }
+  if (call.checks >= kMaxChecksPerCall)
+    return Complete(connection, HttpOutcome::kNotConnected);
+  Close(connection);
+  call.connection = Open(call.address, connections_by_address[call.address]);
+  if (call.connection == nullptr)
+    return ScheduleCompletion(call, HttpOutcome::kConnectionUnavailable);
+  const HttpRequest request = *call.request_after_check;
+  SendCheck(call, request);
+}
+
+bool HttpClient::Impl::IsReusable(const Connection& connection) const {
+  return connection.parser.reusable && !connection.skipped_response &&
+         evbuffer_get_length(bufferevent_get_input(connection.bev)) == 0 &&
+         evbuffer_get_length(bufferevent_get_output(connection.bev)) == 0 &&
+         connection.sent_ids.size() < kMaxRequestsPerConnection;
+}
+
 // Ends the call of a connection. The connection becomes idle if the response
 // allows reuse, no response was skipped, no bytes remain unread or unsent and
 // the connection may carry another request; otherwise the connection is closed.
@@ -148,20 +212,15 @@
   const Callback callback = std::move(call.callback);
   const std::unique_ptr<Timer> timer = std::move(call.timer);
   HttpResponse response;
-  if (outcome == HttpOutcome::kAnswered)
+  const bool has_response =
+      outcome == HttpOutcome::kAnswered || outcome == HttpOutcome::kCheckFailed;
+  if (has_response)
     response = std::exchange(connection.parser.response, {});
   connection.parser.held_bytes = 0;
   CountBufferedBytes(connection);
-  const std::size_t unread =
-      evbuffer_get_length(bufferevent_get_input(connection.bev));
-  const std::size_t unsent =
-      evbuffer_get_length(bufferevent_get_output(connection.bev));
-  if (unread > 0)
+  if (evbuffer_get_length(bufferevent_get_input(connection.bev)) > 0)
     ++counters.unsolicited_responses;
-  const bool reusable =
-      outcome == HttpOutcome::kAnswered && connection.parser.reusable &&
-      !connection.skipped_response && unread == 0 && unsent == 0 &&
-      connection.sent_ids.size() < kMaxRequestsPerConnection;
+  const bool reusable = has_response && IsReusable(connection);
   connection.call = nullptr;
   calls.erase(call.id);
   if (reusable)
@@ -189,6 +248,8 @@
 // The request may have been written before the loop reports the connection as
 // established, so the bytes that are still unsent count too.
 bool HttpClient::Impl::HasSentNothing(const Connection& connection) {
+  if (connection.call->request_after_check)
+    return true;
   return !connection.connected &&
          evbuffer_get_length(bufferevent_get_output(connection.bev)) ==
              connection.request_bytes;
@@ -231,7 +292,8 @@
 std::uint64_t HttpClient::Send(const std::string& address,
                                const HttpRequest& request,
                                TimePoint deadline,
-                               Callback callback) {
+                               Callback callback,
+                               std::optional<ConnectionCheck> check) {
   const std::uint64_t id = impl_->next_id++;
   ++impl_->counters.requests;
   Impl::Call& call = impl_->calls[id];
@@ -239,6 +301,7 @@
   call.address = address;
   call.callback = std::move(callback);
   call.head_request = request.method == HttpMethod::kHead;
+  call.check = std::move(check);
   if (!impl_->options.echoed_header.empty())
     call.echo = FindField(request.headers, impl_->options.echoed_header);
   Impl::AddressConnections& address_connections =
@@ -246,7 +309,7 @@
   const bool identifiable =
       impl_->options.echoed_header.empty() || !call.echo.empty();
   if (identifiable && !request.fresh_connection)
-    call.connection = impl_->ReuseIdle(address_connections, call.echo);
+    call.connection = impl_->ReuseIdle(address_connections, call);
   if (call.connection == nullptr)
     call.connection = impl_->Open(address, address_connections);
   if (call.connection == nullptr) {
@@ -256,7 +319,10 @@
   call.timer = std::make_unique<Timer>(
       impl_->loop, [impl = impl_.get(), id] { impl->TimeOutCall(id); });
   call.timer->Schedule(deadline);
-  impl_->SendRequest(call, request);
+  if (impl_->NeedsNoCheck(call, *call.connection))
+    impl_->SendRequest(call, request);
+  else
+    impl_->SendCheck(call, request);
   return id;
 }
 
--- a/Libraries/LibLoop/http_client_connections.cc
+++ b/Libraries/LibLoop/http_client_connections.cc
@@ -31,11 +31,13 @@
 // Bytes that have arrived on an idle connection can't belong to the request
 // that is about to be sent, so such a connection is closed. A connection that
 // has carried a request with the same id is left idle: a repeated response to
-// that request could not be told from the response to this one.
+// that request could not be told from the response to this one. So is a
+// connection that needs a check: a repeated response to an earlier request
+// could not be told from the response to the check.
 HttpClient::Impl::Connection* HttpClient::Impl::ReuseIdle(
     AddressConnections& address_connections,
-    const std::string& id) {
-  const std::uint64_t hash = HashBytes(id);
+    const Call& call) {
+  const std::uint64_t hash = HashBytes(call.echo);
   std::vector<Connection*>& idle = address_connections.idle;
   for (std::size_t i = idle.size(); i-- > 0;) {
     Connection* connection = idle[i];
@@ -45,7 +47,8 @@
       continue;
     }
     const auto& sent_ids = connection->sent_ids;
-    if (std::find(sent_ids.begin(), sent_ids.end(), hash) != sent_ids.end())
+    if (!NeedsNoCheck(call, *connection) ||
+        std::find(sent_ids.begin(), sent_ids.end(), hash) != sent_ids.end())
       continue;
     idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     connection->reused = true;
@@ -54,6 +57,13 @@
   return nullptr;
 }
 
+bool HttpClient::Impl::NeedsNoCheck(const Call& call,
+                                    const Connection& connection) const {
+  return !call.check || connection.check_passed ||
+         (connection.connected &&
+          loop.Now() - connection.connected_at >= call.check->sufficient_age);
+}
+
 // If the limit of connections is reached, the idle connection that has not been
 // used for the longest time is closed.
 HttpClient::Impl::Connection* HttpClient::Impl::Open(
@@ -79,7 +89,8 @@
     return nullptr;
   }
   SetSocketOptions(fd, options.unacknowledged_timeout);
-  auto* connection = new Connection{.client = this, .address = address};
+  auto* connection = new Connection{
+      .client = this, .address = address, .opened_at = loop.Now()};
   connection->parser.max_body_bytes = options.max_response_bytes;
   // Callbacks are deferred, so that a connection attempt that fails immediately
   // is not reported before the call is attached to the connection.
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -10,6 +10,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,8 +32,12 @@
     Call* call = nullptr;
     ResponseParser parser;
     bool connected = false;
-    bool reused = false;               // By the current call.
-    std::size_t request_bytes = 0;     // Size of the current call's request.
+    TimePoint opened_at;     // Start of the connection attempt.
+    TimePoint connected_at;  // Set with `connected`.
+    bool check_sent = false;
+    bool check_passed = false;      // The response to the check was accepted.
+    bool reused = false;            // By the current call.
+    std::size_t request_bytes = 0;  // Size of the current call's request.
     std::uint64_t received_bytes = 0;  // During the current call.
     // The share of this connection in HttpClientCounters::buffered_bytes.
     std::uint64_t buffered_bytes = 0;
@@ -64,6 +69,10 @@
     std::uint32_t extensions = 0;  // Of the deadline, so far.
     // Bytes that had been received at the last extension.
     std::uint64_t received_at_extension = 0;
+    std::optional<ConnectionCheck> check;
+    // Set while the call waits for the response to the check.
+    std::optional<HttpRequest> request_after_check;
+    std::uint32_t checks = 0;  // Sent for this call.
   };
 
   Impl(EventLoop& event_loop, HttpClientOptions client_options)
@@ -82,17 +91,27 @@
   HttpClientCounters counters;
 
   Connection* ReuseIdle(AddressConnections& address_connections,
-                        const std::string& id);
+                        const Call& call);
+  // Whether the call's request may be sent on the connection without a check.
+  bool NeedsNoCheck(const Call& call, const Connection& connection) const;
   Connection* Open(const std::string& address,
                    AddressConnections& address_connections);
   void SendRequest(Call& call, const HttpRequest& request);
+  void WriteRequest(Call& call, const HttpRequest& request);
+  // Sends the call's check. `request` follows when the check has been passed.
+  void SendCheck(Call& call, const HttpRequest& request);
+  // Sends the call's own request if the response to the check is accepted.
+  void CompleteCheck(Connection& connection);
   void Complete(Connection& connection, HttpOutcome outcome);
   void ScheduleCompletion(Call& call, HttpOutcome outcome);
   void TimeOutCall(std::uint64_t id);
   // Extends the deadline of a call whose response is arriving. Returns whether
   // it did.
   bool ExtendDeadline(Call& call);
+  // Whether no byte of the call's own request was sent.
   static bool HasSentNothing(const Connection& connection);
+  // Whether the connection can carry a request after a complete response.
+  bool IsReusable(const Connection& connection) const;
   void Read(Connection& connection);
   void CountBufferedBytes(Connection& connection);
   void LimitBufferedBytes();
@@ -107,6 +126,7 @@
   std::uint64_t DiscardedBytes(const Connection& connection) const;
   bool IsResponseToCall(const Connection& connection) const;
   void HandleEvent(Connection& connection, short what);
+  void SetConnectedTimeout(Connection& connection);
   void ReturnToIdle(Connection& connection, Duration usable);
   void Close(Connection& connection);
 };
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cicadadrum/base/enum_names.h"
@@ -39,6 +40,9 @@
   // No complete response arrived before the deadline, and the client closed the
   // connection.
   kTimedOut,
+  // ConnectionCheck::accepts turned the response to the check down. The call's
+  // request was not sent; the response is the one to the check.
+  kCheckFailed,
 };
 
 template <>
@@ -51,6 +55,7 @@
       {HttpOutcome::kMalformed, "malformed"},
       {HttpOutcome::kLostUnused, "lost-unused"},
       {HttpOutcome::kTimedOut, "timed-out"},
+      {HttpOutcome::kCheckFailed, "check-failed"},
   });
 };
 
@@ -91,9 +96,22 @@
   std::string echoed_header;
 };
 
+// A request that is sent before the call's own one on a new connection, to find
+// out about the process at its other end. While a connection is open, this
+// process has not been replaced by another one, so a connection is checked
+// once.
+struct ConnectionCheck {
+  HttpRequest request;  // Must not have the echoed header.
+  // A connection that has been open for this long needs no check.
+  Duration sufficient_age{};
+  // Returns whether the call's own request may be sent after this response.
+  std::function<bool(const HttpResponse&)> accepts;
+};
+
 struct HttpClientCounters {
   std::uint64_t connections = 0;  // Connections opened.
   std::uint64_t requests = 0;     // Calls of Send.
+  std::uint64_t checks = 0;       // Checks of connections that were sent.
   // Responses, or bytes after a response, that match no request.
   std::uint64_t unsolicited_responses = 0;
   // Size of the incomplete responses at this moment.
@@ -116,10 +134,15 @@
   // before Send has returned. If no response has arrived by `deadline`, a time
   // of EventLoop::Now, and none is arriving (see arrival_extension), the
   // outcome is kTimedOut or kNotConnected. Returns an id for Cancel.
+  //
+  // With a `check`, the request is sent only on a connection that has passed a
+  // check or is old enough; a check that gets no response has the outcome
+  // kNotConnected.
   std::uint64_t Send(const std::string& address,
                      const HttpRequest& request,
                      TimePoint deadline,
-                     Callback callback);
+                     Callback callback,
+                     std::optional<ConnectionCheck> check = std::nullopt);
 
   // Closes the connection of the request `id` and discards the callback of the
   // request. An unknown id is ignored.
