LibRouting, platform: Ask a server whether it is cold on each new connection

What callers saw: requests that time out at a server which has just restarted under its id, and servers that crash again because they are flooded while cold (FAILBACK).

Cause: an entry VM learns that a server has restarted from the server's row, 0.3 to 2.5 s after the start. Until then it takes the server for the warm incarnation before, whose cache and free slots it remembers, and the next connection leads to the new incarnation without a sign of it. All entry VMs of a region do so at once, and the bound on cold servers applies to none of these requests.

Only a connection is known to lead to one incarnation. An attempt at a server that is taken to be warm now carries a check: on a new connection the entry VM first asks for the server's health, which states the cold time. If the server is cold, nothing is sent, the core records it (ServerOutcome::kCold), forgets the load and the cache of the incarnation before, and dispatches the request again, within the rate of a cold server. Requests without a check are those that count in this rate. So no request reaches a cold server outside of the bound, whatever an entry VM knows of restarts.

--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -76,6 +76,20 @@
   return ChooseServer(state, request, now);
 }
 
+// Returns the check for an attempt at a server that is taken to be warm. It may
+// have restarted since, without a change of its entry so far.
+std::optional<ColdCheck> ColdCheckFor(const RoutingState& state,
+                                      const Server& server,
+                                      TimePoint now) {
+  if (now < server.cold_until)
+    return std::nullopt;
+  const ServiceRule* rule = FindService(state.table, server.entry.service);
+  if (rule == nullptr || rule->health_path.empty() ||
+      rule->cold_time <= Duration::zero())
+    return std::nullopt;
+  return ColdCheck{rule->health_path, rule->cold_time};
+}
+
 // Sends the request to the chosen server.
 void StartAttempt(RoutingState& state,
                   std::uint64_t id,
@@ -84,8 +98,9 @@
                   RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
   Server& server = *choice.server;
-  CountAttempt(state.services[request.service], state.options.bounds,
-               request.attempts > 0, now);
+  if (!std::exchange(request.is_next_attempt_counted, false))
+    CountAttempt(state.services[request.service], state.options.bounds,
+                 request.attempts > request.unsent_attempts, now);
   ++request.attempts;
   request.attempt_in_progress = true;
   request.server = server.entry.id;
@@ -114,6 +129,7 @@
       .server_timeout = ServerTimeout(state, request.deadline - now, now),
       // A server may close a reused connection for other reasons than a crash.
       .fresh_connection = is_suspect || IsReuseSuspended(state, request, now),
+      .cold_check = ColdCheckFor(state, server, now),
       .inputs = std::move(inputs)});
 }
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -54,7 +54,7 @@
   std::optional<LoadReport> report;
   std::uint64_t response_bytes = 0;  // Size of the body of a complete response.
   // Time for which the server stays cold according to the response, or zero if
-  // the response does not say.
+  // the response does not say. Positive with ServerOutcome::kCold.
   Duration cold_left{};
   bool leaving = false;  // The server announced that it is leaving.
   // Time for which the server asked to receive no requests from this entry VM,
@@ -289,6 +289,16 @@
   std::uint64_t configuration = 0;
 };
 
+// How to make sure that a server is not cold before it receives a request. The
+// server may have restarted under the same id since its entry was written, and
+// only a connection is known to lead to one incarnation.
+struct ColdCheck {
+  std::string
+      health_path;  // A request for it states whether the server is cold.
+  // A connection that has been open for this long needs no check.
+  Duration cold_time{};
+};
+
 // Send the request to a server. The front end reports the end of the attempt by
 // AttemptEnded, unless it receives CancelAttempt first.
 struct SendAttempt {
@@ -301,6 +311,9 @@
   Duration server_timeout{};
   // The attempt must not reuse an idle connection.
   bool fresh_connection = false;
+  // If set, the request may be sent only on a connection that has passed this
+  // check. Otherwise the attempt counts towards the rate of a cold server.
+  std::optional<ColdCheck> cold_check;
   ChoiceInputs inputs;
 };
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -69,7 +69,12 @@
   // The earlier of the route's timeout and the caller's deadline, the latter
   // less a margin for the response.
   TimePoint deadline;
-  std::uint32_t attempts = 0;              // Number of attempts sent so far.
+  std::uint32_t attempts = 0;  // Number of attempts started so far.
+  // Those of `attempts` that ended as ServerOutcome::kCold.
+  std::uint32_t unsent_attempts = 0;
+  // The last attempt was not sent, and its place in the retry window is left to
+  // the next one.
+  bool is_next_attempt_counted = false;
   std::vector<std::string> tried_servers;  // Ids.
   Verdict verdict = Verdict::kNotRun;      // Of the attempts that have ended.
   bool attempt_in_progress = false;
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -117,6 +117,9 @@
   kInvalid,
   // The attempt was sent and then given up at its deadline.
   kTimedOut,
+  // The server is cold, according to its response to the check of a new
+  // connection. The request was not sent.
+  kCold,
 };
 
 }  // namespace cicadadrum::routing
@@ -137,6 +140,7 @@
           {routing::ServerOutcome::kMalformed, "malformed"},
           {routing::ServerOutcome::kInvalid, "invalid"},
           {routing::ServerOutcome::kTimedOut, "timed-out"},
+          {routing::ServerOutcome::kCold, "cold"},
       });
 };
 
@@ -149,7 +153,7 @@
 constexpr bool ProvesNotRun(ServerOutcome outcome) {
   return outcome == ServerOutcome::kRejected ||
          outcome == ServerOutcome::kWrongServer ||
-         outcome == ServerOutcome::kNotSent;
+         outcome == ServerOutcome::kNotSent || outcome == ServerOutcome::kCold;
 }
 
 // A moving average of samples that decays towards a neutral value while there
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -57,6 +57,12 @@
     times.pop_front();
 }
 
+void RemoveOne(std::deque<TimePoint>& times, TimePoint time) {
+  const auto found = std::find(times.begin(), times.end(), time);
+  if (found != times.end())
+    times.erase(found);
+}
+
 void StartBackoff(Server& server, TimePoint now) {
   const std::uint32_t doublings =
       std::min<std::uint32_t>(server.consecutive_failures, 6);
@@ -246,6 +252,13 @@
   return current.retries_in_window + 1 <= allowed;
 }
 
+void RecordCold(Server& server, Duration cold_left, TimePoint now) {
+  server.cold_until = std::max(server.cold_until, now + cold_left);
+  server.handled_objects.clear();
+  server.report.reset();
+  server.load = -1;
+}
+
 void RecordAttemptStart(Server& server,
                         const RequestState& request,
                         TimePoint now) {
@@ -281,6 +294,10 @@
     case ServerOutcome::kWrongServer:
       server.backoff_until = now + kMaxBackoff;
       return;
+    case ServerOutcome::kCold:
+      RemoveOne(server.recent_sends, request.sent_at);
+      RecordCold(server, end.cold_left, now);
+      return;
     case ServerOutcome::kLostUnused:
       state.services[request.service].connection_reuse_suspended_until =
           now + kConnectionReuseSuspension;
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -77,6 +77,10 @@
                        const std::string& service,
                        TimePoint now);
 
+// Records that the server is cold for `cold_left` from now on. What is known of
+// its load and its cache concerns the time before, and is discarded.
+void RecordCold(Server& server, Duration cold_left, TimePoint now);
+
 // Records that an attempt was sent to the server.
 void RecordAttemptStart(Server& server,
                         const RequestState& request,
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -121,12 +121,32 @@
               const RequestState& request,
               TimePoint now) {
   return IsRepeatable(request) &&
-         request.attempts < request.route.max_attempts &&
+         request.attempts - request.unsent_attempts <
+             request.route.max_attempts &&
          now + kMinAttemptTime < request.deadline &&
          !BlockedUntil(state, request.fingerprint, now) &&
          HasRetryAllowance(state, request.service, now);
 }
 
+// Dispatches a request whose last attempt was not sent because the server is
+// cold. The attempt is no use of the retry budget, and the server may receive
+// the request if the rate of a cold server allows.
+void DispatchAgain(RoutingState& state,
+                   std::uint64_t id,
+                   TimePoint now,
+                   RoutingActions& actions) {
+  RequestState& request = state.requests.at(id);
+  ++request.unsent_attempts;
+  request.is_next_attempt_counted = true;
+  std::erase(request.tried_servers, request.server);
+  const bool has_time = now + kMinAttemptTime < request.deadline;
+  if (has_time && RefreshRoute(state, id, request))
+    return Dispatch(state, id, RefusalReason::kNoServer, now, actions);
+  const Duration estimate = RetryAfterForEstimate(
+      request.expected_duration, request.caller_deadline - now);
+  Refuse(state, id, RefusalReason::kNoServer, estimate, actions);
+}
+
 void Apply(RoutingState& state,
            const AttemptEnded& event,
            TimePoint now,
@@ -155,6 +175,8 @@
         DeliverResponse{event.request, request.server, request.route.kind});
     return EndRequest(state, event.request);
   }
+  if (event.outcome == ServerOutcome::kCold)
+    return DispatchAgain(state, event.request, now, actions);
   if (!ProvesNotRun(event.outcome))
     request.verdict = Verdict::kMayHaveRun;
   const bool was_lost = event.outcome == ServerOutcome::kLost ||
