LibRouting: Count requests to a cold server by its id

An entry VM kept the times of its requests to a server with the server's entry. An entry that was removed and came back, that one full list did not have, or that named a later incarnation started with an empty window, so the entry VM sent its share of the cold rate again within the same second. The bound holds for the id, whichever incarnations received the requests, and a server that restarts while it is cold is such a case.

The window now outlives the entry. It is kept for ids without an entry until it has run out, which also bounds its size.

--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -191,6 +191,9 @@
   // Invariant: contains no incarnation of `servers`, and at most
   // kMaxUnlistedAdvice elements.
   std::map<ServerIncarnation, UnlistedAdvice> unlisted_advice;
+  // Server::recent_sends of ids without an entry. The rate of a cold server
+  // holds for its id, whichever incarnations received the requests.
+  std::unordered_map<std::string, std::deque<TimePoint>> unlisted_sends;
   std::set<std::string> evacuated_domains;  // Failure domains.
   std::vector<FleetMember> members;         // Live entry VMs with this one.
   std::uint64_t members_version = 0;        // Rises when `members` changes.
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -40,10 +40,6 @@
 // reused connection was lost.
 constexpr Duration kConnectionReuseSuspension = Seconds(5);
 
-// Window over which attempts at a cold server are counted; a little longer than
-// the second that the rate refers to.
-constexpr Duration kColdRateWindow = Milliseconds(1050);
-
 // Number of objects per server that are assumed to be in its cache. Servers
 // cache a few dozen objects, so fewer than that are assumed.
 constexpr std::size_t kTrackedObjectsPerServer = 24;
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -11,6 +11,10 @@
 // Lower bound of the factor by which a fast VM shortens work.
 constexpr double kMinWorkFactor = 0.2;
 
+// Window over which attempts at a cold server are counted; a little longer than
+// the second that the rate refers to.
+constexpr Duration kColdRateWindow = Milliseconds(1050);
+
 constexpr double ToMs(Duration duration) {
   return static_cast<double>(duration.count()) / 1000;
 }
--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -5,19 +5,38 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 #include "advice.h"
 #include "cicadadrum/base/hash.h"
+#include "observations.h"
 
 namespace cicadadrum::routing {
 
 namespace {
 
+// Keeps the attempts that still count in the rate of a cold server, and forgets
+// the others.
+void KeepSends(RoutingState& state, Server& server, TimePoint now) {
+  std::erase_if(state.unlisted_sends, [&](const auto& sends) {
+    return sends.second.back() <= now - kColdRateWindow;
+  });
+  if (!server.recent_sends.empty())
+    state.unlisted_sends[server.entry.id] = std::move(server.recent_sends);
+}
+
+void RestoreSends(RoutingState& state, Server& server) {
+  const auto node = state.unlisted_sends.extract(server.entry.id);
+  if (!node.empty())
+    server.recent_sends = std::move(node.mapped());
+}
+
 void Remove(RoutingState& state, const std::string& id, TimePoint now) {
   const auto found = state.servers.find(id);
   if (found == state.servers.end())
     return;
   KeepAdvice(state, found->second, now);
+  KeepSends(state, found->second, now);
   std::erase(state.services[found->second.entry.service].servers, id);
   state.server_id_by_tag.erase(ServerTag(id));
   state.servers.erase(found);
@@ -52,13 +71,15 @@
       Remove(state, entry.id, now);
   }
   Server& server = state.servers[entry.id];
-  if (server.entry.id.empty()) {
+  const bool is_new = server.entry.id.empty();
+  server.entry = entry;
+  server.entry_applied_at = now;
+  if (is_new) {
     server.hash = HashBytes(entry.id);
     state.services[entry.service].servers.push_back(entry.id);
     state.server_id_by_tag[ServerTag(entry.id)] = entry.id;
+    RestoreSends(state, server);
   }
-  server.entry = entry;
-  server.entry_applied_at = now;
   server.region = RegionOf(state, entry.failure_domain);
   RestoreAdvice(state, server);
   server.cold_until = std::max(server.cold_until, now + entry.cold_left);
--- /dev/null
+++ b/Tests/LibRouting/test_incarnations.cc
@@ -0,0 +1,62 @@
+// Tests of what is known of a server after its entry was removed, and after the
+// server was started again under its id.
+
+#include <doctest/doctest.h>
+
+#include "routing_fixture.h"
+
+namespace cicadadrum::routing {
+
+namespace {
+
+ServerEntry MakeIncarnation(std::int64_t started_unix_ms,
+                            std::uint64_t row_version) {
+  ServerEntry entry = MakeServer("s1");
+  entry.started_unix_ms = started_unix_ms;
+  entry.row_version = row_version;
+  return entry;
+}
+
+// The ways in which an entry is replaced.
+enum class Replacement : std::uint8_t { kRemoved, kUnlisted, kRestarted };
+
+void Replace(RoutingFixture& fixture,
+             Replacement replacement,
+             ServerEntry entry) {
+  if (replacement == Replacement::kRemoved)
+    fixture.Step(ServersChanged{.removed = {entry.id}});
+  if (replacement == Replacement::kUnlisted)
+    fixture.Step(ServersChanged{.is_full_list = true});
+  if (replacement == Replacement::kRestarted)
+    ++entry.started_unix_ms;
+  ++entry.row_version;
+  fixture.Step(ServersChanged{.updated = {entry}});
+}
+
+}  // namespace
+
+// Guards against an entry VM that sends its share of the cold rate twice within
+// a second.
+TEST_CASE("requests to a cold server count after its entry is replaced") {
+  for (const Replacement replacement :
+       {Replacement::kRemoved, Replacement::kUnlisted,
+        Replacement::kRestarted}) {
+    CAPTURE(static_cast<int>(replacement));
+    ServerEntry cold = MakeIncarnation(5, 1);
+    cold.cold_left = Seconds(3);
+    RoutingFixture fixture({cold});
+    fixture.Step(Members({"entry-1", "entry-2", "entry-3", "entry-4"}));
+    const auto send_many = [&] {
+      for (std::uint64_t object = 1; object <= 20; ++object)
+        fixture.Serve("read", object, Milliseconds(10));
+      return fixture.sent.size();
+    };
+    CHECK(send_many() == 3);
+    Replace(fixture, replacement, cold);
+    CHECK(send_many() == 3);
+    fixture.now = kStart + Seconds(2);
+    CHECK(send_many() == 6);
+  }
+}
+
+}  // namespace cicadadrum::routing
