LibRouting: Keep limits and cold times over a removal

A server whose row had lapsed and came back was used without the limit that it had stated, until its next response, and without the cold time that a response or the end of an evacuation had set. Only what a server announced about leaving and pauses outlived the entry. Both now do too, for the incarnation that they were stated for: a restarted server begins without them.

The memory has the bound that it had, kMaxUnlistedAdvice servers.

--- a/Libraries/LibRouting/advice.cc
+++ b/Libraries/LibRouting/advice.cc
@@ -3,6 +3,7 @@
 #include "advice.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "server_table.h"
 
@@ -14,10 +15,9 @@
 // advice is dropped.
 void KeepUnlisted(RoutingState& state,
                   const ServerIncarnation& incarnation,
-                  const ServerAdvice& advice,
-                  TimePoint now) {
+                  UnlistedAdvice advice) {
   auto& unlisted = state.unlisted_advice;
-  unlisted[incarnation] = {advice, now};
+  unlisted[incarnation] = std::move(advice);
   if (unlisted.size() <= kMaxUnlistedAdvice)
     return;
   unlisted.erase(std::min_element(
@@ -38,11 +38,10 @@
   const ServerIncarnation incarnation = IncarnationOf(request);
   Server* server = FindServer(state, incarnation);
   const auto unlisted = state.unlisted_advice.find(incarnation);
-  ServerAdvice advice;
-  if (server != nullptr)
-    advice = server->advice;
-  else if (unlisted != state.unlisted_advice.end())
-    advice = unlisted->second.advice;
+  UnlistedAdvice kept;
+  if (unlisted != state.unlisted_advice.end())
+    kept = unlisted->second;
+  ServerAdvice& advice = server != nullptr ? server->advice : kept.advice;
   if (end.leaving && !advice.leaving)
     actions.emplace_back(
         ReportServerLeaving{.request = end.request, .server = request.server});
@@ -51,22 +50,31 @@
         .request = end.request, .server = request.server, .pause = end.pause});
   advice.leaving = advice.leaving || end.leaving;
   advice.paused_until = std::max(advice.paused_until, now + end.pause);
-  if (server != nullptr)
-    server->advice = advice;
-  else
-    KeepUnlisted(state, incarnation, advice, now);
+  kept.recorded_at = now;
+  if (server == nullptr)
+    KeepUnlisted(state, incarnation, std::move(kept));
 }
 
 void KeepAdvice(RoutingState& state, const Server& server, TimePoint now) {
-  if (server.advice.leaving || server.advice.paused_until > now)
-    KeepUnlisted(state, IncarnationOf(server.entry), server.advice, now);
+  if (server.advice.leaving || server.advice.paused_until > now ||
+      server.limit || server.cold_until > now)
+    KeepUnlisted(state, IncarnationOf(server.entry),
+                 {.advice = server.advice,
+                  .limit = server.limit,
+                  .limit_stated_at = server.limit_stated_at,
+                  .cold_until = server.cold_until,
+                  .recorded_at = now});
 }
 
 void RestoreAdvice(RoutingState& state, Server& server) {
   const auto unlisted = state.unlisted_advice.find(IncarnationOf(server.entry));
   if (unlisted == state.unlisted_advice.end())
     return;
-  server.advice = unlisted->second.advice;
+  const UnlistedAdvice& kept = unlisted->second;
+  server.advice = kept.advice;
+  server.limit = kept.limit;
+  server.limit_stated_at = kept.limit_stated_at;
+  server.cold_until = kept.cold_until;
   state.unlisted_advice.erase(unlisted);
 }
 
--- a/Libraries/LibRouting/advice.h
+++ b/Libraries/LibRouting/advice.h
@@ -15,11 +15,12 @@
                   TimePoint now,
                   RoutingActions& actions);
 
-// Keeps the advice of a server whose entry is about to be removed.
+// Keeps the advice, limit and cold time of a server whose entry is about to be
+// removed.
 void KeepAdvice(RoutingState& state, const Server& server, TimePoint now);
 
-// Applies the advice that was kept for the incarnation of a server whose entry
-// has just been added.
+// Applies what was kept for the incarnation of a server whose entry has just
+// been added.
 void RestoreAdvice(RoutingState& state, Server& server);
 
 // Whether the server may receive requests at all: it is ready, not in back-off
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -164,10 +164,14 @@
 // Maximum number of servers without an entry whose advice is kept.
 constexpr std::size_t kMaxUnlistedAdvice = 4096;
 
-// The advice of a server without an entry, which applies again if the entry
+// What a server without an entry has stated. It applies again if the entry
 // returns.
 struct UnlistedAdvice {
   ServerAdvice advice;
+  // As in Server.
+  std::optional<RequestLimit> limit;
+  TimePoint limit_stated_at;
+  TimePoint cold_until;
   TimePoint recorded_at;
 };
 
--- a/Tests/LibRouting/test_incarnations.cc
+++ b/Tests/LibRouting/test_incarnations.cc
@@ -59,4 +59,22 @@
   }
 }
 
+// Guards against requests beyond what a server takes, for a row that lapsed.
+TEST_CASE("a limit and a cold time outlast the entry of their incarnation") {
+  RoutingFixture fixture({MakeIncarnation(5, 1)});
+  fixture.Arrive("read");
+  fixture.EndAttempt(fixture.sent.back(), {.outcome = ServerOutcome::kSucceeded,
+                                           .cold_left = Seconds(2),
+                                           .limit = 4});
+  Replace(fixture, Replacement::kRemoved, MakeIncarnation(5, 1));
+  const Server& server = fixture.state.servers.at("s1");
+  REQUIRE(server.limit);
+  CHECK(server.limit->requests_per_second == 4);
+  CHECK(server.limit_stated_at == fixture.now);
+  CHECK(server.cold_until == fixture.now + Seconds(2));
+  Replace(fixture, Replacement::kRestarted, MakeIncarnation(5, 2));
+  CHECK_FALSE(fixture.state.servers.at("s1").limit);
+  CHECK(fixture.state.servers.at("s1").cold_until <= fixture.now);
+}
+
 }  // namespace cicadadrum::routing
