LibRouting: Count requests in flight after an entry comes back

A server whose entry was removed and came back, or that one full list did not have, had no requests in flight although the attempts at it went on. It looked free, and their ends were taken off the count of later attempts. The count is now taken from the requests in progress when the entry is added; attempts at an earlier incarnation do not count.

Test before the fix, with 3 attempts over a removal, and 1 attempt after it:

ERROR: CHECK( fixture.state.servers.at("s1").in_flight == 3 ) is NOT correct! values: CHECK( 0 == 3 ) ERROR: CHECK( fixture.state.servers.at("s1").in_flight == 1 ) is NOT correct! values: CHECK( 0 == 1 )

After it: TestRouting, 125 test cases passed.

--- a/Libraries/LibRouting/server_table.cc
+++ b/Libraries/LibRouting/server_table.cc
@@ -31,6 +31,17 @@
     server.recent_sends = std::move(node.mapped());
 }
 
+std::uint32_t CountAttemptsAt(const RoutingState& state,
+                              const ServerEntry& entry) {
+  return static_cast<std::uint32_t>(std::count_if(
+      state.requests.begin(), state.requests.end(), [&](const auto& element) {
+        const RequestState& request = element.second;
+        return request.attempt_in_progress &&
+               request.server_started_unix_ms == entry.started_unix_ms &&
+               request.server == entry.id;
+      }));
+}
+
 void Remove(RoutingState& state, const std::string& id, TimePoint now) {
   const auto found = state.servers.find(id);
   if (found == state.servers.end())
@@ -78,6 +89,7 @@
     server.hash = HashBytes(entry.id);
     state.services[entry.service].servers.push_back(entry.id);
     state.server_id_by_tag[ServerTag(entry.id)] = entry.id;
+    server.in_flight = CountAttemptsAt(state, entry);
     RestoreSends(state, server);
   }
   server.region = RegionOf(state, entry.failure_domain);
--- a/Tests/LibRouting/test_incarnations.cc
+++ b/Tests/LibRouting/test_incarnations.cc
@@ -77,4 +77,20 @@
   CHECK(fixture.state.servers.at("s1").cold_until <= fixture.now);
 }
 
+// Guards against a server that looks free because its entry came back.
+TEST_CASE("requests at a server count after its entry comes back") {
+  RoutingFixture fixture({MakeIncarnation(5, 1)});
+  for (int i = 0; i < 3; ++i)
+    fixture.Arrive("write");
+  const std::vector<SendAttempt> sent = fixture.sent;
+  Replace(fixture, Replacement::kRemoved, MakeIncarnation(5, 1));
+  CHECK(fixture.state.servers.at("s1").in_flight == 3);
+  fixture.Arrive("write");
+  for (const SendAttempt& attempt : sent)
+    fixture.EndAttempt(attempt, {.outcome = ServerOutcome::kSucceeded});
+  CHECK(fixture.state.servers.at("s1").in_flight == 1);
+  Replace(fixture, Replacement::kRestarted, MakeIncarnation(5, 2));
+  CHECK(fixture.state.servers.at("s1").in_flight == 0);
+}
+
 }  // namespace cicadadrum::routing
