LibRouting: Ignore observations of another incarnation

Entry VMs tell each other what their attempts found, and named the incarnation only of a server that was leaving or limited. A load report, a handled object, a response or a failed connection of the incarnation before was applied to the next one: the restarted server, which holds nothing, counted as the holder of objects, as free or busy, as recently seen alive, or as unreachable.

Every observation now names the incarnation by which the server was chosen, and applies to no other one. An observation without it, from a process of the earlier release, applies as before.

Test before the change:

ERROR: CHECK_FALSE( server.report ) is NOT correct! ERROR: CHECK( server.handled_objects.empty() ) is NOT correct! ERROR: CHECK( server.last_response_at == TimePoint{} ) is NOT correct!

After it: TestRouting, 126 test cases passed; TestNode, 7 passed.

--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -116,8 +116,8 @@
   std::optional<LoadReport> report;
   bool unreachable = false;  // No connection to the server could be made.
   bool leaving = false;      // The server announced that it is leaving.
-  // IncarnationTag of a server that is leaving or states a limit, 0 of another
-  // one.
+  // IncarnationTag of the entry by which the server was chosen; 0 if the sender
+  // does not name it.
   std::uint32_t incarnation = 0;
   // As in AttemptEnded. Set while the server is limited, and when a limit ends.
   std::optional<double> limit;
@@ -126,7 +126,7 @@
 };
 
 // Another entry VM sent its observations. The core ignores observations of
-// servers that it does not know.
+// servers, and of incarnations, that it does not know.
 struct ObservationsReceived {
   std::vector<ServerObservation> observations;
 };
--- a/Libraries/LibRouting/sharing.cc
+++ b/Libraries/LibRouting/sharing.cc
@@ -48,6 +48,15 @@
     RecordUnreachable(server, now);
 }
 
+// A process of an earlier release names the incarnation only of a server that
+// is leaving or limited.
+bool IsOfOtherIncarnation(const Server& server,
+                          const ServerObservation& observation) {
+  return observation.incarnation != 0 &&
+         observation.incarnation !=
+             IncarnationTag(server.entry.started_unix_ms);
+}
+
 Duration BatchPeriod(std::size_t receivers) {
   const Duration min_period =
       Seconds(1) * static_cast<std::int64_t>(receivers) / kMessagesPerSecond;
@@ -86,17 +95,14 @@
     sharing.send_at = now + BatchPeriod(count);
   }
   sharing.pending.emplace_back(
-      now,
-      ServerObservation{
-          .server = ServerTag(request.server),
-          .object = handled_object ? ObjectTag(request.object) : kNoObject,
-          .report = end.report,
-          .unreachable = unreachable,
-          .leaving = end.leaving,
-          .incarnation = end.leaving || end.limit
-                             ? IncarnationTag(request.server_started_unix_ms)
-                             : 0,
-          .limit = end.limit});
+      now, ServerObservation{
+               .server = ServerTag(request.server),
+               .object = handled_object ? ObjectTag(request.object) : kNoObject,
+               .report = end.report,
+               .unreachable = unreachable,
+               .leaving = end.leaving,
+               .incarnation = IncarnationTag(request.server_started_unix_ms),
+               .limit = end.limit});
 }
 
 void SendObservationsIfDue(RoutingState& state,
@@ -138,6 +144,8 @@
     if (id == state.server_id_by_tag.end())
       continue;
     Server& server = state.servers.at(id->second);
+    if (IsOfOtherIncarnation(server, observation))
+      continue;
     if (observation.object != kNoObject)
       RecordHandledObject(server, observation.object);
     const bool is_same_incarnation =
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -214,7 +214,7 @@
   workPercent @7 :UInt16;  # Time that work takes on the server's VM, in percent; 100 is the usual time.
   unreachable @8 :Bool;  # No connection to the server could be opened.
   leaving @9 :Bool;  # The server announced that it is leaving.
-  incarnation @10 :UInt32;  # Tag of the start of a server that is leaving or limited; 0 for another server.
+  incarnation @10 :UInt32;  # Tag of the server's start; 0 if the sender does not name it.
   hasLimit @11 :Bool;  # The member below is set.
   # Requests per second that the server takes from all entry VMs together; infinity if it has ceased to state a limit.
   limitPerSecond @12 :Float32;
--- a/Tests/LibRouting/test_incarnations.cc
+++ b/Tests/LibRouting/test_incarnations.cc
@@ -93,4 +93,30 @@
   CHECK(fixture.state.servers.at("s1").in_flight == 0);
 }
 
+// Guards against taking the load, the cache and the silence of a server for
+// those of the next one under its id.
+TEST_CASE("observations of another incarnation are ignored") {
+  RoutingFixture observer({MakeIncarnation(5, 1)});
+  observer.Step(Members({"entry-1", "entry-2"}));
+  observer.Arrive("read");
+  observer.End(ServerOutcome::kSucceeded, LoadReport{.running = 2, .slots = 4});
+  observer.Arrive("write");
+  observer.End(ServerOutcome::kNotSent);
+  observer.now += Seconds(1);
+  observer.Step(TimerExpired{});
+  REQUIRE(observer.shared.size() == 1);
+  const ObservationsReceived received{observer.shared[0].observations};
+  RoutingFixture fixture({MakeIncarnation(6, 2)});
+  const Server& server = fixture.state.servers.at("s1");
+  fixture.Step(received);
+  CHECK_FALSE(server.report);
+  CHECK(server.handled_objects.empty());
+  CHECK(server.last_response_at == TimePoint{});
+  CHECK(server.consecutive_failures == 0);
+  RoutingFixture same({MakeIncarnation(5, 1)});
+  same.Step(received);
+  CHECK(same.state.servers.at("s1").report);
+  CHECK(same.state.servers.at("s1").handled_objects.size() == 1);
+}
+
 }  // namespace cicadadrum::routing
