LibLoop: End the check of a connection at the connect timeout

Callers would have seen a request that waits for a server which drips or never ends its response to the check, and a POST refused as one that may have run although only the check was sent. Cause: the check's time was an inactivity timeout, which each byte started anew, and a malformed check ended as kMalformed, which does not say that the request was not sent. Change: a timer ends the check when the connect timeout has passed since the start of the connection attempt. A malformed check ends as kNotConnected.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include "cicadadrum/base/hash.h"
-#include "cicadadrum/loop/event_pointer.h"
 #include "http_client_impl.h"
 #include "http_head.h"
 
@@ -25,8 +24,6 @@
 // check and close the connection.
 constexpr std::uint32_t kMaxChecksPerCall = 2;
 
-constexpr Duration kMinCheckTimeout = Milliseconds(1);
-
 }  // namespace
 
 void HttpClient::Impl::SendRequest(Call& call, const HttpRequest& request) {
@@ -35,10 +32,15 @@
   WriteRequest(call, request);
 }
 
+// The check has the time of the connect timeout, together with the connection
+// attempt, so that a request is not sent long after its server was chosen.
 void HttpClient::Impl::SendCheck(Call& call, const HttpRequest& request) {
   ++counters.checks;
   ++call.checks;
   call.request_after_check = request;
+  call.check_timer =
+      std::make_unique<Timer>(loop, [this, id = call.id] { TimeOutCheck(id); });
+  call.check_timer->Schedule(loop.Now() + options.connect_timeout);
   call.connection->check_sent = true;
   WriteRequest(call, call.check->request);
 }
@@ -81,7 +83,7 @@
                  : Complete(connection, HttpOutcome::kAnswered);
     if (progress == ParseProgress::kMalformed ||
         DiscardedBytes(connection) > options.max_discarded_bytes)
-      return Complete(connection, HttpOutcome::kMalformed);
+      return Complete(connection, OutcomeOfMalformedResponse(*connection.call));
     if (progress == ParseProgress::kNeedMore)
       continue;
     ++counters.unsolicited_responses;
@@ -110,7 +112,7 @@
   while (counters.buffered_bytes > options.max_buffered_bytes) {
     Call& largest = std::ranges::max_element(calls, {}, buffered_bytes)->second;
     Close(*std::exchange(largest.connection, nullptr));
-    ScheduleCompletion(largest, HttpOutcome::kMalformed);
+    ScheduleCompletion(largest, OutcomeOfMalformedResponse(largest));
   }
   ResumeReading();
 }
@@ -142,23 +144,12 @@
   return echo == connection.call->echo;
 }
 
-// The check has the time that is left of the connect timeout, so that a request
-// is not sent long after its server was chosen.
-void HttpClient::Impl::SetConnectedTimeout(Connection& connection) {
-  const bool is_check =
-      connection.call != nullptr && connection.call->request_after_check;
-  const Duration passed = connection.connected_at - connection.opened_at;
-  const timeval check_time =
-      ToTimeval(std::max(options.connect_timeout - passed, kMinCheckTimeout));
-  bufferevent_set_timeouts(connection.bev, is_check ? &check_time : nullptr,
-                           nullptr);
-}
-
 void HttpClient::Impl::HandleEvent(Connection& connection, short what) {
   if ((what & BEV_EVENT_CONNECTED) != 0) {
     connection.connected = true;
     connection.connected_at = loop.Now();
-    return SetConnectedTimeout(connection);
+    bufferevent_set_timeouts(connection.bev, nullptr, nullptr);
+    return;
   }
   if (connection.call == nullptr)
     return Close(connection);
@@ -182,7 +173,7 @@
     return Complete(connection, HttpOutcome::kCheckFailed);
   if (IsReusable(connection)) {
     connection.check_passed = true;
-    bufferevent_set_timeouts(connection.bev, nullptr, nullptr);
+    call.check_timer.reset();
     const HttpRequest request =
         *std::exchange(call.request_after_check, std::nullopt);
     return SendRequest(call, request);
@@ -233,6 +224,7 @@
 
 void HttpClient::Impl::ScheduleCompletion(Call& call, HttpOutcome outcome) {
   const std::uint64_t id = call.id;
+  call.check_timer.reset();
   call.timer = std::make_unique<Timer>(loop, [this, id, outcome] {
     const auto found = calls.find(id);
     if (found == calls.end())
@@ -275,6 +267,17 @@
                                                   : HttpOutcome::kTimedOut);
 }
 
+void HttpClient::Impl::TimeOutCheck(std::uint64_t id) {
+  Complete(*calls.at(id).connection, HttpOutcome::kNotConnected);
+}
+
+// Returns the outcome of a call whose connection sends no usable response. The
+// request itself follows only after the check.
+HttpOutcome HttpClient::Impl::OutcomeOfMalformedResponse(const Call& call) {
+  return call.request_after_check ? HttpOutcome::kNotConnected
+                                  : HttpOutcome::kMalformed;
+}
+
 HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
     : impl_(std::make_unique<Impl>(loop, options)) {}
 
--- a/Libraries/LibLoop/http_client_connections.cc
+++ b/Libraries/LibLoop/http_client_connections.cc
@@ -89,8 +89,7 @@
     return nullptr;
   }
   SetSocketOptions(fd, options.unacknowledged_timeout);
-  auto* connection = new Connection{
-      .client = this, .address = address, .opened_at = loop.Now()};
+  auto* connection = new Connection{.client = this, .address = address};
   connection->parser.max_body_bytes = options.max_response_bytes;
   // Callbacks are deferred, so that a connection attempt that fails immediately
   // is not reported before the call is attached to the connection.
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -32,7 +32,6 @@
     Call* call = nullptr;
     ResponseParser parser;
     bool connected = false;
-    TimePoint opened_at;     // Start of the connection attempt.
     TimePoint connected_at;  // Set with `connected`.
     bool check_sent = false;
     bool check_passed = false;      // The response to the check was accepted.
@@ -72,7 +71,8 @@
     std::optional<ConnectionCheck> check;
     // Set while the call waits for the response to the check.
     std::optional<HttpRequest> request_after_check;
-    std::uint32_t checks = 0;  // Sent for this call.
+    std::unique_ptr<Timer> check_timer;  // Set with `request_after_check`.
+    std::uint32_t checks = 0;            // Sent for this call.
   };
 
   Impl(EventLoop& event_loop, HttpClientOptions client_options)
@@ -105,6 +105,8 @@
   void Complete(Connection& connection, HttpOutcome outcome);
   void ScheduleCompletion(Call& call, HttpOutcome outcome);
   void TimeOutCall(std::uint64_t id);
+  void TimeOutCheck(std::uint64_t id);
+  static HttpOutcome OutcomeOfMalformedResponse(const Call& call);
   // Extends the deadline of a call whose response is arriving. Returns whether
   // it did.
   bool ExtendDeadline(Call& call);
@@ -126,7 +128,6 @@
   std::uint64_t DiscardedBytes(const Connection& connection) const;
   bool IsResponseToCall(const Connection& connection) const;
   void HandleEvent(Connection& connection, short what);
-  void SetConnectedTimeout(Connection& connection);
   void ReturnToIdle(Connection& connection, Duration usable);
   void Close(Connection& connection);
 };
--- a/Tests/LibLoop/http_client_fixture.h
+++ b/Tests/LibLoop/http_client_fixture.h
@@ -3,6 +3,7 @@
 #ifndef CICADADRUM_TESTS_LIBLOOP_HTTP_CLIENT_FIXTURE_H_
 #define CICADADRUM_TESTS_LIBLOOP_HTTP_CLIENT_FIXTURE_H_
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -27,9 +28,10 @@
   ScriptedServer server;
   HttpClient client;
 
-  explicit ClientFixture(std::vector<ScriptedResponse> responses)
-      : server(loop, std::move(responses)),
-        client(loop, {.echoed_header = "Request-Id"}) {}
+  explicit ClientFixture(
+      std::vector<ScriptedResponse> responses,
+      const HttpClientOptions& options = {.echoed_header = "Request-Id"})
+      : server(loop, std::move(responses)), client(loop, options) {}
 
   // Sends a request and runs the loop until its outcome is known.
   std::pair<HttpOutcome, HttpResponse> Call(const std::string& id) {
@@ -37,13 +39,17 @@
     return Call(request);
   }
 
-  std::pair<HttpOutcome, HttpResponse> Call(const HttpRequest& request) {
+  std::pair<HttpOutcome, HttpResponse> Call(
+      const HttpRequest& request,
+      const std::optional<ConnectionCheck>& check = std::nullopt) {
     std::pair<HttpOutcome, HttpResponse> result;
-    client.Send(server.address(), request, loop.Now() + kCallTimeout,
-                [&](HttpOutcome outcome, HttpResponse response) {
-                  result = {outcome, std::move(response)};
-                  loop.Stop();
-                });
+    client.Send(
+        server.address(), request, loop.Now() + kCallTimeout,
+        [&](HttpOutcome outcome, HttpResponse response) {
+          result = {outcome, std::move(response)};
+          loop.Stop();
+        },
+        check);
     loop.Run();
     return result;
   }
--- a/Tests/LibLoop/scripted_server.h
+++ b/Tests/LibLoop/scripted_server.h
@@ -70,6 +70,8 @@
   const std::string& address() const { return address_; }
   std::size_t connection_count() const { return accepted_; }
   std::size_t request_count() const { return next_; }
+  // Requests with a complete head, in the order of arrival.
+  const std::vector<std::string>& requests() const { return requests_; }
   std::size_t received_bytes() const { return received_bytes_; }
   // Connections that are open on the server's side.
   std::size_t open_count() const { return connections_.size(); }
@@ -112,7 +114,9 @@
     if (RespondOutsideList(connection))
       return;
     received_bytes_ += evbuffer_get_length(input);
-    evbuffer_drain(input, evbuffer_get_length(input));
+    std::string& request =
+        requests_.emplace_back(evbuffer_get_length(input), 0);
+    evbuffer_remove(input, request.data(), request.size());
     if (next_ == responses_.size())
       return;
     const ScriptedResponse& response = responses_[next_++];
@@ -174,6 +178,7 @@
   // Responses outside the list, by the begin of their requests.
   std::map<std::string, std::string> constant_responses_;
   std::size_t next_ = 0;
+  std::vector<std::string> requests_;
   std::size_t accepted_ = 0;
   std::size_t received_bytes_ = 0;  // Of requests with a complete head.
   EventLoop& loop_;
