--- a/Tests/Platform/test_http_codec.cc
+++ b/Tests/Platform/test_http_codec.cc
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "headers.h"
 #include "http_codec.h"
@@ -124,4 +126,66 @@
   CHECK(!Decode(200, {}).limit);
 }
 
+// Guards against a check of a connection that is not the one of the attempt.
+TEST_CASE("the check of an attempt asks for the health path") {
+  CHECK(!EncodeColdCheck({}));
+  const auto check = EncodeColdCheck(
+      {.server = "s-1", .cold_check = {{"/health", Seconds(3)}}});
+  REQUIRE(check);
+  CHECK(check->request.method == HttpMethod::kGet);
+  CHECK(check->request.target == "/health");
+  CHECK(check->request.headers.empty());
+  CHECK(check->sufficient_age == Seconds(3));
+  CHECK(check->accepts({.headers = {{std::string(kServerId), "s-1"}}}));
+  CHECK(!check->accepts({.headers = {{std::string(kServerId), "s-2"}}}));
+}
+
+// Guards against a cold server that is taken to be warm, against a warm one
+// that gets no requests, and against the cold time of another server.
+TEST_CASE("a health response states whether its server is cold") {
+  using routing::ServerOutcome;
+  const std::string id(kServerId);
+  const std::string cold(kColdLeft);
+  const std::string not_run(kNotRun);
+  struct Case {
+    std::uint16_t status = 200;
+    HttpFields headers;
+    std::optional<ServerOutcome> outcome;  // None if the check is passed.
+    Duration cold_left{};
+  };
+  const std::vector<Case> cases = {
+      {200, {{id, "s-1"}}, {}},
+      {200, {}, {}},
+      {200, {{id, "s-1"}, {cold, "0"}}, {}},
+      {200, {{id, "s-1"}, {cold, "-5"}}, {}},
+      {200, {{id, "s-1"}, {cold, "soon"}}, {}},
+      {200, {{id, "s-1"}, {cold, "nan"}}, {}},
+      // A server that is leaving or fails may still be used.
+      {503, {{id, "s-1"}}, {}},
+      {200, {{id, "s-1"}, {cold, "1"}}, ServerOutcome::kCold, Milliseconds(1)},
+      {503, {{id, "s-1"}, {cold, "9"}}, ServerOutcome::kCold, Milliseconds(9)},
+      {200, {{cold, "2988.5"}}, ServerOutcome::kCold, Microseconds(2'988'500)},
+      {200, {{cold, "1e300"}}, ServerOutcome::kCold, Seconds(86'400)},
+      {200, {{id, "s-2"}}, ServerOutcome::kWrongServer},
+      {200, {{id, "s-2"}, {cold, "9"}}, ServerOutcome::kWrongServer},
+      {503, {{id, "s-2"}, {not_run, "1"}}, ServerOutcome::kWrongServer},
+      {503, {{not_run, "1"}}, ServerOutcome::kRejected},
+      {503, {{id, "s-1"}, {not_run, "1"}}, ServerOutcome::kRejected},
+  };
+  for (const Case& health : cases) {
+    CAPTURE(health.status);
+    CAPTURE(&health - cases.data());
+    const HttpResponse response{.status = health.status,
+                                .headers = health.headers};
+    CHECK(PassesColdCheck("s-1", response) == !health.outcome);
+    if (!health.outcome)
+      continue;
+    const routing::AttemptEnded ended =
+        DecodeResponse({.server = "s-1"}, HttpOutcome::kCheckFailed, response);
+    CHECK(ended.outcome == *health.outcome);
+    CHECK(ended.cold_left == health.cold_left);
+    CHECK(routing::ProvesNotRun(ended.outcome));
+  }
+}
+
 }  // namespace cicadadrum::platform
