Tests/LibRouting: Check connections in the simulated front end

Cause: RestartWorld sent requests on any connection, whatever SendAttempt::cold_check said, and nothing showed what the checks cost where no server is flooded. Change: the simulated front end checks connections as HttpClient does, and the answers of a span of time are counted.

--- a/Tests/LibRouting/restart_world.cc
+++ b/Tests/LibRouting/restart_world.cc
@@ -17,6 +17,7 @@
 constexpr Duration kRowLifetime = kHeartbeat * 3;
 constexpr Duration kIdleClose = Seconds(10);
 constexpr Duration kHandshake = Milliseconds(1);
+constexpr Duration kHealthTime = Milliseconds(6);
 constexpr Duration kMemberLossTime = Seconds(3);
 constexpr Duration kWork = Milliseconds(540);
 constexpr double kCachedWorkShare = 0.3;
@@ -57,6 +58,7 @@
       .routes = {MakeRoute("read", RouteKind::kSafe, "desk"),
                  MakeRoute("write", RouteKind::kUnsafe, "desk")},
       .services = {{.name = "desk",
+                    .health_path = "/health",
                     .cold_time = kColdTime,
                     .cold_requests_per_second = cold_requests_per_second}}};
   for (Route& route : configuration.routes) {
@@ -68,6 +70,17 @@
 
 }  // namespace
 
+double AnswerCounts::Share() const {
+  return static_cast<double>(latencies.size()) /
+         static_cast<double>(std::max<std::size_t>(arrived, 1));
+}
+
+Duration AnswerCounts::Median() const {
+  std::vector<Duration> sorted = latencies;
+  std::sort(sorted.begin(), sorted.end());
+  return sorted.empty() ? Duration::max() : sorted[sorted.size() / 2];
+}
+
 RestartWorld::RestartWorld(const RestartWorldOptions& options)
     : options_(options), random_{options.seed}, now_(kStart) {
   servers_.resize(options.servers);
@@ -114,9 +127,7 @@
   backend.cached.clear();
   for (auto& [request, attempt] : attempts_) {
     if (attempt.server == server && attempt.phase == Phase::kRunning)
-      End({request, attempt.number}, attempt.is_reused
-                                         ? ServerOutcome::kLostUnused
-                                         : ServerOutcome::kLost);
+      End({request, attempt.number}, LossOf(attempt));
   }
   // Some entry VMs notice the end of an idle connection only at its next use.
   for (Entry& entry : entries_) {
@@ -137,6 +148,28 @@
     RestartServer(i, down);
 }
 
+void RestartWorld::LoseConnection(std::size_t server) {
+  for (const auto& [request, attempt] : attempts_) {
+    if (attempt.server != server || attempt.phase != Phase::kRunning)
+      continue;
+    --servers_[server].running;
+    return End({request, attempt.number}, LossOf(attempt));
+  }
+}
+
+void RestartWorld::DropIdleConnections(std::size_t server) {
+  for (Entry& entry : entries_) {
+    // No incarnation has the number 0, so the next use fails.
+    for (Connection& connection : entry.idle[server])
+      connection.incarnation = 0;
+  }
+}
+
+void RestartWorld::CountAnswers(TimePoint begin, TimePoint end) {
+  count_from_ = begin;
+  count_until_ = end;
+}
+
 void RestartWorld::RestartEntry(std::size_t entry, Duration down) {
   std::vector<std::uint64_t> ended;
   for (const auto& [request, attempt] : attempts_) {
@@ -248,6 +281,10 @@
   const double position = std::pow(RandomUnit(random_), 1 / (1 - kObjectSkew));
   const bool is_write = RandomUnit(random_) < kWriteShare;
   const std::uint64_t request = next_request_++;
+  if (now_ >= count_from_ && now_ < count_until_) {
+    counted_[request] = now_;
+    ++answers_.arrived;
+  }
   Step(entry,
        RequestArrived{
            .request = request,
@@ -270,6 +307,11 @@
   Entry& from = entries_[entry];
   if (const auto* send = std::get_if<SendAttempt>(&action))
     BeginAttempt(entry, *send);
+  if (const auto* delivered = std::get_if<DeliverResponse>(&action)) {
+    const auto counted = counted_.find(delivered->request);
+    if (counted != counted_.end())
+      answers_.latencies.push_back(now_ - counted->second);
+  }
   if (const auto* cancel = std::get_if<CancelAttempt>(&action))
     Abandon(cancel->request);
   if (const auto* share = std::get_if<ShareObservations>(&action)) {
@@ -296,10 +338,15 @@
 
 void RestartWorld::BeginAttempt(std::size_t entry, const SendAttempt& send) {
   const std::size_t server = std::stoul(send.address);
-  Attempt attempt{.entry = entry, .number = send.attempt, .server = server};
+  Attempt attempt{.entry = entry,
+                  .number = send.attempt,
+                  .server = server,
+                  .is_unsafe = send.inputs.kind == RouteKind::kUnsafe};
+  if (options_.checks_connections)
+    attempt.check = send.cold_check;
   std::optional<Connection> idle;
   if (!send.fresh_connection)
-    idle = TakeIdle(entry, server);
+    idle = TakeIdle(attempt);
   attempt.is_reused = idle.has_value();
   attempt.connection = idle.value_or(Connection{});
   attempts_[send.request] = attempt;
@@ -319,8 +366,25 @@
   const Backend& backend = servers_[attempt->server];
   if (!backend.up)
     return End(key, ServerOutcome::kNotSent);
-  attempt->connection.incarnation = backend.incarnation;
-  At(now_ + OneWay(*attempt) * 2 + kHandshake, [=, this] { Receive(key); });
+  const Duration one_way = OneWay(*attempt);
+  attempt->connection = {.incarnation = backend.incarnation,
+                         .opened_at = now_ + one_way + kHandshake};
+  At(now_ + one_way * 2 + kHandshake, [=, this] { CheckConnection(key); });
+}
+
+void RestartWorld::CheckConnection(AttemptKey key) {
+  Attempt* attempt = Find(key);
+  if (attempt == nullptr)
+    return;
+  if (!NeedsCheck(*attempt, attempt->connection))
+    return Receive(key);
+  const Backend& backend = servers_[attempt->server];
+  if (!backend.up || attempt->connection.incarnation != backend.incarnation)
+    return End(key, ServerOutcome::kNotSent);
+  if (IsCold(backend))
+    return End(key, ServerOutcome::kCold);
+  attempt->connection.check_passed = true;
+  At(now_ + kHealthTime + OneWay(*attempt) * 2, [=, this] { Receive(key); });
 }
 
 void RestartWorld::Receive(AttemptKey key) {
@@ -329,8 +393,7 @@
     return;
   Backend& backend = servers_[attempt->server];
   if (!backend.up || attempt->connection.incarnation != backend.incarnation)
-    return End(key, attempt->is_reused ? ServerOutcome::kLostUnused
-                                       : ServerOutcome::kLost);
+    return End(key, LossOf(*attempt));
   CountArrival(attempt->server);
   ++backend.running;
   attempt->phase = Phase::kRunning;
@@ -365,6 +428,8 @@
   attempt.phase = Phase::kEnded;
   AttemptEnded end{
       .request = key.first, .attempt = key.second, .outcome = outcome};
+  if (outcome == ServerOutcome::kCold)
+    end.cold_left = servers_[attempt.server].started_at + kColdTime - now_;
   if (outcome == ServerOutcome::kSucceeded) {
     const std::size_t running = servers_[attempt.server].running;
     const std::size_t in_slots = std::min(running, options_.slots);
@@ -381,9 +446,15 @@
     return;
   const Attempt attempt = *found;
   attempts_.erase(key.first);
-  if (end.report)
-    entries_[attempt.entry].idle[attempt.server].push_back(
-        {attempt.connection.incarnation, now_});
+  const bool is_lost = end.outcome == ServerOutcome::kLost ||
+                       end.outcome == ServerOutcome::kLostUnused;
+  if (is_lost && attempt.is_unsafe && counted_.contains(key.first))
+    ++answers_.unsafe_losses;
+  if (end.report || end.outcome == ServerOutcome::kCold) {
+    Connection idle = attempt.connection;
+    idle.idle_since = now_;
+    entries_[attempt.entry].idle[attempt.server].push_back(idle);
+  }
   Step(attempt.entry, end);
 }
 
@@ -405,20 +476,33 @@
   return &found->second;
 }
 
+bool RestartWorld::NeedsCheck(const Attempt& attempt,
+                              const Connection& connection) const {
+  return attempt.check && !connection.check_passed &&
+         now_ - connection.opened_at < attempt.check->cold_time;
+}
+
+// Returns the connection that was used last.
 std::optional<RestartWorld::Connection> RestartWorld::TakeIdle(
-    std::size_t entry,
-    std::size_t server) {
-  auto& idle = entries_[entry].idle[server];
+    const Attempt& attempt) {
+  auto& idle = entries_[attempt.entry].idle[attempt.server];
   std::erase_if(idle, [&](const Connection& connection) {
     return now_ - connection.idle_since >= kIdleClose;
   });
-  if (idle.empty())
+  const auto found = std::find_if(
+      idle.rbegin(), idle.rend(),
+      [&](const Connection& other) { return !NeedsCheck(attempt, other); });
+  if (found == idle.rend())
     return std::nullopt;
-  const Connection last = idle.back();
-  idle.pop_back();
+  const Connection last = *found;
+  idle.erase(std::next(found).base());
   return last;
 }
 
+ServerOutcome RestartWorld::LossOf(const Attempt& attempt) {
+  return attempt.is_reused ? ServerOutcome::kLostUnused : ServerOutcome::kLost;
+}
+
 Duration RestartWorld::OneWay(const Attempt& attempt) const {
   const std::string& from = entries_[attempt.entry].domain;
   const std::string& to = servers_[attempt.server].domain;
--- a/Tests/LibRouting/restart_world.h
+++ b/Tests/LibRouting/restart_world.h
@@ -32,6 +32,9 @@
   // Time from the write of a row until an entry VM has it.
   Duration min_row_lag = Milliseconds(300);
   Duration max_row_lag = Milliseconds(2500);
+  // Whether the front end does what SendAttempt::cold_check says. If not, it
+  // sends requests on any connection.
+  bool checks_connections = true;
   std::uint64_t seed = 1;
 };
 
@@ -45,6 +48,17 @@
   TimePoint at{};  // End of that second.
 };
 
+// What became of the requests that arrived in a span of time.
+struct AnswerCounts {
+  std::size_t arrived = 0;
+  // Lost attempts of requests that can't be repeated.
+  std::size_t unsafe_losses = 0;
+  std::vector<Duration> latencies;  // Of the requests that were answered.
+
+  double Share() const;
+  Duration Median() const;
+};
+
 class RestartWorld {
  public:
   explicit RestartWorld(const RestartWorldOptions& options);
@@ -53,6 +67,10 @@
   void RestartServer(std::size_t server, Duration down);
   // Restarts every third server.
   void RestartThird(Duration down);
+  // Closes the connection of one of the server's requests.
+  void LoseConnection(std::size_t server);
+  // Closes all idle connections to the server without notice.
+  void DropIdleConnections(std::size_t server);
   // Restarts the entry VM's process without state.
   void RestartEntry(std::size_t entry, Duration down);
   // Cuts the entry VM from the other ones and from the store, but not from
@@ -64,7 +82,11 @@
   void At(TimePoint at, std::function<void()> action);
   void RunUntil(TimePoint end);
 
+  // Counts the requests that arrive from `begin` until `end`.
+  void CountAnswers(TimePoint begin, TimePoint end);
+
   TimePoint now() const { return now_; }
+  const AnswerCounts& answers() const { return answers_; }
   const RestartWorldOptions& options() const { return options_; }
   const ColdPeak& cold_peak() const { return cold_peak_; }
   // Requests that arrived at cold servers.
@@ -80,7 +102,9 @@
 
   struct Connection {
     std::uint64_t incarnation = 0;
+    TimePoint opened_at{};
     TimePoint idle_since{};
+    bool check_passed = false;
   };
 
   // The current attempt of a request.
@@ -89,6 +113,8 @@
     std::uint32_t number = 0;
     std::size_t server = 0;
     Connection connection;
+    std::optional<ColdCheck> check;
+    bool is_unsafe = false;
     bool is_reused = false;
     Phase phase = Phase::kOnWay;
   };
@@ -129,6 +155,7 @@
   void Perform(std::size_t entry, const RoutingAction& action);
   void BeginAttempt(std::size_t entry, const SendAttempt& send);
   void Connect(AttemptKey key);
+  void CheckConnection(AttemptKey key);
   void Receive(AttemptKey key);
   void CountArrival(std::size_t server);
   void Finish(AttemptKey key);
@@ -137,7 +164,9 @@
   void ReportEnd(AttemptKey key, AttemptEnded end);
   void Abandon(std::uint64_t request);
   Attempt* Find(AttemptKey key);
-  std::optional<Connection> TakeIdle(std::size_t entry, std::size_t server);
+  bool NeedsCheck(const Attempt& attempt, const Connection& connection) const;
+  std::optional<Connection> TakeIdle(const Attempt& attempt);
+  static ServerOutcome LossOf(const Attempt& attempt);
   Duration OneWay(const Attempt& attempt) const;
   Duration WorkOn(Backend& backend, std::uint64_t object);
   Duration RandomLag();
@@ -153,6 +182,10 @@
   std::map<std::size_t, ServerEntry> listed_;  // Rows that a new list has.
   std::map<std::uint64_t, Attempt> attempts_;  // By request.
   std::uint64_t next_request_ = 1;
+  TimePoint count_from_ = kNever;
+  TimePoint count_until_ = kNever;
+  std::map<std::uint64_t, TimePoint> counted_;  // Arrivals by request.
+  AnswerCounts answers_;
   ColdPeak cold_peak_;
   std::size_t cold_requests_ = 0;
 };
