LibRouting: Keep the shares of lost entry VMs for 20 s after their loss

Callers of a cold server's service lost requests to a server that was flooded after a cut between entry VMs.

- The size of the fleet was kept for 20 s from its last rise, not from the loss.
In a fleet that had not changed for 20 s, every entry VM divided the bounds by the members on its own side of a cut at once.
Without another change after the loss, on the other hand, lost members counted for ever.
- With a share below one request, the entry VM's place in the server's order was counted among the live members only.
On each side of a cut the places of the other side were taken again.

Each lost member is now remembered with the time of its loss. It counts for the size and for the order until 20 s after it, and no longer. While a cut lasts less, the entry VMs that may send are those of before it, so their sum does not grow.

The fixture of the server limits renames its entry VM and left the old name among the members, which would count as a loss; it now replaces the member. Its checks are unchanged.

--- a/Libraries/LibRouting/fleet_shares.cc
+++ b/Libraries/LibRouting/fleet_shares.cc
@@ -3,6 +3,7 @@
 #include "fleet_shares.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "cicadadrum/base/hash.h"
 
@@ -14,8 +15,12 @@
 // Until then, the number of entry VMs that share a bound is unverified.
 constexpr Duration kFleetDiscoveryTime = Seconds(3);
 
-// How long members that are no longer live count towards the fleet size.
-constexpr Duration kFleetSizeRetention = Seconds(20);
+// How long members that are no longer live keep their shares.
+constexpr Duration kLostMemberRetention = Seconds(20);
+
+bool KeepsShare(TimePoint lost_at, TimePoint now) {
+  return now - lost_at < kLostMemberRetention;
+}
 
 }  // namespace
 
@@ -23,31 +28,47 @@
   return now - state.started_at < kFleetDiscoveryTime;
 }
 
-double EffectiveFleetSize(const RoutingState& state) {
-  return static_cast<double>(std::max(state.fleet_size, state.members.size()));
+double EffectiveFleetSize(const RoutingState& state, TimePoint now) {
+  const auto lost = std::count_if(
+      state.lost_members.begin(), state.lost_members.end(),
+      [&](const auto& member) { return KeepsShare(member.second, now); });
+  return static_cast<double>(state.members.size()) + static_cast<double>(lost);
 }
 
 std::uint64_t MemberScore(const Server& server, const std::string& member) {
   return RendezvousScore(server.entry.id, member);
 }
 
-std::size_t RankForServer(const RoutingState& state, const Server& server) {
+std::size_t RankForServer(const RoutingState& state,
+                          const Server& server,
+                          TimePoint now) {
   const std::uint64_t own_score = MemberScore(server, state.options.name);
-  return static_cast<std::size_t>(
+  const auto live =
       std::count_if(state.members.begin(), state.members.end(),
                     [&](const FleetMember& member) {
                       return MemberScore(server, member.name) > own_score;
-                    }));
+                    });
+  const auto lost =
+      std::count_if(state.lost_members.begin(), state.lost_members.end(),
+                    [&](const auto& member) {
+                      return KeepsShare(member.second, now) &&
+                             MemberScore(server, member.first) > own_score;
+                    });
+  return static_cast<std::size_t>(live + lost);
 }
 
-void UpdateFleetSize(RoutingState& state, TimePoint now) {
+void UpdateMembers(RoutingState& state,
+                   std::vector<FleetMember> members,
+                   TimePoint now) {
   ++state.members_version;
-  const bool is_expired =
-      now - state.fleet_size_updated_at >= kFleetSizeRetention;
-  if (state.members.size() < state.fleet_size && !is_expired)
-    return;
-  state.fleet_size = state.members.size();
-  state.fleet_size_updated_at = now;
+  for (const FleetMember& member : state.members)
+    state.lost_members.emplace(member.name, now);
+  for (const FleetMember& member : members)
+    state.lost_members.erase(member.name);
+  std::erase_if(state.lost_members, [&](const auto& member) {
+    return !KeepsShare(member.second, now);
+  });
+  state.members = std::move(members);
 }
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/fleet_shares.h
+++ b/Libraries/LibRouting/fleet_shares.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "cicadadrum/routing/routing.h"
 
@@ -15,18 +16,22 @@
 
 // Returns the number of entry VMs that may send requests: the live members, and
 // for a while those that were live before.
-double EffectiveFleetSize(const RoutingState& state);
+double EffectiveFleetSize(const RoutingState& state, TimePoint now);
 
 // Returns the member's score in the server's rendezvous order.
 std::uint64_t MemberScore(const Server& server, const std::string& member);
 
 // Returns the position of this entry VM in the server's rendezvous order of the
-// live entry VMs.
-std::size_t RankForServer(const RoutingState& state, const Server& server);
-
-// Updates the number of members that share the fleet bounds after a change of
-// the members.
-void UpdateFleetSize(RoutingState& state, TimePoint now);
+// entry VMs that may send requests. It does not fall when others are lost, so
+// the sides of a cut do not use the same places.
+std::size_t RankForServer(const RoutingState& state,
+                          const Server& server,
+                          TimePoint now);
+
+// Replaces the live entry VMs.
+void UpdateMembers(RoutingState& state,
+                   std::vector<FleetMember> members,
+                   TimePoint now);
 
 }  // namespace cicadadrum::routing
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -202,10 +202,10 @@
   std::vector<FleetMember> members;         // Live entry VMs with this one.
   std::uint64_t members_version = 0;        // Rises when `members` changes.
   ObservationSharing sharing;
-  // Largest recent number of members. Fleet bounds are divided by this number,
-  // because members that have become unreachable may still send requests.
-  std::size_t fleet_size = 1;
-  TimePoint fleet_size_updated_at{};
+  // Time of the loss of each entry VM that is no longer live. For a while it
+  // keeps its share of the fleet bounds, because it may still send requests.
+  // Invariant: contains no name of `members`.
+  std::map<std::string, TimePoint> lost_members;
   TimePoint started_at = kNever;  // Time of the first event.
   std::unordered_map<std::uint64_t, RequestState> requests;  // By id.
   // Deadline and id of each request in progress.
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -203,14 +203,14 @@
        bounds.cold_extra) *
       kBoundUseShare;
   const double entry_allowance =
-      std::floor(fleet_allowance / EffectiveFleetSize(state));
+      std::floor(fleet_allowance / EffectiveFleetSize(state, now));
   RemoveUpTo(server.recent_sends, now - kColdRateWindow);
   const auto sent = static_cast<double>(server.recent_sends.size());
   if (entry_allowance >= 1)
     return sent < entry_allowance;
   // The bound allows less than one request for each entry VM, so only some of
   // the entry VMs may use the server.
-  return sent < 1 && static_cast<double>(RankForServer(state, server)) <
+  return sent < 1 && static_cast<double>(RankForServer(state, server, now)) <
                          std::floor(fleet_allowance);
 }
 
@@ -239,9 +239,10 @@
                        TimePoint now) {
   const FleetBounds& bounds = state.options.bounds;
   const ServiceState& current = state.services.at(service);
-  const double extra = IsFleetSizeUnverified(state, now)
-                           ? 0
-                           : bounds.retry_extra / EffectiveFleetSize(state);
+  const double extra =
+      IsFleetSizeUnverified(state, now)
+          ? 0
+          : bounds.retry_extra / EffectiveFleetSize(state, now);
   const double allowed =
       (current.requests_in_window * bounds.retry_ratio + extra) *
       kBoundUseShare;
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -236,8 +236,7 @@
            const MembersChanged& event,
            TimePoint now,
            RoutingActions& /*actions*/) {
-  state.members = event.entries;
-  UpdateFleetSize(state, now);
+  UpdateMembers(state, event.entries, now);
   UpdateReceivers(state);
 }
 
--- a/Libraries/LibRouting/server_limit.cc
+++ b/Libraries/LibRouting/server_limit.cc
@@ -85,7 +85,7 @@
     return limit.requests_per_second / kAssumedMembers;
   // Members that are no longer live may still send requests.
   return limit.share_per_second * static_cast<double>(state.members.size()) /
-         EffectiveFleetSize(state);
+         EffectiveFleetSize(state, now);
 }
 
 Duration FromSeconds(double seconds) {
@@ -99,8 +99,8 @@
                     TimePoint now) {
   const double rate =
       kRechecksPerSecond + kRecheckShare * server.limit->requests_per_second;
-  const Duration period =
-      std::max(kMinRecheckTime, FromSeconds(EffectiveFleetSize(state) / rate));
+  const Duration period = std::max(
+      kMinRecheckTime, FromSeconds(EffectiveFleetSize(state, now) / rate));
   const Duration phase(
       static_cast<std::int64_t>(MemberScore(server, state.options.name) %
                                 static_cast<std::uint64_t>(period.count())));
--- a/Tests/LibRouting/test_choice.cc
+++ b/Tests/LibRouting/test_choice.cc
@@ -297,6 +297,68 @@
   CHECK(sent_in_a_second() > 3);
 }
 
+// Guards against a cut in a fleet that has not changed for a long time, and
+// against lost members that count until the next change.
+TEST_CASE("members keep their share for a while, however long they were live") {
+  ServerEntry cold = MakeServer("s1");
+  cold.cold_left = Seconds(600);
+  RoutingFixture fixture({cold});
+  fixture.Step(Members({"entry-1", "entry-2", "entry-3", "entry-4"}));
+  const auto sent_in_a_second = [&] {
+    const std::size_t before = fixture.sent.size();
+    for (std::uint64_t object = 1; object <= 30; ++object)
+      fixture.Serve("read", object, Milliseconds(30));
+    return fixture.sent.size() - before;
+  };
+  fixture.now += Seconds(100);
+  fixture.Step(Members({"entry-1"}));
+  CHECK(sent_in_a_second() == 3);
+  fixture.now += Seconds(20);
+  CHECK(sent_in_a_second() > 3);
+}
+
+// Guards against both sides of a cut that take the places of the other side,
+// and against lost members whose places others take beside them.
+TEST_CASE("the sides of a cut together send what a cold server tolerates") {
+  constexpr double kTolerated = 10 * 1.5 + 5;
+  for (const std::size_t size : {9, 11, 74, 76, 195}) {
+    CAPTURE(size);
+    ServerEntry cold = MakeServer("s1");
+    cold.cold_left = Seconds(600);
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < size; ++i)
+      names.push_back("entry-" + std::to_string(i));
+    const auto middle = names.begin() + static_cast<std::ptrdiff_t>(size / 2);
+    const std::vector<std::string> sides[] = {{names.begin(), middle},
+                                              {middle, names.end()}};
+    std::size_t sent = 0;
+    std::size_t sent_later = 0;
+    for (const std::vector<std::string>& side : sides) {
+      for (const std::string& name : side) {
+        RoutingFixture fixture({cold});
+        fixture.state.options.name = name;
+        fixture.Step(Members(names));
+        fixture.now += Seconds(30);
+        const auto send_many = [&] {
+          const std::size_t before = fixture.sent.size();
+          for (std::uint64_t object = 1; object <= 10; ++object)
+            fixture.Serve("read", object, Milliseconds(1));
+          return fixture.sent.size() - before;
+        };
+        const std::size_t before_cut = send_many();
+        fixture.Step(Members(side));
+        sent += before_cut + send_many();
+        fixture.now += Seconds(20);
+        sent_later += send_many();
+      }
+    }
+    CHECK(static_cast<double>(sent) <= kTolerated);
+    CHECK(sent >= 8);
+    // Members that stay away do not hold back cold servers.
+    CHECK(sent_later > sent);
+  }
+}
+
 TEST_CASE("requests are split between services by weight") {
   RoutingFixture fixture({MakeServer("s1")});
   ServerEntry other = MakeServer("t1");
--- a/Tests/LibRouting/test_server_limit.cc
+++ b/Tests/LibRouting/test_server_limit.cc
@@ -45,6 +45,7 @@
       entries.back()->state.options.name = member.name;
       entries.back()->state.options.region = member.region;
       entries.back()->state.options.failure_domain = member.failure_domain;
+      entries.back()->state.members = {member};
       entries.back()->Step(members);
     }
   }
