LibSteering: Let a server at another address warm up

A server whose row names another address under the same name is another process, with cold caches. The pool kept the state and the full limit of the process before it, so the new one received as many requests at once as it has slots. It now starts with a limit of one request, like a server that is listed again after it left. Both cases also forget the successes and the slowness of the process before.

Test before the fix, a server with 6 slots:

ERROR: CHECK( granted == 1 ) is NOT correct! values: CHECK( 6 == 1 )

After it: TestSteering, 35 test cases passed.

--- a/Libraries/LibSteering/pool_health.cc
+++ b/Libraries/LibSteering/pool_health.cc
@@ -112,14 +112,6 @@
   SetServerState(pool, index, ServerState::kDown, probe_at, now);
 }
 
-void StartWarmup(Pool& pool, std::uint32_t index, TimePoint now) {
-  PoolServer& server = pool.servers[index];
-  server.limit = 1;
-  server.successes = 0;
-  server.slowness = 1;
-  SetServerState(pool, index, ServerState::kWarming, kNever, now);
-}
-
 void FinishProbe(Pool& pool,
                  std::uint32_t index,
                  double sample,
--- a/Libraries/LibSteering/pool_servers.cc
+++ b/Libraries/LibSteering/pool_servers.cc
@@ -251,6 +251,14 @@
 
 }  // namespace
 
+void StartWarmup(Pool& pool, std::uint32_t index, TimePoint now) {
+  PoolServer& server = pool.servers[index];
+  server.limit = 1;
+  server.successes = 0;
+  server.slowness = 1;
+  SetServerState(pool, index, ServerState::kWarming, kNever, now);
+}
+
 ServerChoice ChooseServer(const Pool& pool,
                           const SlotRequest& request,
                           TimePoint now) {
@@ -340,6 +348,7 @@
                   TimePoint now) {
   PoolServer& server = pool.servers[index];
   const bool was_leaving = server.state == ServerState::kLeaving;
+  const bool is_replaced = description.address != server.description.address;
   const bool slots_increased = description.slots > server.description.slots;
   server.listed = true;
   server.description = description;
@@ -348,10 +357,8 @@
     server.limit = description.slots;
   if (description.leaving)
     return SetServerState(pool, index, ServerState::kLeaving, kNever, now);
-  if (was_leaving) {
-    server.limit = 1;
-    return SetServerState(pool, index, ServerState::kWarming, kNever, now);
-  }
+  if (was_leaving || is_replaced)
+    return StartWarmup(pool, index, now);
   RefreshServer(pool, index, now);
 }
 
--- a/Libraries/LibSteering/pool_servers.h
+++ b/Libraries/LibSteering/pool_servers.h
@@ -19,6 +19,10 @@
                     TimePoint probe_at,
                     TimePoint now);
 
+// Lets a server that is cold accept one request at a time, and more as requests
+// succeed.
+void StartWarmup(Pool& pool, std::uint32_t index, TimePoint now);
+
 // Result of ChooseServer. `server` is an index in Pool::servers and `probe`
 // tells whether the request serves as a probe; both are valid only if `found`
 // is true.
--- a/Tests/LibSteering/test_pool.cc
+++ b/Tests/LibSteering/test_pool.cc
@@ -271,6 +271,22 @@
   CHECK(granted["new"] == 1);
 }
 
+// Guards against a burst of requests on a process that has replaced the server
+// under its name.
+TEST_CASE("a server at another address starts with a limit of one request") {
+  PoolFixture fixture(1, 6);
+  PoolActions actions;
+  UpdatePoolServers(fixture.pool,
+                    {{.name = "s0", .address = "192.0.2.7:80", .slots = 6}},
+                    fixture.now, actions);
+  std::size_t granted = 0;
+  for (int i = 0; i < 6; ++i)
+    granted +=
+        Grants(fixture.Submit(fixture.MakeRequest(RequestClass::kRoutine)))
+            .size();
+  CHECK(granted == 1);
+}
+
 // Guards against a server that sheds requests and receives as many as before.
 TEST_CASE("a shed request lowers the limit of its server") {
   PoolFixture fixture(1, 4);
