LibSteering: Let new servers warm up at a new owner of their pool

A pool that is created takes the servers of its first list for warm ones. When a pool passed to another entry VM, or received its first request, shortly after a server was listed, the new owner granted all slots of the cold server at once.

An entry VM now remembers for 30 s which servers its list has gained, or has at another address, also for pools that it does not own. A pool that it creates in this time lets these servers warm up. Not covered: an entry VM that has started itself within this time, and a restart that the list does not show.

Test before the fix, a server of 3 slots that was listed 2 s before:

ERROR: CHECK( sent == (is_new ? 1 : 3) ) is NOT correct! values: CHECK( 3 == 1 )

After it: TestSteering, 36 test cases passed.

--- a/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/entry_state.h
@@ -114,6 +114,10 @@
   // Live entry VMs, including this one.
   std::vector<EntryVm> live;
   std::vector<BackendServer> servers;
+  // Time at which each server was listed that the previous list did not have,
+  // or had at another address. A new owner of its pool lets it warm up. Servers
+  // of the first list, and those listed long ago, are not included.
+  std::map<std::string, TimePoint> listed_at;
   // Time of the latest MarksConfirmed.
   TimePoint marks_confirmed_at;
   bool servers_known = false;
--- a/Libraries/LibSteering/include/cicadadrum/steering/pool.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/pool.h
@@ -393,6 +393,10 @@
                        TimePoint now,
                        PoolActions& actions);
 
+// Lets a server of the pool warm up that was listed shortly before the pool was
+// created.
+void WarmUpServer(Pool& pool, const std::string& server, TimePoint now);
+
 // Records a load report as a hint for the choice of servers. A report that is
 // older than 5 s, or not newer than the last one of the server, has no effect.
 void RecordLoadReport(Pool& pool,
--- a/Libraries/LibSteering/pool.cc
+++ b/Libraries/LibSteering/pool.cc
@@ -362,6 +362,13 @@
   AdvancePool(pool, now, actions);
 }
 
+void WarmUpServer(Pool& pool, const std::string& server, TimePoint now) {
+  const auto found = pool.server_index.find(server);
+  if (found != pool.server_index.end() &&
+      pool.servers[found->second].state == ServerState::kReady)
+    StartWarmup(pool, found->second, now);
+}
+
 void RecordLoadReport(Pool& pool,
                       const std::string& name,
                       const LoadReport& report,
--- a/Libraries/LibSteering/pool_flow.cc
+++ b/Libraries/LibSteering/pool_flow.cc
@@ -4,6 +4,8 @@
 #include "pool_flow.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 #include "admission.h"
 #include "cicadadrum/base/hash.h"
@@ -21,6 +23,10 @@
   return (request << kAttemptBits) | attempt;
 }
 
+// Time after which a server that was listed counts as warm to a new owner of
+// its pool.
+constexpr Duration kNewServerTime = Seconds(30);
+
 Pool& FindOrCreatePool(EntryState& state,
                        const PoolKey& key,
                        TimePoint now,
@@ -168,6 +174,10 @@
   PoolActions pool_actions;
   UpdatePoolServers(pool, ServersOf(state, key), now, pool_actions);
   ApplyPoolActions(state, key, std::move(pool_actions), now, actions);
+  for (const auto& [server, listed_at] : state.listed_at) {
+    if (now - listed_at < kNewServerTime)
+      WarmUpServer(pool, server, now);
+  }
   return pool;
 }
 
@@ -215,6 +225,22 @@
   return slot_request;
 }
 
+void RecordNewServers(EntryState& state,
+                      const std::vector<BackendServer>& servers,
+                      TimePoint now) {
+  std::erase_if(state.listed_at, [&](const auto& listed) {
+    return now - listed.second >= kNewServerTime;
+  });
+  std::map<std::string_view, std::string_view> known;
+  for (const BackendServer& server : state.servers)
+    known.emplace(server.name, server.address);
+  for (const BackendServer& server : servers) {
+    const auto found = known.find(server.name);
+    if (found == known.end() || found->second != server.address)
+      state.listed_at[server.name] = now;
+  }
+}
+
 }  // namespace
 
 void RequestAttemptSlot(EntryState& state,
@@ -392,6 +418,8 @@
                   const ServersChanged& changed,
                   TimePoint now,
                   Actions& actions) {
+  if (state.servers_known)
+    RecordNewServers(state, changed.servers, now);
   state.servers = changed.servers;
   state.servers_known = true;
   for (auto& [key, pool] : state.pools) {
--- a/Tests/LibSteering/test_step.cc
+++ b/Tests/LibSteering/test_step.cc
@@ -154,6 +154,28 @@
   }
 }
 
+// Guards against a burst of requests on a cold server after its pool has passed
+// to another owner.
+TEST_CASE("a new owner lets the servers warm up that were listed lately") {
+  for (const bool is_new : {true, false}) {
+    CAPTURE(is_new);
+    Fixture fixture;
+    std::vector<BackendServer> servers = fixture.state.servers;
+    servers.push_back(servers[0]);
+    servers.back().name = "sb-3";
+    fixture.Run(ServersChanged{servers});
+    fixture.now += is_new ? Seconds(2) : Seconds(60);
+    fixture.Run(ServersChanged{servers});
+    int sent = 0;
+    for (std::uint64_t id = 1; id <= 9; ++id) {
+      const Actions actions = fixture.Arrive(id, RequestClass::kUrgent);
+      const auto* send = FindAction<SendToBackend>(actions);
+      sent += send != nullptr && send->server == "sb-3" ? 1 : 0;
+    }
+    CHECK(sent == (is_new ? 1 : 3));
+  }
+}
+
 // Guards against an urgent request that waits for a slow server, against hedges
 // beyond their budget, and against a superseded attempt that continues.
 TEST_CASE("a delayed urgent request is hedged within the budget") {
