LibSteering: Ignore late ends of leases from before a warm-up

A lost connection marks a server as down, and its probe starts a warm-up with a limit of one request. Leases of the crashed process that ended after that still changed the server: a response raised the limit of the cold process, and a loss that another entry VM noticed later marked it as down again. The ends of leases that were granted before the warm-up now change nothing but the count of used slots.

Test before the fix, four leases over a crash:

ERROR: CHECK( fixture.pool.servers[0].limit == 1 ) is NOT correct! values: CHECK( 2 == 1 ) ERROR: CHECK( StateOf(fixture.pool, "s0") == ServerState::kWarming ) is NOT correct!

After it: TestSteering, 37 test cases passed.

--- a/Libraries/LibSteering/include/cicadadrum/steering/pool.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/pool.h
@@ -183,6 +183,8 @@
   std::set<std::uint64_t> leases;  // Numbers of the leases on this server.
   // Adaptive concurrency limit, from 1 to the number of slots.
   std::uint32_t limit = 1;
+  // Leases that were granted earlier say nothing about the present process.
+  TimePoint warmup_started_at;
   // Number of successful requests since the limit changed.
   std::uint32_t successes = 0;
   // Moving average of latency divided by the median latency of the pool.
--- a/Libraries/LibSteering/pool_health.cc
+++ b/Libraries/LibSteering/pool_health.cc
@@ -222,7 +222,8 @@
     return;
   const std::uint32_t index = found->second;
   const PoolServer& server = pool.servers[index];
-  if (!server.listed || server.state == ServerState::kLeaving)
+  if (!server.listed || server.state == ServerState::kLeaving ||
+      lease.granted_at < server.warmup_started_at)
     return;
   switch (outcome) {
     case AttemptOutcome::kAnswered:
--- a/Libraries/LibSteering/pool_servers.cc
+++ b/Libraries/LibSteering/pool_servers.cc
@@ -253,6 +253,7 @@
 
 void StartWarmup(Pool& pool, std::uint32_t index, TimePoint now) {
   PoolServer& server = pool.servers[index];
+  server.warmup_started_at = now;
   server.limit = 1;
   server.successes = 0;
   server.slowness = 1;
--- a/Tests/LibSteering/test_pool.cc
+++ b/Tests/LibSteering/test_pool.cc
@@ -255,6 +255,32 @@
   CHECK(StateOf(fixture.pool, grant.server) == ServerState::kWarming);
 }
 
+// Guards against requests of a process that has crashed, whose late ends raise
+// the limit of the next one or mark it as down.
+TEST_CASE("late ends of requests do not change a server that has recovered") {
+  PoolFixture fixture(1, 4);
+  std::vector<SlotGrant> granted;
+  for (int i = 0; i < 4; ++i)
+    granted.push_back(
+        Grants(fixture.Submit(fixture.MakeRequest(RequestClass::kRoutine)))
+            .at(0));
+  fixture.now += Milliseconds(100);
+  fixture.Return(granted[0].lease, AttemptOutcome::kConnectionLost);
+  fixture.Advance(Seconds(1));
+  const auto probe =
+      Grants(fixture.Submit(fixture.MakeRequest(RequestClass::kRoutine)));
+  REQUIRE(probe.size() == 1);
+  fixture.now += Milliseconds(100);
+  fixture.Return(probe[0].lease);
+  REQUIRE(StateOf(fixture.pool, "s0") == ServerState::kWarming);
+  fixture.Return(granted[1].lease);
+  CHECK(fixture.pool.servers[0].limit == 1);
+  fixture.Return(granted[2].lease, AttemptOutcome::kConnectionLost);
+  fixture.Return(granted[3].lease, AttemptOutcome::kTimedOut, Seconds(2));
+  CHECK(StateOf(fixture.pool, "s0") == ServerState::kWarming);
+  CHECK(fixture.pool.servers[0].slowness == 1);
+}
+
 // Guards against a burst of requests on a server with cold caches.
 TEST_CASE("a new server starts with a limit of one request") {
   PoolFixture fixture(1, 1);
