--- a/Libraries/LibRouting/advice.cc
+++ b/Libraries/LibRouting/advice.cc
@@ -3,7 +3,6 @@
 #include "advice.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "server_table.h"
 
@@ -15,9 +14,9 @@
 // advice is dropped.
 void KeepUnlisted(RoutingState& state,
                   const ServerIncarnation& incarnation,
-                  UnlistedAdvice advice) {
+                  const UnlistedAdvice& advice) {
   auto& unlisted = state.unlisted_advice;
-  unlisted[incarnation] = std::move(advice);
+  unlisted[incarnation] = advice;
   if (unlisted.size() <= kMaxUnlistedAdvice)
     return;
   unlisted.erase(std::min_element(
@@ -52,7 +51,7 @@
   advice.paused_until = std::max(advice.paused_until, now + end.pause);
   kept.recorded_at = now;
   if (server == nullptr)
-    KeepUnlisted(state, incarnation, std::move(kept));
+    KeepUnlisted(state, incarnation, kept);
 }
 
 void KeepAdvice(RoutingState& state, const Server& server, TimePoint now) {
