--- a/Tests/Platform/test_front.cc
+++ b/Tests/Platform/test_front.cc
@@ -173,14 +173,36 @@
 
 // Guards against marking a server for the one that has its address now.
 TEST_CASE("a 421 with the header of a leaving server marks no server") {
+  SingleEntryDeployment entry;
+  entry.server_two.AnnounceLeaving();
+  // Connections to a cold server are not checked, so the request reaches it.
+  entry.store.Put(
+      "servers", "s-one",
+      entry.server_one.RowAt(entry.server_two.address(), "ready", 3000));
+  REQUIRE(entry.WaitUntil([&] {
+    entry.SendRequest(Request("/read/a", "id-1"));
+    return !entry.server_two.requests().empty();
+  }));
+  entry.store.Put("servers", "s-one", entry.server_one.Row("ready"));
+  CHECK(entry.WaitUntil(
+      [&] {
+        return entry.SendRequest(Request("/read/a", "id-2")).status == 200;
+      },
+      Seconds(3)));
+}
+
+// Guards against marking a server for the one that has its address now, and
+// against requests to that one.
+TEST_CASE("a check that another server answers marks no server") {
   SingleEntryDeployment entry;
   entry.server_two.AnnounceLeaving();
   entry.store.Put("servers", "s-one",
                   entry.server_one.RowAt(entry.server_two.address(), "ready"));
   REQUIRE(entry.WaitUntil([&] {
     entry.SendRequest(Request("/read/a", "id-1"));
-    return !entry.server_two.requests().empty();
+    return entry.server_two.health_check_count() > 0;
   }));
+  CHECK(entry.server_two.requests().empty());
   entry.store.Put("servers", "s-one", entry.server_one.Row("ready"));
   CHECK(entry.WaitUntil(
       [&] {
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -290,8 +290,9 @@
 }
 
 std::string ServerStandIn::RowAt(const std::string& address,
-                                 const std::string& state) const {
-  std::string row = Row(state);
+                                 const std::string& state,
+                                 double cold_ms) const {
+  std::string row = Row(state, cold_ms);
   return row.replace(row.find(address_), address_.size(), address);
 }
 
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -204,7 +204,9 @@
                   std::optional<double> cold_ms = {},
                   std::optional<std::uint64_t> sequence = {}) const;
   // Returns the row with `address`, that of a proxy, instead of the server's.
-  std::string RowAt(const std::string& address, const std::string& state) const;
+  std::string RowAt(const std::string& address,
+                    const std::string& state,
+                    double cold_ms = 0) const;
 
   // Makes the next rows carry a higher sequence, as each heartbeat does.
   void AdvanceSequence() { ++sequence_; }
