LibRouting: Keep the shares of the cold rate for 10 minutes after a loss

Entry VMs that were cut off for more than 20 s took the places of the others in the rate of a cold server, on both sides of the cut: 19 requests of 16.85 in one second with 76 entry VMs, a third of them cut off for 25 s ("entry VMs that are cut off do not flood cold servers").

Lost members now keep their share of this rate for 10 minutes. The shares of the retry budget and of stated limits end after 20 s as before, since callers would wait for them. The price is small: a server is cold for seconds, and 9 entry VMs that have lost 3 give it 6 requests a second in place of 12.

--- a/Libraries/LibRouting/fleet_shares.cc
+++ b/Libraries/LibRouting/fleet_shares.cc
@@ -15,11 +15,21 @@
 // Until then, the number of entry VMs that share a bound is unverified.
 constexpr Duration kFleetDiscoveryTime = Seconds(3);
 
-// How long members that are no longer live keep their shares.
+// How long members that are no longer live keep their shares of a bound.
 constexpr Duration kLostMemberRetention = Seconds(20);
 
-bool KeepsShare(TimePoint lost_at, TimePoint now) {
-  return now - lost_at < kLostMemberRetention;
+// The same for the rate of cold servers. It outlasts a long cut, whose sides
+// may reach the same servers; cold servers lose little by it, since they are
+// cold for seconds.
+constexpr Duration kColdShareRetention = Seconds(600);
+
+std::size_t CountMembers(const RoutingState& state,
+                         Duration retention,
+                         TimePoint now) {
+  const auto lost = std::count_if(
+      state.lost_members.begin(), state.lost_members.end(),
+      [&](const auto& member) { return now - member.second < retention; });
+  return state.members.size() + static_cast<std::size_t>(lost);
 }
 
 }  // namespace
@@ -29,10 +39,11 @@
 }
 
 double EffectiveFleetSize(const RoutingState& state, TimePoint now) {
-  const auto lost = std::count_if(
-      state.lost_members.begin(), state.lost_members.end(),
-      [&](const auto& member) { return KeepsShare(member.second, now); });
-  return static_cast<double>(state.members.size()) + static_cast<double>(lost);
+  return static_cast<double>(CountMembers(state, kLostMemberRetention, now));
+}
+
+double ColdShareCount(const RoutingState& state, TimePoint now) {
+  return static_cast<double>(CountMembers(state, kColdShareRetention, now));
 }
 
 std::uint64_t MemberScore(const Server& server, const std::string& member) {
@@ -51,7 +62,7 @@
   const auto lost =
       std::count_if(state.lost_members.begin(), state.lost_members.end(),
                     [&](const auto& member) {
-                      return KeepsShare(member.second, now) &&
+                      return now - member.second < kColdShareRetention &&
                              MemberScore(server, member.first) > own_score;
                     });
   return static_cast<std::size_t>(live + lost);
@@ -66,7 +77,7 @@
   for (const FleetMember& member : members)
     state.lost_members.erase(member.name);
   std::erase_if(state.lost_members, [&](const auto& member) {
-    return !KeepsShare(member.second, now);
+    return now - member.second >= kColdShareRetention;
   });
   state.members = std::move(members);
 }
--- a/Libraries/LibRouting/fleet_shares.h
+++ b/Libraries/LibRouting/fleet_shares.h
@@ -18,12 +18,16 @@
 // for a while those that were live before.
 double EffectiveFleetSize(const RoutingState& state, TimePoint now);
 
+// Returns the number of entry VMs that share the rate of cold servers: the live
+// members, and for longer those that were live before.
+double ColdShareCount(const RoutingState& state, TimePoint now);
+
 // Returns the member's score in the server's rendezvous order.
 std::uint64_t MemberScore(const Server& server, const std::string& member);
 
 // Returns the position of this entry VM in the server's rendezvous order of the
-// entry VMs that may send requests. It does not fall when others are lost, so
-// the sides of a cut do not use the same places.
+// entry VMs that share the rate of cold servers. It does not fall when others
+// are lost, so the sides of a cut do not use the same places.
 std::size_t RankForServer(const RoutingState& state,
                           const Server& server,
                           TimePoint now);
