LibRouting, LibLoop: Send a request to a cold server within its window

A request counts in the window of a cold server when it is decided, but left only when its connection was established.

An attempt that counts in the rate of a cold server now states how long its connection may take (250 ms, more than a round trip between regions), and the window is longer by that time. A connection that takes longer ends the attempt as not sent.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -181,7 +181,8 @@
   if (call.checks >= kMaxChecksPerCall)
     return Complete(connection, HttpOutcome::kNotConnected);
   Close(connection);
-  call.connection = Open(call.address, connections_by_address[call.address]);
+  call.connection = Open(call.address, connections_by_address[call.address],
+                         options.connect_timeout);
   if (call.connection == nullptr)
     return ScheduleCompletion(call, HttpOutcome::kConnectionUnavailable);
   const HttpRequest request = *call.request_after_check;
@@ -268,7 +269,10 @@
 }
 
 void HttpClient::Impl::TimeOutCheck(std::uint64_t id) {
-  Complete(*calls.at(id).connection, HttpOutcome::kNotConnected);
+  Call& call = calls.at(id);
+  // Keeps the timer whose callback this is until the end.
+  const std::unique_ptr<Timer> timer = std::move(call.check_timer);
+  Complete(*call.connection, HttpOutcome::kNotConnected);
 }
 
 // Returns the outcome of a call whose connection sends no usable response. The
@@ -314,7 +318,9 @@
   if (identifiable && !request.fresh_connection)
     call.connection = impl_->ReuseIdle(address_connections, call);
   if (call.connection == nullptr)
-    call.connection = impl_->Open(address, address_connections);
+    call.connection = impl_->Open(
+        address, address_connections,
+        request.connect_timeout.value_or(impl_->options.connect_timeout));
   if (call.connection == nullptr) {
     impl_->ScheduleCompletion(call, HttpOutcome::kConnectionUnavailable);
     return id;
--- a/Libraries/LibLoop/http_client_connections.cc
+++ b/Libraries/LibLoop/http_client_connections.cc
@@ -68,7 +68,8 @@
 // used for the longest time is closed.
 HttpClient::Impl::Connection* HttpClient::Impl::Open(
     const std::string& address,
-    AddressConnections& address_connections) {
+    AddressConnections& address_connections,
+    Duration connect_timeout) {
   const auto target = ParseAddress(address);
   if (address_connections.open_count >= options.max_connections_per_address &&
       !address_connections.idle.empty())
@@ -104,7 +105,7 @@
     source->client->HandleEvent(*source, what);
   };
   bufferevent_setcb(connection->bev, readable, nullptr, changed, connection);
-  const timeval connect_time = ToTimeval(options.connect_timeout);
+  const timeval connect_time = ToTimeval(connect_timeout);
   bufferevent_set_timeouts(connection->bev, nullptr, &connect_time);
   bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
   ++address_connections.open_count;
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -95,7 +95,8 @@
   // Whether the call's request may be sent on the connection without a check.
   bool NeedsNoCheck(const Call& call, const Connection& connection) const;
   Connection* Open(const std::string& address,
-                   AddressConnections& address_connections);
+                   AddressConnections& address_connections,
+                   Duration connect_timeout);
   void SendRequest(Call& call, const HttpRequest& request);
   void WriteRequest(Call& call, const HttpRequest& request);
   // Sends the call's check. `request` follows when the check has been passed.
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
@@ -5,12 +5,14 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "cicadadrum/base/enum_names.h"
+#include "cicadadrum/base/time.h"
 
 namespace cicadadrum {
 
@@ -45,6 +47,8 @@
   // The client opens a new connection for this request instead of reusing an
   // idle connection.
   bool fresh_connection = false;
+  // Replaces the client's time limit for a new connection if set.
+  std::optional<Duration> connect_timeout;
 };
 
 struct HttpResponse {
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -130,6 +130,9 @@
       // A server may close a reused connection for other reasons than a crash.
       .fresh_connection = is_suspect || IsReuseSuspended(state, request, now),
       .cold_check = ColdCheckFor(state, server, now),
+      .max_send_delay = now < server.cold_until
+                            ? std::optional(kMaxColdSendDelay)
+                            : std::nullopt,
       .inputs = std::move(inputs)});
 }
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -314,6 +314,9 @@
   // If set, the request may be sent only on a connection that has passed this
   // check. Otherwise the attempt counts towards the rate of a cold server.
   std::optional<ColdCheck> cold_check;
+  // If set, a new connection that takes longer ends the attempt as kNotSent, so
+  // that the request is sent within the window in which it is counted.
+  std::optional<Duration> max_send_delay;
   ChoiceInputs inputs;
 };
 
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -11,9 +11,13 @@
 // Lower bound of the factor by which a fast VM shortens work.
 constexpr double kMinWorkFactor = 0.2;
 
+// Longest time from an attempt at a cold server to its request being sent.
+// Round trips between regions are shorter.
+constexpr Duration kMaxColdSendDelay = Milliseconds(250);
+
 // Window over which attempts at a cold server are counted; a little longer than
-// the second that the rate refers to.
-constexpr Duration kColdRateWindow = Milliseconds(1050);
+// the second that the rate refers to, and than the time until they are sent.
+constexpr Duration kColdRateWindow = Milliseconds(1050) + kMaxColdSendDelay;
 
 constexpr double ToMs(Duration duration) {
   return static_cast<double>(duration.count()) / 1000;
