Tests/LibRouting: Give the service of the fixture a health path

Without one no connection can be checked, and the test of the time until a request to a cold server is sent failed.

--- a/Tests/LibRouting/routing_fixture.h
+++ b/Tests/LibRouting/routing_fixture.h
@@ -81,6 +81,7 @@
         .routes = {MakeRoute("read", RouteKind::kSafe, "desk"),
                    MakeRoute("write", RouteKind::kUnsafe, "desk")},
         .services = {{.name = "desk",
+                      .health_path = "/health",
                       .cold_time = Seconds(3),
                       .cold_requests_per_second = 10}}};
     Step(ConfigurationAdopted{configuration});
