Tests: Let a restarted server wait until its address is free

Cause: ServerStandIn::RestartCold ended the soak with "can't listen on" its own address in one of four runs. A child process that the soak has forked holds all listening sockets until it executes its program; a small program showed that bind() fails with EADDRINUSE for as long. Change: the server tries again every 5 ms.

--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -18,6 +18,8 @@
 
 constexpr const char* kUsualLoad = "1,0,4,100";
 
+constexpr Duration kListenRetryInterval = Milliseconds(5);
+
 // The rate of a cold server is counted in windows of this length.
 constexpr Duration kColdRateWindow = Seconds(1);
 
@@ -243,6 +245,7 @@
       id_(std::move(id)),
       failure_domain_(std::move(failure_domain)),
       started_unix_ms_(UnixMilliseconds()),
+      listen_timer_(loop, [this] { ListenAgain(); }),
       server_(MakeServer()),
       address_(Listen(*server_)) {}
 
@@ -265,10 +268,16 @@
   sequence_ = 0;
   started_unix_ms_ = std::max(UnixMilliseconds(), started_unix_ms_ + 1);
   cold_until_ = loop_.Now() + cold_time;
-  // Closes the connections and frees the address.
+  ListenAgain();
+}
+
+// A child process that has not executed its program yet still holds the old
+// listening socket. Until then the address is in use.
+void ServerStandIn::ListenAgain() {
   server_.reset();
   server_ = MakeServer();
-  server_->Listen(address_).value();
+  if (!server_->Listen(address_))
+    listen_timer_.Schedule(loop_.Now() + kListenRetryInterval);
 }
 
 Duration ServerStandIn::ColdTimeLeft() const {
--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -248,6 +248,8 @@
 
  private:
   std::unique_ptr<HttpServer> MakeServer();
+  // Closes all connections and listens at the address once more.
+  void ListenAgain();
   void Handle(std::uint64_t id, const HttpRequest& request);
   void RespondToHealthCheck(std::uint64_t id, const HttpRequest& request);
   void CloseLate(std::uint64_t id);
@@ -258,6 +260,7 @@
   std::uint64_t sequence_ = 4;
   std::int64_t started_unix_ms_;
   TimePoint cold_until_{};
+  Timer listen_timer_;
   std::unique_ptr<HttpServer> server_;
   std::string address_;
   ServerBehaviour behaviour_ = ServerBehaviour::kAnswers;
