Tests/Soak: Restart servers cold under their ids

Cause: the soak's servers never came back under their ids, so no run of real processes showed what several entry VMs together send to a server that has just restarted. Change: the fault server-restart, after which the server's row follows with its next heartbeat, and the check COLD, which counts the requests that reach a cold server within a second, whatever happened to the entry VMs. Servers that ask for a pause, state a limit or are leaving do not restart, as the checks of announcements know no restarts.

--- a/Tests/PlatformStandIns/stand_ins.h
+++ b/Tests/PlatformStandIns/stand_ins.h
@@ -228,6 +228,11 @@
   // From now on, all responses say that the server is leaving.
   void AnnounceLeaving() { leaving_ = true; }
   bool is_leaving() const { return leaving_; }
+  // Whether responses state anything that entry VMs have to keep to.
+  bool MakesAnnouncements() const {
+    return leaving_ || limit_ > 0 ||
+           behaviour_ == ServerBehaviour::kAsksForPause;
+  }
   // From now on, all responses state that the server takes this many requests a
   // second from all entry VMs together; 0 for no limit.
   void SetLimit(double requests_per_second) { limit_ = requests_per_second; }
--- a/Tests/Soak/check_limits.cc
+++ b/Tests/Soak/check_limits.cc
@@ -1,4 +1,5 @@
-// Checks that the entry VMs together keep to the limits that servers state.
+// Checks that the entry VMs together keep to the limits that servers state, and
+// to the rate of cold servers.
 
 #include <algorithm>
 #include <map>
@@ -21,16 +22,23 @@
   TimePoint end() const { return arrivals.back()->at; }
 };
 
-std::vector<LimitPeriod> FindLimitPeriods(const SoakRecords& records) {
+// Returns the arrivals of each server by ascending time.
+std::map<std::string, std::vector<const ArrivalRecord*>> SortArrivals(
+    const SoakRecords& records) {
   std::map<std::string, std::vector<const ArrivalRecord*>> by_server;
   for (const ArrivalRecord& arrival : records.arrivals)
     by_server[arrival.server].push_back(&arrival);
-  std::vector<LimitPeriod> periods;
-  for (auto& [server, arrivals] : by_server) {
+  for (auto& [server, arrivals] : by_server)
     std::stable_sort(arrivals.begin(), arrivals.end(),
                      [](const ArrivalRecord* a, const ArrivalRecord* b) {
                        return a->at < b->at;
                      });
+  return by_server;
+}
+
+std::vector<LimitPeriod> FindLimitPeriods(const SoakRecords& records) {
+  std::vector<LimitPeriod> periods;
+  for (const auto& [server, arrivals] : SortArrivals(records)) {
     double limit = 0;
     for (const ArrivalRecord* arrival : arrivals) {
       if (arrival->stated_limit > 0 && arrival->stated_limit != limit)
@@ -103,4 +111,28 @@
   return violations;
 }
 
+std::vector<Violation> FindColdFloods(const SoakRecords& records) {
+  std::vector<Violation> violations;
+  for (const auto& [server, arrivals] : SortArrivals(records)) {
+    std::vector<TimePoint> counted;
+    for (const ArrivalRecord* arrival : arrivals) {
+      if (!arrival->is_at_cold_server || arrival->may_be_held_up)
+        continue;
+      counted.push_back(arrival->at);
+      std::erase_if(counted, [&](TimePoint at) {
+        return at <= arrival->at - kColdWindow;
+      });
+      if (counted.size() <= kMaxColdArrivals)
+        continue;
+      violations.push_back({Rule::kCold, arrival->request_id,
+                            arrival->request_id + " reached " + server +
+                                ", which is cold, as number " +
+                                std::to_string(counted.size()) +
+                                " within 1 s"});
+      break;
+    }
+  }
+  return violations;
+}
+
 }  // namespace cicadadrum::platform
--- a/Tests/Soak/checks.h
+++ b/Tests/Soak/checks.h
@@ -42,6 +42,11 @@
 constexpr std::size_t kAllowedCrashes = 3;
 constexpr std::size_t kAllowedCrashRetries = 3;
 
+// Requests that all entry VMs together may send to a cold server within
+// kColdWindow by the configuration.
+constexpr Duration kColdWindow = Seconds(1);
+constexpr std::size_t kMaxColdArrivals = 10;
+
 enum class Rule : std::uint8_t {
   // A request reached a server outside the home regions of its route.
   kHome,
@@ -57,6 +62,8 @@
   kLimit,
   // A request that crashes servers was retried too often.
   kCrash,
+  // More requests than allowed reached a cold server.
+  kCold,
 };
 
 // A request that was handled against a rule.
@@ -111,6 +118,11 @@
 // after it had crashed the third server.
 std::vector<Violation> FindLateCrashRetries(const SoakRecords& records);
 
+// Returns, for each server, the first request beyond those that it may receive
+// while it is cold. It excuses no entry VM; only requests that the link to the
+// server may have held up do not count.
+std::vector<Violation> FindColdFloods(const SoakRecords& records);
+
 // Returns whether the link had a fault at any time from `begin` to `end`.
 bool IsLinkImpaired(const std::vector<LinkChange>& changes,
                     TimePoint begin,
@@ -130,6 +142,7 @@
       {platform::Rule::kPause, "PAUSE"},
       {platform::Rule::kLimit, "LIMIT"},
       {platform::Rule::kCrash, "CRASH"},
+      {platform::Rule::kCold, "COLD"},
   });
 };
 
--- a/Tests/Soak/faults.h
+++ b/Tests/Soak/faults.h
@@ -31,6 +31,8 @@
   kRestoreStore,
   // A caller sends the request that crashes each server that runs it.
   kCrashingRequest,
+  // A server restarts under its id and is cold. Its next heartbeat says so.
+  kServerRestart,
 };
 
 }  // namespace cicadadrum::platform
@@ -55,6 +57,7 @@
       {platform::Fault::kStoreBehaviour, "store-behaviour"},
       {platform::Fault::kRestoreStore, "restore-store"},
       {platform::Fault::kCrashingRequest, "crashing-request"},
+      {platform::Fault::kServerRestart, "server-restart"},
   });
 };
 
--- a/Tests/Soak/records.h
+++ b/Tests/Soak/records.h
@@ -56,6 +56,7 @@
   bool said_leaving = false;     // The response says so.
   bool asked_for_pause = false;  // The response asks for kServerPause.
   double stated_limit = 0;       // 0 if the response states none.
+  bool is_at_cold_server = false;
 };
 
 // A change of the link between the entry VMs and a server.
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -45,6 +45,8 @@
 constexpr Duration kLimitEndTime = Seconds(15);
 // Limits are from 1 to this number of requests a second.
 constexpr std::uint64_t kMaxLimit = 6;
+// Time for which a server that restarts is cold, as the configuration has it.
+constexpr Duration kColdTime = Seconds(3);
 constexpr Duration kMinClearInterval = Milliseconds(1500);
 constexpr Duration kMaxClearInterval = Milliseconds(4500);
 
@@ -121,6 +123,16 @@
   AddServer(SoakFailureDomain(servers_[index].failure_domain));
 }
 
+// The checks of announcements know no restarts, so servers that have made one
+// do not restart.
+void Soak::RestartServer(SoakServer& server) {
+  if (server.server->MakesAnnouncements())
+    return;
+  server.server->RestartCold(kColdTime);
+  server.next_heartbeat_at =
+      loop_.Now() + RandomDuration(Duration::zero(), kHeartbeatInterval);
+}
+
 void Soak::SetLinkMode(SoakServer& server, ProxyMode mode) {
   if (server.proxy->mode() != mode)
     server.link_changes.push_back({loop_.Now(), mode});
@@ -225,6 +237,8 @@
       if (entry.pid != 0)
         callers_.SendCrashingRequest(entry, TouchOf(entry));
       return;
+    case Fault::kServerRestart:
+      return RestartServer(server);
   }
 }
 
@@ -394,7 +408,8 @@
                  server.link_changes, arrival.at - kStableWindow, arrival.at),
              .said_leaving = arrival.said_leaving,
              .asked_for_pause = arrival.asked_for_pause,
-             .stated_limit = arrival.stated_limit});
+             .stated_limit = arrival.stated_limit,
+             .is_at_cold_server = arrival.is_at_cold_server});
     }
   }
   return records;
@@ -437,6 +452,7 @@
   AppendViolations("", FindBrokenPauses(records), problems);
   AppendViolations("", FindBrokenLimits(records), problems);
   AppendViolations("", FindLateCrashRetries(records), problems);
+  AppendViolations("", FindColdFloods(records), problems);
   return problems;
 }
 
--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -68,6 +68,7 @@
   // Lets the server say in its responses that it is leaving, and adds another
   // one. The entry in the store stays.
   void AnnounceLeaving(std::size_t index);
+  void RestartServer(SoakServer& server);
   // Lets all running servers state limits for a while, unless they do already.
   void LimitServers();
   void EndLimits();
--- a/Tests/Soak/test_checks.cc
+++ b/Tests/Soak/test_checks.cc
@@ -442,4 +442,29 @@
   CHECK(FindLateCrashRetries(run.records)[0].rule == Rule::kCrash);
 }
 
+// Guards against a check that misses a flood by several entry VMs together.
+TEST_CASE("requests beyond the rate of a cold server are found") {
+  AnnouncementRun run;
+  const auto arrive = [&](Duration after, bool is_cold = true) {
+    std::string id = run.Arrive(
+        "entry-" + std::to_string(run.records.arrivals.size() % 2 + 1),
+        kRunBegin + after);
+    run.records.arrivals.back().is_at_cold_server = is_cold;
+    return id;
+  };
+  for (std::size_t i = 0; i < kMaxColdArrivals; ++i)
+    arrive(Duration::zero());
+  arrive(Milliseconds(500), false);
+  arrive(kColdWindow);
+  run.records.arrivals.back().server = "s-2";
+  arrive(kColdWindow);
+  CHECK(FindColdFloods(run.records).empty());
+  const std::string last = arrive(kColdWindow - Milliseconds(1));
+  REQUIRE(FindColdFloods(run.records).size() == 1);
+  CHECK(FindColdFloods(run.records)[0].rule == Rule::kCold);
+  CHECK(FindColdFloods(run.records)[0].request_id == last);
+  run.records.arrivals.back().may_be_held_up = true;
+  CHECK(FindColdFloods(run.records).empty());
+}
+
 }  // namespace cicadadrum::platform
