--- a/Meta/library.cmake
+++ b/Meta/library.cmake
@@ -22,11 +22,14 @@
   install(TARGETS ${name} RUNTIME DESTINATION ${CMAKE_INSTALL_BINDIR})
 endfunction()
 
-# cicadadrum_test(Name DEPENDS target...) defines the doctest program of one folder of Tests/.
+# cicadadrum_test(Name [SOURCES file...] DEPENDS target...) defines a doctest program of one folder of Tests/, by default
+# of all its sources.
 function(cicadadrum_test name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS *.cc)
-  add_executable(${name} ${sources})
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  if(NOT ARG_SOURCES)
+    file(GLOB ARG_SOURCES CONFIGURE_DEPENDS *.cc)
+  endif()
+  add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE TestMain ${ARG_DEPENDS} rapidcheck cicadadrum_flags)
   target_compile_definitions(${name} PRIVATE CICADADRUM_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
   # Leaves out the tests that KNOWN-RED.txt lists.
--- a/Tests/LibSteering/test_pool.cc
+++ b/Tests/LibSteering/test_pool.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <set>
 
 #include "cicadadrum/steering/pool.h"
@@ -259,11 +260,10 @@
 // the limit of the next one or mark it as down.
 TEST_CASE("late ends of requests do not change a server that has recovered") {
   PoolFixture fixture(1, 4);
-  std::vector<SlotGrant> granted;
-  for (int i = 0; i < 4; ++i)
-    granted.push_back(
-        Grants(fixture.Submit(fixture.MakeRequest(RequestClass::kRoutine)))
-            .at(0));
+  std::array<SlotGrant, 4> granted;
+  for (SlotGrant& grant : granted)
+    grant = Grants(fixture.Submit(fixture.MakeRequest(RequestClass::kRoutine)))
+                .at(0);
   fixture.now += Milliseconds(100);
   fixture.Return(granted[0].lease, AttemptOutcome::kConnectionLost);
   fixture.Advance(Seconds(1));
