--- a/Tests/LibRouting/test_cold_checks.cc
+++ b/Tests/LibRouting/test_cold_checks.cc
@@ -15,15 +15,8 @@
 constexpr Duration kColdLeft = Seconds(3);
 constexpr Duration kCheckTime = Milliseconds(7);
 
-// Servers whose service has a health path.
 struct ColdCheckFixture : RoutingFixture {
-  explicit ColdCheckFixture(const std::vector<ServerEntry>& servers)
-      : RoutingFixture(servers) {
-    RoutingConfiguration configuration = state.table.configuration;
-    ++configuration.version;
-    configuration.services.front().health_path = "/health";
-    Step(ConfigurationAdopted{configuration});
-  }
+  using RoutingFixture::RoutingFixture;
 
   // An entry VM that has just started has no share of a cold server's rate.
   void TakeColdAllowance() { state.started_at = now; }
