LibRouting, LibLoop: Do not take a busy server for an unreachable one

Cause: the check of a new connection had the connect timeout of 400 ms. Change: on an established connection, the check has a third of the time that the request has left. Its end is an outcome of its own (busy): no back-off, no failure, no use of the retry budget, and the request goes to another server. Result: "a server that answers a check late is not backed off" and "a check that waits longer than a connection attempt may succeed" fail on the code before.

Also declares the types of client accounts, which are not used yet.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -32,15 +32,16 @@
   WriteRequest(call, request);
 }
 
-// The check has the time of the connect timeout, together with the connection
-// attempt, so that a request is not sent long after its server was chosen.
+// The check and the connection attempt share one time limit, so that a request
+// is not sent long after its server was chosen.
 void HttpClient::Impl::SendCheck(Call& call, const HttpRequest& request) {
   ++counters.checks;
   ++call.checks;
   call.request_after_check = request;
   call.check_timer =
       std::make_unique<Timer>(loop, [this, id = call.id] { TimeOutCheck(id); });
-  call.check_timer->Schedule(loop.Now() + options.connect_timeout);
+  call.check_timer->Schedule(
+      loop.Now() + std::max(options.connect_timeout, call.check->max_wait));
   call.connection->check_sent = true;
   WriteRequest(call, call.check->request);
 }
@@ -263,7 +264,10 @@
 void HttpClient::Impl::TimeOutCall(std::uint64_t id) {
   if (ExtendDeadline(calls.at(id)))
     return;
-  Connection& connection = *calls.at(id).connection;
+  const Call& call = calls.at(id);
+  Connection& connection = *call.connection;
+  if (call.request_after_check)
+    return Complete(connection, OutcomeOfCheckTimeout(call));
   Complete(connection, HasSentNothing(connection) ? HttpOutcome::kNotConnected
                                                   : HttpOutcome::kTimedOut);
 }
@@ -272,7 +276,17 @@
   Call& call = calls.at(id);
   // Keeps the timer whose callback this is until the end.
   const std::unique_ptr<Timer> timer = std::move(call.check_timer);
-  Complete(*call.connection, HttpOutcome::kNotConnected);
+  Complete(*call.connection, OutcomeOfCheckTimeout(call));
+}
+
+// Returns the outcome of a call whose check got no response in time. A server
+// that may take longer than a connection attempt, but accepted the connection,
+// is busy.
+HttpOutcome HttpClient::Impl::OutcomeOfCheckTimeout(const Call& call) const {
+  return call.connection->connected &&
+                 call.check->max_wait > options.connect_timeout
+             ? HttpOutcome::kCheckTimedOut
+             : HttpOutcome::kNotConnected;
 }
 
 // Returns the outcome of a call whose connection sends no usable response. The
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -107,6 +107,7 @@
   void ScheduleCompletion(Call& call, HttpOutcome outcome);
   void TimeOutCall(std::uint64_t id);
   void TimeOutCheck(std::uint64_t id);
+  HttpOutcome OutcomeOfCheckTimeout(const Call& call) const;
   static HttpOutcome OutcomeOfMalformedResponse(const Call& call);
   // Extends the deadline of a call whose response is arriving. Returns whether
   // it did.
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -43,6 +43,9 @@
   // ConnectionCheck::accepts turned the response to the check down. The call's
   // request was not sent; the response is the one to the check.
   kCheckFailed,
+  // The connection was established, but the check got no response within
+  // ConnectionCheck::max_wait. The call's request was not sent.
+  kCheckTimedOut,
 };
 
 template <>
@@ -56,6 +59,7 @@
       {HttpOutcome::kLostUnused, "lost-unused"},
       {HttpOutcome::kTimedOut, "timed-out"},
       {HttpOutcome::kCheckFailed, "check-failed"},
+      {HttpOutcome::kCheckTimedOut, "check-timed-out"},
   });
 };
 
@@ -104,6 +108,9 @@
   HttpRequest request;  // Must not have the echoed header.
   // A connection that has been open for this long needs no check.
   Duration sufficient_age{};
+  // Time for the response to the check, the connection attempt included, if it
+  // is longer than the connect timeout. A busy server may answer late.
+  Duration max_wait{};
   // Returns whether the call's own request may be sent after this response.
   std::function<bool(const HttpResponse&)> accepts;
 };
@@ -136,8 +143,9 @@
   // outcome is kTimedOut or kNotConnected. Returns an id for Cancel.
   //
   // With a `check`, the request is sent only on a connection that has passed a
-  // check or is old enough; a check that gets no response has the outcome
-  // kNotConnected.
+  // check or is old enough. A check that gets no response has the outcome
+  // kCheckTimedOut if ConnectionCheck::max_wait is longer than the connect
+  // timeout and the connection is open at its end, and kNotConnected otherwise.
   std::uint64_t Send(const std::string& address,
                      const HttpRequest& request,
                      TimePoint deadline,
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -23,6 +23,11 @@
 constexpr double kMinRetryAfterShare = 0.16;
 constexpr double kMaxRetryAfterShare = 0.33;
 
+// A server has this part of the time that a request has left to respond to a
+// check: a busy server responds late, and enough time must remain to send the
+// request elsewhere.
+constexpr std::int64_t kCheckWaitDivisor = 3;
+
 // Returns the delay after which a caller should retry at servers that are full
 // now. The delay is random, so that callers which are refused at the same time
 // retry at different times, and leaves enough time for a response.
@@ -77,9 +82,11 @@
 }
 
 // Returns the check for an attempt at a server that is taken to be warm. It may
-// have restarted since, without a change of its entry so far.
+// have restarted since, without a change of its entry so far. `remaining` is
+// the time that the request has left.
 std::optional<ColdCheck> ColdCheckFor(const RoutingState& state,
                                       const Server& server,
+                                      Duration remaining,
                                       TimePoint now) {
   if (now < server.cold_until)
     return std::nullopt;
@@ -87,7 +94,9 @@
   if (rule == nullptr || rule->health_path.empty() ||
       rule->cold_time <= Duration::zero())
     return std::nullopt;
-  return ColdCheck{rule->health_path, rule->cold_time};
+  return ColdCheck{.health_path = rule->health_path,
+                   .cold_time = rule->cold_time,
+                   .max_wait = remaining / kCheckWaitDivisor};
 }
 
 // Sends the request to the chosen server.
@@ -129,7 +138,7 @@
       .server_timeout = ServerTimeout(state, request.deadline - now, now),
       // A server may close a reused connection for other reasons than a crash.
       .fresh_connection = is_suspect || IsReuseSuspended(state, request, now),
-      .cold_check = ColdCheckFor(state, server, now),
+      .cold_check = ColdCheckFor(state, server, request.deadline - now, now),
       .max_send_delay = now < server.cold_until
                             ? std::optional(kMaxColdSendDelay)
                             : std::nullopt,
--- a/Libraries/LibRouting/include/cicadadrum/routing/configuration.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/configuration.h
@@ -69,7 +69,8 @@
   std::uint32_t priority = 0;  // 0 is the most urgent.
   // Number of servers that one request may be sent to, at least 1.
   std::uint32_t max_attempts = 1;
-  bool sticky = false;  // Servers work faster on objects in their cache.
+  bool sticky = false;     // Servers work faster on objects in their cache.
+  bool is_public = false;  // Requests need no key of a client account.
   // Regions whose servers may run the requests. Empty allows all regions.
   std::vector<std::string> home_regions;
   std::vector<ServiceShare> shares;  // Empty only if the route is unreadable.
@@ -79,6 +80,20 @@
   bool operator==(const Route&) const = default;
 };
 
+// Callers that authenticate with the same keys and share a quota.
+struct ClientAccount {
+  std::string name;
+  std::vector<std::string> keys;
+  std::uint32_t priority = 0;  // 0 is the most urgent.
+  // Quota of requests over all entry VMs; 0 for no limit.
+  double requests_per_second = 0;
+  // Requests that the quota allows at once after a time without requests.
+  double burst = 0;
+  // Regions whose servers may run the requests. Empty allows all regions.
+  std::vector<std::string> home_regions;
+  bool operator==(const ClientAccount&) const = default;
+};
+
 // Settings that apply to all servers of a service.
 struct ServiceRule {
   std::string name;
@@ -105,6 +120,9 @@
   std::vector<Route> routes;
   std::vector<ServiceRule> services;
   CallerLimits limits;
+  // Requests need the key of a client account, except those of public routes.
+  bool has_client_accounts = false;
+  std::vector<ClientAccount> client_accounts;
 };
 
 // A configuration with an index of its routes by host.
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -38,6 +38,9 @@
   std::uint64_t unsent_bytes = 0;
   // Hash that is equal for repeats of a request.
   std::uint64_t fingerprint = 0;
+  // Key by which the caller authenticates; empty if it sent none. Must not
+  // appear in actions or logs.
+  std::string key;
 };
 
 // The caller closed its connection. The core ignores an unknown request.
@@ -184,6 +187,9 @@
   kNotReady,         // The entry VM has no configuration or no list of servers.
   kNoRoute,          // No route matches the request.
   kUnreadableRoute,  // The route is written for a later release.
+  kUnknownKey,       // No client account has the key of the request.
+  // The client account has used the rate of its quota.
+  kQuotaExceeded,
   // The route has home regions, and they may have changed: no source has
   // confirmed the configuration lately.
   kConfigurationOutdated,
@@ -213,6 +219,8 @@
           {routing::RefusalReason::kNotReady, "not-ready"},
           {routing::RefusalReason::kNoRoute, "no-route"},
           {routing::RefusalReason::kUnreadableRoute, "unreadable-route"},
+          {routing::RefusalReason::kUnknownKey, "unknown-key"},
+          {routing::RefusalReason::kQuotaExceeded, "quota-exceeded"},
           {routing::RefusalReason::kConfigurationOutdated,
            "configuration-outdated"},
           {routing::RefusalReason::kNoServer, "no-server"},
@@ -297,6 +305,8 @@
       health_path;  // A request for it states whether the server is cold.
   // A connection that has been open for this long needs no check.
   Duration cold_time{};
+  // Time after which a server that has not responded to the check is busy.
+  Duration max_wait{};
 };
 
 // Send the request to a server. The front end reports the end of the attempt by
@@ -317,6 +327,11 @@
   // If set, a new connection that takes longer ends the attempt as kNotSent, so
   // that the request is sent within the window in which it is counted.
   std::optional<Duration> max_send_delay;
+  // Name of the caller's client account; empty if there is none. The front end
+  // states it to the server in place of what the caller stated.
+  std::string account;
+  // The server must not receive the credentials of the caller.
+  bool hides_credentials = false;
   ChoiceInputs inputs;
 };
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -58,6 +58,9 @@
   // As configured when the request arrived or was last retried.
   Route route;
   std::uint64_t configuration = 0;  // Version that `route` was taken from.
+  std::string account;  // Name of the client account; empty without one.
+  // Of the client account, or of the route without one. 0 is the most urgent.
+  std::uint32_t priority = 0;
   std::string service;
   std::uint64_t object = 0;  // A random number if the caller named none.
   std::uint64_t fingerprint = 0;
@@ -70,7 +73,7 @@
   // less a margin for the response.
   TimePoint deadline;
   std::uint32_t attempts = 0;  // Number of attempts started so far.
-  // Those of `attempts` that ended as ServerOutcome::kCold.
+  // Those of `attempts` that ended as ServerOutcome::kCold or kBusy.
   std::uint32_t unsent_attempts = 0;
   // The last attempt was not sent, and its place in the retry window is left to
   // the next one.
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -120,6 +120,9 @@
   // The server is cold, according to its response to the check of a new
   // connection. The request was not sent.
   kCold,
+  // The server accepted a new connection, but did not respond to its check in
+  // time. The request was not sent.
+  kBusy,
 };
 
 }  // namespace cicadadrum::routing
@@ -141,6 +144,7 @@
           {routing::ServerOutcome::kInvalid, "invalid"},
           {routing::ServerOutcome::kTimedOut, "timed-out"},
           {routing::ServerOutcome::kCold, "cold"},
+          {routing::ServerOutcome::kBusy, "busy"},
       });
 };
 
@@ -153,7 +157,8 @@
 constexpr bool ProvesNotRun(ServerOutcome outcome) {
   return outcome == ServerOutcome::kRejected ||
          outcome == ServerOutcome::kWrongServer ||
-         outcome == ServerOutcome::kNotSent || outcome == ServerOutcome::kCold;
+         outcome == ServerOutcome::kNotSent ||
+         outcome == ServerOutcome::kCold || outcome == ServerOutcome::kBusy;
 }
 
 // A moving average of samples that decays towards a neutral value while there
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -295,6 +295,10 @@
       RemoveOne(server.recent_sends, request.sent_at);
       RecordCold(server, end.cold_left, now);
       return;
+    case ServerOutcome::kBusy:
+      // Like a full queue, this is no failure of the server.
+      RemoveOne(server.recent_sends, request.sent_at);
+      return;
     case ServerOutcome::kLostUnused:
       state.services[request.service].connection_reuse_suspended_until =
           now + kConnectionReuseSuspension;
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -105,6 +105,10 @@
       return RefusalReason::kRejected;
     case ServerOutcome::kNotSent:
       return RefusalReason::kUnreachable;
+    case ServerOutcome::kCold:
+      return RefusalReason::kNoServer;
+    case ServerOutcome::kBusy:
+      return RefusalReason::kOverloaded;
     case ServerOutcome::kTimedOut:
       return RefusalReason::kTimedOut;
     default:
@@ -129,22 +133,25 @@
 }
 
 // Dispatches a request whose last attempt was not sent because the server is
-// cold. The attempt is no use of the retry budget, and the server may receive
-// the request if the rate of a cold server allows.
+// cold or busy. The attempt is no use of the retry budget. A cold server may
+// receive the request if the rate of a cold server allows.
 void DispatchAgain(RoutingState& state,
                    std::uint64_t id,
+                   ServerOutcome outcome,
                    TimePoint now,
                    RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
   ++request.unsent_attempts;
   request.is_next_attempt_counted = true;
-  std::erase(request.tried_servers, request.server);
+  if (outcome == ServerOutcome::kCold)
+    std::erase(request.tried_servers, request.server);
+  const RefusalReason reason = RefusalReasonFor(outcome);
   const bool has_time = now + kMinAttemptTime < request.deadline;
   if (has_time && RefreshRoute(state, id, request))
-    return Dispatch(state, id, RefusalReason::kNoServer, now, actions);
+    return Dispatch(state, id, reason, now, actions);
   const Duration estimate = RetryAfterForEstimate(
       request.expected_duration, request.caller_deadline - now);
-  Refuse(state, id, RefusalReason::kNoServer, estimate, actions);
+  Refuse(state, id, reason, estimate, actions);
 }
 
 void Apply(RoutingState& state,
@@ -175,8 +182,9 @@
         DeliverResponse{event.request, request.server, request.route.kind});
     return EndRequest(state, event.request);
   }
-  if (event.outcome == ServerOutcome::kCold)
-    return DispatchAgain(state, event.request, now, actions);
+  if (event.outcome == ServerOutcome::kCold ||
+      event.outcome == ServerOutcome::kBusy)
+    return DispatchAgain(state, event.request, event.outcome, now, actions);
   if (!ProvesNotRun(event.outcome))
     request.verdict = Verdict::kMayHaveRun;
   const bool was_lost = event.outcome == ServerOutcome::kLost ||
--- a/Tests/LibLoop/test_http_client_checks.cc
+++ b/Tests/LibLoop/test_http_client_checks.cc
@@ -101,6 +101,22 @@
         Lines{"GET /health", "GET /", "GET /health", "GET /d"});
 }
 
+// Guards against taking a server that answers health requests late for one
+// that can't be reached.
+TEST_CASE("a check that waits longer than a connection attempt may succeed") {
+  ConnectionCheck check = Check();
+  check.max_wait = kConnectTimeout * 3;
+  CheckFixture fixture({{}, {MakeResponse("a", "late")}});
+  Timer respond(fixture.loop, [&] { fixture.server.WriteUnsolicited(kWarm); });
+  respond.Schedule(fixture.loop.Now() + kConnectTimeout * 2);
+  CHECK(fixture.Call(RequestOf("a"), check).second.body == "late");
+  HttpRequest request = RequestOf("b");
+  request.fresh_connection = true;
+  CHECK(fixture.Call(request, check).first == HttpOutcome::kCheckTimedOut);
+  CHECK(fixture.CountRequests("GET /b") == 0);
+  CHECK(fixture.Call(request, Check()).first == HttpOutcome::kNotConnected);
+}
+
 // Guards against a request that is sent behind a check whose connection can't
 // carry it, that is sent twice, or whose sender is told that it may have run.
 TEST_CASE("a check without a usable response sends nothing of the request") {
--- a/Tests/LibRouting/test_cold_checks.cc
+++ b/Tests/LibRouting/test_cold_checks.cc
@@ -53,6 +53,31 @@
   CHECK(service.requests_in_window <= 4);
 }
 
+// Guards against taking a busy server for an unreachable one: it would receive
+// nothing during its back-off, and others would be told.
+TEST_CASE("a server that answers a check late is not backed off") {
+  for (const std::string route : {"read", "write"}) {
+    CAPTURE(route);
+    ColdCheckFixture fixture({MakeServer("s1"), MakeServer("s2")});
+    fixture.state.options.bounds.retry_ratio = 0;
+    fixture.Arrive(route, 1);
+    REQUIRE(fixture.sent.size() == 1);
+    const std::string busy = fixture.sent[0].server;
+    CHECK(fixture.sent[0].cold_check->max_wait == Duration(Seconds(2)) / 3);
+    fixture.now += fixture.sent[0].cold_check->max_wait;
+    fixture.End(ServerOutcome::kBusy);
+    REQUIRE(fixture.sent.size() == 2);
+    CHECK(fixture.sent[1].server != busy);
+    CHECK(fixture.state.servers.at(busy).backoff_until <= fixture.now);
+    CHECK(fixture.state.services.at("desk").retries_in_window == 0);
+    fixture.now += fixture.sent[1].cold_check->max_wait;
+    fixture.End(ServerOutcome::kBusy);
+    REQUIRE(fixture.refused.size() == 1);
+    CHECK(fixture.refused[0].verdict == Verdict::kNotRun);
+    CHECK(fixture.refused[0].reason == RefusalReason::kOverloaded);
+  }
+}
+
 TEST_CASE("a request that can't be repeated is sent elsewhere after a check") {
   ColdCheckFixture fixture({MakeServer("s1"), MakeServer("s2")});
   fixture.TakeColdAllowance();
