--- a/Examples/Embedder/main.cc
+++ b/Examples/Embedder/main.cc
@@ -34,7 +34,7 @@
   std::string kind;
   words >> kind;
   if (kind == "arrive") {
-    RequestArrived arrived{.customer = "customer-1",
+    RequestArrived arrived{.client_account = "account-1",
                            .service = "service-1",
                            .deadline = now + Seconds(5)};
     std::string request_class;
@@ -88,7 +88,7 @@
                   .regions = {"region-1"}};
   Step(state,
        ConfigurationAdopted{{.version = 1,
-                             .customers = {{"customer-1", "plan-1"}},
+                             .client_accounts = {{"account-1", "plan-1"}},
                              .plans = {plan}}},
        now, actions);
   Step(state,
--- a/Generated/schemas/configuration.capnp.c++
+++ b/Generated/schemas/configuration.capnp.c++
@@ -51,23 +51,24 @@
 };
 #endif  // !CAPNP_LITE
 CAPNP_DEFINE_ENUM(RequestClass_9e2bc3894e32bfc8, 9e2bc3894e32bfc8);
-static const ::capnp::_::AlignedData<48> b_e6a8b32e2ebfceab = {
+static const ::capnp::_::AlignedData<49> b_ae18d7def1c444e3 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
-    171, 206, 191,  46,  46, 179, 168, 230,
+    227,  68, 196, 241, 222, 215,  24, 174,
      20,   0,   0,   0,   1,   0,   0,   0,
      84, 128, 228,  52, 236,  94, 114, 166,
       2,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 234,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
+     33,   0,   0,   0, 119,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 102, 105, 103, 117, 114,
      97, 116, 105, 111, 110,  46,  99,  97,
-    112, 110, 112,  58,  67, 117, 115, 116,
-    111, 109, 101, 114,   0,   0,   0,   0,
+    112, 110, 112,  58,  67, 108, 105, 101,
+    110, 116,  65,  99,  99, 111, 117, 110,
+    116,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
       8,   0,   0,   0,   3,   0,   4,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -101,13 +102,13 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0, }
 };
-::capnp::word const* const bp_e6a8b32e2ebfceab = b_e6a8b32e2ebfceab.words;
+::capnp::word const* const bp_ae18d7def1c444e3 = b_ae18d7def1c444e3.words;
 #if !CAPNP_LITE
-static const uint16_t m_e6a8b32e2ebfceab[] = {0, 1};
-static const uint16_t i_e6a8b32e2ebfceab[] = {0, 1};
-const ::capnp::_::RawSchema s_e6a8b32e2ebfceab = {
-  0xe6a8b32e2ebfceab, b_e6a8b32e2ebfceab.words, 48, nullptr, m_e6a8b32e2ebfceab,
-  0, 2, i_e6a8b32e2ebfceab, nullptr, nullptr, { &s_e6a8b32e2ebfceab, nullptr, nullptr, 0, 0, nullptr }
+static const uint16_t m_ae18d7def1c444e3[] = {0, 1};
+static const uint16_t i_ae18d7def1c444e3[] = {0, 1};
+const ::capnp::_::RawSchema s_ae18d7def1c444e3 = {
+  0xae18d7def1c444e3, b_ae18d7def1c444e3.words, 49, nullptr, m_ae18d7def1c444e3,
+  0, 2, i_ae18d7def1c444e3, nullptr, nullptr, { &s_ae18d7def1c444e3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<140> b_bf7e54079ded046b = {
@@ -264,7 +265,7 @@
   1, 7, i_bf7e54079ded046b, nullptr, nullptr, { &s_bf7e54079ded046b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<58> b_df7cd5f04a05908b = {
+static const ::capnp::_::AlignedData<68> b_df7cd5f04a05908b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     139, 144,   5,  74, 240, 213, 124, 223,
      20,   0,   0,   0,   1,   0,   0,   0,
@@ -287,25 +288,35 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  82,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     68,   0,   0,   0,   2,   0,   1,   0,
+     41,   0,   0,   0, 122,   0,   0,   0,
+     45,   0,   0,   0,  31,   0,   0,   0,
+     80,   0,   0,   0,   3,   0,   1,   0,
+    108,   0,   0,   0,   2,   0,   1,   0,
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     65,   0,   0,   0,  50,   0,   0,   0,
+    105,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100,   0,   0,   0,   3,   0,   1,   0,
+    128,   0,   0,   0,   2,   0,   1,   0,
+     99, 108, 105, 101, 110, 116,  65,  99,
+     99, 111, 117, 110, 116, 115,   0,   0,
+      4,   0,   0,   0,   1,   0,   2,   0,
+     61, 124,  46,  28, 214,  31,  91, 250,
+      4,   0,   0,   0,   2,   0,   1,   0,
+     20,   0,   0,   0,   0,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0, 130,   0,   0,   0,
+     99, 108, 105, 101, 110, 116,  95,  97,
+     99,  99, 111, 117, 110, 116, 115,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     60,   0,   0,   0,   3,   0,   1,   0,
-     88,   0,   0,   0,   2,   0,   1,   0,
-     99, 117, 115, 116, 111, 109, 101, 114,
-    115,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    171, 206, 191,  46,  46, 179, 168, 230,
+    227,  68, 196, 241, 222, 215,  24, 174,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -327,13 +338,13 @@
 ::capnp::word const* const bp_df7cd5f04a05908b = b_df7cd5f04a05908b.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_df7cd5f04a05908b[] = {
+  &s_ae18d7def1c444e3,
   &s_bf7e54079ded046b,
-  &s_e6a8b32e2ebfceab,
 };
 static const uint16_t m_df7cd5f04a05908b[] = {0, 1};
 static const uint16_t i_df7cd5f04a05908b[] = {0, 1};
 const ::capnp::_::RawSchema s_df7cd5f04a05908b = {
-  0xdf7cd5f04a05908b, b_df7cd5f04a05908b.words, 58, d_df7cd5f04a05908b, m_df7cd5f04a05908b,
+  0xdf7cd5f04a05908b, b_df7cd5f04a05908b.words, 68, d_df7cd5f04a05908b, m_df7cd5f04a05908b,
   2, 2, i_df7cd5f04a05908b, nullptr, nullptr, { &s_df7cd5f04a05908b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
@@ -497,12 +508,12 @@
 namespace cicadadrum {
 namespace schema {
 
-// Customer
-constexpr uint16_t Customer::_capnpPrivate::dataWordSize;
-constexpr uint16_t Customer::_capnpPrivate::pointerCount;
+// ClientAccount
+constexpr uint16_t ClientAccount::_capnpPrivate::dataWordSize;
+constexpr uint16_t ClientAccount::_capnpPrivate::pointerCount;
 #if !CAPNP_LITE
-constexpr ::capnp::Kind Customer::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Customer::_capnpPrivate::schema;
+constexpr ::capnp::Kind ClientAccount::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* ClientAccount::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
 // Plan
--- a/Generated/schemas/configuration.capnp.h
+++ b/Generated/schemas/configuration.capnp.h
@@ -24,7 +24,7 @@
   BULK,
 };
 CAPNP_DECLARE_ENUM(RequestClass, 9e2bc3894e32bfc8);
-CAPNP_DECLARE_SCHEMA(e6a8b32e2ebfceab);
+CAPNP_DECLARE_SCHEMA(ae18d7def1c444e3);
 CAPNP_DECLARE_SCHEMA(bf7e54079ded046b);
 CAPNP_DECLARE_SCHEMA(df7cd5f04a05908b);
 CAPNP_DECLARE_SCHEMA(92a4fa8dd1408ee6);
@@ -38,15 +38,15 @@
 
 typedef ::capnp::schemas::RequestClass_9e2bc3894e32bfc8 RequestClass;
 
-struct Customer {
-  Customer() = delete;
+struct ClientAccount {
+  ClientAccount() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e6a8b32e2ebfceab, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ae18d7def1c444e3, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -115,9 +115,9 @@
 
 // =======================================================================================
 
-class Customer::Reader {
+class ClientAccount::Reader {
 public:
-  typedef Customer Reads;
+  typedef ClientAccount Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -150,9 +150,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Customer::Builder {
+class ClientAccount::Builder {
 public:
-  typedef Customer Builds;
+  typedef ClientAccount Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -190,9 +190,9 @@
 };
 
 #if !CAPNP_LITE
-class Customer::Pipeline {
+class ClientAccount::Pipeline {
 public:
-  typedef Customer Pipelines;
+  typedef ClientAccount Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -352,8 +352,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomers() const;
-  inline  ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>::Reader getCustomers() const;
+  inline bool hasClientAccounts() const;
+  inline  ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>::Reader getClientAccounts() const;
 
   inline bool hasPlans() const;
   inline  ::capnp::List< ::cicadadrum::schema::Plan,  ::capnp::Kind::STRUCT>::Reader getPlans() const;
@@ -386,12 +386,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomers();
-  inline  ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>::Builder getCustomers();
-  inline void setCustomers( ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>::Builder initCustomers(unsigned int size);
-  inline void adoptCustomers(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>> disownCustomers();
+  inline bool hasClientAccounts();
+  inline  ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>::Builder getClientAccounts();
+  inline void setClientAccounts( ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>::Builder initClientAccounts(unsigned int size);
+  inline void adoptClientAccounts(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>> disownClientAccounts();
 
   inline bool hasPlans();
   inline  ::capnp::List< ::cicadadrum::schema::Plan,  ::capnp::Kind::STRUCT>::Builder getPlans();
@@ -615,70 +615,70 @@
 
 // =======================================================================================
 
-inline bool Customer::Reader::hasName() const {
+inline bool ClientAccount::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Customer::Builder::hasName() {
+inline bool ClientAccount::Builder::hasName() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Customer::Reader::getName() const {
+inline  ::capnp::Text::Reader ClientAccount::Reader::getName() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Customer::Builder::getName() {
+inline  ::capnp::Text::Builder ClientAccount::Builder::getName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Customer::Builder::setName( ::capnp::Text::Reader value) {
+inline void ClientAccount::Builder::setName( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Customer::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder ClientAccount::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Customer::Builder::adoptName(
+inline void ClientAccount::Builder::adoptName(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Customer::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> ClientAccount::Builder::disownName() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Customer::Reader::hasPlan() const {
+inline bool ClientAccount::Reader::hasPlan() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Customer::Builder::hasPlan() {
+inline bool ClientAccount::Builder::hasPlan() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Customer::Reader::getPlan() const {
+inline  ::capnp::Text::Reader ClientAccount::Reader::getPlan() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Customer::Builder::getPlan() {
+inline  ::capnp::Text::Builder ClientAccount::Builder::getPlan() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Customer::Builder::setPlan( ::capnp::Text::Reader value) {
+inline void ClientAccount::Builder::setPlan( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Customer::Builder::initPlan(unsigned int size) {
+inline  ::capnp::Text::Builder ClientAccount::Builder::initPlan(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Customer::Builder::adoptPlan(
+inline void ClientAccount::Builder::adoptPlan(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Customer::Builder::disownPlan() {
+inline ::capnp::Orphan< ::capnp::Text> ClientAccount::Builder::disownPlan() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
@@ -873,37 +873,37 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Configuration::Reader::hasCustomers() const {
+inline bool Configuration::Reader::hasClientAccounts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Configuration::Builder::hasCustomers() {
+inline bool Configuration::Builder::hasClientAccounts() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>::Reader Configuration::Reader::getCustomers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>::Reader Configuration::Reader::getClientAccounts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::getCustomers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::getClientAccounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Configuration::Builder::setCustomers( ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Configuration::Builder::setClientAccounts( ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::initCustomers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>::Builder Configuration::Builder::initClientAccounts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Configuration::Builder::adoptCustomers(
-    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Configuration::Builder::adoptClientAccounts(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>> Configuration::Builder::disownCustomers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::Customer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>> Configuration::Builder::disownClientAccounts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::ClientAccount,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/Generated/schemas/demonstration.capnp.h
+++ b/Generated/schemas/demonstration.capnp.h
@@ -75,8 +75,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
+  inline bool hasClientAccount() const;
+  inline  ::capnp::Text::Reader getClientAccount() const;
 
   inline bool hasRegion() const;
   inline  ::capnp::Text::Reader getRegion() const;
@@ -120,12 +120,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+  inline bool hasClientAccount();
+  inline  ::capnp::Text::Builder getClientAccount();
+  inline void setClientAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClientAccount(unsigned int size);
+  inline void adoptClientAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClientAccount();
 
   inline bool hasRegion();
   inline  ::capnp::Text::Builder getRegion();
@@ -292,36 +292,36 @@
 
 // =======================================================================================
 
-inline bool Stream::Reader::hasCustomer() const {
+inline bool Stream::Reader::hasClientAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Stream::Builder::hasCustomer() {
+inline bool Stream::Builder::hasClientAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Stream::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader Stream::Reader::getClientAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Stream::Builder::getCustomer() {
+inline  ::capnp::Text::Builder Stream::Builder::getClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Stream::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void Stream::Builder::setClientAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Stream::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder Stream::Builder::initClientAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Stream::Builder::adoptCustomer(
+inline void Stream::Builder::adoptClientAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Stream::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> Stream::Builder::disownClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -32,7 +32,7 @@
 enum class RefusalReason_d59fd5892a1d14a1: uint16_t {
   NONE,
   NOT_READY,
-  UNKNOWN_CUSTOMER,
+  UNKNOWN_CLIENT_ACCOUNT,
   NOT_IN_PLAN,
   RATE_LIMIT,
   CONCURRENCY_LIMIT,
@@ -1039,8 +1039,8 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
+  inline bool hasClientAccount() const;
+  inline  ::capnp::Text::Reader getClientAccount() const;
 
   inline  ::cicadadrum::schema::RequestClass getRequestClass() const;
 
@@ -1105,12 +1105,12 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+  inline bool hasClientAccount();
+  inline  ::capnp::Text::Builder getClientAccount();
+  inline void setClientAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClientAccount(unsigned int size);
+  inline void adoptClientAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClientAccount();
 
   inline  ::cicadadrum::schema::RequestClass getRequestClass();
   inline void setRequestClass( ::cicadadrum::schema::RequestClass value);
@@ -1654,8 +1654,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
+  inline bool hasClientAccount() const;
+  inline  ::capnp::Text::Reader getClientAccount() const;
 
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
@@ -1711,12 +1711,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+  inline bool hasClientAccount();
+  inline  ::capnp::Text::Builder getClientAccount();
+  inline void setClientAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClientAccount(unsigned int size);
+  inline void adoptClientAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClientAccount();
 
   inline bool hasService();
   inline  ::capnp::Text::Builder getService();
@@ -3034,8 +3034,8 @@
   inline bool hasServer() const;
   inline  ::capnp::Text::Reader getServer() const;
 
-  inline bool hasCustomer() const;
-  inline  ::capnp::Text::Reader getCustomer() const;
+  inline bool hasClientAccount() const;
+  inline  ::capnp::Text::Reader getClientAccount() const;
 
   inline  ::cicadadrum::schema::RequestClass getRequestClass() const;
 
@@ -3083,12 +3083,12 @@
   inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline bool hasCustomer();
-  inline  ::capnp::Text::Builder getCustomer();
-  inline void setCustomer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCustomer(unsigned int size);
-  inline void adoptCustomer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCustomer();
+  inline bool hasClientAccount();
+  inline  ::capnp::Text::Builder getClientAccount();
+  inline void setClientAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClientAccount(unsigned int size);
+  inline void adoptClientAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClientAccount();
 
   inline  ::cicadadrum::schema::RequestClass getRequestClass();
   inline void setRequestClass( ::cicadadrum::schema::RequestClass value);
@@ -5281,36 +5281,36 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool SlotRequest::Reader::hasCustomer() const {
+inline bool SlotRequest::Reader::hasClientAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool SlotRequest::Builder::hasCustomer() {
+inline bool SlotRequest::Builder::hasClientAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader SlotRequest::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader SlotRequest::Reader::getClientAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder SlotRequest::Builder::getCustomer() {
+inline  ::capnp::Text::Builder SlotRequest::Builder::getClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void SlotRequest::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void SlotRequest::Builder::setClientAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder SlotRequest::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder SlotRequest::Builder::initClientAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void SlotRequest::Builder::adoptCustomer(
+inline void SlotRequest::Builder::adoptClientAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> SlotRequest::Builder::disownClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
@@ -5829,36 +5829,36 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ForwardedRequest::Reader::hasCustomer() const {
+inline bool ForwardedRequest::Reader::hasClientAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ForwardedRequest::Builder::hasCustomer() {
+inline bool ForwardedRequest::Builder::hasClientAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ForwardedRequest::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getClientAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ForwardedRequest::Builder::getCustomer() {
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ForwardedRequest::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void ForwardedRequest::Builder::setClientAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ForwardedRequest::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initClientAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void ForwardedRequest::Builder::adoptCustomer(
+inline void ForwardedRequest::Builder::adoptClientAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
@@ -7522,36 +7522,36 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool HeldLease::Reader::hasCustomer() const {
+inline bool HeldLease::Reader::hasClientAccount() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool HeldLease::Builder::hasCustomer() {
+inline bool HeldLease::Builder::hasClientAccount() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader HeldLease::Reader::getCustomer() const {
+inline  ::capnp::Text::Reader HeldLease::Reader::getClientAccount() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder HeldLease::Builder::getCustomer() {
+inline  ::capnp::Text::Builder HeldLease::Builder::getClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HeldLease::Builder::setCustomer( ::capnp::Text::Reader value) {
+inline void HeldLease::Builder::setClientAccount( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder HeldLease::Builder::initCustomer(unsigned int size) {
+inline  ::capnp::Text::Builder HeldLease::Builder::initClientAccount(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void HeldLease::Builder::adoptCustomer(
+inline void HeldLease::Builder::adoptClientAccount(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> HeldLease::Builder::disownCustomer() {
+inline ::capnp::Orphan< ::capnp::Text> HeldLease::Builder::disownClientAccount() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
--- a/Libraries/LibBench/callers.cc
+++ b/Libraries/LibBench/callers.cc
@@ -13,8 +13,8 @@
 // Time until a caller detects that its entry VM was lost.
 constexpr Duration kEntryLossDetectionTime = Milliseconds(500);
 constexpr std::uint32_t kMaxCallerAttempts = 4;
-// Number of distinct reads of one customer in each service.
-constexpr std::uint64_t kPathsPerCustomer = 200;
+// Number of distinct reads of one client account in each service.
+constexpr std::uint64_t kPathsPerClientAccount = 200;
 
 Duration DeadlineOf(RequestClass request_class) {
   switch (request_class) {
@@ -82,13 +82,14 @@
 // the caller's region first, each group ranked by rendezvous hashing.
 const std::vector<std::size_t>& RankEntries(World& world,
                                             const CallerRequest& caller) {
-  auto& ranked = world.ranked_entries[caller.region + "/" + caller.customer];
+  auto& ranked =
+      world.ranked_entries[caller.region + "/" + caller.client_account];
   if (!ranked.empty())
     return ranked;
   std::vector<std::string> names;
   for (const SimulatedEntry& entry : world.entries)
     names.push_back(entry.description.name);
-  RankByRendezvous(caller.customer, names);
+  RankByRendezvous(caller.client_account, names);
   for (const bool local : {true, false}) {
     for (const std::string& name : names) {
       const std::size_t index = world.entry_index.at(name);
@@ -128,9 +129,8 @@
                           const std::string& region) {
   const std::size_t index = world.callers.size();
   CallerRequest caller;
-  caller.customer =
-      world
-          .customers[RandomBelow(world.arrival_random, world.customers.size())];
+  caller.client_account = world.client_accounts[RandomBelow(
+      world.arrival_random, world.client_accounts.size())];
   caller.service = world.deployment->deployment
                        .services[static_cast<std::size_t>(stream.service)]
                        .name;
@@ -143,10 +143,10 @@
   const bool is_read = stream.request_class == RequestClass::kUrgent ||
                        stream.request_class == RequestClass::kRoutine;
   const std::uint64_t path =
-      is_read ? RandomBelow(world.arrival_random, kPathsPerCustomer)
-              : kPathsPerCustomer + index;
+      is_read ? RandomBelow(world.arrival_random, kPathsPerClientAccount)
+              : kPathsPerClientAccount + index;
   caller.fingerprint =
-      HashBytes(caller.customer + caller.service + std::to_string(path));
+      HashBytes(caller.client_account + caller.service + std::to_string(path));
   if (stream.request_class == RequestClass::kWrite)
     caller.key = "key-" + std::to_string(index);
   if (caller.is_counted) {
@@ -169,7 +169,7 @@
     world.caller_attempts[request] = {index, entry};
     return Deliver(world, entry,
                    RequestArrived{.request = request,
-                                  .customer = caller.customer,
+                                  .client_account = caller.client_account,
                                   .service = caller.service,
                                   .request_class = caller.request_class,
                                   .key = caller.key,
--- a/Libraries/LibBench/disturbances.cc
+++ b/Libraries/LibBench/disturbances.cc
@@ -65,7 +65,7 @@
       world.deployment->deployment.regions[disturbance.region].name;
   const std::size_t index = CreateRequest(world, stream, region);
   CallerRequest& caller = world.callers[index];
-  caller.customer = world.customers.front();
+  caller.client_account = world.client_accounts.front();
   caller.fingerprint = 1;
   caller.crashes_server = true;
   SendCallerAttempt(world, index);
--- a/Libraries/LibBench/entry_driver.cc
+++ b/Libraries/LibBench/entry_driver.cc
@@ -228,8 +228,8 @@
   for (const Region& region : world.deployment->deployment.regions)
     plan.regions.push_back(region.name);
   configuration.plans.push_back(plan);
-  for (const std::string& customer : world.customers)
-    configuration.customers.push_back({customer, plan.name});
+  for (const std::string& client_account : world.client_accounts)
+    configuration.client_accounts.push_back({client_account, plan.name});
   return configuration;
 }
 
--- a/Libraries/LibBench/simulation.cc
+++ b/Libraries/LibBench/simulation.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint32_t kCustomerCount = 24;
+constexpr std::uint32_t kClientAccountCount = 24;
 constexpr std::uint32_t kBacklogLimit = 16;
 // A request without a response this long after the last arrival counts as
 // missing. The time is longer than every deadline.
@@ -43,8 +43,8 @@
   world.options = options;
   world.arrival_random.state = options.seed;
   world.direct_choice_random.state = ~options.seed;
-  for (std::uint32_t i = 0; i < kCustomerCount; ++i)
-    world.customers.push_back("customer-" + std::to_string(i));
+  for (std::uint32_t i = 0; i < kClientAccountCount; ++i)
+    world.client_accounts.push_back("account-" + std::to_string(i));
   for (const BackendServer& server : deployment.servers) {
     world.server_index[server.name] = world.servers.size();
     world.servers.push_back({.description = server,
--- a/Libraries/LibBench/world.h
+++ b/Libraries/LibBench/world.h
@@ -36,7 +36,7 @@
 // A caller's request with the state that is common to all its attempts.
 struct CallerRequest {
   std::size_t stream = 0;
-  std::string customer;
+  std::string client_account;
   std::string service;
   std::string region;
   RequestClass request_class = RequestClass::kRoutine;
@@ -102,8 +102,9 @@
   std::unordered_map<std::string, std::uint32_t> executions_by_key;
   // Number of the next lease that a policy without a pool owner grants.
   std::uint64_t next_direct_lease = 1;
-  std::vector<std::string> customers;
-  // Entry VMs by "<region>/<customer>", in the callers' order of preference.
+  std::vector<std::string> client_accounts;
+  // Entry VMs by "<region>/<client account>", in the callers' order of
+  // preference.
   std::map<std::string, std::vector<std::size_t>> ranked_entries;
   // Number of caller requests without a response.
   std::uint64_t requests_without_response = 0;
--- a/Libraries/LibCaller/caller.cc
+++ b/Libraries/LibCaller/caller.cc
@@ -123,8 +123,9 @@
   addresses.erase(addresses.begin());
   const HttpRequest request{
       .method = HttpMethod::kGet,
-      .target = "/v1/lookup?customer=" + options.customer + "&service=" +
-                call->request.service + "&region=" + options.region};
+      .target = "/v1/lookup?client_account=" + options.client_account +
+                "&service=" + call->request.service +
+                "&region=" + options.region};
   const TimePoint deadline =
       std::min(call->deadline, loop.Now() + kLookupTimeout);
   client.Send(address, request, deadline,
@@ -165,7 +166,8 @@
       .body = call.request.body};
   const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.deadline - loop.Now());
-  request.headers.emplace_back("Cicadadrum-Customer", options.customer);
+  request.headers.emplace_back("Cicadadrum-Client-Account",
+                               options.client_account);
   request.headers.emplace_back("Cicadadrum-Class",
                                NameOf(call.request.request_class));
   request.headers.emplace_back(
--- a/Libraries/LibCaller/include/cicadadrum/caller/caller.h
+++ b/Libraries/LibCaller/include/cicadadrum/caller/caller.h
@@ -22,7 +22,7 @@
   std::vector<std::string>
       seed_addresses;  // Addresses (IP:port) of entry VMs for the first lookup;
                        // at least one.
-  std::string customer;
+  std::string client_account;
   std::string
       region;  // The caller's region, or empty to let the entry VM choose.
   std::uint64_t random_seed =
@@ -62,9 +62,9 @@
       0;  // Number of requests for the offset after a failed part.
 };
 
-// Sends requests of one customer. All member functions must be called on the
-// thread of the event loop. The object must exist until the callbacks of all
-// requests and uploads have been called.
+// Sends requests of one client account. All member functions must be called on
+// the thread of the event loop. The object must exist until the callbacks of
+// all requests and uploads have been called.
 class Caller {
  public:
   // `loop` must outlive the object; `options` is copied.
@@ -85,7 +85,7 @@
   // backend server and continues there. Calls `callback` once: when the upload
   // is complete, when a part was refused permanently, or after `deadline`
   // (relative to now). `upload` is the name of the upload and must be unique
-  // for the customer.
+  // for the client account.
   void Upload(const std::string& service,
               const std::string& target,
               const std::string& upload,
--- a/Libraries/LibCaller/upload.h
+++ b/Libraries/LibCaller/upload.h
@@ -14,7 +14,7 @@
 struct UploadRequest {
   std::string service;
   std::string target;  // Path and query at the backend server.
-  std::string upload;  // Name of the upload, unique for the customer.
+  std::string upload;  // Name of the upload, unique for the client account.
   std::string bytes;
   TimePoint deadline;
 };
--- a/Libraries/LibConfiguration/conversion.cc
+++ b/Libraries/LibConfiguration/conversion.cc
@@ -79,8 +79,9 @@
 
 Configuration ReadConfiguration(schema::Configuration::Reader source) {
   Configuration configuration;
-  for (const auto customer : source.getCustomers())
-    configuration.customers.push_back({customer.getName(), customer.getPlan()});
+  for (const auto client_account : source.getClientAccounts())
+    configuration.client_accounts.push_back(
+        {client_account.getName(), client_account.getPlan()});
   for (const auto plan : source.getPlans()) {
     configuration.plans.push_back(
         {plan.getName(), ReadStrings(plan.getServices()),
@@ -93,11 +94,11 @@
 
 void WriteConfiguration(const Configuration& configuration,
                         schema::Configuration::Builder target) {
-  auto customers =
-      target.initCustomers(ListSize(configuration.customers.size()));
-  for (unsigned i = 0; i < customers.size(); ++i) {
-    customers[i].setName(configuration.customers[i].name);
-    customers[i].setPlan(configuration.customers[i].plan);
+  auto client_accounts =
+      target.initClientAccounts(ListSize(configuration.client_accounts.size()));
+  for (unsigned i = 0; i < client_accounts.size(); ++i) {
+    client_accounts[i].setName(configuration.client_accounts[i].name);
+    client_accounts[i].setPlan(configuration.client_accounts[i].plan);
   }
   auto plans = target.initPlans(ListSize(configuration.plans.size()));
   for (unsigned i = 0; i < plans.size(); ++i)
--- a/Libraries/LibConfiguration/include/cicadadrum/configuration/settings.h
+++ b/Libraries/LibConfiguration/include/cicadadrum/configuration/settings.h
@@ -1,5 +1,5 @@
 // Loading and checking of settings files, and parsing of the configuration (the
-// lists of customers and plans).
+// lists of client accounts and plans).
 
 #ifndef CICADADRUM_CONFIGURATION_SETTINGS_H_
 #define CICADADRUM_CONFIGURATION_SETTINGS_H_
@@ -36,7 +36,7 @@
 // LoadDeployment.
 boost::leaf::result<EntrySettings> LoadEntrySettings(const std::string& path);
 
-// Parses the lists of customers and plans and checks them against the
+// Parses the lists of client accounts and plans and checks them against the
 // deployment. `source` names the text in error messages. The result has version
 // 0. Error: kInvalidConfiguration.
 boost::leaf::result<Configuration> ParseConfiguration(
@@ -44,8 +44,8 @@
     const std::string& source,
     const Deployment& deployment);
 
-// Returns the lists of customers and plans as JSON text that ParseConfiguration
-// accepts. The version is not part of the text.
+// Returns the lists of client accounts and plans as JSON text that
+// ParseConfiguration accepts. The version is not part of the text.
 std::string FormatConfiguration(const Configuration& configuration);
 
 }  // namespace cicadadrum
--- a/Libraries/LibConfiguration/json.cc
+++ b/Libraries/LibConfiguration/json.cc
@@ -27,6 +27,10 @@
 using Json = nlohmann::json;
 using Problem = std::optional<std::string>;
 
+// Id of the annotation `name` in capnp/compat/json.capnp; the header that is
+// generated from it has no constant for it.
+constexpr std::uint64_t kJsonNameAnnotation = 0xfa5b1fd61c2e7c3d;
+
 // Parser callback that detects repeated keys, of which the parser would
 // silently keep only one.
 struct RepeatedKeyCheck {
@@ -113,24 +117,35 @@
   return std::nullopt;
 }
 
+// Returns the key of the field in JSON: the name that the schema gives it for
+// JSON, or its own name.
+std::string JsonKeyOf(capnp::StructSchema::Field field) {
+  for (const auto annotation : field.getProto().getAnnotations()) {
+    if (annotation.getId() == kJsonNameAnnotation)
+      return annotation.getValue().getText();
+  }
+  return field.getProto().getName();
+}
+
 Problem CheckStruct(const Json& value,
                     const std::string& path,
                     capnp::StructSchema schema) {
   if (!value.is_object())
     return DescribeInvalidValue(path.empty() ? "document" : path, value,
                                 "an object");
+  std::vector<std::string> keys;
+  for (const auto field : schema.getFields())
+    keys.push_back(JsonKeyOf(field));
   for (const auto& [key, member] : value.items()) {
     const std::string member_path = path.empty() ? key : path + "." + key;
-    KJ_IF_MAYBE (field, schema.findFieldByName(key)) {
-      auto problem = CheckValue(member, member_path, field->getType());
-      if (problem)
-        return problem;
-      continue;
-    }
-    std::vector<std::string> names;
-    for (const auto field : schema.getFields())
-      names.emplace_back(field.getProto().getName().cStr());
-    return member_path + ": unknown key; known keys are " + JoinNames(names);
+    const auto found = std::find(keys.begin(), keys.end(), key);
+    if (found == keys.end())
+      return member_path + ": unknown key; known keys are " + JoinNames(keys);
+    const auto index = static_cast<unsigned>(found - keys.begin());
+    auto problem =
+        CheckValue(member, member_path, schema.getFields()[index].getType());
+    if (problem)
+      return problem;
   }
   return std::nullopt;
 }
@@ -198,6 +213,7 @@
   if (problem)
     return Fail(code, source, *problem);
   capnp::JsonCodec codec;
+  codec.handleByAnnotation(schema);
   codec.setRejectUnknownFields(true);
   const std::string without_comments = json.dump();
   auto root = message.initRoot<capnp::DynamicStruct>(schema);
@@ -222,6 +238,7 @@
 
 std::string EncodeJson(capnp::DynamicStruct::Reader value) {
   capnp::JsonCodec codec;
+  codec.handleByAnnotation(value.getSchema());
   codec.setPrettyPrint(true);
   return codec.encode(value).cStr();
 }
--- a/Libraries/LibConfiguration/settings.cc
+++ b/Libraries/LibConfiguration/settings.cc
@@ -1,5 +1,5 @@
-// Loading of settings files and of the lists of customers and plans, with the
-// checks that a schema can't express.
+// Loading of settings files and of the lists of client accounts and plans, with
+// the checks that a schema can't express.
 
 #include "cicadadrum/configuration/settings.h"
 
@@ -13,6 +13,7 @@
 #include "cicadadrum/base/error.h"
 #include "cicadadrum/configuration/json.h"
 #include "conversion.h"
+#include "earlier_keys.h"
 
 namespace cicadadrum {
 
@@ -142,7 +143,8 @@
 
 Problem CheckConfiguration(const Configuration& configuration,
                            const Deployment& deployment) {
-  if (auto problem = CheckNames(configuration.customers, "customers"))
+  if (auto problem =
+          CheckNames(configuration.client_accounts, "client_accounts"))
     return problem;
   if (auto problem = CheckNames(configuration.plans, "plans"))
     return problem;
@@ -150,10 +152,10 @@
     if (auto problem = CheckPlan(configuration.plans[i], i, deployment))
       return problem;
   }
-  for (std::size_t i = 0; i < configuration.customers.size(); ++i) {
-    const std::string& plan = configuration.customers[i].plan;
+  for (std::size_t i = 0; i < configuration.client_accounts.size(); ++i) {
+    const std::string& plan = configuration.client_accounts[i].plan;
     if (!HasName(configuration.plans, plan))
-      return KeyPath("customers", i, "plan") + ": " + Quote(plan) +
+      return KeyPath("client_accounts", i, "plan") + ": " + Quote(plan) +
              " is not one of plans";
   }
   return std::nullopt;
@@ -212,9 +214,10 @@
                                                const std::string& source,
                                                const Deployment& deployment) {
   capnp::MallocMessageBuilder message;
-  BOOST_LEAF_AUTO(root,
-                  DecodeJsonAs<schema::Configuration>(
-                      text, source, ErrorCode::kInvalidConfiguration, message));
+  BOOST_LEAF_AUTO(current_text, ReplaceEarlierKeys(text, source));
+  BOOST_LEAF_AUTO(root, DecodeJsonAs<schema::Configuration>(
+                            current_text, source,
+                            ErrorCode::kInvalidConfiguration, message));
   Configuration configuration = ReadConfiguration(root);
   if (const auto problem = CheckConfiguration(configuration, deployment))
     return Fail(ErrorCode::kInvalidConfiguration, source, *problem);
--- a/Libraries/LibEntry/backend_link.cc
+++ b/Libraries/LibEntry/backend_link.cc
@@ -12,7 +12,7 @@
 
 // Header fields of the caller's request that are passed to the backend server.
 constexpr auto kForwardedFields = std::to_array<std::string_view>(
-    {"Content-Type", "Accept", kCustomerField, kClassField, kKeyField,
+    {"Content-Type", "Accept", kClientAccountField, kClassField, kKeyField,
      kUploadField, "Cicadadrum-Upload-Offset", "Cicadadrum-Upload-Total",
      kTraceField});
 
--- a/Libraries/LibEntry/caller_protocol.cc
+++ b/Libraries/LibEntry/caller_protocol.cc
@@ -26,7 +26,7 @@
 // HTTP statuses of refusals. For other reasons the status is 503 if the request
 // did not run, and 502 otherwise.
 constexpr auto kRefusalStatuses = std::to_array<RefusalStatus>({
-    {RefusalReason::kUnknownCustomer, 403},
+    {RefusalReason::kUnknownClientAccount, 403},
     {RefusalReason::kNotInPlan, 403},
     {RefusalReason::kRateLimit, 429},
     {RefusalReason::kConcurrencyLimit, 429},
@@ -54,8 +54,8 @@
 
 std::uint64_t Fingerprint(const RequestArrived& arrived,
                           const HttpRequest& request) {
-  const std::string head = arrived.customer + '\n' + arrived.service + '\n' +
-                           std::string(NameOf(request.method)) + '\n' +
+  const std::string head = arrived.client_account + '\n' + arrived.service +
+                           '\n' + std::string(NameOf(request.method)) + '\n' +
                            request.target + '\n';
   return HashBytes(request.body, HashBytes(head));
 }
@@ -68,7 +68,7 @@
                                                  std::string& error_message) {
   RequestArrived arrived{.request = id,
                          .service = std::string(ServiceOf(request.path))};
-  arrived.customer = FindField(request.headers, kCustomerField);
+  arrived.client_account = FindField(request.headers, kClientAccountField);
   const auto request_class =
       ParseName<RequestClass>(FindField(request.headers, kClassField));
   if (!request_class) {
@@ -95,7 +95,8 @@
   }
   const std::string_view upload = FindField(request.headers, kUploadField);
   arrived.affinity =
-      upload.empty() ? 0 : HashBytes(upload, HashBytes(arrived.customer)) | 1;
+      upload.empty() ? 0
+                     : HashBytes(upload, HashBytes(arrived.client_account)) | 1;
   arrived.request_class = *request_class;
   arrived.key = FindField(request.headers, kKeyField);
   arrived.body_bytes = request.body.size();
@@ -107,7 +108,7 @@
 ForwardedRequest MakeForwardedRequest(const HttpRequest& request,
                                       const RequestArrived& arrived,
                                       std::string traceparent) {
-  return {.customer = arrived.customer,
+  return {.client_account = arrived.client_account,
           .service = arrived.service,
           .request_class = arrived.request_class,
           .key = arrived.key,
@@ -126,7 +127,7 @@
       .path = forwarded.path.substr(0, forwarded.path.find('?')),
       .body = forwarded.body};
   request.headers = {
-      {kCustomerField, forwarded.customer},
+      {kClientAccountField, forwarded.client_account},
       {kClassField, std::string(NameOf(forwarded.request_class))},
       {kKeyField, forwarded.key}};
   return request;
--- a/Libraries/LibEntry/caller_protocol.h
+++ b/Libraries/LibEntry/caller_protocol.h
@@ -14,7 +14,7 @@
 namespace cicadadrum {
 
 // Header fields of the caller interface; docs/interface.md explains them.
-inline constexpr char kCustomerField[] = "Cicadadrum-Customer";
+inline constexpr char kClientAccountField[] = "Cicadadrum-Client-Account";
 inline constexpr char kClassField[] = "Cicadadrum-Class";
 inline constexpr char kDeadlineField[] = "Cicadadrum-Deadline-Ms";
 inline constexpr char kKeyField[] = "Cicadadrum-Request-Key";
@@ -36,8 +36,8 @@
                                                  std::string& error_message);
 
 // Converts an HTTP request to the message that forwards it to the home of its
-// request key, and back. RestoreForwardedRequest() sets only the customer,
-// class and request key fields.
+// request key, and back. RestoreForwardedRequest() sets only the client
+// account, class and request key fields.
 ForwardedRequest MakeForwardedRequest(const HttpRequest& request,
                                       const RequestArrived& arrived,
                                       std::string traceparent);
--- a/Libraries/LibEntry/entry_server.cc
+++ b/Libraries/LibEntry/entry_server.cc
@@ -88,7 +88,7 @@
 
 HttpResponse EntryServer::Impl::MakeLookupResponse(const HttpRequest& request) {
   const EntryState& state = core.state();
-  const std::string customer(FindField(request.query, "customer"));
+  const std::string client_account(FindField(request.query, "client_account"));
   const std::string service(FindField(request.query, "service"));
   std::string region(FindField(request.query, "region"));
   if (region.empty())
@@ -98,7 +98,7 @@
   answer.setRegion(region);
   const EntryDirectory& directory = core.directory();
   const std::vector<std::uint32_t> ranked =
-      RankEntries(directory, region, customer, service);
+      RankEntries(directory, region, client_account, service);
   auto entries = answer.initEntries(static_cast<unsigned>(ranked.size()));
   for (unsigned i = 0; i < entries.size(); ++i) {
     const EntryVm& entry = directory.entries[ranked[i]];
--- a/Libraries/LibLookup/include/cicadadrum/lookup/rank_entries.h
+++ b/Libraries/LibLookup/include/cicadadrum/lookup/rank_entries.h
@@ -40,17 +40,17 @@
 constexpr std::size_t kDefaultRankLimit = 6;
 
 // Returns at most `limit` indexes into `directory.entries`, best first. The
-// entry VMs of `region` come first, in order of the rendezvous hash of customer
-// and service, with the first two in different failure domains where possible.
-// A third of the list (at least one place, if there is another region and
-// `limit` is at least 2) is reserved for the best entry VMs of other regions,
-// each from a different region as far as possible, so that a cached list
-// remains usable after the loss of a failure domain or of the region. If an
-// entry VM is removed from the directory, other entry VMs move only as far as
-// is needed to fill its place.
+// entry VMs of `region` come first, in order of the rendezvous hash of client
+// account and service, with the first two in different failure domains where
+// possible. A third of the list (at least one place, if there is another region
+// and `limit` is at least 2) is reserved for the best entry VMs of other
+// regions, each from a different region as far as possible, so that a cached
+// list remains usable after the loss of a failure domain or of the region. If
+// an entry VM is removed from the directory, other entry VMs move only as far
+// as is needed to fill its place.
 std::vector<std::uint32_t> RankEntries(const EntryDirectory& directory,
                                        std::string_view region,
-                                       std::string_view customer,
+                                       std::string_view client_account,
                                        std::string_view service,
                                        std::size_t limit = kDefaultRankLimit);
 
--- a/Libraries/LibLookup/rank_entries.cc
+++ b/Libraries/LibLookup/rank_entries.cc
@@ -119,10 +119,10 @@
 
 std::vector<std::uint32_t> RankEntries(const EntryDirectory& directory,
                                        std::string_view region,
-                                       std::string_view customer,
+                                       std::string_view client_account,
                                        std::string_view service,
                                        std::size_t limit) {
-  const std::uint64_t key = HashBytes(customer, HashBytes(service));
+  const std::uint64_t key = HashBytes(client_account, HashBytes(service));
   const auto regions = OtherRegions(directory, region, key);
   const std::size_t reserved =
       regions.empty() || limit < 2 ? 0 : std::max<std::size_t>(limit / 3, 1);
--- a/Libraries/LibModel/include/cicadadrum/model/configuration.h
+++ b/Libraries/LibModel/include/cicadadrum/model/configuration.h
@@ -1,5 +1,5 @@
-// The configuration that operators edit: the plan of each customer and the
-// limits of each plan.
+// The configuration that operators edit: the plan of each client account and
+// the limits of each plan.
 
 #ifndef CICADADRUM_MODEL_CONFIGURATION_H_
 #define CICADADRUM_MODEL_CONFIGURATION_H_
@@ -12,33 +12,34 @@
 
 namespace cicadadrum {
 
-struct Customer {
+struct ClientAccount {
   std::string name;
   std::string plan;
-  bool operator==(const Customer&) const = default;
+  bool operator==(const ClientAccount&) const = default;
 };
 
-// Permissions and limits of the customers that have this plan.
+// Permissions and limits of the client accounts that have this plan.
 struct Plan {
   std::string name;
   // Services, classes and regions that requests may use; none is empty.
   std::vector<std::string> services;
   std::vector<RequestClass> classes;
   std::vector<std::string> regions;
-  // Rate limit per customer, summed over all entry VMs.
+  // Rate limit per client account, summed over all entry VMs.
   std::uint32_t requests_per_second = 0;
-  // Limit of requests in progress per customer, summed over all entry VMs.
+  // Limit of requests in progress per client account, summed over all entry
+  // VMs.
   std::uint32_t concurrency = 0;
   std::uint64_t max_body_bytes = 0;
   bool operator==(const Plan&) const = default;
 };
 
-// One version of the lists of customers and plans. A later configuration has a
-// higher version; version 0 means that no configuration is known.
+// One version of the lists of client accounts and plans. A later configuration
+// has a higher version; version 0 means that no configuration is known.
 struct Configuration {
   std::uint64_t version = 0;
-  std::vector<Customer>
-      customers;            // Names are unique; each plan exists in `plans`.
+  std::vector<ClientAccount>
+      client_accounts;      // Names are unique; each plan exists in `plans`.
   std::vector<Plan> plans;  // Names are unique.
   bool operator==(const Configuration&) const = default;
 };
--- a/Libraries/LibModel/include/cicadadrum/model/request.h
+++ b/Libraries/LibModel/include/cicadadrum/model/request.h
@@ -97,7 +97,7 @@
 enum class RefusalReason : std::uint8_t {
   kNone,
   kNotReady,
-  kUnknownCustomer,
+  kUnknownClientAccount,
   kNotInPlan,
   kRateLimit,
   kConcurrencyLimit,
@@ -120,7 +120,7 @@
   static constexpr auto kTable = std::to_array<EnumName<RefusalReason>>({
       {RefusalReason::kNone, "none"},
       {RefusalReason::kNotReady, "not-ready"},
-      {RefusalReason::kUnknownCustomer, "unknown-customer"},
+      {RefusalReason::kUnknownClientAccount, "unknown-client-account"},
       {RefusalReason::kNotInPlan, "not-in-plan"},
       {RefusalReason::kRateLimit, "rate-limit"},
       {RefusalReason::kConcurrencyLimit, "concurrency-limit"},
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -51,7 +51,7 @@
   to.setId(slot_request.id);
   to.setRegion(TextToWire(pool.region));
   to.setService(TextToWire(pool.service));
-  to.setCustomer(TextToWire(slot_request.customer));
+  to.setClientAccount(TextToWire(slot_request.client_account));
   to.setRequestClass(
       EnumToWire<schema::RequestClass>(slot_request.request_class));
   to.setRemainingMicroseconds(DeadlineToWire(slot_request.deadline, now));
@@ -76,7 +76,7 @@
   request.pool.region = TextFromWire(from.getRegion());
   request.pool.service = TextFromWire(from.getService());
   request.slot_request.id = from.getId();
-  request.slot_request.customer = TextFromWire(from.getCustomer());
+  request.slot_request.client_account = TextFromWire(from.getClientAccount());
   request.slot_request.request_class = *request_class;
   request.slot_request.deadline = *deadline;
   for (const auto server : from.getAvoid())
@@ -165,7 +165,7 @@
 void WriteForwardedRequest(const ForwardedRequest& request,
                            TimePoint now,
                            schema::ForwardedRequest::Builder to) {
-  to.setCustomer(TextToWire(request.customer));
+  to.setClientAccount(TextToWire(request.client_account));
   to.setService(TextToWire(request.service));
   to.setRequestClass(EnumToWire<schema::RequestClass>(request.request_class));
   to.setKey(TextToWire(request.key));
@@ -186,7 +186,7 @@
   if (!request_class || !deadline)
     return std::nullopt;
   ForwardedRequest request;
-  request.customer = TextFromWire(from.getCustomer());
+  request.client_account = TextFromWire(from.getClientAccount());
   request.service = TextFromWire(from.getService());
   request.request_class = *request_class;
   request.key = TextFromWire(from.getKey());
@@ -227,7 +227,7 @@
 }
 
 std::size_t EstimateBytes(const SlotRequest& slot_request) {
-  std::size_t bytes = kEnvelopeBytes + slot_request.customer.size() +
+  std::size_t bytes = kEnvelopeBytes + slot_request.client_account.size() +
                       slot_request.preferred.size();
   for (const std::string& server : slot_request.avoid)
     bytes += server.size() + 16;
@@ -235,9 +235,9 @@
 }
 
 std::size_t EstimateBytes(const ForwardedRequest& request) {
-  return kEnvelopeBytes + request.customer.size() + request.service.size() +
-         request.key.size() + request.method.size() + request.path.size() +
-         request.body.size() + request.traceparent.size();
+  return kEnvelopeBytes + request.client_account.size() +
+         request.service.size() + request.key.size() + request.method.size() +
+         request.path.size() + request.body.size() + request.traceparent.size();
 }
 
 std::size_t EstimateBytes(const ForwardedAnswer& answer) {
--- a/Libraries/LibPeer/codec_leases.cc
+++ b/Libraries/LibPeer/codec_leases.cc
@@ -15,7 +15,7 @@
                 schema::HeldLease::Builder to) {
   to.setLease(lease.lease);
   to.setServer(TextToWire(lease.server));
-  to.setCustomer(TextToWire(lease.customer));
+  to.setClientAccount(TextToWire(lease.client_account));
   to.setRequestClass(EnumToWire<schema::RequestClass>(lease.request_class));
   to.setFingerprint(lease.fingerprint);
   to.setAgeMicroseconds(DurationToWire(now - lease.granted_at));
@@ -31,7 +31,7 @@
     return std::nullopt;
   return HeldLease{.lease = from.getLease(),
                    .server = TextFromWire(from.getServer()),
-                   .customer = TextFromWire(from.getCustomer()),
+                   .client_account = TextFromWire(from.getClientAccount()),
                    .request_class = *request_class,
                    .fingerprint = from.getFingerprint(),
                    .granted_at = now - *age,
--- a/Libraries/LibPeer/include/cicadadrum/peer/messages.h
+++ b/Libraries/LibPeer/include/cicadadrum/peer/messages.h
@@ -50,7 +50,7 @@
 
 // A request that an entry VM forwards to the home of its request key.
 struct ForwardedRequest {
-  std::string customer;
+  std::string client_account;
   std::string service;
   RequestClass request_class = RequestClass::kWrite;
   std::string key;
--- a/Libraries/LibSteering/admission.cc
+++ b/Libraries/LibSteering/admission.cc
@@ -16,11 +16,13 @@
 }  // namespace
 
 const Plan* FindPlan(const Configuration& configuration,
-                     const std::string& customer) {
-  const auto found = std::find_if(
-      configuration.customers.begin(), configuration.customers.end(),
-      [&](const Customer& candidate) { return candidate.name == customer; });
-  if (found == configuration.customers.end())
+                     const std::string& client_account) {
+  const auto found = std::find_if(configuration.client_accounts.begin(),
+                                  configuration.client_accounts.end(),
+                                  [&](const ClientAccount& candidate) {
+                                    return candidate.name == client_account;
+                                  });
+  if (found == configuration.client_accounts.end())
     return nullptr;
   const auto plan = std::find_if(
       configuration.plans.begin(), configuration.plans.end(),
@@ -35,9 +37,9 @@
     return RefusalReason::kStopping;
   if (!IsReady(state))
     return RefusalReason::kNotReady;
-  const Plan* plan = FindPlan(state.configuration, arrived.customer);
+  const Plan* plan = FindPlan(state.configuration, arrived.client_account);
   if (plan == nullptr)
-    return RefusalReason::kUnknownCustomer;
+    return RefusalReason::kUnknownClientAccount;
   if (!Contains(plan->services, arrived.service) ||
       !Contains(plan->classes, arrived.request_class))
     return RefusalReason::kNotInPlan;
@@ -54,8 +56,8 @@
 }
 
 PlanLimits LimitsOf(const Configuration& configuration,
-                    const std::string& customer) {
-  const Plan* plan = FindPlan(configuration, customer);
+                    const std::string& client_account) {
+  const Plan* plan = FindPlan(configuration, client_account);
   return plan == nullptr
              ? PlanLimits{}
              : PlanLimits{plan->requests_per_second, plan->concurrency};
--- a/Libraries/LibSteering/admission.h
+++ b/Libraries/LibSteering/admission.h
@@ -7,19 +7,20 @@
 
 namespace cicadadrum {
 
-// Returns the plan of `customer`, or nullptr if the customer or its plan is
-// unknown.
+// Returns the plan of `client_account`, or nullptr if the client account or its
+// plan is unknown.
 const Plan* FindPlan(const Configuration& configuration,
-                     const std::string& customer);
+                     const std::string& client_account);
 
 // Returns the reason why the request can't be admitted, or kNone.
 RefusalReason CheckAdmission(const EntryState& state,
                              const RequestArrived& arrived,
                              TimePoint now);
 
-// Returns the limits of the customer's plan. An unknown customer has no limits.
+// Returns the limits of the client account's plan. An unknown client account
+// has no limits.
 PlanLimits LimitsOf(const Configuration& configuration,
-                    const std::string& customer);
+                    const std::string& client_account);
 
 }  // namespace cicadadrum
 
--- a/Libraries/LibSteering/include/cicadadrum/steering/events.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/events.h
@@ -28,12 +28,12 @@
 struct RequestArrived {
   // Unique within this process; never reused.
   std::uint64_t request = 0;
-  std::string customer;
+  std::string client_account;
   std::string service;
   RequestClass request_class = RequestClass::kRoutine;
   // Request key; required for kWrite.
   std::string key;
-  // Hash of customer, service, method, path and body.
+  // Hash of client account, service, method, path and body.
   std::uint64_t fingerprint = 0;
   // Equal for all parts of one upload; 0 for requests that are not part of an
   // upload.
--- a/Libraries/LibSteering/include/cicadadrum/steering/pool.h
+++ b/Libraries/LibSteering/include/cicadadrum/steering/pool.h
@@ -53,7 +53,7 @@
   });
 };
 
-// Limits of a customer's plan in one pool. Zero means unlimited.
+// Limits of a client account's plan in one pool. Zero means unlimited.
 struct PlanLimits {
   std::uint32_t requests_per_second = 0;
   std::uint32_t concurrency = 0;
@@ -64,7 +64,7 @@
   // Name of the requesting entry VM.
   std::string entry;
   std::uint64_t id = 0;
-  std::string customer;
+  std::string client_account;
   RequestClass request_class = RequestClass::kRoutine;
   TimePoint deadline = kNever;
   // Names of the servers of earlier attempts, which must not be chosen again.
@@ -125,7 +125,7 @@
 struct HeldLease {
   std::uint64_t lease = 0;
   std::string server;
-  std::string customer;
+  std::string client_account;
   RequestClass request_class = RequestClass::kRoutine;
   std::uint64_t fingerprint = 0;
   TimePoint granted_at;
@@ -144,7 +144,7 @@
   std::string entry;
   std::uint64_t id = 0;
   std::string server;
-  std::string customer;
+  std::string client_account;
   RequestClass request_class = RequestClass::kRoutine;
   std::uint64_t fingerprint = 0;
   TimePoint granted_at;
@@ -209,8 +209,8 @@
   ServerRank rank;
 };
 
-// Queued slot requests of one customer in one class.
-struct CustomerQueue {
+// Queued slot requests of one client account in one class.
+struct ClientAccountQueue {
   // Sequence numbers in order of arrival; may name removed requests.
   std::deque<std::uint64_t> sequences;
   // Number of requests that have not been removed.
@@ -219,20 +219,21 @@
   double tag = 0;
 };
 
-// Fair queue of one class: the customer with the smallest tag is served first,
-// and each grant adds one to the tag of its customer.
+// Fair queue of one class: the client account with the smallest tag is served
+// first, and each grant adds one to the tag of its client account.
 struct ClassQueue {
-  // Customers with queued requests, by name.
-  std::map<std::string, CustomerQueue> customers;
-  // Customers ordered by tag.
+  // Client accounts with queued requests, by name.
+  std::map<std::string, ClientAccountQueue> client_accounts;
+  // Client accounts ordered by tag.
   std::set<std::pair<double, std::string>> order;
   // Tag at the latest grant.
   double virtual_time = 0;
   std::uint32_t waiting = 0;
 };
 
-// Use of the pool by one customer, checked against the limits of its plan.
-struct CustomerUse {
+// Use of the pool by one client account, checked against the limits of its
+// plan.
+struct ClientAccountUse {
   double tokens = 0;
   TimePoint tokens_at;
   // Number of requests that wait or have a grant.
@@ -315,7 +316,7 @@
   // FIXME: A suspect whose fingerprint never occurs again stays until the owner
   // changes.
   std::map<std::uint64_t, CrashSuspect> suspects;
-  std::map<std::string, CustomerUse> customers;
+  std::map<std::string, ClientAccountUse> client_accounts;
   // Median latency per class; 0 if unknown.
   std::array<Duration, kRequestClassCount> median_latency{};
   std::set<PoolTimer> timers;
--- a/Libraries/LibSteering/pool.cc
+++ b/Libraries/LibSteering/pool.cc
@@ -63,7 +63,7 @@
            {.entry = request.entry,
             .id = request.id,
             .server = server.name,
-            .customer = request.customer,
+            .client_account = request.client_account,
             .request_class = request.request_class,
             .fingerprint = request.fingerprint,
             .granted_at = now,
@@ -84,23 +84,24 @@
   pool.bulk_leases -= lease.request_class == RequestClass::kBulk ? 1 : 0;
   pool.suspects_running -= lease.suspect ? 1 : 0;
   DetachLease(pool, lease, number, now);
-  ReleasePlanUse(pool, lease.customer);
+  ReleasePlanUse(pool, lease.client_account);
 }
 
-// Number of requests of a customer that are examined when the first one waits
-// for its preferred server.
+// Number of requests of a client account that are examined when the first one
+// waits for its preferred server.
 constexpr std::size_t kPinnedLookahead = 16;
 
-// Grants a later request of the customer when the first one waits for its
-// preferred server, so that the uploads of a customer do not wait for the
+// Grants a later request of the client account when the first one waits for its
+// preferred server, so that the uploads of a client account do not wait for the
 // servers of other uploads.
 bool GrantPastPinnedRequest(Pool& pool,
-                            const CustomerQueue& customer,
+                            const ClientAccountQueue& client_account,
                             TimePoint now,
                             PoolActions& actions) {
-  const std::size_t end = std::min(customer.sequences.size(), kPinnedLookahead);
+  const std::size_t end =
+      std::min(client_account.sequences.size(), kPinnedLookahead);
   for (std::size_t i = 1; i < end; ++i) {
-    const std::uint64_t sequence = customer.sequences[i];
+    const std::uint64_t sequence = client_account.sequences[i];
     const auto found = pool.waiting_requests.find(sequence);
     if (found == pool.waiting_requests.end() ||
         IsSuspect(pool, found->second.fingerprint))
@@ -114,13 +115,13 @@
   return false;
 }
 
-// Grants the first request of the customer if possible. Returns whether the
-// queue has changed.
-bool GrantFirstOfCustomer(Pool& pool,
-                          CustomerQueue& customer,
-                          TimePoint now,
-                          PoolActions& actions) {
-  const std::uint64_t sequence = FirstWaitingRequest(pool, customer);
+// Grants the first request of the client account if possible. Returns whether
+// the queue has changed.
+bool GrantFirstOfClientAccount(Pool& pool,
+                               ClientAccountQueue& client_account,
+                               TimePoint now,
+                               PoolActions& actions) {
+  const std::uint64_t sequence = FirstWaitingRequest(pool, client_account);
   if (sequence == 0)
     return false;
   const SlotRequest& request = pool.waiting_requests.at(sequence);
@@ -135,13 +136,14 @@
   const ServerChoice choice = ChooseServer(pool, request, now);
   if (!choice.found)
     return request.only_preferred &&
-           GrantPastPinnedRequest(pool, customer, now, actions);
+           GrantPastPinnedRequest(pool, client_account, now, actions);
   Grant(pool, DequeueForGrant(pool, sequence), choice, now, actions);
   return true;
 }
 
-// Grants requests in the order of the tags of the customers. A customer whose
-// first request avoids the free servers does not delay the other customers.
+// Grants requests in the order of the tags of the client accounts. A client
+// account whose first request avoids the free servers does not delay the other
+// client accounts.
 void GrantClass(Pool& pool,
                 RequestClass request_class,
                 TimePoint now,
@@ -149,8 +151,8 @@
   ClassQueue& queue = pool.queues[static_cast<std::size_t>(request_class)];
   auto next = queue.order.begin();
   while (next != queue.order.end() && HasFreeSlot(pool, request_class, now)) {
-    CustomerQueue& customer = queue.customers.at(next->second);
-    if (GrantFirstOfCustomer(pool, customer, now, actions))
+    ClientAccountQueue& client_account = queue.client_accounts.at(next->second);
+    if (GrantFirstOfClientAccount(pool, client_account, now, actions))
       next = queue.order.begin();
     else
       ++next;
@@ -251,11 +253,11 @@
     const auto server = pool.server_index.find(lease.server);
     if (server == pool.server_index.end() || pool.leases.contains(lease.lease))
       continue;
-    ++pool.customers[lease.customer].in_progress;
+    ++pool.client_accounts[lease.client_account].in_progress;
     AddLease(pool, lease.lease,
              {.entry = entry,
               .server = lease.server,
-              .customer = lease.customer,
+              .client_account = lease.client_account,
               .request_class = lease.request_class,
               .fingerprint = lease.fingerprint,
               .granted_at = lease.granted_at,
--- a/Libraries/LibSteering/pool_flow.cc
+++ b/Libraries/LibSteering/pool_flow.cc
@@ -107,7 +107,7 @@
       attempt.owner = owner;
       leases.push_back({.lease = attempt.lease,
                         .server = attempt.server,
-                        .customer = request.arrived.customer,
+                        .client_account = request.arrived.client_account,
                         .request_class = request.arrived.request_class,
                         .fingerprint = request.arrived.fingerprint,
                         .granted_at = attempt.sent_at,
@@ -202,12 +202,12 @@
   SlotRequest slot_request{
       .entry = state.self.name,
       .id = SlotRequestId(request.arrived.request, attempt.number),
-      .customer = request.arrived.customer,
+      .client_account = request.arrived.client_account,
       .request_class = request.arrived.request_class,
       .deadline = request.arrived.deadline,
       .fingerprint = request.arrived.fingerprint,
       .body_bytes = request.arrived.body_bytes,
-      .limits = LimitsOf(state.configuration, request.arrived.customer)};
+      .limits = LimitsOf(state.configuration, request.arrived.client_account)};
   for (const Attempt& earlier : request.attempts) {
     if (!earlier.server.empty())
       slot_request.avoid.push_back(earlier.server);
@@ -307,7 +307,8 @@
     return;
   }
   SlotRequest slot_request = requested.slot_request;
-  slot_request.limits = LimitsOf(state.configuration, slot_request.customer);
+  slot_request.limits =
+      LimitsOf(state.configuration, slot_request.client_account);
   const auto entry = std::find_if(state.live.begin(), state.live.end(),
                                   [&slot_request](const EntryVm& live) {
                                     return live.name == slot_request.entry;
--- a/Libraries/LibSteering/pool_queue.cc
+++ b/Libraries/LibSteering/pool_queue.cc
@@ -14,21 +14,21 @@
 // Lower bound of the queue length, for small pools.
 constexpr std::uint32_t kMinQueueBound = 64;
 constexpr Duration kQueueFullRetryAfter = Milliseconds(500);
-// An idle customer may exceed the rate of its plan by the requests of this many
-// seconds.
+// An idle client account may exceed the rate of its plan by the requests of
+// this many seconds.
 constexpr double kBurstSeconds = 1;
 
 void RemoveFromClassQueue(Pool& pool, const SlotRequest& request) {
   ClassQueue& queue =
       pool.queues[static_cast<std::size_t>(request.request_class)];
-  const auto found = queue.customers.find(request.customer);
-  if (found == queue.customers.end())
+  const auto found = queue.client_accounts.find(request.client_account);
+  if (found == queue.client_accounts.end())
     return;
   --queue.waiting;
   if (--found->second.waiting > 0)
     return;
-  queue.order.erase({found->second.tag, request.customer});
-  queue.customers.erase(found);
+  queue.order.erase({found->second.tag, request.client_account});
+  queue.client_accounts.erase(found);
 }
 
 bool IsInSuspectQueue(const Pool& pool, std::uint64_t sequence) {
@@ -51,11 +51,11 @@
 void EvictFromLongestQueue(Pool& pool,
                            ClassQueue& queue,
                            PoolActions& actions) {
-  const auto longest =
-      std::max_element(queue.customers.begin(), queue.customers.end(),
-                       [](const auto& a, const auto& b) {
-                         return a.second.waiting < b.second.waiting;
-                       });
+  const auto longest = std::max_element(
+      queue.client_accounts.begin(), queue.client_accounts.end(),
+      [](const auto& a, const auto& b) {
+        return a.second.waiting < b.second.waiting;
+      });
   const auto& sequences = longest->second.sequences;
   const auto newest = std::find_if(
       sequences.rbegin(), sequences.rend(), [&pool](std::uint64_t sequence) {
@@ -68,7 +68,7 @@
 }  // namespace
 
 RefusalReason CheckPlan(Pool& pool, const SlotRequest& request, TimePoint now) {
-  CustomerUse& use = pool.customers[request.customer];
+  ClientAccountUse& use = pool.client_accounts[request.client_account];
   const double rate = request.limits.requests_per_second;
   const double burst = std::max(1.0, rate * kBurstSeconds);
   const double elapsed =
@@ -90,9 +90,9 @@
   return RefusalReason::kNone;
 }
 
-void ReleasePlanUse(Pool& pool, const std::string& customer) {
-  const auto found = pool.customers.find(customer);
-  if (found != pool.customers.end() && found->second.in_progress > 0)
+void ReleasePlanUse(Pool& pool, const std::string& client_account) {
+  const auto found = pool.client_accounts.find(client_account);
+  if (found != pool.client_accounts.end() && found->second.in_progress > 0)
     --found->second.in_progress;
 }
 
@@ -115,10 +115,11 @@
   pool.timers.insert({std::max(request.deadline, now),
                       PoolTimerKind::kRequestDeadline, sequence});
   pool.waiting_requests[sequence].deadline = std::max(request.deadline, now);
-  const auto [found, added] = queue.customers.try_emplace(request.customer);
+  const auto [found, added] =
+      queue.client_accounts.try_emplace(request.client_account);
   if (added) {
     found->second.tag = queue.virtual_time;
-    queue.order.insert({found->second.tag, request.customer});
+    queue.order.insert({found->second.tag, request.client_account});
   }
   found->second.sequences.push_back(sequence);
   ++found->second.waiting;
@@ -135,7 +136,7 @@
   const SlotRequest request = std::move(found->second);
   pool.waiting_requests.erase(found);
   RemoveFromIndexes(pool, sequence, request);
-  ReleasePlanUse(pool, request.customer);
+  ReleasePlanUse(pool, request.client_account);
 }
 
 void RefuseRequest(Pool& pool,
@@ -157,13 +158,14 @@
   pool.waiting_requests.erase(found);
   ClassQueue& queue =
       pool.queues[static_cast<std::size_t>(request.request_class)];
-  const auto customer = queue.customers.find(request.customer);
-  if (customer != queue.customers.end() &&
+  const auto client_account =
+      queue.client_accounts.find(request.client_account);
+  if (client_account != queue.client_accounts.end() &&
       (pool.suspect_requests.empty() || !IsInSuspectQueue(pool, sequence))) {
-    queue.order.erase({customer->second.tag, request.customer});
-    queue.virtual_time = customer->second.tag;
-    customer->second.tag += 1;
-    queue.order.insert({customer->second.tag, request.customer});
+    queue.order.erase({client_account->second.tag, request.client_account});
+    queue.virtual_time = client_account->second.tag;
+    client_account->second.tag += 1;
+    queue.order.insert({client_account->second.tag, request.client_account});
   }
   RemoveFromIndexes(pool, sequence, request);
   return request;
@@ -174,7 +176,7 @@
   pool.suspect_requests.push_back(sequence);
 }
 
-std::uint64_t FirstWaitingRequest(Pool& pool, CustomerQueue& queue) {
+std::uint64_t FirstWaitingRequest(Pool& pool, ClientAccountQueue& queue) {
   while (!queue.sequences.empty()) {
     const std::uint64_t sequence = queue.sequences.front();
     const bool moved =
--- a/Libraries/LibSteering/pool_queue.h
+++ b/Libraries/LibSteering/pool_queue.h
@@ -1,5 +1,5 @@
-// Queues of a pool: one per request class, fair between customers. Also checks
-// the plan limits of each customer.
+// Queues of a pool: one per request class, fair between client accounts. Also
+// checks the plan limits of each client account.
 
 #ifndef CICADADRUM_STEERING_POOL_QUEUE_H_
 #define CICADADRUM_STEERING_POOL_QUEUE_H_
@@ -8,19 +8,20 @@
 
 namespace cicadadrum {
 
-// Returns the reason why the plan of the customer forbids `request`, or kNone.
-// If the request is allowed, it counts against the plan until ReleasePlanUse.
+// Returns the reason why the plan of the client account forbids `request`, or
+// kNone. If the request is allowed, it counts against the plan until
+// ReleasePlanUse.
 RefusalReason CheckPlan(Pool& pool, const SlotRequest& request, TimePoint now);
 
 // Ends the use of one request that CheckPlan counted.
-void ReleasePlanUse(Pool& pool, const std::string& customer);
+void ReleasePlanUse(Pool& pool, const std::string& client_account);
 
 // Returns the estimated time that a new request of this class waits behind the
 // requests that are served before it.
 Duration EstimateWait(const Pool& pool, RequestClass request_class);
 
 // Adds a request to its queue. A full queue refuses the newest request of the
-// customer with the most waiting requests, which may be `request` itself.
+// client account with the most waiting requests, which may be `request` itself.
 void Enqueue(Pool& pool,
              const SlotRequest& request,
              TimePoint now,
@@ -41,13 +42,13 @@
 // of the plan continues. The request must be waiting.
 SlotRequest DequeueForGrant(Pool& pool, std::uint64_t sequence);
 
-// Moves a waiting request from the queue of its customer to the queue of
+// Moves a waiting request from the queue of its client account to the queue of
 // suspects.
 void MoveToSuspects(Pool& pool, std::uint64_t sequence);
 
-// Returns the sequence number of the first waiting request of a customer, or 0.
-// Discards the sequence numbers of removed requests before it.
-std::uint64_t FirstWaitingRequest(Pool& pool, CustomerQueue& queue);
+// Returns the sequence number of the first waiting request of a client account,
+// or 0. Discards the sequence numbers of removed requests before it.
+std::uint64_t FirstWaitingRequest(Pool& pool, ClientAccountQueue& queue);
 
 // Returns the sequence number of the first waiting suspect, or 0.
 std::uint64_t FirstWaitingSuspect(Pool& pool);
--- a/Libraries/LibSteering/routing.cc
+++ b/Libraries/LibSteering/routing.cc
@@ -50,7 +50,8 @@
 
 std::optional<PoolKey> ChoosePool(const EntryState& state,
                                   const Request& request) {
-  const Plan* plan = FindPlan(state.configuration, request.arrived.customer);
+  const Plan* plan =
+      FindPlan(state.configuration, request.arrived.client_account);
   if (plan == nullptr)
     return std::nullopt;
   const auto traffic = state.splits.find(request.arrived.service);
@@ -74,8 +75,8 @@
   if (usable.empty())
     return std::nullopt;
   // Regions that have not refused the request rank first, then the region of
-  // this entry VM, then a fixed order by customer.
-  RankByRendezvous(request.arrived.customer, usable);
+  // this entry VM, then a fixed order by client account.
+  RankByRendezvous(request.arrived.client_account, usable);
   std::stable_sort(usable.begin(), usable.end(),
                    [&](const std::string& a, const std::string& b) {
                      const auto rank = [&](const std::string& region) {
--- a/Libraries/LibSteering/routing.h
+++ b/Libraries/LibSteering/routing.h
@@ -17,7 +17,7 @@
 
 // Returns the pool that the request should use: the one in the region that the
 // split chooses under the shift cap. Returns nothing if that region is lost:
-// the request is refused until the split has moved. A customer whose plan
+// the request is refused until the split has moved. A client account whose plan
 // excludes the chosen region always uses the same allowed region with a server
 // that isn't leaving.
 std::optional<PoolKey> ChoosePool(const EntryState& state,
--- a/Schemas/configuration.capnp
+++ b/Schemas/configuration.capnp
@@ -1,7 +1,8 @@
 @0xa6725eec34e48054;
-# Configuration that operators edit: the plans of customers, and the limits of each plan.
+# Configuration that operators edit: the plans of client accounts, and the limits of each plan.
 
 using Cxx = import "/capnp/c++.capnp";
+using Json = import "/capnp/compat/json.capnp";
 $Cxx.namespace("cicadadrum::schema");
 
 enum RequestClass {
@@ -11,7 +12,7 @@
   bulk @3;
 }
 
-struct Customer {
+struct ClientAccount {
   name @0 :Text;
   plan @1 :Text;
 }
@@ -28,7 +29,7 @@
 
 # Body of one configuration version. The object store has the body under its hash.
 struct Configuration {
-  customers @0 :List(Customer);
+  clientAccounts @0 :List(ClientAccount) $Json.name("client_accounts");
   plans @1 :List(Plan);
 }
 
--- a/Schemas/demonstration.capnp
+++ b/Schemas/demonstration.capnp
@@ -5,9 +5,9 @@
 using Configuration = import "configuration.capnp";
 $Cxx.namespace("cicadadrum::schema");
 
-# Requests of one class from one customer and region.
+# Requests of one class from one client account and region.
 struct Stream {
-  customer @0 :Text;
+  clientAccount @0 :Text;
   region @1 :Text;  # Region of the callers.
   service @2 :Text;
   requestClass @3 :Configuration.RequestClass;
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -18,7 +18,7 @@
 enum RefusalReason {
   none @0;
   notReady @1;
-  unknownCustomer @2;
+  unknownClientAccount @2;
   notInPlan @3;
   rateLimit @4;
   concurrencyLimit @5;
@@ -93,7 +93,7 @@
   id @0 :UInt64;
   region @1 :Text;
   service @2 :Text;
-  customer @3 :Text;
+  clientAccount @3 :Text;
   requestClass @4 :Configuration.RequestClass;
   remainingMicroseconds @5 :Int64;  # Time until the deadline by the sender's clock.
   avoid @6 :List(Text);  # Backend servers of earlier attempts.
@@ -137,7 +137,7 @@
 
 # A request that an entry VM forwards to the home of its request key.
 struct ForwardedRequest {
-  customer @0 :Text;
+  clientAccount @0 :Text;
   service @1 :Text;
   requestClass @2 :Configuration.RequestClass;
   key @3 :Text;
@@ -272,7 +272,7 @@
 struct HeldLease {
   lease @0 :UInt64;
   server @1 :Text;
-  customer @2 :Text;
+  clientAccount @2 :Text;
   requestClass @3 :Configuration.RequestClass;
   fingerprint @4 :UInt64;
   ageMicroseconds @5 :Int64;  # Time since the grant.
--- a/Tests/LibCaller/test_caller.cc
+++ b/Tests/LibCaller/test_caller.cc
@@ -75,7 +75,7 @@
     entry.server.Respond(id, MakeAnswer(200, "ran"));
   };
   Caller caller(loop, {.seed_addresses = {"127.0.0.1:1", entry.address},
-                       .customer = "roads"});
+                       .client_account = "roads"});
   const CallerAnswer answer = SendAndWait(
       loop, caller, {.service = "status-board", .target = "/x?y=1"});
   CHECK(answer.verdict == Verdict::kRan);
@@ -95,7 +95,8 @@
       return entry.server.Abort(id);
     entry.server.Respond(id, MakeAnswer(200, "ran"));
   };
-  Caller caller(loop, {.seed_addresses = {entry.address}, .customer = "roads"});
+  Caller caller(loop,
+                {.seed_addresses = {entry.address}, .client_account = "roads"});
   const CallerAnswer answer = SendAndWait(
       loop, caller,
       {.service = "issue-svc", .request_class = RequestClass::kWrite});
@@ -117,7 +118,8 @@
       return entry.server.Abort(id);
     entry.server.Respond(id, MakeAnswer(403, "not-run"));
   };
-  Caller caller(loop, {.seed_addresses = {entry.address}, .customer = "roads"});
+  Caller caller(loop,
+                {.seed_addresses = {entry.address}, .client_account = "roads"});
   const CallerAnswer answer = SendAndWait(
       loop, caller,
       {.service = "issue-svc", .request_class = RequestClass::kWrite});
--- a/Tests/LibConfiguration/test_settings.cc
+++ b/Tests/LibConfiguration/test_settings.cc
@@ -1,6 +1,6 @@
-// Tests of settings files and of the lists of customers and plans: each kind of
-// invalid input is rejected with the file, the key path, the value and what is
-// allowed.
+// Tests of settings files and of the lists of client accounts and plans: each
+// kind of invalid input is rejected with the file, the key path, the value and
+// what is allowed.
 
 #include <doctest/doctest.h>
 
@@ -41,7 +41,7 @@
 }
 
 std::string DocumentWithPlan(const std::string& plan) {
-  return R"({"customers": [{"name": "roads", "plan": "gold"}], "plans": [)" +
+  return R"({"client_accounts": [{"name": "roads", "plan": "gold"}], "plans": [)" +
          plan + "]}";
 }
 
@@ -76,6 +76,28 @@
   CHECK(*reparsed == *parsed);
 }
 
+// Guards against lists that were written for an earlier release and can't be
+// read any more.
+TEST_CASE("the earlier key of the client accounts is read") {
+  std::string text = DocumentWithPlan(kGoldPlan);
+  const auto expected =
+      ParseConfiguration(text, "lists.json", TestDeployment());
+  text.replace(text.find("client_accounts"), 15, "customers");
+  const std::string comment = "/* customers */ // \"customers\": []\n";
+  const auto parsed =
+      ParseConfiguration(comment + text, "lists.json", TestDeployment());
+  REQUIRE(parsed);
+  CHECK(*parsed == *expected);
+}
+
+// Guards against ignoring one of two lists of client accounts without a word.
+TEST_CASE("lists with the earlier and the present key are rejected") {
+  const std::string error = ConfigurationError(
+      "{\"client_accounts\": [],\n \"customers\": [], \"plans\": []}");
+  CHECK(error.find("line 2: customers is the earlier name") !=
+        std::string::npos);
+}
+
 // Guards against applying only a part of invalid lists: each of these documents
 // must be rejected as a whole.
 TEST_CASE("invalid lists are rejected with the key path") {
@@ -85,11 +107,12 @@
   };
   const std::vector<Case> cases = {
       {"{", "not a JSON document"},
-      {R"({"customer": []})",
-       "customer: unknown key; known keys are customers, plans"},
-      {R"({"customers": 3})", "customers: 3 is not allowed; expected a list"},
-      {R"({"customers": [{"name": 7}]})",
-       "customers[0].name: 7 is not allowed; expected a string"},
+      {R"({"client_account": []})",
+       "client_account: unknown key; known keys are client_accounts, plans"},
+      {R"({"client_accounts": 3})",
+       "client_accounts: 3 is not allowed; expected a list"},
+      {R"({"client_accounts": [{"name": 7}]})",
+       "client_accounts[0].name: 7 is not allowed; expected a string"},
       {R"({"plans": [], "plans": []})", "key 'plans' is given twice"},
       {DocumentWithPlan(R"({"name": "gold", "classes": ["fast"]})"),
        "plans[0].classes[0]: \"fast\" is not allowed; expected one of urgent, "
@@ -106,8 +129,8 @@
        "item"},
       {DocumentWithPlan(std::string(kGoldPlan) + "," + kGoldPlan),
        "plans[1].name: 'gold' is given twice; names must be unique"},
-      {R"({"customers": [{"name": "roads", "plan": "none"}], "plans": []})",
-       "customers[0].plan: 'none' is not one of plans"},
+      {R"({"client_accounts": [{"name": "roads", "plan": "none"}], "plans": []})",
+       "client_accounts[0].plan: 'none' is not one of plans"},
   };
   for (const Case& invalid : cases)
     CHECK(ConfigurationError(invalid.text) ==
--- a/Tests/LibLookup/test_rank_entries.cc
+++ b/Tests/LibLookup/test_rank_entries.cc
@@ -28,10 +28,10 @@
 }
 
 std::vector<std::string> RankedNames(const EntryDirectory& directory,
-                                     const std::string& customer) {
+                                     const std::string& client_account) {
   std::vector<std::string> names;
   for (const std::uint32_t index :
-       RankEntries(directory, "r0", customer, "status-board"))
+       RankEntries(directory, "r0", client_account, "status-board"))
     names.push_back(directory.entries[index].name);
   return names;
 }
@@ -78,15 +78,16 @@
   std::erase_if(live, [](const EntryVm& e) { return e.region == "r0"; });
   const EntryDirectory without_region = MakeEntryDirectory(live);
   for (int i = 0; i < 300; ++i) {
-    const std::string customer = std::to_string(i);
-    const auto old_names = RankedNames(before, customer);
-    const auto new_names = RankedNames(after, customer);
+    const std::string client_account = std::to_string(i);
+    const auto old_names = RankedNames(before, client_account);
+    const auto new_names = RankedNames(after, client_account);
     if (std::find(old_names.begin(), old_names.end(), "e0-3") ==
         old_names.end())
       CHECK(new_names == old_names);
     else if (old_names[0] != "e0-3")
       CHECK(new_names[0] == old_names[0]);
-    CHECK(RankedNames(without_region, customer).size() == kDefaultRankLimit);
+    CHECK(RankedNames(without_region, client_account).size() ==
+          kDefaultRankLimit);
   }
 }
 
--- a/Tests/LibPeer/peer_fixture.h
+++ b/Tests/LibPeer/peer_fixture.h
@@ -145,7 +145,7 @@
     auto result = std::make_shared<std::optional<CallResult<SlotAnswer>>>();
     SlotRequest slot_request{.entry = "entry-1",
                              .id = id,
-                             .customer = "roads",
+                             .client_account = "roads",
                              .request_class = RequestClass::kUrgent,
                              .deadline = SteadyNow() + timeout,
                              .avoid = {"sb-1", "sb-2"},
--- a/Tests/LibPeer/test_peer_calls.cc
+++ b/Tests/LibPeer/test_peer_calls.cc
@@ -16,7 +16,7 @@
   CHECK(received.pool == fixture.pool);
   CHECK(received.slot_request.entry == "entry-1");
   CHECK(received.slot_request.id == 5);
-  CHECK(received.slot_request.customer == "roads");
+  CHECK(received.slot_request.client_account == "roads");
   CHECK(received.slot_request.request_class == RequestClass::kUrgent);
   CHECK(received.slot_request.deadline > SteadyNow() + Seconds(30));
   CHECK(received.slot_request.avoid ==
@@ -201,7 +201,7 @@
   CHECK(missing->outcome == CallOutcome::kAnswered);
   CHECK_FALSE(missing->value.has_value());
   CHECK(executed->value == ran);
-  CHECK(received.customer == "roads");
+  CHECK(received.client_account == "roads");
   CHECK(received.service == "activation-desk");
   CHECK(received.request_class == RequestClass::kWrite);
   CHECK(received.key == "c.entry-1.x.1");
@@ -219,7 +219,7 @@
   const TimePoint now = SteadyNow();
   const HeldLease lease{.lease = 9,
                         .server = "sb-1",
-                        .customer = "roads",
+                        .client_account = "roads",
                         .request_class = RequestClass::kBulk,
                         .fingerprint = 3,
                         .granted_at = now - Seconds(4),
@@ -242,7 +242,7 @@
       fixture.recorded_calls.lease_reports[0].leases.at(0);
   CHECK(reported.lease == 9);
   CHECK(reported.server == "sb-1");
-  CHECK(reported.customer == "roads");
+  CHECK(reported.client_account == "roads");
   CHECK(reported.request_class == RequestClass::kBulk);
   CHECK(reported.fingerprint == 3);
   CHECK(reported.granted_at < now - Seconds(3));
--- a/Tests/LibSteering/test_pool.cc
+++ b/Tests/LibSteering/test_pool.cc
@@ -26,11 +26,11 @@
   }
 
   SlotRequest MakeRequest(RequestClass request_class,
-                          const std::string& customer = "c",
+                          const std::string& client_account = "c",
                           std::uint64_t fingerprint = 0) {
     return {.entry = "e",
             .id = next_id++,
-            .customer = customer,
+            .client_account = client_account,
             .request_class = request_class,
             .deadline = now + Seconds(2),
             .fingerprint = fingerprint};
@@ -122,9 +122,11 @@
             .size() == 1);
 }
 
-// Guards against a burst of one customer that delays all other customers.
+// Guards against a burst of one client account that delays all other client
+// accounts.
 TEST_CASE(
-    "a single request is granted before the queued burst of another customer") {
+    "a single request is granted before the queued burst of another client "
+    "account") {
   PoolFixture fixture(1, 1);
   const auto first = Grants(
       fixture.Submit(fixture.MakeRequest(RequestClass::kRoutine, "burst")));
@@ -139,9 +141,10 @@
   CHECK(grants.front().id == other.id);
 }
 
-// Guards against a full queue that refuses the customer with the fewest waiting
-// requests.
-TEST_CASE("a full queue refuses the customer with the most waiting requests") {
+// Guards against a full queue that refuses the client account with the fewest
+// waiting requests.
+TEST_CASE(
+    "a full queue refuses the client account with the most waiting requests") {
   PoolFixture fixture(1, 1);
   fixture.Submit(fixture.MakeRequest(RequestClass::kRoutine, "burst"));
   for (int i = 0; i < 64; ++i)
@@ -168,7 +171,7 @@
   CHECK(std::get<SlotRefusal>(actions.front()).retry_after > Milliseconds(300));
 }
 
-// Guards against a customer that exceeds the limits of its plan.
+// Guards against a client account that exceeds the limits of its plan.
 TEST_CASE(
     "requests beyond the rate or concurrency limit of a plan are refused") {
   PoolFixture fixture(4);
@@ -179,7 +182,7 @@
   CHECK(Refusal(fixture.Submit(request)) == RefusalReason::kConcurrencyLimit);
   fixture.Return(lease);
   request.limits = {.requests_per_second = 2, .concurrency = 0};
-  request.customer = "rated";
+  request.client_account = "rated";
   int granted = 0;
   for (int i = 0; i < 5; ++i) {
     request.id = fixture.next_id++;
--- a/Tests/LibSteering/test_pool_properties.cc
+++ b/Tests/LibSteering/test_pool_properties.cc
@@ -79,7 +79,7 @@
     SlotRequest request{
         .entry = "e" + std::to_string(*rc::gen::inRange(0, 3)),
         .id = next_id++,
-        .customer = "c" + std::to_string(*rc::gen::inRange(0, 4)),
+        .client_account = "c" + std::to_string(*rc::gen::inRange(0, 4)),
         .request_class = static_cast<RequestClass>(*rc::gen::inRange(0, 4)),
         .deadline = now + Milliseconds(*rc::gen::inRange(1, 500)),
         .fingerprint = static_cast<std::uint64_t>(*rc::gen::inRange(0, 3))};
--- a/Tests/LibSteering/test_split.cc
+++ b/Tests/LibSteering/test_split.cc
@@ -28,7 +28,7 @@
         .shift_window = kWindow};
     state = MakeEntryState(deployment, self, {1, 2}, 1);
     Run(ConfigurationAdopted{{.version = 1,
-                              .customers = {{"roads", "gold"}},
+                              .client_accounts = {{"roads", "gold"}},
                               .plans = {{.name = "gold",
                                          .services = {"status-board"},
                                          .classes = {RequestClass::kUrgent},
@@ -63,7 +63,7 @@
       now += Seconds(1) / kRequestsPerSecond;
       const std::uint64_t id = next_request++;
       for (const Action& action : Run(RequestArrived{.request = id,
-                                  .customer = "roads",
+                                  .client_account = "roads",
                                   .service = "status-board",
                                   .request_class = RequestClass::kUrgent,
                                   .deadline = now + Seconds(5)})) {
--- a/Tests/LibSteering/test_step.cc
+++ b/Tests/LibSteering/test_step.cc
@@ -28,7 +28,7 @@
   Fixture() {
     Run(ConfigurationAdopted{
         {.version = 1,
-         .customers = {{"roads", "gold"}},
+         .client_accounts = {{"roads", "gold"}},
          .plans = {{.name = "gold",
                     .services = {"status-board"},
                     .classes = {RequestClass::kUrgent, RequestClass::kWrite},
@@ -55,7 +55,7 @@
                  RequestClass request_class,
                  const std::string& key = "") {
     return Run(RequestArrived{.request = id,
-                              .customer = "roads",
+                              .client_account = "roads",
                               .service = "status-board",
                               .request_class = request_class,
                               .key = key,
@@ -231,7 +231,7 @@
   Fixture fixture;
   const auto answer = [&fixture](std::uint64_t id) {
     return fixture.Run(RequestArrived{.request = id,
-                                      .customer = "roads",
+                                      .client_account = "roads",
                                       .service = "status-board",
                                       .request_class = RequestClass::kUrgent,
                                       .fingerprint = 9,
--- a/Utilities/Call/main.cc
+++ b/Utilities/Call/main.cc
@@ -47,7 +47,7 @@
   EventLoop loop;
   Caller caller(
       loop, {.seed_addresses = values["entry"].as<std::vector<std::string>>(),
-             .customer = StringOption(values, "customer"),
+             .client_account = StringOption(values, "client-account"),
              .region = StringOption(values, "region")});
   const Duration deadline =
       Milliseconds(values["deadline-ms"].as<std::int64_t>());
@@ -94,7 +94,8 @@
   po::options_description options("Options");
   options.add_options()("entry", po::value<std::vector<Text>>()->required(),
                         "entry VM, IP:port; may be repeated");
-  options.add_options()("customer", po::value<Text>()->required(), "customer");
+  options.add_options()("client-account", po::value<Text>()->required(),
+                        "client account");
   options.add_options()("service", po::value<Text>()->required(), "service");
   options.add_options()("region", po::value<Text>()->default_value(""),
                         "the caller's region");
--- a/Utilities/Control/lists.cc
+++ b/Utilities/Control/lists.cc
@@ -1,4 +1,4 @@
-// Reads and submits the lists of customers and plans.
+// Reads and submits the lists of client accounts and plans.
 //
 // An edit is accepted when the compare-and-set of the row configuration/current
 // takes effect. The lists are stored first, as an object named by their hash,
--- a/Utilities/Control/lists.h
+++ b/Utilities/Control/lists.h
@@ -1,5 +1,5 @@
 // Operator commands on the configuration, which consists of the lists of
-// customers and plans: reading and submitting a version.
+// client accounts and plans: reading and submitting a version.
 
 #ifndef CICADADRUM_CONTROL_LISTS_H_
 #define CICADADRUM_CONTROL_LISTS_H_
--- a/Utilities/DecisionCost/main.cc
+++ b/Utilities/DecisionCost/main.cc
@@ -34,7 +34,7 @@
   TimePoint now(Seconds(1));
   std::deque<std::uint64_t> leases;
   SlotRequest request{.entry = "entry-1",
-                      .customer = "customer-1",
+                      .client_account = "account-1",
                       .request_class = RequestClass::kRoutine};
   PoolActions actions;
   const std::size_t leased_slots = servers * kSlots * 2 / 3;
--- a/Utilities/Demonstration/load.cc
+++ b/Utilities/Demonstration/load.cc
@@ -74,7 +74,7 @@
 
 Load::Impl::Impl(EventLoop& event_loop, const Mix& mix) : loop(event_loop) {
   for (const Stream& stream : mix.streams) {
-    CallerOptions options{.customer = stream.customer,
+    CallerOptions options{.client_account = stream.client_account,
                           .region = stream.region,
                           .random_seed = senders.size() + 1};
     for (const EntryVm& entry : mix.deployment.entries)
--- a/Utilities/Demonstration/mix.cc
+++ b/Utilities/Demonstration/mix.cc
@@ -50,7 +50,7 @@
       LoadServers((folder / root.getPlatformFile().cStr()).string()));
   for (const auto stream : root.getStreams()) {
     mix.streams.push_back(
-        {.customer = stream.getCustomer(),
+        {.client_account = stream.getClientAccount(),
          .region = stream.getRegion(),
          .service = stream.getService(),
          .request_class = static_cast<RequestClass>(stream.getRequestClass()),
--- a/Utilities/Demonstration/mix.h
+++ b/Utilities/Demonstration/mix.h
@@ -13,9 +13,9 @@
 
 namespace cicadadrum {
 
-// Requests of one customer, region, service and class at a fixed rate.
+// Requests of one client account, region, service and class at a fixed rate.
 struct Stream {
-  std::string customer;
+  std::string client_account;
   std::string region;
   std::string service;
   RequestClass request_class = RequestClass::kRoutine;
--- a/Utilities/HttpBench/main.cc
+++ b/Utilities/HttpBench/main.cc
@@ -66,7 +66,7 @@
 HttpRequest MakeRequest(const po::variables_map& values) {
   HttpRequest request{.target = values["target"].as<std::string>()};
   request.headers = {
-      {"Cicadadrum-Customer", values["customer"].as<std::string>()},
+      {"Cicadadrum-Client-Account", values["client-account"].as<std::string>()},
       {"Cicadadrum-Class", values["class"].as<std::string>()}};
   return request;
 }
@@ -130,10 +130,11 @@
                         "entry VM, IP:port");
   options.add_options()("target",
                         po::value<std::string>()->default_value(
-                            "/v1/lookup?customer=c&service=s"),
+                            "/v1/lookup?client_account=c&service=s"),
                         "path and query");
-  options.add_options()("customer", po::value<std::string>()->default_value(""),
-                        "customer");
+  options.add_options()("client-account",
+                        po::value<std::string>()->default_value(""),
+                        "client account");
   options.add_options()("class",
                         po::value<std::string>()->default_value("urgent"),
                         "class of requests");
--- a/Utilities/LookupBench/main.cc
+++ b/Utilities/LookupBench/main.cc
@@ -275,7 +275,7 @@
   const EntryDirectory directory = MakeEntryDirectory(MakeFleet());
   for (auto _ : state)
     benchmark::DoNotOptimize(
-        RankEntries(directory, "region-3", "customer", "lookup-svc"));
+        RankEntries(directory, "region-3", "client_account", "lookup-svc"));
 }
 BENCHMARK(BenchmarkRank);
 
