LibRouting, LibDiscovery, platform: Authenticate requests by client accounts

The operators' platform gives callers keys, and a revoked key must end at every entry VM within a bound, also at one that is cut off.

A key is looked up in an index of the configuration in force at arrival and before each further attempt. Confirmations of the operators' table carry the time since the oldest query behind them was sent, over all relays. While revocations are bounded, a request with a key runs only while that time is below 0.9 of the bound. The key is not forwarded; the account's name is.

--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -447,7 +447,7 @@
   struct Rows;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d272fb0f9de9cbd, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9d272fb0f9de9cbd, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -462,7 +462,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81b534d1cfd6de5b, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(81b534d1cfd6de5b, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2942,6 +2942,8 @@
 
   inline  ::int64_t getAgeMicroseconds() const;
 
+  inline  ::int64_t getQueryAgeMicroseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2986,6 +2988,9 @@
   inline  ::int64_t getAgeMicroseconds();
   inline void setAgeMicroseconds( ::int64_t value);
 
+  inline  ::int64_t getQueryAgeMicroseconds();
+  inline void setQueryAgeMicroseconds( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7381,6 +7386,7 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename RowsAnswer::Rows::Builder(_builder);
 }
@@ -7474,6 +7480,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t RowsAnswer::Rows::Reader::getQueryAgeMicroseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t RowsAnswer::Rows::Builder::getQueryAgeMicroseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void RowsAnswer::Rows::Builder::setQueryAgeMicroseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
 inline  ::uint64_t HeldLease::Reader::getLease() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Generated/schemas/routing.capnp.h
+++ b/Generated/schemas/routing.capnp.h
@@ -21,6 +21,7 @@
 
 CAPNP_DECLARE_SCHEMA(a76aa4b2feb73eea);
 CAPNP_DECLARE_SCHEMA(a984e2cdd93e1165);
+CAPNP_DECLARE_SCHEMA(97c92d5478edd2d5);
 CAPNP_DECLARE_SCHEMA(8159e731bd87cc9b);
 CAPNP_DECLARE_SCHEMA(a3cbe716244ce0df);
 CAPNP_DECLARE_SCHEMA(c0c675ac6a4e041b);
@@ -68,6 +69,21 @@
   };
 };
 
+struct ClientAccountRule {
+  ClientAccountRule() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(97c92d5478edd2d5, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ServiceRule {
   ServiceRule() = delete;
 
@@ -196,7 +212,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae5df866d8c3028c, 10, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ae5df866d8c3028c, 12, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -354,6 +370,8 @@
   inline bool hasHomeRegions() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHomeRegions() const;
 
+  inline bool getIsPublic() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -447,6 +465,9 @@
   inline void adoptHomeRegions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHomeRegions();
 
+  inline bool getIsPublic();
+  inline void setIsPublic(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -473,6 +494,124 @@
 };
 #endif  // !CAPNP_LITE
 
+class ClientAccountRule::Reader {
+public:
+  typedef ClientAccountRule Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasKeys() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getKeys() const;
+
+  inline double getPriority() const;
+
+  inline double getRequestsPerSecond() const;
+
+  inline double getBurst() const;
+
+  inline bool hasHomeRegions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHomeRegions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ClientAccountRule::Builder {
+public:
+  typedef ClientAccountRule Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasKeys();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getKeys();
+  inline void setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initKeys(unsigned int size);
+  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownKeys();
+
+  inline double getPriority();
+  inline void setPriority(double value);
+
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
+
+  inline double getBurst();
+  inline void setBurst(double value);
+
+  inline bool hasHomeRegions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getHomeRegions();
+  inline void setHomeRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setHomeRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initHomeRegions(unsigned int size);
+  inline void adoptHomeRegions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHomeRegions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ClientAccountRule::Pipeline {
+public:
+  typedef ClientAccountRule Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ServiceRule::Reader {
 public:
   typedef ServiceRule Reads;
@@ -1304,6 +1443,10 @@
 
   inline double getLookupLifetimeSeconds() const;
 
+  inline bool getRevokeEverywhere() const;
+
+  inline double getRevokeMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1362,6 +1505,12 @@
   inline double getLookupLifetimeSeconds();
   inline void setLookupLifetimeSeconds(double value);
 
+  inline bool getRevokeEverywhere();
+  inline void setRevokeEverywhere(bool value);
+
+  inline double getRevokeMilliseconds();
+  inline void setRevokeMilliseconds(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1978,6 +2127,172 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool RouteRule::Reader::getIsPublic() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool RouteRule::Builder::getIsPublic() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void RouteRule::Builder::setIsPublic(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClientAccountRule::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClientAccountRule::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ClientAccountRule::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ClientAccountRule::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ClientAccountRule::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ClientAccountRule::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ClientAccountRule::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ClientAccountRule::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ClientAccountRule::Reader::hasKeys() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClientAccountRule::Builder::hasKeys() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ClientAccountRule::Reader::getKeys() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ClientAccountRule::Builder::getKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ClientAccountRule::Builder::setKeys( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void ClientAccountRule::Builder::setKeys(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ClientAccountRule::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ClientAccountRule::Builder::adoptKeys(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ClientAccountRule::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline double ClientAccountRule::Reader::getPriority() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+
+inline double ClientAccountRule::Builder::getPriority() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, 13830554455654793216ull);
+}
+inline void ClientAccountRule::Builder::setPriority(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, 13830554455654793216ull);
+}
+
+inline double ClientAccountRule::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double ClientAccountRule::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ClientAccountRule::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double ClientAccountRule::Reader::getBurst() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double ClientAccountRule::Builder::getBurst() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ClientAccountRule::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ClientAccountRule::Reader::hasHomeRegions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ClientAccountRule::Builder::hasHomeRegions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ClientAccountRule::Reader::getHomeRegions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ClientAccountRule::Builder::getHomeRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ClientAccountRule::Builder::setHomeRegions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void ClientAccountRule::Builder::setHomeRegions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ClientAccountRule::Builder::initHomeRegions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ClientAccountRule::Builder::adoptHomeRegions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ClientAccountRule::Builder::disownHomeRegions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool ServiceRule::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2836,6 +3151,34 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value, 4617315517961601024ull);
 }
 
+inline bool FleetBoundsSettings::Reader::getRevokeEverywhere() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<640>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetBoundsSettings::Builder::getRevokeEverywhere() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<640>() * ::capnp::ELEMENTS);
+}
+inline void FleetBoundsSettings::Builder::setRevokeEverywhere(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<640>() * ::capnp::ELEMENTS, value);
+}
+
+inline double FleetBoundsSettings::Reader::getRevokeMilliseconds() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+
+inline double FleetBoundsSettings::Builder::getRevokeMilliseconds() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+}
+inline void FleetBoundsSettings::Builder::setRevokeMilliseconds(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PlatformSettings::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -39,6 +39,9 @@
   TableVersion version;        // The rows are complete up to it.
   std::uint64_t sequence = 0;  // To be sent with the next request.
   Duration age{};  // Time since the rows were last known to be complete.
+  // Time since the query was sent whose answer confirmed the rows, over all
+  // relays; nothing if unknown.
+  std::optional<Duration> query_age;
 };
 
 // --- Events ---
@@ -47,9 +50,10 @@
 // The event is sent for every response, even if no row has changed.
 struct RelayRowsUpdated {
   std::vector<TableRow> rows;
-  TableVersion version;         // TableState::complete_version.
-  TableVersion history_begin;   // TableState::history_begin.
-  std::optional<Duration> age;  // Of the response, if there was one.
+  TableVersion version;               // TableState::complete_version.
+  TableVersion history_begin;         // TableState::history_begin.
+  std::optional<Duration> age;        // Of the response, if there was one.
+  std::optional<Duration> query_age;  // As in TableConfirmed.
 };
 
 struct RelayRequestReceived {
@@ -112,6 +116,8 @@
   TableVersion discarded_version;
   TableVersion version;     // The rows are complete up to it.
   TimePoint complete_at{};  // When the rows were last known to be complete.
+  // When the last query was sent whose answer confirmed the rows.
+  std::optional<TimePoint> queried_at;
   std::map<std::string, RelayRow> rows;  // By key, removals included.
   std::vector<WaitingRequest> waiting;
 };
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -23,6 +23,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -61,6 +62,9 @@
   // The next source replaces a peer whose rows were last known to be complete
   // longer ago than this.
   Duration max_age = Milliseconds(1300);
+  // The same for RelayResponse::query_age, which then must be known. No limit
+  // if unset.
+  std::optional<Duration> max_query_age;
   // How long no request is sent to a peer that failed.
   Duration peer_backoff = Seconds(2);
 };
@@ -113,6 +117,8 @@
   // the peer's rows were known to be complete.
   std::uint64_t sequence = 0;
   Duration age{};
+  // Set by peers only: as in RelayResponse.
+  std::optional<Duration> query_age;
   // Time from the call to this response, with the time for which the VM was
   // suspended.
   Duration delay{};
@@ -161,6 +167,12 @@
 // All changes of the table up to `age` ago are known.
 struct TableConfirmed {
   Duration age{};
+  // Time since the oldest query behind the response was sent, over all relays.
+  // Nothing if unknown, or if the table is not settled.
+  std::optional<Duration> query_age;
+  // The store has not come back from an older copy of itself just now. Until
+  // the table is settled, lost changes may be missing.
+  bool is_settled = true;
 };
 
 // A response showed a new era of the store.
@@ -281,6 +293,9 @@
   std::map<std::string, TableRow> held_rows;
   TimePoint rows_held_until{};
   bool settles_restored_table = false;  // A RestoredTableSettled is to follow.
+  // After a restore of the store, answers to earlier queries may lack changes
+  // that are written again.
+  TimePoint settled_from = TimePoint::min();
 };
 
 // Returns the state of a table that has not been read. `seed` determines the
--- a/Libraries/LibDiscovery/relay.cc
+++ b/Libraries/LibDiscovery/relay.cc
@@ -86,6 +86,8 @@
   response.version = state.version;
   response.sequence = state.sequence;
   response.age = now - state.complete_at;
+  if (state.queried_at)
+    response.query_age = now - *state.queried_at;
   return response;
 }
 
@@ -106,6 +108,11 @@
   state.version = std::max(state.version, event.version);
   if (event.age)
     state.complete_at = std::max(state.complete_at, now - *event.age);
+  if (event.query_age) {
+    const TimePoint queried_at = now - *event.query_age;
+    state.queried_at =
+        std::max(state.queried_at.value_or(queried_at), queried_at);
+  }
   for (const TableRow& row : event.rows)
     state.rows[row.key] = {row, ++state.sequence,
                            std::max(state.version, row.version)};
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -22,6 +22,9 @@
 // Peers count as responding for this time after a fresh response.
 constexpr Duration kPeerAnswerValidity = Seconds(1);
 
+// The store's era before it has come back from a copy of itself.
+constexpr std::uint64_t kFirstEra = 1;
+
 // Minimum time between calls to a peer that responds immediately.
 constexpr Duration kPeerPeriod = Milliseconds(20);
 
@@ -142,6 +145,9 @@
                  now + state.options.recovery_grace_period);
     state.rows_held_until = now + state.options.restored_row_hold;
   }
+  // A process that has just started cannot tell how long ago the restore was.
+  if (is_new_era || (is_first_read && state.version.era > kFirstEra))
+    state.settled_from = now + state.options.restored_row_hold;
   ResponseEffects effects;
   ApplyFullRead(state, now, effects);
   PublishEffects(std::move(effects), is_first_read, actions);
@@ -152,6 +158,18 @@
   state.settles_restored_table = true;
 }
 
+// Returns the confirmation by a response that has been applied.
+TableConfirmed ConfirmationBy(const TableState& state,
+                              const TableAnswered& event,
+                              TimePoint now) {
+  const TimePoint queried_at = now - event.query_age.value_or(Duration::zero());
+  const bool is_settled =
+      !state.settles_restored_table && queried_at >= state.settled_from;
+  return {.age = event.age,
+          .query_age = is_settled ? event.query_age : std::nullopt,
+          .is_settled = is_settled};
+}
+
 void ApplyFullReadPage(TableState& state,
                        const TableAnswered& event,
                        TimePoint now,
@@ -170,7 +188,7 @@
   const bool has_one_page = state.full_read_rows.size() == event.rows.size();
   CompleteFullRead(state, now, actions);
   if (has_one_page)
-    actions.emplace_back(TableConfirmed{event.age});
+    actions.emplace_back(ConfirmationBy(state, event, now));
 }
 
 void ApplyChanges(TableState& state,
@@ -183,7 +201,7 @@
   KeepLastChanges(effects.changed);
   state.version = std::max(state.version, event.version);
   PublishEffects(std::move(effects), /*is_first_read=*/false, actions);
-  actions.emplace_back(TableConfirmed{event.age});
+  actions.emplace_back(ConfirmationBy(state, event, now));
 }
 
 // Sets unknown eras to the last known one, and adds the time for which the
@@ -197,6 +215,11 @@
   for (TableRow& row : event.rows)
     set_era(row.version);
   event.age += std::max(Duration::zero(), event.delay - state.call_wait);
+  // The source may have written the response as soon as the query was sent.
+  if (state.call_peer.empty())
+    event.query_age = event.delay;
+  else if (event.query_age)
+    *event.query_age += event.delay;
   return event;
 }
 
@@ -236,7 +259,16 @@
   state.sources = std::move(sources);
 }
 
-// Puts a peer into back-off if its rows are older than `max_age` or its version
+// Whether the rows of a peer were confirmed so long ago that the next source
+// must be called.
+bool IsOld(const TableState& state, const TableAnswered& event) {
+  const auto& max_query_age = state.options.max_query_age;
+  return event.age > state.options.max_age ||
+         (max_query_age &&
+          (!event.query_age || *event.query_age > *max_query_age));
+}
+
+// Puts a peer into back-off if its rows are older than allowed or its version
 // is below the local version. Returns whether the rows may be used; old rows
 // may be, rows of a lower version may not.
 bool AcceptPeerAnswer(TableState& state,
@@ -248,7 +280,7 @@
   // A peer that names no era may have rows of an earlier one.
   const bool is_behind =
       event.version < state.version || (!names_era && state.era != 0);
-  if (is_behind || event.age > state.options.max_age) {
+  if (is_behind || IsOld(state, event)) {
     if (TableSource* source = FindSource(state, state.call_peer))
       source->backoff_until = now + state.options.peer_backoff;
   } else {
--- a/Libraries/LibPeer/codec_rows.cc
+++ b/Libraries/LibPeer/codec_rows.cc
@@ -87,6 +87,8 @@
   rows.setVersion(answer.version.number);
   rows.setSequence(answer.sequence);
   rows.setAgeMicroseconds(DurationToWire(answer.age));
+  if (answer.query_age)
+    rows.setQueryAgeMicroseconds(DurationToWire(*answer.query_age));
 }
 
 std::optional<RelayResponse> ReadRelayResponse(
@@ -105,7 +107,9 @@
   RelayResponse answer{
       .version = {.era = from.getEra(), .number = rows.getVersion()},
       .sequence = rows.getSequence(),
-      .age = *age};
+      .age = *age,
+      // Nothing if an earlier release, which does not know the age, responds.
+      .query_age = DurationFromWire(rows.getQueryAgeMicroseconds())};
   for (const auto reader : rows.getChanged()) {
     auto row = ReadRow(reader);
     if (!row)
--- a/Libraries/LibRouting/configuration.cc
+++ b/Libraries/LibRouting/configuration.cc
@@ -1,4 +1,4 @@
-// Lookup of routes and services.
+// Lookup of routes, client accounts and services.
 
 #include "cicadadrum/routing/configuration.h"
 
@@ -17,6 +17,12 @@
                        return routes[a].prefix.size() > routes[b].prefix.size();
                      });
   }
+  const std::vector<ClientAccount>& accounts =
+      table.configuration.client_accounts;
+  for (std::size_t i = 0; i < accounts.size(); ++i) {
+    for (const std::string& key : accounts[i].keys)
+      table.account_by_key.emplace(key, i);
+  }
   return table;
 }
 
@@ -35,6 +41,14 @@
   return nullptr;
 }
 
+const ClientAccount* FindAccount(const RouteTable& table,
+                                 const std::string& key) {
+  const auto found = table.account_by_key.find(key);
+  return found == table.account_by_key.end()
+             ? nullptr
+             : &table.configuration.client_accounts[found->second];
+}
+
 const ServiceRule* FindService(const RouteTable& table,
                                std::string_view service) {
   for (const ServiceRule& rule : table.configuration.services) {
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "accounts.h"
 #include "choice.h"
 #include "home_regions.h"
 #include "observations.h"
@@ -142,6 +143,8 @@
       .max_send_delay = now < server.cold_until
                             ? std::optional(kMaxColdSendDelay)
                             : std::nullopt,
+      .account = request.account,
+      .hides_credentials = request.hides_credentials,
       .inputs = std::move(inputs)});
 }
 
@@ -195,6 +198,10 @@
               RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
   const Duration remaining = request.deadline - now;
+  if (const auto reason =
+          FindKeyRefusal(state, request.route, request.key, now))
+    return Refuse(state, id, *reason,
+                  RetryAfterForEstimate(Seconds(1), remaining), actions);
   if (const auto end = BlockedUntil(state, request.fingerprint, now))
     return Refuse(state, id, RefusalReason::kBlocked, *end - now, actions);
   if (NextTrialTime(state, request.fingerprint, now) > now) {
--- a/Libraries/LibRouting/include/cicadadrum/routing/configuration.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/configuration.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -84,7 +85,8 @@
 struct ClientAccount {
   std::string name;
   std::vector<std::string> keys;
-  std::uint32_t priority = 0;  // 0 is the most urgent.
+  // 0 is the most urgent. The priority of the route applies if unset.
+  std::optional<std::uint32_t> priority;
   // Quota of requests over all entry VMs; 0 for no limit.
   double requests_per_second = 0;
   // Requests that the quota allows at once after a time without requests.
@@ -123,16 +125,20 @@
   // Requests need the key of a client account, except those of public routes.
   bool has_client_accounts = false;
   std::vector<ClientAccount> client_accounts;
+  // An account could not be read, so an unknown key may be one of its keys.
+  bool has_unreadable_accounts = false;
 };
 
-// A configuration with an index of its routes by host.
+// A configuration with indices of its routes by host and its accounts by key.
 struct RouteTable {
   RoutingConfiguration configuration;
   // For each host the indices of its routes, the longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> by_host;
+  // Index of the first account with each key.
+  std::unordered_map<std::string, std::size_t> account_by_key;
 };
 
-// Builds the index by host.
+// Builds the indices.
 RouteTable MakeRouteTable(RoutingConfiguration configuration);
 
 // Returns the route of `host` with the longest prefix that `path` starts with,
@@ -142,6 +148,11 @@
                        std::string_view host,
                        std::string_view path);
 
+// Returns the account with the key, or null if there is none. The pointer is
+// valid until `table` changes.
+const ClientAccount* FindAccount(const RouteTable& table,
+                                 const std::string& key);
+
 // Returns the settings of the service, or null if the service is not
 // configured. The pointer is valid until `table` changes.
 const ServiceRule* FindService(const RouteTable& table,
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -79,6 +79,12 @@
 // was the newest one `age` ago.
 struct ConfigurationConfirmed {
   Duration age{};
+  // Time since the oldest query behind the report was sent, including the
+  // queries of relays; nothing if unknown. Keys rely on this age.
+  std::optional<Duration> query_age;
+  // The source may have a newer configuration than the adopted one: it has come
+  // back from an older copy, or its configuration can't be read here.
+  bool is_disputed = false;
 };
 
 // The VM was suspended until now. Its clock did not advance in that time.
@@ -188,10 +194,14 @@
   kNoRoute,          // No route matches the request.
   kUnreadableRoute,  // The route is written for a later release.
   kUnknownKey,       // No client account has the key of the request.
+  // No readable client account has the key of the request. Another account is
+  // written for a later release.
+  kUnreadableAccount,
   // The client account has used the rate of its quota.
   kQuotaExceeded,
-  // The route has home regions, and they may have changed: no source has
-  // confirmed the configuration lately.
+  // The route has home regions, the request has a key, or no route or account
+  // matches it, and the configuration may have changed: no source has confirmed
+  // it lately.
   kConfigurationOutdated,
   kNoServer,    // No server may receive the request at present.
   kOverloaded,  // The servers are too full to respond in time.
@@ -220,6 +230,7 @@
           {routing::RefusalReason::kNoRoute, "no-route"},
           {routing::RefusalReason::kUnreadableRoute, "unreadable-route"},
           {routing::RefusalReason::kUnknownKey, "unknown-key"},
+          {routing::RefusalReason::kUnreadableAccount, "unreadable-account"},
           {routing::RefusalReason::kQuotaExceeded, "quota-exceeded"},
           {routing::RefusalReason::kConfigurationOutdated,
            "configuration-outdated"},
--- a/Libraries/LibRouting/include/cicadadrum/routing/fleet_bounds.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/fleet_bounds.h
@@ -25,6 +25,10 @@
   Duration shift_window = Seconds(2);
   // Time within which a new configuration must be in force.
   Duration configuration_time = Seconds(2);
+  // No entry VM serves a request that was sent longer than `revocation_time`
+  // after the key of the request was revoked.
+  bool revokes_everywhere = false;
+  Duration revocation_time = Seconds(2);
 };
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -58,9 +58,12 @@
   // As configured when the request arrived or was last retried.
   Route route;
   std::uint64_t configuration = 0;  // Version that `route` was taken from.
+  std::string key;                  // As in RequestArrived.
   std::string account;  // Name of the client account; empty without one.
   // Of the client account, or of the route without one. 0 is the most urgent.
   std::uint32_t priority = 0;
+  // A configuration with client accounts was in force during the request.
+  bool hides_credentials = false;
   std::string service;
   std::uint64_t object = 0;  // A random number if the caller named none.
   std::uint64_t fingerprint = 0;
@@ -186,6 +189,10 @@
   // Latest time at which the configuration in `table` was the newest one, as
   // far as a source has confirmed it.
   std::optional<TimePoint> configuration_confirmed_at;
+  // Latest time at which a query was sent whose answer confirmed the keys of
+  // the configuration in `table`.
+  std::optional<TimePoint> keys_confirmed_at;
+  bool is_configuration_disputed = false;  // As of the last confirmation.
   bool servers_known = false;  // A full list of servers has been received.
   bool stopping = false;
   TimePoint accept_until{};  // End of accepting requests while stopping.
--- a/Libraries/LibRouting/request_route.cc
+++ b/Libraries/LibRouting/request_route.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "accounts.h"
+
 namespace cicadadrum::routing {
 
 namespace {
@@ -60,6 +62,8 @@
   request.route = *route;
   request.route.kind = kind;
   request.configuration = state.table.configuration.version;
+  if (!AssignAccount(state, request))
+    return false;
   ShortenDeadline(state, id, request, request.arrived_at + route->timeout);
   if (UsesService(*route, request.service))
     return true;
--- a/Libraries/LibRouting/request_route.h
+++ b/Libraries/LibRouting/request_route.h
@@ -22,7 +22,8 @@
                      TimePoint deadline);
 
 // Replaces the request's copy of its route by the route that is configured now.
-// Returns false if no route matches the request any more.
+// Returns false if no route matches the request any more, or no region may run
+// it.
 bool RefreshRoute(RoutingState& state, std::uint64_t id, RequestState& request);
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "accounts.h"
 #include "advice.h"
 #include "choice.h"
 #include "cicadadrum/base/hash.h"
@@ -42,15 +43,20 @@
                   kMinRetryAfter, actions);
   const Route* route = FindRoute(state.table, event.host, event.path);
   if (route == nullptr)
-    return Refuse(state, event.request, RefusalReason::kNoRoute, {}, actions);
+    return Refuse(state, event.request, RefusalWithoutRoute(state, now),
+                  RetryAfterForEstimate(Seconds(1), event.remaining), actions);
   if (!route->is_readable)
     return Refuse(state, event.request, RefusalReason::kUnreadableRoute, {},
                   actions);
+  if (const auto reason = FindKeyRefusal(state, *route, event.key, now))
+    return Refuse(state, event.request, *reason,
+                  RetryAfterForEstimate(Seconds(1), event.remaining), actions);
   RequestState request{
       .host = event.host,
       .path = event.path,
       .route = *route,
       .configuration = state.table.configuration.version,
+      .key = event.key,
       .service = ChooseService(state, *route),
       .object = event.object ? HashBytes(route->name, *event.object)
                              : NextRandom(state.random),
@@ -61,6 +67,9 @@
       .deadline = std::min(
           now + std::min(event.remaining - kResponseMargin, route->timeout),
           state.stop_at)};
+  if (!AssignAccount(state, request))
+    return Refuse(state, event.request, RefusalReason::kNoServer,
+                  RetryAfterForEstimate(Seconds(1), event.remaining), actions);
   state.deadlines.emplace(request.deadline, event.request);
   const auto limit = FindTransferLimit(state, request, event.unsent_bytes, now);
   const Duration remaining = request.deadline - now;
@@ -217,6 +226,7 @@
            TimePoint now,
            RoutingActions& /*actions*/) {
   RecordConfirmation(state, event, now);
+  RecordKeyConfirmation(state, event, now);
 }
 
 void Apply(RoutingState& state,
@@ -224,6 +234,7 @@
            TimePoint /*now*/,
            RoutingActions& /*actions*/) {
   RecordSuspension(state, event);
+  RecordKeySuspension(state, event);
 }
 
 void Apply(RoutingState& state,
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -264,6 +264,7 @@
       version @2 :UInt64;  # The rows are complete up to this version.
       sequence @3 :UInt64;
       ageMicroseconds @4 :Int64;  # Time since the rows were last known to be complete.
+      queryAgeMicroseconds @6 :Int64 = -1;  # Time since the oldest query behind the rows was sent; -1 if unknown.
     }
   }
 }
--- a/Schemas/routing.capnp
+++ b/Schemas/routing.capnp
@@ -24,6 +24,17 @@
   attempts @9 :UInt32 = 1;
   sticky @10 :Bool;
   homeRegions @11 :List(Text);
+  isPublic @12 :Bool;  # Requests need no key.
+}
+
+# Element of the list `clientAccounts` of a configuration.
+struct ClientAccountRule {
+  name @0 :Text;
+  keys @1 :List(Text);
+  priority @2 :Float64 = -1;  # -1 for that of the route.
+  requestsPerSecond @3 :Float64;  # 0 for no limit.
+  burst @4 :Float64;
+  homeRegions @5 :List(Text);
 }
 
 struct ServiceRule {
@@ -41,8 +52,8 @@
   idleTimeoutMilliseconds @3 :Float64 = 15000;
 }
 
-# Part of a configuration. Its lists `routes` (of RouteRule) and `services` (of ServiceRule), and `limits` (CallerLimits),
-# are decoded one by one.
+# Part of a configuration. Its lists `routes` (of RouteRule), `services` (of ServiceRule) and `clientAccounts` (of
+# ClientAccountRule), and `limits` (CallerLimits), are decoded one by one.
 struct ConfigurationHead {
   version @0 :UInt64;
 }
@@ -95,6 +106,8 @@
   maxShift @7 :Float64 = 0.15;
   stopSeconds @8 :Float64 = 6;  # Between SIGTERM and SIGKILL.
   lookupLifetimeSeconds @9 :Float64 = 5;  # Longest time that callers use the result of a lookup.
+  revokeEverywhere @10 :Bool;  # No entry VM serves a key that was revoked longer than `revokeMilliseconds` ago.
+  revokeMilliseconds @11 :Float64;
 }
 
 # Settings of cicadadrum-platform.
