LibRouting, platform: Show operators accounts and their refusals

Adds metrics, log fields and explanations for accounts, keys and the age of their confirmation, tests of the decisions, and the passages for operators. Tests of LibDiscovery and of the front end are not yet run.

--- a/Libraries/LibExplain/explain.cc
+++ b/Libraries/LibExplain/explain.cc
@@ -20,8 +20,15 @@
      "the entry VM had no configuration or no servers yet; see its store and "
      "member records"},
     {"configuration-outdated",
-     "the route has home regions, and no source had confirmed the "
-     "configuration lately, so the operators may have changed them"},
+     "no source had confirmed the configuration lately, so the operators may "
+     "have changed the route's home regions, the accounts or their keys; see "
+     "key_confirmation_age_ms and the store records"},
+    {"unknown-key",
+     "no client account has the key of the request, or the request has none "
+     "and its route is not public"},
+    {"unreadable-account",
+     "no readable client account has the key of the request, and the "
+     "configuration has an account that is written for a later release"},
     {"no-route", "no route of the configuration in force matched the request"},
     {"no-server",
      "every server of the service was draining, evacuated, in back-off or "
--- a/Libraries/LibRouting/configuration.cc
+++ b/Libraries/LibRouting/configuration.cc
@@ -3,6 +3,7 @@
 #include "cicadadrum/routing/configuration.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace cicadadrum::routing {
 
@@ -49,6 +50,27 @@
              : &table.configuration.client_accounts[found->second];
 }
 
+KeyChanges CountKeyChanges(const RouteTable& table,
+                           const RoutingConfiguration& next) {
+  KeyChanges changes;
+  std::size_t kept = 0;
+  std::unordered_set<std::string_view> keys;
+  for (const ClientAccount& account : next.client_accounts) {
+    for (const std::string& key : account.keys) {
+      if (!keys.insert(key).second)
+        continue;
+      const ClientAccount* known = FindAccount(table, key);
+      if (known == nullptr)
+        ++changes.added;
+      else if (known->name != account.name)
+        ++changes.moved;
+      kept += known == nullptr ? 0 : 1;
+    }
+  }
+  changes.revoked = table.account_by_key.size() - kept;
+  return changes;
+}
+
 const ServiceRule* FindService(const RouteTable& table,
                                std::string_view service) {
   for (const ServiceRule& rule : table.configuration.services) {
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -172,6 +172,7 @@
   if (found != state.requests.end()) {
     refusal.verdict = found->second.verdict;
     refusal.kind = found->second.route.kind;
+    refusal.account = found->second.account;
     EndRequest(state, id);
   }
   actions.emplace_back(refusal);
--- a/Libraries/LibRouting/include/cicadadrum/routing/configuration.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/configuration.h
@@ -153,6 +153,17 @@
 const ClientAccount* FindAccount(const RouteTable& table,
                                  const std::string& key);
 
+// How the keys of a configuration differ from those in force.
+struct KeyChanges {
+  std::size_t added = 0;
+  std::size_t revoked = 0;
+  std::size_t moved = 0;  // To an account of another name.
+};
+
+// Counts the changes from the keys of `table` to those of `next`.
+KeyChanges CountKeyChanges(const RouteTable& table,
+                           const RoutingConfiguration& next);
+
 // Returns the settings of the service, or null if the service is not
 // configured. The pointer is valid until `table` changes.
 const ServiceRule* FindService(const RouteTable& table,
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -390,6 +390,8 @@
   Verdict verdict = Verdict::kNotRun;
   // Of the request's route, if one matched and could be read.
   std::optional<RouteKind> kind;
+  // Name of the caller's client account; empty if there is none.
+  std::string account;
   // Delay after which the caller should retry; zero if the response states
   // none.
   Duration retry_after{};
--- a/Tests/LibDiscovery/relay_world.cc
+++ b/Tests/LibDiscovery/relay_world.cc
@@ -42,8 +42,10 @@
 }
 
 void RelayWorld::Put(const std::string& key) {
-  change_log_.push_back(
-      {.key = key, .value = "value", .version = {era_, ++version_}});
+  last_puts_[key] = {now, ++puts_};
+  change_log_.push_back({.key = key,
+                         .value = std::to_string(puts_),
+                         .version = {era_, ++version_}});
   AnswerReadyFollows();
 }
 
@@ -95,10 +97,25 @@
   }
 }
 
-void RelayWorld::Step(const std::string& name, const TableEvent& event) {
+void RelayWorld::RecordConfirmation(RelayEntry& entry, Duration query_age) {
+  const TimePoint confirmed_at = now - query_age;
+  entry.confirmed_at = std::max(entry.confirmed_at, confirmed_at);
+  for (const auto& [key, put] : last_puts_) {
+    const auto row = entry.rows.find(key);
+    if (put.at <= confirmed_at &&
+        (row == entry.rows.end() || std::stoul(row->second.value) < put.number))
+      ++false_confirmations;
+  }
+}
+
+void RelayWorld::Step(const std::string& name, const TableEvent& received) {
   RelayEntry& entry = entries_.at(name);
   if (entry.is_frozen)
-    return RunAfter(kFrozenRetry, [this, name, event] { Step(name, event); });
+    return RunAfter(kFrozenRetry,
+                    [this, name, received] { Step(name, received); });
+  TableEvent event = received;
+  if (auto* response = std::get_if<TableAnswered>(&event))
+    response->delay = now - entry.called_at;
   TableActions actions;
   StepTable(entry.table, event, now, actions);
   RelayRowsUpdated update;
@@ -107,6 +124,11 @@
       Execute(name, *read);
     if (const auto* follow = std::get_if<FollowTable>(&action))
       Execute(name, *follow);
+    if (const auto* confirmed = std::get_if<TableConfirmed>(&action);
+        confirmed != nullptr && confirmed->query_age) {
+      update.query_age = confirmed->query_age;
+      RecordConfirmation(entry, *confirmed->query_age);
+    }
     if (const auto* wake = std::get_if<TableWake>(&action))
       entry.table_wake = wake->at;
     if (const auto* changed = std::get_if<RowsChanged>(&action)) {
@@ -152,6 +174,7 @@
 }
 
 void RelayWorld::Execute(const std::string& name, const ReadTable& action) {
+  entries_.at(name).called_at = now;
   FailAfter(name, action.call, action.timeout);
   if (!action.peer.empty())
     return SendToPeer(name, action.call, action.peer, {.all_rows = true});
@@ -174,6 +197,7 @@
 }
 
 void RelayWorld::Execute(const std::string& name, const FollowTable& action) {
+  entries_.at(name).called_at = now;
   FailAfter(name, action.call, action.timeout);
   if (!action.peer.empty())
     return SendToPeer(name, action.call, action.peer,
@@ -207,7 +231,8 @@
                              .rows = response.rows,
                              .version = response.version,
                              .sequence = response.sequence,
-                             .age = response.age});
+                             .age = response.age,
+                             .query_age = response.query_age});
   };
   RunAfter(kOneWay, [this, peer, is_peer_call, request] {
     if (!entries_.at(peer).is_frozen)
--- a/Tests/LibDiscovery/relay_world.h
+++ b/Tests/LibDiscovery/relay_world.h
@@ -26,6 +26,9 @@
   TimePoint relay_wake = kNever;
   std::map<std::string, TableRow> rows;  // The local copy of the table.
   std::uint64_t store_calls = 0;
+  TimePoint called_at;  // When the last call was sent.
+  // Latest time for which the rows were confirmed.
+  TimePoint confirmed_at = kRelayStart;
   bool store_unreachable = false;  // Calls to the store get no response.
   bool is_frozen = false;          // The process runs nothing.
 
@@ -52,8 +55,16 @@
   std::string RelayOf(const std::string& region) const;
 
   TimePoint now = kRelayStart;
+  // Number of confirmations at entry VMs that lacked a change from before the
+  // confirmed time.
+  std::size_t false_confirmations = 0;
 
  private:
+  struct Change {
+    TimePoint at;
+    std::uint64_t number = 0;  // Counts all changes, lost ones included.
+  };
+
   struct OpenFollow {
     std::string entry;
     FollowTable call;
@@ -62,6 +73,7 @@
 
   void RunAfter(Duration delay, std::function<void()> action);
   void Step(const std::string& name, const TableEvent& event);
+  void RecordConfirmation(RelayEntry& entry, Duration query_age);
   void StepRelayOf(const std::string& name, const RelayEvent& event);
   void Execute(const std::string& name, const ReadTable& action);
   void Execute(const std::string& name, const FollowTable& action);
@@ -78,6 +90,8 @@
   std::multimap<TimePoint, std::function<void()>> scheduled_;
   std::vector<TableRow> change_log_;  // All changes of the store.
   std::vector<OpenFollow> open_follows_;
+  std::map<std::string, Change> last_puts_;  // By key.
+  std::uint64_t puts_ = 0;
   std::uint64_t version_ = 0;
   std::uint64_t era_ = 1;
   std::uint64_t next_call_ = 1;
--- a/Tests/LibDiscovery/test_relay.cc
+++ b/Tests/LibDiscovery/test_relay.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "cicadadrum/base/random.h"
 #include "relay_world.h"
 
 namespace cicadadrum::discovery {
@@ -23,6 +24,21 @@
           .max_age = kPropagationBound * 13 / 20};
 }
 
+// Time within which a key must be revoked.
+constexpr Duration kRevocationTime = Seconds(2);
+
+// Returns the options of the operators' table, as cicadadrum-platform derives
+// them from kRevocationTime.
+TableOptions MakeOperatorOptions() {
+  constexpr Duration kBound = kRevocationTime * 3 / 5;
+  return {.table = "op",
+          .period = Milliseconds(100),
+          .wait = kBound * 3 / 10,
+          .peer_wait = kBound * 3 / 20,
+          .max_age = kBound * 9 / 20,
+          .max_query_age = kRevocationTime * 3 / 4};
+}
+
 const std::vector<std::string> kNames = {"north-1", "north-2", "north-3",
                                          "south-1", "south-2"};
 
@@ -109,6 +125,25 @@
 
 // Guards against missing a removal that the relay deferred after an outage of
 // the store: its version is below the version that was passed on before.
+// Guards against a relay that makes keys younger than their confirmation.
+TEST_CASE("a relay states the age of the query behind its rows") {
+  RelayFixture relay;
+  relay.Step(RelayRowsUpdated{.version = {0, 10}, .age = Duration::zero()});
+  CHECK(!relay.Request({.all_rows = true}).query_age);
+  const auto update = [&](std::optional<Duration> query_age) {
+    relay.Step(RelayRowsUpdated{
+        .version = {0, 10}, .age = Duration::zero(), .query_age = query_age});
+  };
+  update(Milliseconds(300));
+  relay.now += Milliseconds(100);
+  CHECK(relay.Request({.all_rows = true}).query_age == Milliseconds(400));
+  update(Milliseconds(600));
+  update(std::nullopt);
+  CHECK(relay.Request({.all_rows = true}).query_age == Milliseconds(400));
+  update(Milliseconds(50));
+  CHECK(relay.Request({.all_rows = true}).query_age == Milliseconds(50));
+}
+
 TEST_CASE("a deferred removal with an old version is passed on") {
   RelayFixture relay;
   relay.UpdateRows({Put("a", 1), Put("b", 2)}, 2);
@@ -192,6 +227,53 @@
   }
 }
 
+// Guards against keys that are refused although nothing has failed.
+TEST_CASE("relays confirm the rows well within the bound on revocations") {
+  RelayWorld world(kNames, MakeOperatorOptions());
+  world.Put("config");
+  world.RunUntil(kRelayStart + Seconds(3));
+  Duration oldest{};
+  while (world.now < kRelayStart + Seconds(30)) {
+    world.RunUntil(world.now + Milliseconds(1));
+    for (const std::string& name : kNames)
+      oldest = std::max(oldest, world.now - world.entry(name).confirmed_at);
+  }
+  CAPTURE(oldest.count());
+  CHECK(oldest < kRevocationTime * 3 / 4);
+}
+
+// Guards against a revoked key that is served, because its row is confirmed as
+// of a later time than the one that it is from.
+TEST_CASE("no entry VM confirms rows that lack an earlier change") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    Random random{.state = seed};
+    RelayWorld world(kNames, MakeOperatorOptions());
+    world.Put("config");
+    for (int i = 0; i < 200; ++i) {
+      world.RunUntil(world.now +
+                     Milliseconds(static_cast<int>(RandomBelow(random, 400))));
+      RelayEntry& entry = world.entry(kNames[RandomBelow(random, 5)]);
+      const std::uint64_t action = RandomBelow(random, 10);
+      if (action < 4)
+        world.Put(action < 2 ? "config" : "other");
+      else if (action < 6)
+        entry.is_frozen = !entry.is_frozen;
+      else if (action < 9)
+        entry.store_unreachable = !entry.store_unreachable;
+      else if (world.version() > 3) {
+        world.Restore(world.version() - 1 - RandomBelow(random, 3));
+        // The lost changes are written again within the hold time.
+        world.RunUntil(world.now + Milliseconds(static_cast<int>(
+                                       RandomBelow(random, 1500))));
+        world.Put("config");
+        world.Put("other");
+      }
+    }
+    CHECK(world.false_confirmations == 0);
+  }
+}
+
 // Guards against a region that misses changes because its relay cannot reach
 // the store or is frozen. The bound applies to every entry VM that can reach
 // the store, at whichever moment the relay fails.
--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -23,6 +23,7 @@
   TimePoint wake = kNever;
   std::vector<bool> reachability;
   std::vector<Duration> confirmed_ages;
+  std::vector<TableConfirmed> confirmations;
   std::uint64_t era = 0;  // Of the store in the next responses.
   std::vector<EraChanged> era_changes;
   std::vector<OldRowsIgnored> ignored;
@@ -45,6 +46,8 @@
         reachability.push_back(reached->reachable);
       if (const auto* confirmed = std::get_if<TableConfirmed>(&action))
         confirmed_ages.push_back(confirmed->age);
+      if (const auto* confirmed = std::get_if<TableConfirmed>(&action))
+        confirmations.push_back(*confirmed);
       if (const auto* change = std::get_if<EraChanged>(&action))
         era_changes.push_back(*change);
       if (const auto* restored = std::get_if<RestoredTableRead>(&action))
@@ -420,6 +423,89 @@
   CHECK(table.confirmed_ages[0] == Milliseconds(250));
 }
 
+// Guards against keys that are trusted longer than the bound on revocations,
+// because a response was written before the source had waited.
+TEST_CASE("the age of queries includes all waits and adds up over relays") {
+  TableFixture table;
+  table.Step(TableTimerExpired{});
+  table.Step(TableAnswered{
+      .call = table.read->call, .version = {0, 5}, .delay = Milliseconds(20)});
+  CHECK(table.confirmations.back().query_age == Milliseconds(20));
+  table.Wait();
+  table.Step(TableAnswered{.call = table.follow->call,
+                           .version = {0, 5},
+                           .delay = Milliseconds(300)});
+  CHECK(table.confirmations.back().age == Duration::zero());
+  CHECK(table.confirmations.back().query_age == Milliseconds(300));
+  table.Step(SourcesChanged{.before_store = {"relay"}});
+  table.Wait();
+  table.Step(TableAnswered{.call = table.follow->call,
+                           .version = {0, 5},
+                           .sequence = 1,
+                           .query_age = Milliseconds(200),
+                           .delay = Milliseconds(50)});
+  CHECK(table.confirmations.back().query_age == Milliseconds(250));
+}
+
+// Guards against keys that are refused because a relay can't confirm them.
+TEST_CASE("the store replaces a peer whose queries are old or of unknown age") {
+  for (const std::optional<Duration> age :
+       {std::optional<Duration>(), std::optional(Milliseconds(900))}) {
+    TableFixture table;
+    table.state.options.max_query_age = Milliseconds(800);
+    table.Step(TableTimerExpired{});
+    table.AnswerRead({}, 5);
+    table.Step(SourcesChanged{.before_store = {"relay"}});
+    table.Wait();
+    REQUIRE(table.follow->peer == "relay");
+    table.Step(TableAnswered{.call = table.follow->call,
+                             .version = {0, 5},
+                             .sequence = 1,
+                             .query_age = age});
+    CHECK(table.confirmations.back().query_age == age);
+    table.Wait();
+    CHECK(table.follow->peer.empty());
+  }
+}
+
+// Guards against keys that an older copy of the store confirms before their
+// revocation is written again.
+TEST_CASE("a restored store confirms no keys until the table is settled") {
+  TableFixture table;
+  table.era = 1;
+  table.ReadTableOnce({Put("a", 5)}, 5);
+  CHECK(table.confirmations.back().query_age);
+  table.era = 2;
+  table.AnswerFollow({}, 4);
+  const std::size_t before = table.confirmations.size();
+  table.AnswerRead({Put("a", 3)}, 4);
+  REQUIRE(table.confirmations.size() == before + 1);
+  CHECK(!table.confirmations.back().is_settled);
+  CHECK(!table.confirmations.back().query_age);
+  table.AnswerFollow({}, 4);
+  CHECK(!table.confirmations.back().query_age);
+  // Sent before the table was settled, and answered after.
+  table.Wait();
+  table.now += table.state.options.restored_row_hold;
+  table.Step(TableAnswered{.call = table.follow->call,
+                           .version = {2, 4},
+                           .delay = table.state.options.restored_row_hold});
+  CHECK(!table.confirmations.back().query_age);
+  table.AnswerFollow({}, 4);
+  CHECK(table.confirmations.back().query_age);
+}
+
+// Guards against the same at a process that starts after the restore.
+TEST_CASE("the first read of a restored store confirms no keys") {
+  TableFixture table;
+  table.era = 2;
+  table.ReadTableOnce({Put("a", 5)}, 5);
+  CHECK(!table.confirmations.back().is_settled);
+  table.now += table.state.options.restored_row_hold;
+  table.AnswerFollow({}, 5);
+  CHECK(table.confirmations.back().query_age);
+}
+
 TEST_CASE("a peer with an older version confirms nothing") {
   TableFixture table;
   table.Step(TableTimerExpired{});
--- a/Tests/Platform/test_configuration_codec.cc
+++ b/Tests/Platform/test_configuration_codec.cc
@@ -168,4 +168,69 @@
             .find("a weight of at least 0") != std::string::npos);
 }
 
+// Guards against accounts that a later release writes: keys of one that can't
+// be read must not count as unknown, and others must still be served.
+TEST_CASE("an account that can't be read costs that account only") {
+  const std::string good =
+      R"({"name":"one","keys":["k1","k2"],"priority":0,"requestsPerSecond":2.5,)"
+      R"("burst":9,"homeRegions":["north"],"later":1})";
+  for (const std::string bad :
+       {R"({"name":"","keys":["secret"]})",
+        R"({"name":"a\nb","keys":["secret"]})",
+        R"({"name":"two","keys":["secret",{"hash":"secret"}]})",
+        R"({"name":"two","keys":"secret"})", R"({"name":"two","keys":[""]})",
+        R"({"name":"two","keys":["secret"],"priority":-2})",
+        R"({"name":"two","keys":["secret"],"burst":-1})", R"("secret")"}) {
+    CAPTURE(bad);
+    const DecodedConfiguration decoded =
+        Decode(Document("", R"("clientAccounts":[)" + bad + "," + good + "]"));
+    const routing::RoutingConfiguration& configuration = decoded.configuration;
+    CHECK(configuration.has_client_accounts);
+    CHECK(configuration.has_unreadable_accounts);
+    REQUIRE(configuration.client_accounts.size() == 1);
+    CHECK(configuration.client_accounts[0] ==
+          routing::ClientAccount{.name = "one",
+                                 .keys = {"k1", "k2"},
+                                 .priority = 0,
+                                 .requests_per_second = 2.5,
+                                 .burst = 9,
+                                 .home_regions = {"north"}});
+    CHECK(HasRemark(decoded, ConfigurationRemarkKind::kUnreadableAccount, "0"));
+    CHECK(HasRemark(decoded, ConfigurationRemarkKind::kUnknownKey,
+                    "clientAccounts.later"));
+    // Remarks are written to the log.
+    for (const ConfigurationRemark& remark : decoded.remarks)
+      CHECK(remark.detail.find("secret") == std::string::npos);
+  }
+}
+
+// Guards against callers that are served without keys although operators have
+// set accounts in a form of a later release.
+TEST_CASE("a list of accounts requires keys, whatever its form") {
+  CHECK(!Decode(Document("")).configuration.has_client_accounts);
+  for (const std::string list : {"[]", "{}", "null"}) {
+    CAPTURE(list);
+    const auto configuration =
+        Decode(Document("", "\"clientAccounts\":" + list)).configuration;
+    CHECK(configuration.has_client_accounts);
+    CHECK(configuration.has_unreadable_accounts == (list != "[]"));
+  }
+}
+
+// Guards against a key that counts for two accounts.
+TEST_CASE("a repeated key counts for the first account and is remarked") {
+  DecodedConfiguration decoded =
+      Decode(Document("{" + Members("r", "/") + ",\"isPublic\":true}",
+                      R"("clientAccounts":[{"name":"one","keys":["secret"]},)"
+                      R"({"name":"two","keys":["secret"]}])"));
+  CHECK(HasRemark(decoded, ConfigurationRemarkKind::kRepeatedKey, "two"));
+  CHECK(!HasRemark(decoded, ConfigurationRemarkKind::kRepeatedKey, "secret"));
+  const routing::RouteTable table =
+      routing::MakeRouteTable(std::move(decoded.configuration));
+  CHECK(table.configuration.routes[0].is_public);
+  REQUIRE(routing::FindAccount(table, "secret") != nullptr);
+  CHECK(routing::FindAccount(table, "secret")->name == "one");
+  CHECK(!routing::FindAccount(table, "secret")->priority);
+}
+
 }  // namespace cicadadrum::platform
--- a/Tests/Platform/test_http_codec.cc
+++ b/Tests/Platform/test_http_codec.cc
@@ -50,6 +50,69 @@
   }
 }
 
+// Guards against a key that is taken for another, or for none.
+TEST_CASE("a key is read from a single header with the scheme Bearer") {
+  const auto key = [](const HttpFields& headers) {
+    return DecodeRequest(1, {.headers = headers}).key;
+  };
+  CHECK(key({{"Authorization", "Bearer k1"}}) == "k1");
+  CHECK(key({{"authorization", "bEARER   k1 "}}) == "k1");
+  for (const std::string value :
+       {"", "k1", "Bearer", "Bearer ", "Bearerk1", "Basic k1"}) {
+    CAPTURE(value);
+    CHECK(key({{"Authorization", value}}).empty());
+  }
+  CHECK(key({{"Authorization", "Bearer k1"}, {"AUTHORIZATION", "Bearer k1"}})
+            .empty());
+  CHECK(key({}).empty());
+}
+
+// Guards against keys that servers see, and names that callers choose.
+TEST_CASE(
+    "a server receives the account that the entry VM states, and no key") {
+  const HttpRequest request{.headers = {{"authorization", "Bearer k1"},
+                                        {"Cicadadrum-Tenant", "forged"},
+                                        {"Authorization", "Bearer k2"},
+                                        {"cicadadrum-tenant", "forged"},
+                                        {"Accept", "*/*"}}};
+  const auto values = [&](const routing::SendAttempt& attempt,
+                          std::string_view name) {
+    HttpFields fields = EncodeAttempt(request, attempt).headers;
+    std::vector<std::string> found;
+    while (!FindField(fields, name).empty()) {
+      const std::string value(FindField(fields, name));
+      found.push_back(value);
+      std::erase_if(fields,
+                    [&](const auto& field) { return field.second == value; });
+    }
+    return found;
+  };
+  using Values = std::vector<std::string>;
+  const routing::SendAttempt named{.account = "one", .hides_credentials = true};
+  CHECK(values(named, kAccount) == Values{"one"});
+  CHECK(values(named, kAuthorization).empty());
+  CHECK(values(named, "Accept") == Values{"*/*"});
+  const routing::SendAttempt unnamed{.hides_credentials = true};
+  CHECK(values(unnamed, kAccount).empty());
+  CHECK(values(unnamed, kAuthorization).empty());
+  CHECK(values({}, kAccount).empty());
+  CHECK(values({}, kAuthorization) == Values{"Bearer k1", "Bearer k2"});
+}
+
+// Guards against a 401 for a request that an earlier attempt may have run.
+TEST_CASE("a refused key has status 401 only if the request has not run") {
+  routing::RefuseRequest refusal{.reason = routing::RefusalReason::kUnknownKey,
+                                 .verdict = Verdict::kNotRun};
+  CHECK(EncodeRefusal(refusal, "1").status == 401);
+  refusal.verdict = Verdict::kMayHaveRun;
+  CHECK(EncodeRefusal(refusal, "1").status == 502);
+  refusal = {.reason = routing::RefusalReason::kUnreadableAccount,
+             .verdict = Verdict::kNotRun,
+             .retry_after = Seconds(1)};
+  CHECK(EncodeRefusal(refusal, "1").status == 503);
+  CHECK(FindField(EncodeRefusal(refusal, "1").headers, kRetryAfter) == "1.00");
+}
+
 // Guards against the load and cold time of another server at the address.
 TEST_CASE("a 421 reports nothing of the expected server") {
   const HttpFields headers = {{std::string(kServerLoad), "4,9,4,300"},
