--- a/Libraries/LibRouting/configuration.cc
+++ b/Libraries/LibRouting/configuration.cc
@@ -1,8 +1,9 @@
-// Lookup of routes and services.
+// Lookup of routes, client accounts and services.
 
 #include "cicadadrum/routing/configuration.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace cicadadrum::routing {
 
@@ -17,6 +18,12 @@
                        return routes[a].prefix.size() > routes[b].prefix.size();
                      });
   }
+  const std::vector<ClientAccount>& accounts =
+      table.configuration.client_accounts;
+  for (std::size_t i = 0; i < accounts.size(); ++i) {
+    for (const std::string& key : accounts[i].keys)
+      table.account_by_key.emplace(key, i);
+  }
   return table;
 }
 
@@ -35,6 +42,35 @@
   return nullptr;
 }
 
+const ClientAccount* FindAccount(const RouteTable& table,
+                                 const std::string& key) {
+  const auto found = table.account_by_key.find(key);
+  return found == table.account_by_key.end()
+             ? nullptr
+             : &table.configuration.client_accounts[found->second];
+}
+
+KeyChanges CountKeyChanges(const RouteTable& table,
+                           const RoutingConfiguration& next) {
+  KeyChanges changes;
+  std::size_t kept = 0;
+  std::unordered_set<std::string_view> keys;
+  for (const ClientAccount& account : next.client_accounts) {
+    for (const std::string& key : account.keys) {
+      if (!keys.insert(key).second)
+        continue;
+      const ClientAccount* known = FindAccount(table, key);
+      if (known == nullptr)
+        ++changes.added;
+      else if (known->name != account.name)
+        ++changes.moved;
+      kept += known == nullptr ? 0 : 1;
+    }
+  }
+  changes.revoked = table.account_by_key.size() - kept;
+  return changes;
+}
+
 const ServiceRule* FindService(const RouteTable& table,
                                std::string_view service) {
   for (const ServiceRule& rule : table.configuration.services) {
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "accounts.h"
 #include "choice.h"
 #include "home_regions.h"
 #include "observations.h"
@@ -147,6 +148,8 @@
       .max_send_delay = now < server.cold_until
                             ? std::optional(kMaxColdSendDelay)
                             : std::nullopt,
+      .account = request.account,
+      .hides_credentials = request.hides_credentials,
       .inputs = std::move(inputs)});
 }
 
@@ -174,6 +177,7 @@
   if (found != state.requests.end()) {
     refusal.verdict = found->second.verdict;
     refusal.kind = found->second.route.kind;
+    refusal.account = found->second.account;
     EndRequest(state, id);
   }
   actions.emplace_back(refusal);
@@ -200,6 +204,10 @@
               RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
   const Duration remaining = request.deadline - now;
+  if (const auto reason =
+          FindKeyRefusal(state, request.route, request.key, now))
+    return Refuse(state, id, *reason,
+                  RetryAfterForEstimate(Seconds(1), remaining), actions);
   if (const auto end = BlockedUntil(state, request.fingerprint, now))
     return Refuse(state, id, RefusalReason::kBlocked, *end - now, actions);
   if (NextTrialTime(state, request.fingerprint, now) > now) {
