LibLoop: Add a strict check of field names and values (http_syntax)

http_parser takes a space for a token character and lets control characters into values, and evhttp takes more. IsToken and IsFieldValue state what RFC 9110 allows; the client uses them next, and the server can.

Nothing uses them yet.

--- /dev/null
+++ b/Tests/LibLoop/test_http_syntax.cc
@@ -0,0 +1,35 @@
+// Tests of the syntax of field names and values. What these functions accept is
+// forwarded, and may be read differently by the next reader if it is malformed.
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "http_syntax.h"
+
+namespace cicadadrum {
+
+TEST_CASE("a token has no blanks, separators, control or 8-bit characters") {
+  CHECK(IsToken("Content-Length"));
+  CHECK(IsToken("!#$%&'*+-.^_`|~09azAZ"));
+  CHECK_FALSE(IsToken(""));
+  const std::string separators = "\"(),/:;<=>?@[\\]{} \t";
+  for (int byte = 0; byte < 256; ++byte) {
+    CAPTURE(byte);
+    const char character = static_cast<char>(byte);
+    const bool expected = byte > 0x20 && byte < 0x7f &&
+                          separators.find(character) == std::string::npos;
+    CHECK(IsToken(std::string("X") + character) == expected);
+  }
+}
+
+TEST_CASE("a field value has no control characters other than tab") {
+  CHECK(IsFieldValue(""));
+  for (int byte = 0; byte < 256; ++byte) {
+    CAPTURE(byte);
+    const bool expected = byte == '\t' || (byte >= 0x20 && byte != 0x7f);
+    CHECK(IsFieldValue(std::string("a") + static_cast<char>(byte)) == expected);
+  }
+}
+
+}  // namespace cicadadrum
