--- a/Tests/LibRouting/test_load.cc
+++ b/Tests/LibRouting/test_load.cc
@@ -15,12 +15,8 @@
                    std::size_t first,
                    std::size_t last) {
   SecondCounts sum;
-  for (std::size_t i = first; i < last; ++i) {
-    sum.arrived += seconds[i].arrived;
-    sum.in_time += seconds[i].in_time;
-    sum.late += seconds[i].late;
-    sum.refused += seconds[i].refused;
-  }
+  for (std::size_t i = first; i < last; ++i)
+    sum += seconds[i];
   return sum;
 }
 
