LibRouting: Let less urgent requests wait less in the queues of a service

Cause: a request was admitted if its own objective allowed the queue, whatever its priority. Less urgent requests with a longer objective were served more often than urgent ones of the same service. Change: a request waits at most as long as more urgent ones tolerate, less the part of the wait that is kept for them. 0.3 of each priority are exempt, so that none is starved. The queue is estimated from the mean work of all routes of the service. The priority is the route's. A service with one priority decides as before, apart from the estimate of queues.

--- a/Libraries/LibRouting/choice.cc
+++ b/Libraries/LibRouting/choice.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission.h"
 #include "advice.h"
 #include "home_regions.h"
 #include "observations.h"
@@ -55,14 +56,6 @@
 // object that the server has not handled recently.
 constexpr double kFailureCostFactor = 6;
 
-// A request may wait in a server's queue if its response is expected within
-// this share of the latency objective. With a longer queue every response would
-// miss the objective.
-constexpr double kResponseTimeShare = 0.9;
-// A request may always wait for this share of the latency objective, even where
-// the work alone takes most of the objective.
-constexpr double kMinQueueTimeShare = 0.25;
-
 // A server receives objects that it has not handled recently only while its
 // load is below this share of its slots.
 constexpr double kMaxLoadForFresh = 0.6;
@@ -136,9 +129,26 @@
 struct ExpectedWork {
   double fresh_ms = 0;
   double known_ms = 0;
+  // Mean over the requests that wait at the service's servers, of all routes.
+  double queued_ms = 0;
   double response_bytes = 0;  // Size of the response's body.
 };
 
+// Returns the mean work on the requests of the service that servers have
+// handled, or nothing before the first one. A queue contains requests of all
+// routes.
+std::optional<double> MeanWorkMs(const ServiceState& service) {
+  double total_ms = 0;
+  double samples = 0;
+  for (const auto& [route, work] : service.work) {
+    for (const WorkEstimate& estimate : {work.known, work.fresh}) {
+      total_ms += estimate.milliseconds * estimate.samples;
+      samples += estimate.samples;
+    }
+  }
+  return samples > 0 ? std::optional(total_ms / samples) : std::nullopt;
+}
+
 ExpectedWork EstimateWork(const RoutingState& state,
                           const RequestState& request) {
   const double default_ms =
@@ -148,6 +158,7 @@
                     .response_bytes = static_cast<double>(
                         ExpectedResponseBytes(state, request))};
   const ServiceState& service = state.services.at(request.service);
+  work.queued_ms = MeanWorkMs(service).value_or(work.known_ms);
   const auto found = service.work.find(request.route.name);
   if (found == service.work.end())
     return work;
@@ -177,6 +188,7 @@
   double total_ms = 0;     // Value by which servers are compared.
   double expected_ms = 0;  // Estimated time in the queue and of the work.
   double queue_ms = 0;     // Estimated time in the queue.
+  double max_wait_ms = 0;  // Time in the queue that the objective allows.
   double work_ms = 0;      // Work at a server of usual speed.
   // The server has enough free capacity to respond in good time.
   bool admits = false;
@@ -195,13 +207,12 @@
 bool Admits(const RequestState& request,
             const Server& server,
             double occupancy,
-            const Cost& cost) {
+            const Cost& cost,
+            double priority_wait_ms) {
   if (request.route.sticky && cost.cache_affinity == CacheAffinity::kFresh &&
       !HasCapacityForFresh(server, occupancy))
     return false;
-  const double objective_ms = ToMs(request.route.latency_objective);
-  return cost.queue_ms <= objective_ms * kMinQueueTimeShare ||
-         cost.expected_ms <= objective_ms * kResponseTimeShare;
+  return cost.queue_ms <= std::min(cost.max_wait_ms, priority_wait_ms);
 }
 
 CacheAffinity EstimateCacheAffinity(const RequestState& request,
@@ -218,15 +229,14 @@
                   const RequestState& request,
                   const Candidate& candidate,
                   const ExpectedWork& work,
+                  double priority_wait_ms,
                   TimePoint now) {
   const Server& server = *candidate.server;
   const double slowness = CurrentSlowness(server, now);
   const double slots = std::max<std::uint32_t>(server.entry.slots, 1);
   const double occupancy = EstimateOccupancy(server, now);
   const double waiting = std::max(0.0, occupancy + 1 - slots);
-  // Most requests in the queue concern objects that the server has handled
-  // recently.
-  const double queue_ms = waiting / slots * work.known_ms * slowness;
+  const double queue_ms = waiting / slots * work.queued_ms * slowness;
   const CacheAffinity cache_affinity =
       EstimateCacheAffinity(request, candidate);
   const bool known = cache_affinity != CacheAffinity::kFresh;
@@ -246,9 +256,10 @@
                   failure_ms,
       .expected_ms = queue_ms + service_time_ms,
       .queue_ms = queue_ms,
+      .max_wait_ms = MaxWaitMs(request, service_time_ms, now),
       .work_ms = known ? work.known_ms : work.fresh_ms,
       .cache_affinity = cache_affinity};
-  cost.admits = Admits(request, server, occupancy, cost);
+  cost.admits = Admits(request, server, occupancy, cost, priority_wait_ms);
   return cost;
 }
 
@@ -331,6 +342,7 @@
   if (service == state.services.end())
     return {};
   const ExpectedWork work = EstimateWork(state, request);
+  const double priority_wait_ms = DrawPriorityWaitMs(state, request, now);
   RegionCosts costs;
   std::map<std::string, std::pair<Server*, Cost>> best_by_region;
   for (auto& [region, candidates] :
@@ -338,7 +350,8 @@
     AssignRanks(candidates);
     std::pair<Server*, Cost>& best = best_by_region[region];
     for (const Candidate& candidate : candidates) {
-      const Cost cost = EstimateCost(state, request, candidate, work, now);
+      const Cost cost =
+          EstimateCost(state, request, candidate, work, priority_wait_ms, now);
       if (best.first == nullptr || IsBetter(cost, best.second))
         best = {candidate.server, cost};
     }
@@ -348,6 +361,8 @@
     return {};
   const auto& [server, cost] =
       best_by_region.at(ChooseRegion(state, request, costs, now));
+  if (request.attempts == 0)
+    RecordDemand(service->second, request.priority, cost.max_wait_ms, now);
   return MakeServerChoice(*server, request, work, cost, now);
 }
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -122,8 +122,17 @@
   WorkEstimate known;  // The server has handled the object recently.
 };
 
+// Recent requests of one priority to a service.
+struct PriorityDemand {
+  double requests = 0;  // Decays with time.
+  TimePoint updated_at{};
+  // Mean wait in a queue that their objectives allow.
+  double max_wait_ms = 0;
+};
+
 // What this entry VM has observed of a service.
 struct ServiceState {
+  std::map<std::uint32_t, PriorityDemand> demand;  // By priority.
   std::vector<std::string> servers;  // Ids, in the order they were first seen.
   // By name of the route.
   std::unordered_map<std::string, RouteWorkEstimates> work;
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -51,6 +51,7 @@
       .path = event.path,
       .route = *route,
       .configuration = state.table.configuration.version,
+      .priority = route->priority,
       .service = ChooseService(state, *route),
       .object = event.object ? HashBytes(route->name, *event.object)
                              : NextRandom(state.random),
--- a/Tests/LibRouting/test_load.cc
+++ b/Tests/LibRouting/test_load.cc
@@ -59,6 +59,26 @@
   CHECK(sum.in_time_share() > 0.5);
 }
 
+// Guards against less urgent requests with a longer objective, which wait where
+// urgent ones are refused, and against urgent ones that take all capacity.
+TEST_CASE("an overloaded service serves by priority and starves no kind") {
+  for (const double urgent : {0.3, 0.9}) {
+    CAPTURE(urgent);
+    LoadSimulation simulation(
+        {.kinds = {{"read", 0, urgent},
+                   {"scan", 1, 1 - urgent, Milliseconds(600)}},
+         .requests_per_second = 320,
+         .callers_return = true},
+        13);
+    const SecondCounts all = SumOf(simulation.Run(Seconds(40)), 10, 36);
+    const SecondCounts read = SumOf(simulation.OfKind("read"), 10, 36);
+    const SecondCounts scan = SumOf(simulation.OfKind("scan"), 10, 36);
+    CHECK(scan.refused > 0);
+    CHECK(read.answered_share() >= scan.answered_share());
+    CHECK(scan.answered_share() >= 0.25 * all.answered_share());
+  }
+}
+
 // Guards against an entry VM that detects a server's long queue only by the
 // rejection of its own requests.
 TEST_CASE("entry VMs avoid servers that others report as full") {
