LibQuota, LibRouting, LibNode: Bound the requests of client accounts

Accounts will have quotas that hold over all entry VMs together. The owner of each part (cell) of a quota grants tokens, which entry VMs request by datagrams before each attempt at a server; a deputy has a small reserve for the time without an owner. docs/design/quotas.md derives the bound.

--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -101,6 +101,22 @@
 CAPNP_DECLARE_SCHEMA(d1446188bab87b19);
 CAPNP_DECLARE_SCHEMA(f4fb808a20c1e7da);
 CAPNP_DECLARE_SCHEMA(8021b3d217d33f62);
+CAPNP_DECLARE_SCHEMA(f4809755f6e0e24e);
+enum class QuotaItemKind_f4809755f6e0e24e: uint16_t {
+  REQUEST,
+  GRANT,
+  CLAIM,
+  RELEASE,
+  VACANT,
+};
+CAPNP_DECLARE_ENUM(QuotaItemKind, f4809755f6e0e24e);
+CAPNP_DECLARE_SCHEMA(cd37151552e15d78);
+enum class QuotaAnswer_cd37151552e15d78: uint16_t {
+  GRANTED,
+  NOT_OWNER,
+};
+CAPNP_DECLARE_ENUM(QuotaAnswer, cd37151552e15d78);
+CAPNP_DECLARE_SCHEMA(e28d55f56c3c0dfc);
 CAPNP_DECLARE_SCHEMA(d3199c697849d1dc);
 CAPNP_DECLARE_SCHEMA(f5eee43698169619);
 enum class TableFailure_f5eee43698169619: uint16_t {
@@ -387,6 +403,25 @@
   };
 };
 
+typedef ::capnp::schemas::QuotaItemKind_f4809755f6e0e24e QuotaItemKind;
+
+typedef ::capnp::schemas::QuotaAnswer_cd37151552e15d78 QuotaAnswer;
+
+struct QuotaItem {
+  QuotaItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e28d55f56c3c0dfc, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct ObservationsDatagram {
   ObservationsDatagram() = delete;
 
@@ -395,7 +430,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d3199c697849d1dc, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d3199c697849d1dc, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2521,6 +2556,112 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuotaItem::Reader {
+public:
+  typedef QuotaItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCell() const;
+
+  inline  ::uint16_t getSequence() const;
+
+  inline  ::cicadadrum::schema::QuotaItemKind getKind() const;
+
+  inline  ::uint16_t getTokens() const;
+
+  inline  ::uint16_t getAhead() const;
+
+  inline  ::cicadadrum::schema::QuotaAnswer getAnswer() const;
+
+  inline  ::uint16_t getRetryAfterMilliseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaItem::Builder {
+public:
+  typedef QuotaItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCell();
+  inline void setCell( ::uint32_t value);
+
+  inline  ::uint16_t getSequence();
+  inline void setSequence( ::uint16_t value);
+
+  inline  ::cicadadrum::schema::QuotaItemKind getKind();
+  inline void setKind( ::cicadadrum::schema::QuotaItemKind value);
+
+  inline  ::uint16_t getTokens();
+  inline void setTokens( ::uint16_t value);
+
+  inline  ::uint16_t getAhead();
+  inline void setAhead( ::uint16_t value);
+
+  inline  ::cicadadrum::schema::QuotaAnswer getAnswer();
+  inline void setAnswer( ::cicadadrum::schema::QuotaAnswer value);
+
+  inline  ::uint16_t getRetryAfterMilliseconds();
+  inline void setRetryAfterMilliseconds( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaItem::Pipeline {
+public:
+  typedef QuotaItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class ObservationsDatagram::Reader {
 public:
   typedef ObservationsDatagram Reads;
@@ -2543,6 +2684,11 @@
   inline bool hasObservations() const;
   inline  ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>::Reader getObservations() const;
 
+  inline  ::uint32_t getSender() const;
+
+  inline bool hasQuota() const;
+  inline  ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>::Reader getQuota() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2581,6 +2727,16 @@
   inline void adoptObservations(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::ServerObservation,  ::capnp::Kind::STRUCT>> disownObservations();
 
+  inline  ::uint32_t getSender();
+  inline void setSender( ::uint32_t value);
+
+  inline bool hasQuota();
+  inline  ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>::Builder getQuota();
+  inline void setQuota( ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>::Builder initQuota(unsigned int size);
+  inline void adoptQuota(::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>> disownQuota();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7048,6 +7204,104 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t QuotaItem::Reader::getCell() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QuotaItem::Builder::getCell() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaItem::Builder::setCell( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t QuotaItem::Reader::getSequence() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t QuotaItem::Builder::getSequence() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaItem::Builder::setSequence( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::cicadadrum::schema::QuotaItemKind QuotaItem::Reader::getKind() const {
+  return _reader.getDataField< ::cicadadrum::schema::QuotaItemKind>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::cicadadrum::schema::QuotaItemKind QuotaItem::Builder::getKind() {
+  return _builder.getDataField< ::cicadadrum::schema::QuotaItemKind>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaItem::Builder::setKind( ::cicadadrum::schema::QuotaItemKind value) {
+  _builder.setDataField< ::cicadadrum::schema::QuotaItemKind>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t QuotaItem::Reader::getTokens() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t QuotaItem::Builder::getTokens() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuotaItem::Builder::setTokens( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t QuotaItem::Reader::getAhead() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t QuotaItem::Builder::getAhead() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void QuotaItem::Builder::setAhead( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::cicadadrum::schema::QuotaAnswer QuotaItem::Reader::getAnswer() const {
+  return _reader.getDataField< ::cicadadrum::schema::QuotaAnswer>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::cicadadrum::schema::QuotaAnswer QuotaItem::Builder::getAnswer() {
+  return _builder.getDataField< ::cicadadrum::schema::QuotaAnswer>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void QuotaItem::Builder::setAnswer( ::cicadadrum::schema::QuotaAnswer value) {
+  _builder.setDataField< ::cicadadrum::schema::QuotaAnswer>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t QuotaItem::Reader::getRetryAfterMilliseconds() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t QuotaItem::Builder::getRetryAfterMilliseconds() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void QuotaItem::Builder::setRetryAfterMilliseconds( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t ObservationsDatagram::Reader::getProtocolVersion() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7096,6 +7350,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t ObservationsDatagram::Reader::getSender() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ObservationsDatagram::Builder::getSender() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ObservationsDatagram::Builder::setSender( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ObservationsDatagram::Reader::hasQuota() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ObservationsDatagram::Builder::hasQuota() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>::Reader ObservationsDatagram::Reader::getQuota() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>::Builder ObservationsDatagram::Builder::getQuota() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ObservationsDatagram::Builder::setQuota( ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>::Builder ObservationsDatagram::Builder::initQuota(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ObservationsDatagram::Builder::adoptQuota(
+    ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>> ObservationsDatagram::Builder::disownQuota() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::cicadadrum::schema::QuotaItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool RowsAsk::Reader::hasTable() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Generated/schemas/routing.capnp.h
+++ b/Generated/schemas/routing.capnp.h
@@ -196,7 +196,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae5df866d8c3028c, 10, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(ae5df866d8c3028c, 13, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1304,6 +1304,12 @@
 
   inline double getLookupLifetimeSeconds() const;
 
+  inline double getQuotaWindowSeconds() const;
+
+  inline double getQuotaExcess() const;
+
+  inline double getQuotaSlack() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1362,6 +1368,15 @@
   inline double getLookupLifetimeSeconds();
   inline void setLookupLifetimeSeconds(double value);
 
+  inline double getQuotaWindowSeconds();
+  inline void setQuotaWindowSeconds(double value);
+
+  inline double getQuotaExcess();
+  inline void setQuotaExcess(double value);
+
+  inline double getQuotaSlack();
+  inline void setQuotaSlack(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2836,6 +2851,48 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value, 4617315517961601024ull);
 }
 
+inline double FleetBoundsSettings::Reader::getQuotaWindowSeconds() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 4617315517961601024ull);
+}
+
+inline double FleetBoundsSettings::Builder::getQuotaWindowSeconds() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, 4617315517961601024ull);
+}
+inline void FleetBoundsSettings::Builder::setQuotaWindowSeconds(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value, 4617315517961601024ull);
+}
+
+inline double FleetBoundsSettings::Reader::getQuotaExcess() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, 4591870180066957722ull);
+}
+
+inline double FleetBoundsSettings::Builder::getQuotaExcess() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, 4591870180066957722ull);
+}
+inline void FleetBoundsSettings::Builder::setQuotaExcess(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value, 4591870180066957722ull);
+}
+
+inline double FleetBoundsSettings::Reader::getQuotaSlack() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, 4626322717216342016ull);
+}
+
+inline double FleetBoundsSettings::Builder::getQuotaSlack() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, 4626322717216342016ull);
+}
+inline void FleetBoundsSettings::Builder::setQuotaSlack(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value, 4626322717216342016ull);
+}
+
 inline bool PlatformSettings::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibNode/fleet_node.cc
+++ b/Libraries/LibNode/fleet_node.cc
@@ -7,6 +7,7 @@
 #include "cicadadrum/loop/datagram_socket.h"
 #include "cicadadrum/node/observation_codec.h"
 #include "cicadadrum/node/peer_codec.h"
+#include "cicadadrum/node/quota_codec.h"
 #include "cicadadrum/peer/peer_client.h"
 #include "cicadadrum/peer/peer_server.h"
 #include "row_relays.h"
@@ -40,6 +41,7 @@
        FleetNodeHandlers node_handlers);
 
   void Run(const MembershipEvent& event);
+  void HandleDatagram(std::string_view datagram);
   // Returns the peer address of a member, or an empty string if the entry VM is
   // not a member.
   std::string AddressOf(const std::string& entry) const;
@@ -66,6 +68,7 @@
   MembershipState state;
   Timer timer;
   DatagramSocket datagrams;
+  DatagramCounters quota_datagrams;
   RowRelays relays;
   std::deque<MembershipEvent>
       pending_events;  // In the order in which they are handled.
@@ -89,11 +92,9 @@
           loop.Now(),
           {.first_fetch_delay = settings.first_fetch_delay})),
       timer(loop, [this] { Run(MembershipTimerExpired{}); }),
-      datagrams(loop,
-                [this](std::string_view datagram) {
-                  if (const auto observations = DecodeObservations(datagram))
-                    handlers.observations_received(*observations);
-                }),
+      datagrams(
+          loop,
+          [this](std::string_view datagram) { HandleDatagram(datagram); }),
       relays(
           loop,
           settings.incarnation.high,
@@ -101,6 +102,13 @@
             server->RespondToFollowRows(call, response);
           }) {}
 
+void FleetNode::Impl::HandleDatagram(std::string_view datagram) {
+  if (const auto message = DecodeQuotaMessage(datagram))
+    return handlers.quota_message_received(*message);
+  if (const auto observations = DecodeObservations(datagram))
+    handlers.observations_received(*observations);
+}
+
 std::string FleetNode::Impl::AddressOf(const std::string& entry) const {
   const auto index = state.index_of.find(entry);
   return index == state.index_of.end()
@@ -271,6 +279,20 @@
   }
 }
 
+void FleetNode::SendQuotaMessage(const routing::SendQuotaMessage& send) {
+  const std::string address = impl_->AddressOf(send.receiver);
+  if (address.empty())
+    return;
+  const std::string datagram = EncodeQuotaMessage(send.message);
+  impl_->datagrams.Send(address, datagram);
+  ++impl_->quota_datagrams.datagrams;
+  impl_->quota_datagrams.bytes += datagram.size();
+}
+
+const DatagramCounters& FleetNode::quota_datagrams() const {
+  return impl_->quota_datagrams;
+}
+
 void FleetNode::UpdateRelayRows(const std::string& table,
                                 const discovery::RelayRowsUpdated& update) {
   impl_->relays.UpdateRows(table, update);
--- a/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
+++ b/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
@@ -1,6 +1,7 @@
 // One entry VM as a member of the fleet. A FleetNode drives LibMembership over
-// LibPeer, exchanges observations of backend servers as datagrams on the same
-// port, and passes rows of the store to other entry VMs.
+// LibPeer, exchanges observations of backend servers and messages about quotas
+// as datagrams on the same port, and passes rows of the store to other entry
+// VMs.
 
 #ifndef CICADADRUM_NODE_FLEET_NODE_H_
 #define CICADADRUM_NODE_FLEET_NODE_H_
@@ -45,6 +46,13 @@
   // Another entry VM has sent its observations of servers.
   std::function<void(const std::vector<routing::ServerObservation>&)>
       observations_received;
+  // Another entry VM has sent a message about quotas.
+  std::function<void(const quota::QuotaMessage&)> quota_message_received;
+};
+
+struct DatagramCounters {
+  std::uint64_t datagrams = 0;
+  std::uint64_t bytes = 0;  // Without the headers of UDP and IP.
 };
 
 class FleetNode {
@@ -73,6 +81,14 @@
   // datagrams that may be lost.
   void SendObservations(const routing::ShareObservations& share);
 
+  // Sends the message to its receiver, if that is a known member, as a datagram
+  // that may be lost.
+  void SendQuotaMessage(const routing::SendQuotaMessage& send);
+
+  // Returns the number and the total size of the datagrams about quotas that
+  // were sent.
+  const DatagramCounters& quota_datagrams() const;
+
   // Updates the rows of a table that this entry VM passes to its peers.
   void UpdateRelayRows(const std::string& table,
                        const discovery::RelayRowsUpdated& update);
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -8,6 +8,7 @@
 #include "choice.h"
 #include "home_regions.h"
 #include "observations.h"
+#include "quota_gate.h"
 #include "request_route.h"
 #include "server_limit.h"
 #include "suspects.h"
@@ -111,6 +112,7 @@
     CountAttempt(state.services[request.service], state.options.bounds,
                  request.attempts > request.unsent_attempts, now);
   ++request.attempts;
+  request.quota_token.reset();
   request.attempt_in_progress = true;
   request.server = server.entry.id;
   request.server_started_unix_ms = server.entry.started_unix_ms;
@@ -151,6 +153,7 @@
   const auto found = state.requests.find(id);
   if (found == state.requests.end())
     return;
+  ReturnQuotaToken(state, found->second);
   state.deadlines.erase({found->second.deadline, id});
   state.requests.erase(found);
 }
@@ -205,6 +208,8 @@
   if (!AreHomeRegionsCertain(state, request.route, now))
     return Refuse(state, id, RefusalReason::kConfigurationOutdated,
                   RetryAfterForEstimate(Seconds(1), remaining), actions);
+  if (!HoldsQuotaToken(state, id, reason_without_server, now))
+    return;
   const ServerChoice choice = IsSuspect(state, request.fingerprint, now)
                                   ? ChooseServerForTrial(state, request, now)
                                   : ChooseServer(state, request, now);
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -15,6 +15,7 @@
 #include "cicadadrum/base/enum_names.h"
 #include "cicadadrum/base/time.h"
 #include "cicadadrum/base/verdict.h"
+#include "cicadadrum/quota/messages.h"
 #include "cicadadrum/routing/configuration.h"
 #include "cicadadrum/routing/fleet_bounds.h"
 #include "cicadadrum/routing/server.h"
@@ -134,6 +135,11 @@
   std::vector<ServerObservation> observations;
 };
 
+// Another entry VM sent a message about the quotas of client accounts.
+struct QuotaMessageReceived {
+  quota::QuotaMessage message;
+};
+
 // Another entry VM published evidence about a suspect.
 struct SuspectRecordReceived {
   SuspectRecord record;
@@ -172,6 +178,7 @@
                                   EvacuationsChanged,
                                   MembersChanged,
                                   ObservationsReceived,
+                                  QuotaMessageReceived,
                                   SuspectRecordReceived,
                                   SuspectCleared,
                                   SettingsChanged,
@@ -434,6 +441,13 @@
   std::vector<ServerObservation> observations;
 };
 
+// Send a message about the quotas of client accounts to an entry VM. It may be
+// lost.
+struct SendQuotaMessage {
+  std::string receiver;  // Name of the entry VM.
+  quota::QuotaMessage message;
+};
+
 // Deliver TimerExpired at this time. Replaces the time of earlier actions.
 struct WakeAt {
   TimePoint at = kNever;
@@ -453,6 +467,7 @@
                                    ReportServerPause,
                                    ReportServerLimit,
                                    ShareObservations,
+                                   SendQuotaMessage,
                                    WakeAt,
                                    DrainCompleted>;
 using RoutingActions = std::vector<RoutingAction>;
--- a/Libraries/LibRouting/include/cicadadrum/routing/fleet_bounds.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/fleet_bounds.h
@@ -4,6 +4,7 @@
 #define CICADADRUM_ROUTING_FLEET_BOUNDS_H_
 
 #include "cicadadrum/base/time.h"
+#include "cicadadrum/quota/messages.h"
 
 namespace cicadadrum::routing {
 
@@ -25,6 +26,7 @@
   Duration shift_window = Seconds(2);
   // Time within which a new configuration must be in force.
   Duration configuration_time = Seconds(2);
+  quota::QuotaBounds quota;
 };
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -22,6 +22,7 @@
 
 #include "cicadadrum/base/random.h"
 #include "cicadadrum/base/time.h"
+#include "cicadadrum/quota/quota.h"
 #include "cicadadrum/routing/events.h"
 #include "cicadadrum/shift/split.h"
 
@@ -59,6 +60,11 @@
   Route route;
   std::uint64_t configuration = 0;  // Version that `route` was taken from.
   std::string account;  // Name of the client account; empty without one.
+  // Expiry of the token of the account's quota for the next attempt.
+  std::optional<TimePoint> quota_token;
+  // Why the request is refused if no server may receive it, once it has the
+  // token that it waits for.
+  RefusalReason reason_without_server = RefusalReason::kNoServer;
   // Of the client account, or of the route without one. 0 is the most urgent.
   std::uint32_t priority = 0;
   std::string service;
@@ -222,6 +228,9 @@
   // the route. Only routes with several services have an entry.
   std::unordered_map<std::string, std::vector<double>> split_credit;
   Suspicions suspicions;
+  quota::QuotaState quota;
+  // What quota functions have decided. Empty between two steps.
+  quota::QuotaOutput quota_output;
 };
 
 // Returns the state before the first event. Equal seeds, events and times
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -11,6 +11,7 @@
 #include "fleet_shares.h"
 #include "home_regions.h"
 #include "observations.h"
+#include "quota_gate.h"
 #include "region_shares.h"
 #include "request_route.h"
 #include "server_limit.h"
@@ -51,6 +52,7 @@
       .path = event.path,
       .route = *route,
       .configuration = state.table.configuration.version,
+      .account = AccountForKey(state.table.configuration, event.key),
       .service = ChooseService(state, *route),
       .object = event.object ? HashBytes(route->name, *event.object)
                              : NextRandom(state.random),
@@ -205,11 +207,12 @@
 
 void Apply(RoutingState& state,
            const ConfigurationAdopted& event,
-           TimePoint /*now*/,
+           TimePoint now,
            RoutingActions& /*actions*/) {
   if (event.configuration.version <= state.table.configuration.version)
     return;
   state.table = MakeRouteTable(event.configuration);
+  UpdateQuotas(state, now);
 }
 
 void Apply(RoutingState& state,
@@ -221,9 +224,10 @@
 
 void Apply(RoutingState& state,
            const SuspensionEnded& event,
-           TimePoint /*now*/,
+           TimePoint now,
            RoutingActions& /*actions*/) {
   RecordSuspension(state, event);
+  quota::RecordSuspension(state.quota, event.duration, now);
 }
 
 void Apply(RoutingState& state,
@@ -246,6 +250,7 @@
            RoutingActions& /*actions*/) {
   UpdateMembers(state, event.entries, now);
   UpdateReceivers(state);
+  UpdateQuotaMembers(state, now);
 }
 
 void Apply(RoutingState& state,
@@ -255,6 +260,13 @@
   ApplyObservations(state, event, now);
 }
 
+void Apply(RoutingState& state,
+           const QuotaMessageReceived& event,
+           TimePoint now,
+           RoutingActions& /*actions*/) {
+  quota::ReceiveMessage(state.quota, event.message, now, state.quota_output);
+}
+
 void Apply(RoutingState& state,
            const SuspectRecordReceived& event,
            TimePoint now,
@@ -275,6 +287,7 @@
            RoutingActions& /*actions*/) {
   state.options.region_by_domain = event.region_by_domain;
   state.options.bounds = event.bounds;
+  quota::UpdateBounds(state.quota, event.bounds.quota);
   UpdateRegions(state);
   ResetShiftLimits(state);
 }
@@ -314,6 +327,8 @@
   state.members = {{.name = options.name,
                     .region = options.region,
                     .failure_domain = options.failure_domain}};
+  state.quota = quota::MakeQuotaState(options.name);
+  state.quota.bounds = options.bounds.quota;
   state.options = std::move(options);
   state.random.state = seed;
   return state;
@@ -328,13 +343,15 @@
       [&](const auto& typed_event) { Apply(state, typed_event, now, actions); },
       event);
   DispatchWaiting(state, now, actions);
+  AdvanceQuotas(state, now, actions);
   if (state.stopping && state.requests.empty())
     actions.emplace_back(DrainCompleted{});
   SendObservationsIfDue(state, now, actions);
   const TimePoint at =
       state.deadlines.empty() ? kNever : state.deadlines.begin()->first;
-  actions.emplace_back(WakeAt{
-      std::min({at, state.sharing.send_at, NextWaitingTime(state, now)})});
+  actions.emplace_back(
+      WakeAt{std::min({at, state.sharing.send_at, NextWaitingTime(state, now),
+                       quota::NextTime(state.quota)})});
 }
 
 bool IsReady(const RoutingState& state) {
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -220,10 +220,39 @@
   limitPerSecond @12 :Float32;
 }
 
-# Observations of backend servers, sent as one packed datagram. The datagram has no answer and may be lost.
+# What a part of a message about the quotas of client accounts says.
+enum QuotaItemKind {
+  request @0;  # Requests tokens.
+  grant @1;  # Answers a request.
+  claim @2;  # The sender is the first of the cell's order and requests the bucket.
+  release @3;  # Answers a claim: the sender has ceased to grant tokens, or nobody did.
+  vacant @4;  # Answers a claim: the sender grants no tokens, but started too recently to know whether another does.
+}
+
+# How the receiver of a request for tokens answers.
+enum QuotaAnswer {
+  granted @0;  # Possibly fewer tokens than requested, because the quota allows no more.
+  notOwner @1;
+}
+
+# A part of a message about one cell of a client account's quota.
+struct QuotaItem {
+  cell @0 :UInt32;  # Tag of the cell's name.
+  sequence @1 :UInt16;  # Of the request; repeated in its answer.
+  kind @2 :QuotaItemKind;
+  # Request: tokens that requests wait for. Grant: tokens granted. Release: hundredths of tokens in the bucket.
+  tokens @3 :UInt16;
+  ahead @4 :UInt16;  # Request: further tokens, in advance.
+  answer @5 :QuotaAnswer;
+  retryAfterMilliseconds @6 :UInt16;  # Grant: time until a token is available.
+}
+
+# Observations of backend servers, or messages about quotas, sent as one packed datagram. The datagram may be lost.
 struct ObservationsDatagram {
   protocolVersion @0 :UInt32;
   observations @1 :List(ServerObservation);
+  sender @2 :UInt32;  # Tag of the sender's name; set with `quota`.
+  quota @3 :List(QuotaItem);
 }
 
 # Why an entry VM returns no rows of a table.
--- a/Schemas/routing.capnp
+++ b/Schemas/routing.capnp
@@ -95,6 +95,9 @@
   maxShift @7 :Float64 = 0.15;
   stopSeconds @8 :Float64 = 6;  # Between SIGTERM and SIGKILL.
   lookupLifetimeSeconds @9 :Float64 = 5;  # Longest time that callers use the result of a lookup.
+  quotaWindowSeconds @10 :Float64 = 5;
+  quotaExcess @11 :Float64 = 0.1;  # Part of a quota that may be sent beyond it.
+  quotaSlack @12 :Float64 = 20;  # Requests in a window that may be sent beyond it.
 }
 
 # Settings of cicadadrum-platform.
