--- a/Libraries/LibRouting/include/cicadadrum/routing/fleet_bounds.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/fleet_bounds.h
@@ -4,6 +4,7 @@
 #define CICADADRUM_ROUTING_FLEET_BOUNDS_H_
 
 #include "cicadadrum/base/time.h"
+#include "cicadadrum/quota/messages.h"
 
 namespace cicadadrum::routing {
 
@@ -29,6 +30,7 @@
   // after the key of the request was revoked.
   bool revokes_everywhere = false;
   Duration revocation_time = Seconds(2);
+  quota::QuotaBounds quota;
 };
 
 }  // namespace cicadadrum::routing
--- a/Schemas/routing.capnp
+++ b/Schemas/routing.capnp
@@ -108,6 +108,9 @@
   lookupLifetimeSeconds @9 :Float64 = 5;  # Longest time that callers use the result of a lookup.
   revokeEverywhere @10 :Bool;  # No entry VM serves a key that was revoked longer than `revokeMilliseconds` ago.
   revokeMilliseconds @11 :Float64;
+  quotaWindowSeconds @12 :Float64 = 5;
+  quotaExcess @13 :Float64 = 0.1;  # Part of a quota that may be sent beyond it.
+  quotaSlack @14 :Float64 = 20;  # Requests in a window that may be sent beyond it.
 }
 
 # Settings of cicadadrum-platform.
