Tests/UncontrolledCallers: Start the program and send what callers must not

Callers that nobody controls ended a process. The tests start cicadadrum-platform with 80 MB and 256 descriptors, and send heads, empty lines, requests ahead and bodies that stop short. Crowd and bounds follow from these settings.

--- /dev/null
+++ b/Tests/UncontrolledCallers/test_uncontrolled_callers.cc
@@ -0,0 +1,245 @@
+// Uncontrolled callers against the real program: it must live, keep to its
+// memory and its descriptors, and answer ordinary requests.
+
+#include <functional>
+
+#include "crowd.h"
+#include "entry_process.h"
+#include "front_fixture.h"
+
+namespace cicadadrum::platform {
+
+namespace {
+
+// Of the process. The crowds send several times as much.
+constexpr double kMemoryMegabytes = 80;
+constexpr std::uint64_t kMaxDescriptors = 256;
+// Descriptors that must stay free, for connections to servers and the store.
+constexpr std::uint64_t kFreeDescriptors = 16;
+constexpr std::uint64_t kBodyLimit = 4'000'000;
+constexpr std::size_t kCrowdSize = 24;
+constexpr std::size_t kIdleCallers = 400;
+
+// Bytes that callers without an end send at most.
+constexpr std::uint64_t kMaxHeadBytes = 8'000'000;
+constexpr std::uint64_t kMaxBytesAhead = 8'000'000;
+// A whole body is sent this often on one connection.
+constexpr std::uint64_t kWholeBodies = 2;
+
+// A crowd has sent all that it can if nothing was sent for this long.
+// A connection attempt that the kernel dropped is repeated after a second.
+constexpr Duration kQuietTime = Seconds(2);
+constexpr Duration kMaxCrowdTime = Seconds(15);
+
+// The sanitizers need memory of their own.
+#if defined(__SANITIZE_ADDRESS__)
+constexpr std::uint64_t kMemoryFactor = 4;
+#elif defined(__has_feature)
+#if __has_feature(address_sanitizer)
+constexpr std::uint64_t kMemoryFactor = 4;
+#else
+constexpr std::uint64_t kMemoryFactor = 1;
+#endif
+#else
+constexpr std::uint64_t kMemoryFactor = 1;
+#endif
+
+constexpr std::uint64_t kMaxResidentBytes =
+    kMemoryFactor * static_cast<std::uint64_t>(kMemoryMegabytes * 1e6);
+
+// Returns the configuration with lower limits of callers.
+std::string LimitedConfiguration() {
+  std::string body = ConfigurationBody(2);
+  const std::size_t begin = body.find("\"limits\":");
+  return body.replace(begin, std::string::npos,
+                      "\"limits\":{\"headerBytes\":4096,\"bodyBytes\":" +
+                          std::to_string(kBodyLimit) +
+                          ",\"headerTimeoutMilliseconds\":1000,"
+                          "\"idleTimeoutMilliseconds\":2000}}");
+}
+
+std::string Head(const std::string& method,
+                 const std::string& target,
+                 const std::string& framing = "") {
+  return method + " " + target + " HTTP/1.1\r\nHost: host\r\n" +
+         std::string(kRequestId) + ": id\r\n" + std::string(kDeadline) +
+         ": 20000\r\n" + framing + "\r\n";
+}
+
+CallerScript EndlessFields() {
+  std::string head = Head("GET", "/read/a");
+  head.resize(head.size() - 2);
+  return {.begin = std::move(head),
+          .repeated = "X-Filler: " + std::string(1000, 'x') + "\r\n",
+          .max_bytes = kMaxHeadBytes};
+}
+
+CallerScript EndlessValue() {
+  return {.begin = "GET /read/a HTTP/1.1\r\nHost: host\r\nX-Filler: ",
+          .repeated = std::string(4096, 'x'),
+          .max_bytes = kMaxHeadBytes};
+}
+
+CallerScript EndlessEmptyLines() {
+  std::string lines;
+  for (int i = 0; i < 2048; ++i)
+    lines += "\r\n";
+  return {.repeated = lines, .max_bytes = kMaxHeadBytes};
+}
+
+CallerScript RequestsAhead() {
+  return {.repeated = Head("GET", "/nowhere"), .max_bytes = kMaxBytesAhead};
+}
+
+CallerScript ShortBodyWithLength() {
+  const std::string head =
+      Head("POST", "/write/a",
+           "Content-Length: " + std::to_string(kBodyLimit) + "\r\n");
+  return {.begin = head,
+          .repeated = std::string(4096, 'x'),
+          .max_bytes = head.size() + kBodyLimit - 1};
+}
+
+CallerScript ShortBodyInChunks() {
+  const std::string head =
+      Head("POST", "/write/a", "Transfer-Encoding: chunked\r\n");
+  const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+  // The last chunk is missing.
+  const std::uint64_t chunks = kBodyLimit / 4096;
+  return {.begin = head,
+          .repeated = chunk,
+          .max_bytes = head.size() + chunks * chunk.size()};
+}
+
+CallerScript WholeBodies() {
+  const std::string request =
+      Head("POST", "/write/a",
+           "Content-Length: " + std::to_string(kBodyLimit) + "\r\n") +
+      std::string(kBodyLimit, 'x');
+  return {.repeated = request, .max_bytes = kWholeBodies * request.size()};
+}
+
+CallerScript BegunHead() {
+  return {.begin = "GET /read/a HTTP/1.1\r\n"};
+}
+
+using ScriptMaker = CallerScript (*)();
+
+// Returns a crowd whose members follow the scripts in turn.
+std::vector<CallerScript> CrowdOf(const std::vector<ScriptMaker>& makers,
+                                  std::size_t size) {
+  std::vector<CallerScript> scripts;
+  for (std::size_t i = 0; i < size; ++i)
+    scripts.push_back(makers[i % makers.size()]());
+  return scripts;
+}
+
+// A store, servers and the process of an entry VM, which is ready.
+struct ProcessDeployment : Deployment {
+  EntryProcess entry{{.store_address = store.address(),
+                      .memory_megabytes = kMemoryMegabytes,
+                      .max_descriptors = kMaxDescriptors}};
+
+  ProcessDeployment() {
+    store.Put("op", "config", LimitedConfiguration());
+    store.Put("servers", "s-two", server_two.Row("ready"));
+    REQUIRE(WaitUntil([this] {
+      return IsOk(entry.readiness_address(), {.target = "/readiness"});
+    }));
+    REQUIRE(IsServed());
+  }
+
+  bool IsOk(const std::string& address, const HttpRequest& request) {
+    const auto [outcome, response] = Call(address, request);
+    return outcome == HttpOutcome::kAnswered && response.status == 200;
+  }
+
+  // Sends an ordinary request until it is answered, as callers do whose
+  // requests are refused as not run.
+  bool IsServed() {
+    HttpRequest request = Request("/read/a", "ordinary");
+    request.fresh_connection = true;
+    bool is_served = false;
+    return WaitUntil([&] {
+      is_served = is_served || IsOk(entry.caller_address(), request);
+      return is_served;
+    });
+  }
+};
+
+void CheckCrowd(std::vector<CallerScript> scripts) {
+  ProcessDeployment deployment;
+  EntryProcess& entry = deployment.entry;
+  const std::uint64_t resident_before = entry.ResidentBytes();
+  std::uint64_t most_resident = 0;
+  std::uint64_t most_descriptors = 0;
+  const auto measure = [&] {
+    most_resident = std::max(most_resident, entry.ResidentBytes());
+    most_descriptors = std::max(most_descriptors, entry.OpenDescriptors());
+  };
+  {
+    Crowd crowd(entry.caller_address(), std::move(scripts));
+    TimePoint last_sent = deployment.loop.Now();
+    deployment.WaitUntil(
+        [&] {
+          if (crowd.Send())
+            last_sent = deployment.loop.Now();
+          measure();
+          return !entry.IsAlive() ||
+                 deployment.loop.Now() > last_sent + kQuietTime;
+        },
+        kMaxCrowdTime);
+    REQUIRE(entry.IsAlive());
+    // The crowd is still connected.
+    CHECK(deployment.IsServed());
+    measure();
+  }
+  REQUIRE(entry.IsAlive());
+  CHECK(deployment.IsServed());
+  measure();
+  MESSAGE("resident bytes ", resident_before, " before, at most ",
+          most_resident, "; descriptors at most ", most_descriptors);
+  CHECK(most_resident < kMaxResidentBytes);
+  CHECK(most_descriptors <= kMaxDescriptors - kFreeDescriptors);
+}
+
+}  // namespace
+
+TEST_CASE("callers send heads without end") {
+  CheckCrowd(CrowdOf({EndlessFields, EndlessValue}, kCrowdSize));
+}
+
+TEST_CASE("callers send empty lines without end before a request") {
+  CheckCrowd(CrowdOf({EndlessEmptyLines}, kCrowdSize));
+}
+
+TEST_CASE("callers send requests ahead for no route and read no response") {
+  CheckCrowd(CrowdOf({RequestsAhead}, kCrowdSize));
+}
+
+TEST_CASE("callers send bodies with a length that stop short of their end") {
+  CheckCrowd(CrowdOf({ShortBodyWithLength}, kCrowdSize));
+}
+
+TEST_CASE("callers send bodies in chunks that stop short of their end") {
+  CheckCrowd(CrowdOf({ShortBodyInChunks}, kCrowdSize));
+}
+
+TEST_CASE("callers send whole large bodies at once") {
+  CheckCrowd(CrowdOf({WholeBodies}, kCrowdSize));
+}
+
+TEST_CASE("callers of all kinds come at once") {
+  CheckCrowd(
+      CrowdOf({EndlessFields, EndlessValue, EndlessEmptyLines, RequestsAhead,
+               ShortBodyWithLength, ShortBodyInChunks, WholeBodies},
+              2 * kCrowdSize));
+}
+
+// Guards against connections that take the descriptors which the entry VM
+// needs for servers and the store.
+TEST_CASE("callers open many connections and send no whole head") {
+  CheckCrowd(CrowdOf({BegunHead}, kIdleCallers));
+}
+
+}  // namespace cicadadrum::platform
