LibDiscovery: Confirm no rows of a new era as of an earlier time

A relay that reads an older copy of the store passes its rows on at once, but kept the time at which the rows of the former era were confirmed. A follower that continues by the relay's sequence took no hold time either. A follower that lacked a lost change then confirmed an older row for a time at which the store had a newer one.

--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -116,8 +116,10 @@
   TableVersion discarded_version;
   TableVersion version;     // The rows are complete up to it.
   TimePoint complete_at{};  // When the rows were last known to be complete.
-  // When the last query was sent whose answer confirmed the rows.
+  // When the last query was sent whose answer confirmed the rows. Rows of a new
+  // era may be older than those that were confirmed before.
   std::optional<TimePoint> queried_at;
+  std::uint64_t rows_era = 0;  // The newest of the rows.
   std::map<std::string, RelayRow> rows;  // By key, removals included.
   std::vector<WaitingRequest> waiting;
 };
--- a/Libraries/LibDiscovery/relay.cc
+++ b/Libraries/LibDiscovery/relay.cc
@@ -108,6 +108,12 @@
   state.version = std::max(state.version, event.version);
   if (event.age)
     state.complete_at = std::max(state.complete_at, now - *event.age);
+  for (const TableRow& row : event.rows) {
+    if (row.version.era <= state.rows_era)
+      continue;
+    state.rows_era = row.version.era;
+    state.queried_at.reset();
+  }
   if (event.query_age) {
     const TimePoint queried_at = now - *event.query_age;
     state.queried_at =
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -199,6 +199,9 @@
   for (const TableRow& row : event.rows)
     ApplyRow(state, row, now, effects);
   KeepLastChanges(effects.changed);
+  // A peer that has read the table in a new era passes on its rows at once.
+  if (event.version.era > state.version.era)
+    state.settled_from = now + state.options.restored_row_hold;
   state.version = std::max(state.version, event.version);
   PublishEffects(std::move(effects), /*is_first_read=*/false, actions);
   actions.emplace_back(ConfirmationBy(state, event, now));
--- a/Tests/LibDiscovery/test_table.cc
+++ b/Tests/LibDiscovery/test_table.cc
@@ -472,6 +472,7 @@
 // revocation is written again.
 TEST_CASE("a restored store confirms no keys until the table is settled") {
   TableFixture table;
+  table.state.options.period = Milliseconds(100);
   table.era = 1;
   table.ReadTableOnce({Put("a", 5)}, 5);
   CHECK(table.confirmations.back().query_age);
--- a/Tests/Platform/test_front_accounts.cc
+++ b/Tests/Platform/test_front_accounts.cc
@@ -136,8 +136,8 @@
 // Guards against keys of a configuration that the store has replaced by one
 // that can't be read, or by another one of the same version.
 TEST_CASE("a configuration that is not in force ends the confirmations") {
-  for (const std::string body : {std::string("{\"version\":3,\"routes\":1}"),
-                                 BodyWithKeys(2, "\"secret-2\"")}) {
+  for (const std::string& body : {std::string("{\"version\":3,\"routes\":1}"),
+                                  BodyWithKeys(2, "\"secret-2\"")}) {
     CAPTURE(body);
     AccountsDeployment entry;
     REQUIRE(entry.WaitForStatus("secret-1", 200));
