--- a/Tests/LibDiscovery/test_relay.cc
+++ b/Tests/LibDiscovery/test_relay.cc
@@ -245,7 +245,7 @@
 // Guards against a revoked key that is served, because its row is confirmed as
 // of a later time than the one that it is from.
 TEST_CASE("no entry VM confirms rows that lack an earlier change") {
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     CAPTURE(seed);
     Random random{.state = seed};
     RelayWorld world(kNames, MakeOperatorOptions());
--- a/Tests/LibExplain/test_explain.cc
+++ b/Tests/LibExplain/test_explain.cc
@@ -22,6 +22,7 @@
 {"unix_ms":4003,"steady_ms":15,"entry":"entry-1","part":"request","event":"refused","request":"r1","reason":"failed","verdict":"may-have-run"}
 {"unix_ms":4004,"steady_ms":16,"entry":"entry-1","part":"store","event":"regained","table":"servers"}
 {"unix_ms":4005,"steady_ms":17,"entry":"entry-1","part":"request","event":"caller-left","request":"r2","held_ms":310.5}
+{"unix_ms":4006,"steady_ms":18,"entry":"entry-1","part":"request","event":"refused","request":"r4","reason":"unknown-key","account":"","verdict":"not-run"}
 {broken
 )";
 
@@ -50,6 +51,12 @@
   CHECK(timeline.cause.find("310.5") != std::string::npos);
 }
 
+// Guards against refusals of keys that operators can't tell apart.
+TEST_CASE("the cause of a timeline can be the key of the request") {
+  const RequestTimeline timeline = ExplainRequest(Records(), "r4");
+  CHECK(timeline.cause.find("no client account has the key") == 0);
+}
+
 TEST_CASE("the timeline of a request without records has no steps") {
   CHECK(ExplainRequest(Records(), "r3").steps.empty());
 }
--- a/Tests/LibPeer/test_large_answers.cc
+++ b/Tests/LibPeer/test_large_answers.cc
@@ -37,7 +37,8 @@
 discovery::RelayResponse MakeAnswer(const std::string& body) {
   return {.rows = {{.key = "config", .value = body, .version = {0, 7}}},
           .version = {0, 7},
-          .sequence = 3};
+          .sequence = 3,
+          .query_age = Milliseconds(7)};
 }
 
 // A server that answers every request for rows at once, and a client.
@@ -83,6 +84,7 @@
   peers.RunUntil([&] { return peers.results.size() == 1; });
   REQUIRE(peers.results[0].value.rows.size() == 1);
   CHECK(peers.results[0].value.rows[0].value == peers.body);
+  CHECK(peers.results[0].value.query_age == Milliseconds(7));
   std::optional<PeerItem> item;
   peers.client->FetchItem(
       peers.address, "configuration", 7, SteadyNow() + Seconds(60),
--- a/Tests/LibRouting/test_accounts.cc
+++ b/Tests/LibRouting/test_accounts.cc
@@ -172,20 +172,23 @@
 
 // Guards against sending a request again after its key was revoked.
 TEST_CASE("a key that is gone before the next attempt ends the retries") {
-  for (const auto& [outcome, verdict] :
-       {std::pair(ServerOutcome::kRejected, Verdict::kNotRun),
-        std::pair(ServerOutcome::kLost, Verdict::kMayHaveRun),
-        std::pair(ServerOutcome::kCold, Verdict::kNotRun)}) {
-    CAPTURE(NameOf(outcome));
+  struct Case {
+    ServerOutcome outcome;
+    Verdict verdict;
+  };
+  for (const Case& ended : {Case{ServerOutcome::kRejected, Verdict::kNotRun},
+                            Case{ServerOutcome::kLost, Verdict::kMayHaveRun},
+                            Case{ServerOutcome::kCold, Verdict::kNotRun}}) {
+    CAPTURE(NameOf(ended.outcome));
     AccountsFixture fixture;
     fixture.Send("k3");
     fixture.configuration.client_accounts.pop_back();
     fixture.Adopt();
-    fixture.End(outcome);
+    fixture.End(ended.outcome);
     CHECK(fixture.sent.size() == 1);
     REQUIRE(fixture.refused.size() == 1);
     CHECK(fixture.refused[0].reason == RefusalReason::kUnknownKey);
-    CHECK(fixture.refused[0].verdict == verdict);
+    CHECK(fixture.refused[0].verdict == ended.verdict);
   }
 }
 
