--- a/Tests/Platform/test_front_accounts.cc
+++ b/Tests/Platform/test_front_accounts.cc
@@ -133,6 +133,27 @@
       [&] { return entry.Send(restarted, "secret-1").status == 200; }));
 }
 
+// Guards against ages of confirmations that are lost between entry VMs.
+TEST_CASE("an entry VM without the store serves keys that its peer confirms") {
+  AccountsDeployment entry;
+  Settings settings = entry.MakeRevokingSettings("entry-2");
+  StoreStandIn refusing(entry.loop);
+  refusing.SetBehaviour(StoreBehaviour::kRefuses);
+  settings.store_address = refusing.address();
+  Front front(entry.loop, entry.kj_loop, settings, {.high = 2, .low = 2});
+  REQUIRE(front.Start());
+  const auto has_status = [&](std::uint16_t status) {
+    return entry.WaitUntil(
+        [&] { return entry.Send(settings, "secret-1").status == status; });
+  };
+  REQUIRE(has_status(200));
+  const TimePoint after_bound = entry.loop.Now() + kRevocationTime;
+  REQUIRE(entry.WaitUntil([&] { return entry.loop.Now() >= after_bound; }));
+  CHECK(has_status(200));
+  entry.store.Put("op", "config", BodyWithKeys(3, "\"secret-2\""));
+  CHECK(has_status(401));
+}
+
 // Guards against keys of a configuration that the store has replaced by one
 // that can't be read, or by another one of the same version.
 TEST_CASE("a configuration that is not in force ends the confirmations") {
--- a/Tests/Platform/test_settings.cc
+++ b/Tests/Platform/test_settings.cc
@@ -87,4 +87,25 @@
   }
 }
 
+// Guards against keys that are served longer than operators allow.
+TEST_CASE(
+    "the bound on revocations is read, or that of a configuration holds") {
+  const auto bounds = [](const std::string& members) {
+    const SettingsFile file(",\"bounds\": {" + members + "}");
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<routing::FleetBounds> {
+          BOOST_LEAF_AUTO(settings, LoadSettings(file.path()));
+          return settings.routing.bounds;
+        },
+        [] { return routing::FleetBounds{.revocation_time = Seconds(-1)}; });
+  };
+  CHECK(!bounds("").revokes_everywhere);
+  const routing::FleetBounds stated =
+      bounds("\"revokeEverywhere\": true, \"revokeMilliseconds\": 2500");
+  CHECK(stated.revokes_everywhere);
+  CHECK(stated.revocation_time == Milliseconds(2500));
+  CHECK(bounds("\"configurationMilliseconds\": 1500").revocation_time ==
+        Milliseconds(1500));
+}
+
 }  // namespace cicadadrum::platform
