--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -119,7 +119,7 @@
   // When the last query was sent whose answer confirmed the rows. Rows of a new
   // era may be older than those that were confirmed before.
   std::optional<TimePoint> queried_at;
-  std::uint64_t rows_era = 0;  // The newest of the rows.
+  std::uint64_t rows_era = 0;            // The newest of the rows.
   std::map<std::string, RelayRow> rows;  // By key, removals included.
   std::vector<WaitingRequest> waiting;
 };
