LibLoop: Accept only well-formed responses

http_parser accepts blanks in names, folded lines, bare LFs, statuses of any number, and any two bytes behind a chunk, and reads bodies of responses that have none.

The parser checks each line of the head, of the framing of chunks and of the trailer before http_parser sees it (http_lines), and the fields that frame the body after the head. The status is 100 to 599, but not 101. 1xx, 204 and 304 have no body, whatever their fields state; a 1xx that states one is malformed, and a 204 that does is delivered without it and closes the connection. Fields of trailers are discarded. The only transfer coding is "chunked". Lines end with CRLF only, and nothing stands before the status line.

--- a/Libraries/LibLoop/http_parser_state.cc
+++ b/Libraries/LibLoop/http_parser_state.cc
@@ -2,6 +2,8 @@
 
 #include "http_parser_state.h"
 
+#include <strings.h>
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -10,7 +12,12 @@
 
 namespace {
 
+constexpr std::uint16_t kFirstStatus = 100;
+constexpr std::uint16_t kSwitchingProtocols = 101;
 constexpr std::uint16_t kFirstFinalStatus = 200;
+constexpr std::uint16_t kNoContent = 204;
+constexpr std::uint16_t kNotModified = 304;
+constexpr std::uint16_t kLastStatus = 599;
 
 // Sizes of the pieces of a body. The rest of the last piece is not counted as
 // held: it has not been written to.
@@ -34,6 +41,8 @@
 
 int OnField(http_parser* parser, const char* at, std::size_t length) {
   ResponseParser& state = StateOf(parser);
+  if (state.headers_complete)
+    return 0;
   if (state.in_value || state.response.headers.empty()) {
     state.response.headers.emplace_back();
     state.held_bytes += sizeof(HttpFields::value_type);
@@ -46,6 +55,8 @@
 
 int OnValue(http_parser* parser, const char* at, std::size_t length) {
   ResponseParser& state = StateOf(parser);
+  if (state.headers_complete)
+    return 0;
   state.in_value = true;
   state.held_bytes += length;
   state.response.headers.back().second.append(at, length);
@@ -57,13 +68,80 @@
          (parser->flags & F_CHUNKED) == 0;
 }
 
-// Returns 1 to make the parser skip the body, as a response to HEAD has none. A
-// length beyond the limit is reported at the head, as the body may never come.
+bool HasName(const HttpFields::value_type& field, std::string_view name) {
+  return field.first.size() == name.size() &&
+         strncasecmp(field.first.data(), name.data(), name.size()) == 0;
+}
+
+std::string_view WithoutBlanks(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t begin = text.find_first_not_of(kBlanks);
+  if (begin == std::string_view::npos)
+    return {};
+  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
+}
+
+// Whether a length that the head states is one number.
+bool IsLength(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, [](char byte) {
+    return byte >= '0' && byte <= '9';
+  });
+}
+
+// Returns whether the fields state the end of the body in at most one way. No
+// coding other than chunked is accepted: the client asks for none, and the body
+// would be forwarded without its coding's name.
+bool HasOneFraming(const ResponseParser& state) {
+  std::size_t count = 0;
+  for (const auto& field : state.response.headers) {
+    const bool length = HasName(field, "Content-Length");
+    const bool coding = HasName(field, "Transfer-Encoding");
+    if (!length && !coding)
+      continue;
+    const std::string_view value = WithoutBlanks(field.second);
+    if (++count > 1 || (length && !IsLength(value)))
+      return false;
+    if (coding && (strcasecmp(std::string(value).c_str(), "chunked") != 0 ||
+                   state.parser.http_minor == 0))
+      return false;
+  }
+  return true;
+}
+
+bool HasAllowedStatus(const http_parser& parser) {
+  return parser.status_code >= kFirstStatus &&
+         parser.status_code <= kLastStatus &&
+         parser.status_code != kSwitchingProtocols;
+}
+
+// Whether the head states a body that a response of this status can't have.
+bool HasExcessFraming(const ResponseParser& state) {
+  const std::uint16_t status = state.response.status;
+  if (status != kNoContent && status >= kFirstFinalStatus)
+    return false;
+  return (state.parser.flags & F_CHUNKED) != 0 ||
+         (DeclaresLength(&state.parser) && state.parser.content_length > 0);
+}
+
+// Returns 1 to make the parser skip the body: a response to HEAD has none, and
+// neither have some statuses, whatever their fields state (RFC 9112, 6.3). An
+// interim response that states one is malformed, as its body could contain a
+// response. A length beyond the limit is reported at the head, as the body may
+// never come.
 int OnHeadersComplete(http_parser* parser) {
   ResponseParser& state = StateOf(parser);
   state.response.status = static_cast<std::uint16_t>(parser->status_code);
   state.headers_complete = true;
-  if (state.head_request)
+  const std::uint16_t status = state.response.status;
+  const bool interim = status < kFirstFinalStatus;
+  state.excess_framing = HasExcessFraming(state);
+  if (!HasAllowedStatus(*parser) || !HasOneFraming(state) ||
+      (interim && state.excess_framing)) {
+    state.malformed = true;
+    return -1;
+  }
+  if (state.head_request || interim || status == kNoContent ||
+      status == kNotModified)
     return 1;
   state.declared_bytes = DeclaresLength(parser) ? parser->content_length : 0;
   state.too_large = state.declared_bytes > state.max_body_bytes;
@@ -121,6 +199,11 @@
   return 0;
 }
 
+int OnChunkHeader(http_parser* parser) {
+  StateOf(parser).chunk_left = parser->content_length;
+  return 0;
+}
+
 int OnMessageComplete(http_parser* parser) {
   ResponseParser& state = StateOf(parser);
   // An interim response, for example 100 Continue, precedes the final response
@@ -131,7 +214,7 @@
   }
   JoinBody(state);
   state.complete = true;
-  state.reusable = http_should_keep_alive(parser) != 0;
+  state.reusable = !state.excess_framing && http_should_keep_alive(parser) != 0;
   http_parser_pause(parser, 1);
   return 0;
 }
@@ -144,6 +227,7 @@
     callbacks.on_header_value = OnValue;
     callbacks.on_headers_complete = OnHeadersComplete;
     callbacks.on_body = OnBody;
+    callbacks.on_chunk_header = OnChunkHeader;
     callbacks.on_message_complete = OnMessageComplete;
     return callbacks;
   }();
@@ -154,8 +238,75 @@
   if (state.complete)
     return ParseProgress::kComplete;
   const auto error = HTTP_PARSER_ERRNO(&state.parser);
-  return error == HPE_OK && !state.too_large ? ParseProgress::kNeedMore
-                                             : ParseProgress::kMalformed;
+  return error == HPE_OK && !state.too_large && !state.malformed
+             ? ParseProgress::kNeedMore
+             : ParseProgress::kMalformed;
+}
+
+// Returns the bytes at the begin of `bytes` that belong to the current part.
+std::string_view PieceOf(const ResponseParser& state, std::string_view bytes) {
+  switch (state.part) {
+    case ResponsePart::kLine:
+      // An LF that is not found is npos, and npos + 1 would be 0.
+      return bytes.substr(0, std::min(bytes.find('\n'), bytes.size() - 1) + 1);
+    case ResponsePart::kChunkData:
+      return bytes.substr(0, state.chunk_left);
+    case ResponsePart::kBody:
+      return bytes;
+  }
+  return bytes;
+}
+
+void BeginLine(ResponseParser& state, HttpLineKind kind) {
+  state.part = ResponsePart::kLine;
+  state.line = {.kind = kind};
+}
+
+// Determines the part behind a line that has ended. `headers_complete` states
+// whether the head was complete before this line.
+void AdvanceBehindLine(ResponseParser& state, bool headers_complete) {
+  switch (state.line.kind) {
+    case HttpLineKind::kStatus:
+      return BeginLine(state, HttpLineKind::kField);
+    case HttpLineKind::kField:
+      // The empty line behind an interim response; the next one follows.
+      if (state.line.size == 2 && !state.headers_complete)
+        return BeginLine(state, HttpLineKind::kStatus);
+      if (headers_complete || !state.headers_complete)
+        return BeginLine(state, HttpLineKind::kField);
+      if ((state.parser.flags & F_CHUNKED) != 0)
+        return BeginLine(state, HttpLineKind::kChunkSize);
+      state.part = ResponsePart::kBody;
+      return;
+    case HttpLineKind::kChunkSize:
+      if (state.chunk_left == 0)
+        return BeginLine(state, HttpLineKind::kField);
+      state.part = ResponsePart::kChunkData;
+      return;
+    case HttpLineKind::kChunkEnd:
+      return BeginLine(state, HttpLineKind::kChunkSize);
+  }
+}
+
+// Parses bytes of the current part and returns how many of them the parser has
+// consumed.
+std::size_t ParsePiece(ResponseParser& state, std::string_view piece) {
+  const bool in_line = state.part == ResponsePart::kLine;
+  if (in_line && !CheckLine(state.line, piece)) {
+    state.malformed = true;
+    return 0;
+  }
+  const bool headers_complete = state.headers_complete;
+  const std::size_t consumed = http_parser_execute(
+      &state.parser, &ParserSettings(), piece.data(), piece.size());
+  if (in_line && piece.back() == '\n') {
+    AdvanceBehindLine(state, headers_complete);
+  } else if (state.part == ResponsePart::kChunkData) {
+    state.chunk_left -= consumed;
+    if (state.chunk_left == 0)
+      BeginLine(state, HttpLineKind::kChunkEnd);
+  }
+  return consumed;
 }
 
 }  // namespace
@@ -165,7 +316,11 @@
   state.parser.data = &state;
   DiscardResponse(state);
   state.complete = false;
+  state.malformed = false;
   state.too_large = false;
+  BeginLine(state, HttpLineKind::kStatus);
+  state.chunk_left = 0;
+  state.excess_framing = false;
   state.reusable = false;
   state.head_request = head_request;
 }
@@ -174,8 +329,14 @@
                          const char* bytes,
                          std::size_t size,
                          std::size_t& consumed) {
-  consumed = http_parser_execute(&state.parser, &ParserSettings(), bytes, size);
-  return ProgressOf(state);
+  const std::string_view input(bytes, size);
+  consumed = 0;
+  ParseProgress progress = ProgressOf(state);
+  while (progress == ParseProgress::kNeedMore && consumed < size) {
+    consumed += ParsePiece(state, PieceOf(state, input.substr(consumed)));
+    progress = ProgressOf(state);
+  }
+  return progress;
 }
 
 ParseProgress ParseEnd(ResponseParser& state) {
--- a/Libraries/LibLoop/http_parser_state.h
+++ b/Libraries/LibLoop/http_parser_state.h
@@ -1,4 +1,5 @@
-// Incremental parser for one HTTP/1.1 response.
+// Incremental parser for one HTTP/1.1 response. It accepts only what RFC 9110
+// and 9112 allow a server to send.
 
 #ifndef CICADADRUM_LOOP_HTTP_PARSER_STATE_H_
 #define CICADADRUM_LOOP_HTTP_PARSER_STATE_H_
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "cicadadrum/loop/http_message.h"
+#include "http_lines.h"
 
 namespace cicadadrum {
 
@@ -20,6 +22,13 @@
   kMalformed,  // The bytes are not HTTP, or the body exceeds the limit.
 };
 
+// What the next byte of a response belongs to.
+enum class ResponsePart : std::uint8_t {
+  kLine,       // A line as in HttpLineKind.
+  kChunkData,  // The data of a chunk.
+  kBody,       // A body with a length, or one that lasts until the end.
+};
+
 // Call ResetParser before the first byte. Invariant: after kComplete,
 // `response` is complete and the parser consumes no more bytes until
 // ResetParser is called.
@@ -40,8 +49,14 @@
   // The status and the headers of `response` are complete.
   bool headers_complete = false;
   bool complete = false;
+  ResponsePart part = ResponsePart::kLine;
+  HttpLine line;  // The line that is being read, if part is kLine.
+  std::uint64_t chunk_left = 0;  // Bytes of the chunk that have not arrived.
+  bool malformed = false;
   bool too_large = false;
   bool head_request = false;  // A response to HEAD has no body.
+  // The head has a length or chunks, though its status has no body.
+  bool excess_framing = false;
   // The connection can carry another request. Set together with `complete`.
   bool reusable = false;
 };
@@ -51,7 +66,8 @@
 void ResetParser(ResponseParser& state, bool head_request);
 
 // Parses the next `size` bytes and sets `consumed` to the number of bytes that
-// belong to the response.
+// belong to the response. The fields of a trailer are discarded: they could
+// replace a field of the head.
 ParseProgress ParseBytes(ResponseParser& state,
                          const char* bytes,
                          std::size_t size,
--- a/Tests/LibLoop/scripted_server.h
+++ b/Tests/LibLoop/scripted_server.h
@@ -9,11 +9,14 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +30,13 @@
   std::string bytes;
   bool then_close = false;
   bool then_reset = false;
+  // Ends the server's direction only; the connection stays open.
+  bool then_shutdown = false;
+  // The bytes from here on are sent, and the connection is ended, after the
+  // client has read those before.
+  std::size_t split_at = std::string::npos;
+  // Nothing more of the request is read until ReadAgain is called.
+  bool stop_reading = false;
   // Written before `bytes` if the connection has carried a request before.
   std::string bytes_before_if_reused;
   // Written after `bytes` again and again until the client closes.
@@ -42,6 +52,8 @@
       : responses_(std::move(responses)), loop_(loop) {
     // A write after the client has closed must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    // A small receive buffer makes long uploads wait for the server.
+    const int receive_bytes = 65'536;
     sockaddr_in any{.sin_family = AF_INET, .sin_port = 0};
     any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     const auto accept = [](evconnlistener* /*listener*/, evutil_socket_t fd,
@@ -51,6 +63,8 @@
     listener_ = evconnlistener_new_bind(
         loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
         reinterpret_cast<sockaddr*>(&any), static_cast<int>(sizeof(any)));
+    setsockopt(evconnlistener_get_fd(listener_), SOL_SOCKET, SO_RCVBUF,
+               &receive_bytes, sizeof(receive_bytes));
     sockaddr_in bound{};
     socklen_t length = sizeof(bound);
     getsockname(evconnlistener_get_fd(listener_),
@@ -78,6 +92,20 @@
   // Endless bytes that were passed to the kernel or wait for it.
   std::size_t endless_byte_count() const { return endless_byte_count_; }
 
+  // Bytes of requests that follow those which were responded to.
+  std::size_t unanswered_bytes() const {
+    std::size_t bytes = 0;
+    for (bufferevent* connection : connections_)
+      bytes += evbuffer_get_length(bufferevent_get_input(connection));
+    return bytes;
+  }
+
+  // Reads the connections again that a response with `stop_reading` has left.
+  void ReadAgain() {
+    for (bufferevent* connection : connections_)
+      bufferevent_enable(connection, EV_READ);
+  }
+
   // From now on, requests that begin with `request_begin` get this response and
   // are not counted.
   void AlwaysRespond(std::string request_begin, std::string bytes) {
@@ -94,6 +122,9 @@
  private:
   void Accept(evutil_socket_t fd) {
     ++accepted_;
+    // The rest of a split response must not wait for an acknowledgement.
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     bufferevent* connection =
         bufferevent_socket_new(loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
     const auto readable = [](bufferevent* source, void* argument) {
@@ -123,16 +154,40 @@
     // send() passes the bytes to the kernel immediately, so that a close
     // directly afterwards does not discard them.
     const evutil_socket_t fd = bufferevent_getfd(connection);
-    std::string bytes = response.bytes;
+    if (response.stop_reading)
+      bufferevent_disable(connection, EV_READ);
+    std::string bytes = response.bytes.substr(0, response.split_at);
     if (!used_connections_.insert(connection).second)
       bytes.insert(0, response.bytes_before_if_reused);
     send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (response.split_at <= response.bytes.size()) {
+      rest_timer_ = std::make_unique<Timer>(
+          loop_,
+          [this, connection, &response] { SendRest(connection, response); });
+      return rest_timer_->Schedule(loop_.Now());
+    }
     if (!response.endless_bytes.empty())
       return WriteEndlessly(connection, response.endless_bytes);
+    End(connection, response);
+  }
+
+  void SendRest(bufferevent* connection, const ScriptedResponse& response) {
+    if (std::ranges::find(connections_, connection) == connections_.end())
+      return;
+    send(bufferevent_getfd(connection),
+         response.bytes.data() + response.split_at,
+         response.bytes.size() - response.split_at, MSG_NOSIGNAL);
+    End(connection, response);
+  }
+
+  void End(bufferevent* connection, const ScriptedResponse& response) {
     if (response.then_reset) {
       const linger reset{.l_onoff = 1, .l_linger = 0};
-      setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+      setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &reset,
+                 sizeof(reset));
     }
+    if (response.then_shutdown)
+      shutdown(bufferevent_getfd(connection), SHUT_WR);
     if (response.then_close || response.then_reset)
       CloseConnection(connection);
   }
@@ -182,6 +237,7 @@
   std::size_t accepted_ = 0;
   std::size_t received_bytes_ = 0;  // Of requests with a complete head.
   EventLoop& loop_;
+  std::unique_ptr<Timer> rest_timer_;  // Sends the rest of a split response.
   evconnlistener* listener_ = nullptr;
   std::vector<bufferevent*> connections_;
   std::map<bufferevent*, std::string> endless_blocks_;
