--- a/Libraries/LibEntry/platform_link.cc
+++ b/Libraries/LibEntry/platform_link.cc
@@ -103,7 +103,7 @@
 PlatformLink::PlatformLink(EventLoop& loop,
                            const Deployment& deployment,
                            const Incarnation& incarnation)
-    : store_(loop.base(), MakeStoreSettings(deployment, incarnation)) {}
+    : store_(loop, MakeStoreSettings(deployment, incarnation)) {}
 
 void PlatformLink::SetObserver(
     std::function<void(bool is_reachable)> observer) {
--- a/Libraries/LibStore/connections.h
+++ b/Libraries/LibStore/connections.h
@@ -8,10 +8,9 @@
 #include <memory>
 #include <string>
 
+#include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/store/policy.h"
 
-struct event_base;
-
 namespace cicadadrum {
 
 struct StoreHttpRequest {
@@ -37,9 +36,9 @@
                                           StoreAttemptOutcome outcome,
                                           const StoreHttpResponse& response)>;
 
-  // `address` is IP:port of the platform. `base` must outlive this object. A
+  // `address` is IP:port of the platform. `loop` must outlive this object. A
   // response body of more than `max_response_bytes` counts as lost.
-  Connections(event_base* base,
+  Connections(EventLoop& loop,
               const std::string& address,
               std::size_t max_connections,
               std::size_t max_response_bytes,
--- a/Libraries/LibStore/include/cicadadrum/store/store_client.h
+++ b/Libraries/LibStore/include/cicadadrum/store/store_client.h
@@ -12,12 +12,11 @@
 #include <vector>
 
 #include "cicadadrum/claim/claim.h"
+#include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/model/deployment.h"
 #include "cicadadrum/store/policy.h"
 #include "cicadadrum/store/rows.h"
 
-struct event_base;
-
 namespace cicadadrum {
 
 // Settings of StoreClient.
@@ -49,8 +48,8 @@
   template <typename T>
   using Callback = std::function<void(boost::leaf::result<T>)>;
 
-  // `base` is the event loop and must outlive the client.
-  StoreClient(event_base* base, const StoreSettings& settings);
+  // `loop` must outlive the client.
+  StoreClient(EventLoop& loop, const StoreSettings& settings);
   ~StoreClient();
   StoreClient(const StoreClient&) = delete;
   StoreClient& operator=(const StoreClient&) = delete;
--- a/Libraries/LibStore/store_calls.cc
+++ b/Libraries/LibStore/store_calls.cc
@@ -8,9 +8,9 @@
 
 namespace cicadadrum {
 
-StoreCalls::StoreCalls(event_base* base, const StoreSettings& settings)
+StoreCalls::StoreCalls(EventLoop& loop, const StoreSettings& settings)
     : state_(MakeStoreState(settings.policy, settings.seed)),
-      connections_(base,
+      connections_(loop,
                    settings.address,
                    settings.max_connections,
                    settings.max_response_bytes,
@@ -20,13 +20,13 @@
                      EndAttempt(id, outcome, response);
                    }) {
   apply_event_ = event_new(
-      base, -1, 0,
+      loop.base(), -1, 0,
       [](evutil_socket_t, short, void* argument) {
         static_cast<StoreCalls*>(argument)->ApplyActions();
       },
       this);
   timer_event_ = evtimer_new(
-      base,
+      loop.base(),
       [](evutil_socket_t, short, void* argument) {
         static_cast<StoreCalls*>(argument)->Step(StoreTimerExpired{});
       },
--- a/Libraries/LibStore/store_calls.h
+++ b/Libraries/LibStore/store_calls.h
@@ -13,7 +13,6 @@
 #include "connections.h"
 
 struct event;
-struct event_base;
 
 namespace cicadadrum {
 
@@ -31,7 +30,7 @@
   using ResponseCallback =
       std::function<void(StoreCallOutcome, const StoreHttpResponse&)>;
 
-  StoreCalls(event_base* base, const StoreSettings& settings);
+  StoreCalls(EventLoop& loop, const StoreSettings& settings);
   ~StoreCalls();
   StoreCalls(const StoreCalls&) = delete;
   StoreCalls& operator=(const StoreCalls&) = delete;
--- a/Libraries/LibStore/store_client.cc
+++ b/Libraries/LibStore/store_client.cc
@@ -73,8 +73,8 @@
 
 class StoreClient::Impl {
  public:
-  Impl(event_base* base, const StoreSettings& settings)
-      : token_prefix_(settings.token_prefix), calls_(base, settings) {}
+  Impl(EventLoop& loop, const StoreSettings& settings)
+      : token_prefix_(settings.token_prefix), calls_(loop, settings) {}
 
   StoreCalls& Calls() { return calls_; }
 
@@ -218,8 +218,8 @@
   SendNextBatch();
 }
 
-StoreClient::StoreClient(event_base* base, const StoreSettings& settings)
-    : impl_(std::make_unique<Impl>(base, settings)) {}
+StoreClient::StoreClient(EventLoop& loop, const StoreSettings& settings)
+    : impl_(std::make_unique<Impl>(loop, settings)) {}
 
 StoreClient::~StoreClient() = default;
 
--- a/Tests/LibStore/test_connections.cc
+++ b/Tests/LibStore/test_connections.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "connections.h"
+#include "response_forms.h"
 #include "scripted_server.h"
 
 namespace cicadadrum {
@@ -26,11 +27,13 @@
   ScriptedServer server;
   std::uint64_t last_id = 0;
   std::optional<StoreAttemptOutcome> outcome;
-  Connections connections{loop.base(), server.address(), 1, kMaxResponseBytes,
+  StoreHttpResponse response;
+  Connections connections{loop, server.address(), 1, kMaxResponseBytes,
                           [this](std::uint64_t /*id*/,
                                  StoreAttemptOutcome ended,
-                                 const StoreHttpResponse& /*response*/) {
+                                 const StoreHttpResponse& received) {
                             outcome = ended;
+                            response = received;
                             loop.Stop();
                           }};
 
@@ -99,6 +102,39 @@
   }
 }
 
+// Guards against a row or an object that the platform did not send in full and
+// well-formed.
+TEST_CASE("a store response has one verdict in each form and at each reset") {
+  for (const ResponseForm& form : ResponseForms()) {
+    if (form.method == HttpMethod::kHead)
+      continue;
+    CAPTURE(form.name);
+    CAPTURE(form.bytes);
+    const bool until_close = form.verdict == FormVerdict::kUntilClose;
+    std::vector<ScriptedResponse> responses{
+        {.bytes = form.bytes, .then_close = until_close}};
+    const std::size_t complete_size = form.bytes.size() - form.excess_bytes;
+    const std::size_t resets = complete_size + (until_close ? 1 : 0);
+    for (std::size_t size = 0; size < resets; ++size)
+      responses.push_back(
+          {.bytes = form.bytes.substr(0, size), .then_reset = true});
+    ConnectionsFixture fixture(responses);
+    // The platform's own errors leave the effect of a request open.
+    const bool answered =
+        form.verdict != FormVerdict::kRefused && form.status < 500;
+    CHECK(fixture.Call() == (answered ? StoreAttemptOutcome::kAnswered
+                                      : StoreAttemptOutcome::kLost));
+    if (answered) {
+      CHECK(fixture.response.status == form.status);
+      CHECK(fixture.response.body == form.body);
+    }
+    for (std::size_t size = 0; size < resets; ++size) {
+      CAPTURE(size);
+      CHECK(fixture.Call() == StoreAttemptOutcome::kLost);
+    }
+  }
+}
+
 // Guards against a write that is taken as refused although the platform may
 // perform it.
 TEST_CASE("bytes behind a store response are not the next request's response") {
--- a/Tests/LibStore/test_store_client.cc
+++ b/Tests/LibStore/test_store_client.cc
@@ -8,6 +8,7 @@
 
 #include "cicadadrum/base/error.h"
 #include "cicadadrum/fake_platform/fake_platform.h"
+#include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/store/store_client.h"
 
 namespace cicadadrum {
@@ -17,21 +18,20 @@
 namespace leaf = boost::leaf;
 
 struct Fixture {
-  std::unique_ptr<event_base, void (*)(event_base*)> base{event_base_new(),
-                                                          event_base_free};
+  EventLoop loop;
   std::unique_ptr<FakePlatform> platform = leaf::try_handle_all(
-      [&] { return FakePlatform::Create(base.get(), {.vm_list_lag = {}}); },
+      [&] { return FakePlatform::Create(loop.base(), {.vm_list_lag = {}}); },
       [] { return std::unique_ptr<FakePlatform>(); });
   StoreSettings settings{.address = platform->Address(),
                          .token_prefix = "test"};
-  StoreClient client{base.get(), settings};
+  StoreClient client{loop, settings};
 
   // Runs the event loop until `done` is true, for at most 10 seconds.
   void RunUntil(const bool& done) {
     const timeval bound = {10, 0};
-    event_base_loopexit(base.get(), &bound);
-    while (!done && !event_base_got_exit(base.get()))
-      event_base_loop(base.get(), EVLOOP_ONCE);
+    event_base_loopexit(loop.base(), &bound);
+    while (!done && !event_base_got_exit(loop.base()))
+      event_base_loop(loop.base(), EVLOOP_ONCE);
     REQUIRE(done);
   }
 
