--- a/Tests/Platform/test_http_codec.cc
+++ b/Tests/Platform/test_http_codec.cc
@@ -188,4 +188,23 @@
   }
 }
 
+// Guards against fields that end a line, or a status that is no status, in a
+// response to a caller.
+TEST_CASE("a malformed response is not passed to a caller") {
+  const HttpResponse valid{.headers = {{"X", "1"}}, .body = "body"};
+  CHECK(EncodeDelivery(valid).headers == valid.headers);
+  for (const HttpResponse& response :
+       std::vector<HttpResponse>{{.status = 0},
+                                 {.status = 101},
+                                 {.status = 600},
+                                 {.headers = {{"", "1"}}},
+                                 {.headers = {{"X Y", "1"}}},
+                                 {.headers = {{"X", "1\r\nY: 2"}}},
+                                 {.headers = {{"X", std::string("1\0", 2)}}}}) {
+    const HttpResponse delivered = EncodeDelivery(response);
+    CHECK(delivered.status == 502);
+    CHECK(delivered.headers.empty());
+  }
+}
+
 }  // namespace cicadadrum::platform
