Tests/LibLoop: Bound the time for the rest of an upload

The connection of a call whose response has arrived early is closed at the call's deadline if the server does not read.

--- a/Tests/LibLoop/test_http_client_forms.cc
+++ b/Tests/LibLoop/test_http_client_forms.cc
@@ -186,4 +186,25 @@
   }
 }
 
+// Guards against connections, and copies of uploads, that last for as long as a
+// server does not read.
+TEST_CASE("the rest of an upload is sent until the call's deadline only") {
+  constexpr Duration kTimeout = Milliseconds(200);
+  ClientFixture fixture(
+      {{.bytes = MakeResponse("a", "early"), .stop_reading = true}});
+  std::string body;
+  fixture.client.Send(
+      fixture.server.address(), UploadFor({}), fixture.loop.Now() + kTimeout,
+      [&](HttpOutcome /*outcome*/, const HttpResponse& response) {
+        body = response.body;
+      });
+  fixture.RunFor(2 * kTimeout);
+  CHECK(body == "early");
+  fixture.server.ReadAgain();
+  const TimePoint deadline = fixture.loop.Now() + kCallTimeout;
+  while (fixture.server.open_count() > 0 && fixture.loop.Now() < deadline)
+    fixture.RunFor(Milliseconds(1));
+  CHECK(fixture.server.open_count() == 0);
+}
+
 }  // namespace cicadadrum
