--- a/Libraries/LibStore/connections.h
+++ b/Libraries/LibStore/connections.h
@@ -25,9 +25,10 @@
   std::string body;
 };
 
-// Sends requests over at most `max_connections` persistent connections, one
-// request at a time on each connection. Further requests wait in order of
-// arrival.
+// Sends at most `max_connections` requests at a time, each on a persistent
+// connection of its own. Further requests wait in order of arrival. A response
+// that arrives before its request has been sent in full ends the request, but
+// its connection sends the rest.
 class Connections {
  public:
   // Called from the event loop with the outcome of request `id`. kAnswered
