--- a/Libraries/LibStore/connections.h
+++ b/Libraries/LibStore/connections.h
@@ -8,10 +8,9 @@
 #include <memory>
 #include <string>
 
+#include "cicadadrum/loop/event_loop.h"
 #include "cicadadrum/store/policy.h"
 
-struct event_base;
-
 namespace cicadadrum {
 
 struct StoreHttpRequest {
@@ -26,9 +25,10 @@
   std::string body;
 };
 
-// Sends requests over at most `max_connections` persistent connections, one
-// request at a time on each connection. Further requests wait in order of
-// arrival.
+// Sends at most `max_connections` requests at a time, each on a persistent
+// connection of its own. Further requests wait in order of arrival. A response
+// that arrives before its request has been sent in full ends the request, but
+// its connection sends the rest.
 class Connections {
  public:
   // Called from the event loop with the outcome of request `id`. kAnswered
@@ -37,9 +37,9 @@
                                           StoreAttemptOutcome outcome,
                                           const StoreHttpResponse& response)>;
 
-  // `address` is IP:port of the platform. `base` must outlive this object. A
+  // `address` is IP:port of the platform. `loop` must outlive this object. A
   // response body of more than `max_response_bytes` counts as lost.
-  Connections(event_base* base,
+  Connections(EventLoop& loop,
               const std::string& address,
               std::size_t max_connections,
               std::size_t max_response_bytes,
