--- a/Libraries/LibQuota/holder.cc
+++ b/Libraries/LibQuota/holder.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <iterator>
+#include <vector>
 
 #include "rates.h"
 
@@ -23,7 +25,11 @@
 // States how long the caller of a request waits that got no answer in time.
 constexpr Duration kRetryWithoutAnswer = Milliseconds(500);
 
-constexpr std::size_t kMaxOverdue = 4;
+constexpr std::size_t kMaxOverdue = 8;
+
+// Number of cells that are asked at the same time. Where one entry VM receives
+// most requests of an account, it needs the tokens of all cells.
+constexpr std::size_t kMaxOpen = 4;
 
 // Number of cells that are asked before a request is refused.
 constexpr std::size_t kMaxCellsTried = 3;
@@ -42,11 +48,6 @@
 
 constexpr std::uint16_t kMaxTokensPerRequest = 1000;
 
-Cell& CurrentCell(QuotaState& state, Account& account) {
-  return state.cells.at(
-      account.cells[account.holder.cell % account.cells.size()]);
-}
-
 void CountUse(Holder& holder, TimePoint now) {
   const double seconds =
       std::chrono::duration<double>(now - holder.uses_updated_at).count();
@@ -93,16 +94,23 @@
 
 // Returns the time until a cell has a token.
 Duration TimeUntilToken(const Holder& holder, TimePoint now) {
-  const TimePoint first =
-      *std::min_element(holder.empty_until.begin(), holder.empty_until.end());
+  TimePoint first = kNever;
+  for (const CellView& view : holder.views)
+    first = std::min(first, view.empty_until);
   return std::max(first - now, Duration::zero());
 }
 
-void RefuseWaiting(Account& account, TimePoint now, QuotaOutput& output) {
-  const Duration retry_after = TimeUntilToken(account.holder, now);
-  for (const WaitingRequest& request : account.holder.waiting)
-    RefuseRequest(account, request.id, retry_after, output);
-  account.holder.waiting.clear();
+// Refuses the `count` requests that have waited longest.
+void RefuseWaiting(Account& account,
+                   std::size_t count,
+                   TimePoint now,
+                   QuotaOutput& output) {
+  Holder& holder = account.holder;
+  const Duration retry_after = TimeUntilToken(holder, now);
+  for (std::size_t i = 0; i < count && !holder.waiting.empty(); ++i) {
+    RefuseRequest(account, holder.waiting.front().id, retry_after, output);
+    holder.waiting.pop_front();
+  }
 }
 
 // Returns the tokens to request for expected use, beyond those for requests
@@ -117,106 +125,116 @@
                static_cast<double>(kMaxTokensPerRequest)));
 }
 
-std::uint16_t CountWaiting(const Holder& holder) {
-  return static_cast<std::uint16_t>(
-      std::min<std::size_t>(holder.waiting.size(), kMaxTokensPerRequest));
-}
-
-// A later answer to the open request is still of use.
-void CloseRequest(Holder& holder) {
-  if (!holder.open)
-    return;
-  holder.overdue.push_back(*holder.open);
-  if (holder.overdue.size() > kMaxOverdue)
-    holder.overdue.pop_front();
-  holder.open.reset();
+// Returns how many waiting requests no open request asks tokens for.
+std::size_t CountUncovered(const Holder& holder) {
+  std::size_t covered = 0;
+  for (const OpenRequest& open : holder.open)
+    covered += open.tokens;
+  return holder.waiting.size() - std::min(covered, holder.waiting.size());
 }
 
-// Requests tokens from the cell's owner, or from its deputy.
-void Ask(Cell& cell,
-         Holder& holder,
-         bool asks_deputy,
-         std::size_t cells_tried,
-         TimePoint now,
-         QuotaOutput& output) {
-  if (cell.order.empty())
-    return;
-  const bool has_deputy = cell.order.size() > 1;
-  const std::uint32_t receiver = cell.order[asks_deputy && has_deputy ? 1 : 0];
-  CloseRequest(holder);
-  holder.open = OpenRequest{.receiver = receiver,
-                            .sequence = ++holder.sequence,
-                            .tokens = CountWaiting(holder),
-                            .ahead = TokensInAdvance(holder, now),
-                            .sent_at = now,
-                            .resend_at = now + kResendTime,
-                            .cells_tried = cells_tried};
-  output.items.push_back({.receiver = receiver,
-                          .item = {.cell = NameTag(cell.name),
-                                   .kind = ItemKind::kRequest,
-                                   .sequence = holder.open->sequence,
-                                   .tokens = holder.open->tokens,
-                                   .ahead = holder.open->ahead}});
+bool IsAsked(const Holder& holder, std::size_t cell) {
+  return std::any_of(
+      holder.open.begin(), holder.open.end(),
+      [&](const OpenRequest& open) { return open.cell == cell; });
 }
 
-void AskFirst(QuotaState& state,
-              Account& account,
-              std::size_t cells_tried,
-              TimePoint now,
-              QuotaOutput& output) {
-  Holder& holder = account.holder;
-  Ask(CurrentCell(state, account), holder, now < holder.avoid_owner_until,
-      cells_tried, now, output);
-}
-
-// Chooses the next cell that may have tokens, possibly the current one. Returns
-// whether there is one.
-bool FindCell(Account& account, TimePoint now) {
-  Holder& holder = account.holder;
-  const std::size_t count = account.cells.size();
+// Chooses the cell to be asked next: the current one or one after it that may
+// have tokens and is not being asked. Returns whether there is one.
+bool ChooseCell(Holder& holder, TimePoint now) {
+  const std::size_t count = holder.views.size();
   for (std::size_t i = 0; i < count; ++i) {
     const std::size_t cell = (holder.cell + i) % count;
-    if (holder.empty_until[cell] > now)
+    if (holder.views[cell].empty_until > now || IsAsked(holder, cell))
       continue;
-    if (cell != holder.cell % count)
-      holder.avoid_owner_until = {};
     holder.cell = cell;
     return true;
   }
   return false;
 }
 
-// Chooses another cell for requests that did not get their tokens. Returns
-// whether there is one, and they have not tried too many.
-bool FindOtherCell(Account& account, std::size_t cells_tried, TimePoint now) {
+// Requests tokens of the current cell from its owner, or from its deputy if the
+// owner does not answer.
+void Ask(QuotaState& state,
+         Account& account,
+         std::size_t tokens,
+         std::size_t cells_tried,
+         TimePoint now,
+         QuotaOutput& output) {
+  Holder& holder = account.holder;
+  const std::uint32_t tag = account.cells[holder.cell];
+  const Cell& cell = state.cells.at(tag);
+  const bool asks_deputy = cell.order.size() > 1 &&
+                           now < holder.views[holder.cell].avoid_owner_until;
+  const OpenRequest open{
+      .cell = holder.cell,
+      .receiver = cell.order[asks_deputy ? 1 : 0],
+      .sequence = ++holder.sequence,
+      .tokens = static_cast<std::uint16_t>(
+          std::min<std::size_t>(tokens, kMaxTokensPerRequest)),
+      .ahead =
+          holder.open.empty() ? TokensInAdvance(holder, now) : std::uint16_t{0},
+      .sent_at = now,
+      .resend_at = now + kResendTime,
+      .cells_tried = cells_tried};
+  holder.open.push_back(open);
+  output.items.push_back({.receiver = open.receiver,
+                          .item = {.cell = tag,
+                                   .kind = ItemKind::kRequest,
+                                   .sequence = open.sequence,
+                                   .tokens = open.tokens,
+                                   .ahead = open.ahead}});
+}
+
+// Asks for the requests that are not covered. Refuses those for which no cell
+// is left.
+void CoverWaiting(QuotaState& state,
+                  Account& account,
+                  TimePoint now,
+                  QuotaOutput& output) {
   Holder& holder = account.holder;
-  const std::size_t earlier = holder.cell;
-  holder.cell = (earlier + 1) % account.cells.size();
-  holder.avoid_owner_until = {};
-  return FindCell(account, now) && holder.cell != earlier &&
-         cells_tried < kMaxCellsTried;
+  const std::size_t uncovered = CountUncovered(holder);
+  if (uncovered > 0 && holder.open.size() < kMaxOpen && ChooseCell(holder, now))
+    Ask(state, account, uncovered, 1, now, output);
+  if (holder.open.empty())
+    RefuseWaiting(account, holder.waiting.size(), now, output);
 }
 
-// The receiver of the open request has not answered, or is not the owner.
+// A later answer to the request is still of use.
+void RecordOverdue(Holder& holder, const OpenRequest& request) {
+  holder.overdue.push_back(request);
+  if (holder.overdue.size() > kMaxOverdue)
+    holder.overdue.pop_front();
+}
+
+// Asks the deputy or another cell in place of the receiver of `earlier`, which
+// has not answered or is not the owner. `earlier` is not open any more.
 void AskAnother(QuotaState& state,
                 Account& account,
+                const OpenRequest& earlier,
                 TimePoint now,
                 QuotaOutput& output) {
   Holder& holder = account.holder;
-  const Cell& cell = CurrentCell(state, account);
-  const std::size_t cells_tried = holder.open->cells_tried;
-  const bool asked_owner =
-      !cell.order.empty() && holder.open->receiver == cell.order.front();
-  if (asked_owner && cell.order.size() > 1) {
-    holder.avoid_owner_until = now + kAvoidOwnerTime;
-    return AskFirst(state, account, cells_tried, now, output);
+  const std::size_t tokens =
+      std::min<std::size_t>(earlier.tokens, holder.waiting.size());
+  if (tokens == 0)
+    return;
+  const Cell& cell = state.cells.at(account.cells[earlier.cell]);
+  CellView& view = holder.views[earlier.cell];
+  const bool asked_owner = earlier.receiver == cell.order.front();
+  view.avoid_owner_until = asked_owner ? now + kAvoidOwnerTime : TimePoint{};
+  if ((asked_owner && cell.order.size() > 1) || earlier.receiver == 0) {
+    holder.cell = earlier.cell;
+    return Ask(state, account, tokens, earlier.cells_tried, now, output);
   }
-  holder.avoid_owner_until = {};
-  if (FindOtherCell(account, cells_tried, now))
-    return AskFirst(state, account, cells_tried + 1, now, output);
+  holder.cell = (earlier.cell + 1) % holder.views.size();
+  if (earlier.cells_tried < kMaxCellsTried && ChooseCell(holder, now) &&
+      holder.cell != earlier.cell)
+    return Ask(state, account, tokens, earlier.cells_tried + 1, now, output);
   // Nobody grants tokens yet. The owner is asked again a little later.
-  CloseRequest(holder);
-  holder.open = OpenRequest{.resend_at = now + kResendTime};
+  holder.open.push_back({.cell = earlier.cell,
+                         .tokens = static_cast<std::uint16_t>(tokens),
+                         .resend_at = now + kResendTime});
 }
 
 void AddTokens(Holder& holder,
@@ -244,9 +262,9 @@
   if (request == holder.overdue.end())
     return;
   AddTokens(holder, *request, grant, now);
+  if (grant.answer == Answer::kGranted && request->cell < holder.views.size())
+    holder.views[request->cell].avoid_owner_until = {};
   holder.overdue.erase(request);
-  if (grant.answer == Answer::kGranted)
-    holder.avoid_owner_until = {};
   DropExpired(holder, now);
   GrantWaiting(account, output);
 }
@@ -263,21 +281,17 @@
   DropExpired(holder, now);
   if (!holder.batches.empty()) {
     Grant(account, request.id, output);
-    if (holder.batches.empty() && !holder.open &&
-        TokensInAdvance(holder, now) > 0 && FindCell(account, now))
-      AskFirst(state, account, 1, now, output);
+    if (holder.batches.empty() && holder.open.empty() &&
+        TokensInAdvance(holder, now) > 0 && ChooseCell(holder, now))
+      Ask(state, account, 0, 1, now, output);
     return;
   }
-  if (!holder.open && !FindCell(account, now))
-    return RefuseRequest(account, request.id, TimeUntilToken(holder, now),
-                         output);
   holder.waiting.push_back(request);
   // Requests of routes with different objectives are refused in their order.
   if (holder.waiting.size() > 1)
     holder.waiting.back().until = std::max(
         request.until, holder.waiting[holder.waiting.size() - 2].until);
-  if (!holder.open)
-    AskFirst(state, account, 1, now, output);
+  CoverWaiting(state, account, now, output);
 }
 
 void HandleGrant(QuotaState& state,
@@ -287,29 +301,36 @@
                  TimePoint now,
                  QuotaOutput& output) {
   Holder& holder = account.holder;
-  if (!holder.open || holder.open->sequence != grant.sequence ||
-      holder.open->receiver != sender)
+  const auto found = std::find_if(
+      holder.open.begin(), holder.open.end(), [&](const OpenRequest& open) {
+        return open.sequence == grant.sequence && open.receiver == sender;
+      });
+  if (found == holder.open.end())
     return HandleLateGrant(account, sender, grant, now, output);
-  if (grant.answer == Answer::kNotOwner)
-    return AskAnother(state, account, now, output);
-  const OpenRequest open = *holder.open;
+  const OpenRequest open = *found;
+  holder.open.erase(found);
+  if (grant.answer == Answer::kNotOwner) {
+    AskAnother(state, account, open, now, output);
+    return CoverWaiting(state, account, now, output);
+  }
   AddTokens(holder, open, grant, now);
   DropExpired(holder, now);
   if (open.ahead > 0 && grant.tokens <= open.tokens)
     holder.no_advance_until = now + kNoAdvanceTime;
-  const bool is_short = grant.tokens < open.tokens;
   GrantWaiting(account, output);
-  holder.open.reset();
-  if (is_short) {
+  if (grant.tokens < open.tokens) {
     const Duration empty_time = Milliseconds(grant.retry_after_ms);
-    holder.empty_until[holder.cell % account.cells.size()] =
+    holder.views[open.cell].empty_until =
         now + std::min(empty_time, kMaxEmptyTime);
-    if (FindOtherCell(account, open.cells_tried, now))
-      return AskFirst(state, account, open.cells_tried + 1, now, output);
-    return RefuseWaiting(account, now, output);
+    const std::size_t missing = std::min<std::size_t>(
+        open.tokens - grant.tokens, holder.waiting.size());
+    if (open.cells_tried < kMaxCellsTried && missing > 0 &&
+        ChooseCell(holder, now))
+      Ask(state, account, missing, open.cells_tried + 1, now, output);
+    else
+      RefuseWaiting(account, missing, now, output);
   }
-  if (!holder.waiting.empty())
-    AskFirst(state, account, 1, now, output);
+  CoverWaiting(state, account, now, output);
 }
 
 void AdvanceHolder(QuotaState& state,
@@ -322,28 +343,35 @@
                   output);
     holder.waiting.pop_front();
   }
-  if (holder.open && holder.open->resend_at > now)
-    return;
-  if (holder.waiting.empty())
-    return CloseRequest(holder);
-  if (!holder.open || holder.open->receiver == 0)
-    return AskFirst(state, account, 1, now, output);
-  AskAnother(state, account, now, output);
+  std::vector<OpenRequest> due;
+  std::copy_if(holder.open.begin(), holder.open.end(), std::back_inserter(due),
+               [&](const OpenRequest& open) { return open.resend_at <= now; });
+  std::erase_if(holder.open,
+                [&](const OpenRequest& open) { return open.resend_at <= now; });
+  for (const OpenRequest& open : due) {
+    if (open.receiver != 0)
+      RecordOverdue(holder, open);
+    AskAnother(state, account, open, now, output);
+  }
+  CoverWaiting(state, account, now, output);
 }
 
 TimePoint NextHolderTime(const Account& account) {
   const Holder& holder = account.holder;
-  if (holder.waiting.empty())
-    return holder.open ? holder.open->resend_at : kNever;
-  if (!holder.open)
+  // After a suspension, nobody is asked.
+  if (!holder.waiting.empty() && holder.open.empty())
     return TimePoint{};
-  return std::min(holder.open->resend_at, holder.waiting.front().until);
+  TimePoint next =
+      holder.waiting.empty() ? kNever : holder.waiting.front().until;
+  for (const OpenRequest& open : holder.open)
+    next = std::min(next, open.resend_at);
+  return next;
 }
 
 void DropTokens(Account& account) {
   Holder& holder = account.holder;
   holder.batches.clear();
-  holder.open.reset();
+  holder.open.clear();
   holder.overdue.clear();
 }
 
--- a/Libraries/LibQuota/include/cicadadrum/quota/quota.h
+++ b/Libraries/LibQuota/include/cicadadrum/quota/quota.h
@@ -40,6 +40,7 @@
 
 // A request for tokens that is not answered yet.
 struct OpenRequest {
+  std::size_t cell = 0;        // Index of the account's cell.
   std::uint32_t receiver = 0;  // 0 while nobody is asked.
   std::uint16_t sequence = 0;
   std::uint16_t tokens = 0;
@@ -51,18 +52,24 @@
   std::size_t cells_tried = 1;  // Since the last answer that granted tokens.
 };
 
+// What a holder knows of a cell.
+struct CellView {
+  TimePoint empty_until{};        // The owner expects to have a token then.
+  TimePoint avoid_owner_until{};  // Until then, the deputy is asked.
+};
+
 // What this entry VM uses of an account's quota.
 struct Holder {
   std::deque<TokenBatch> batches;
   std::deque<WaitingRequest> waiting;  // The first to be refused first.
-  std::optional<OpenRequest> open;
+  // At most one for each cell. Not empty while requests wait, except after a
+  // suspension until Advance is called.
+  std::vector<OpenRequest> open;
   // Earlier ones, the oldest first. Their answers may still arrive.
   std::deque<OpenRequest> overdue;
-  std::uint16_t sequence = 0;     // Of the last request for tokens.
-  std::size_t cell = 0;           // Index of the cell that is asked.
-  TimePoint avoid_owner_until{};  // Until then, the cell's deputy is asked.
-  // For each cell, when its owner expects to have a token again.
-  std::vector<TimePoint> empty_until;
+  std::uint16_t sequence = 0;    // Of the last request for tokens.
+  std::size_t cell = 0;          // Index of the cell that is asked next.
+  std::vector<CellView> views;   // By index of the cell.
   TimePoint no_advance_until{};  // No tokens are requested in advance.
   double uses_per_second = 0;    // Mean over about a second.
   TimePoint uses_updated_at{};
--- a/Libraries/LibQuota/quota.cc
+++ b/Libraries/LibQuota/quota.cc
@@ -81,6 +81,13 @@
     state.cells.erase(account.cells[i]);
     state.account_of_cell.erase(account.cells[i]);
   }
+  // Answers refer to the cells of before.
+  if (count != account.holder.views.size()) {
+    account.holder.open.clear();
+    account.holder.overdue.clear();
+    account.holder.views.assign(count, {});
+    account.holder.cell %= count;
+  }
   account.cells.clear();
   for (std::size_t i = 0; i < count; ++i) {
     const std::string name = account.limit.name + "#" + std::to_string(i);
@@ -175,7 +182,6 @@
     Account& account = entry->second;
     account.limit = limit;
     UpdateCells(state, account, now);
-    account.holder.empty_until.resize(account.cells.size());
     // The callers of an account use all its cells.
     if (is_new)
       account.holder.cell =
@@ -205,10 +211,13 @@
                    const std::vector<std::string>& names,
                    TimePoint now) {
   state.started_at = std::min(state.started_at, now);
-  std::map<std::uint32_t, Member> members;
+  std::map<std::uint32_t, Member> members = {
+      {state.tag, state.members.at(state.tag)}};
   std::vector<std::string> joined;
   for (const std::string& name : names) {
     const std::uint32_t tag = NameTag(name);
+    if (tag == state.tag)
+      continue;
     const auto known = state.members.find(tag);
     if (known != state.members.end()) {
       members[tag] = known->second;
