--- a/Libraries/LibQuota/include/cicadadrum/quota/quota.h
+++ b/Libraries/LibQuota/include/cicadadrum/quota/quota.h
@@ -40,6 +40,7 @@
 
 // A request for tokens that is not answered yet.
 struct OpenRequest {
+  std::size_t cell = 0;        // Index of the account's cell.
   std::uint32_t receiver = 0;  // 0 while nobody is asked.
   std::uint16_t sequence = 0;
   std::uint16_t tokens = 0;
@@ -51,18 +52,24 @@
   std::size_t cells_tried = 1;  // Since the last answer that granted tokens.
 };
 
+// What a holder knows of a cell.
+struct CellView {
+  TimePoint empty_until{};        // The owner expects to have a token then.
+  TimePoint avoid_owner_until{};  // Until then, the deputy is asked.
+};
+
 // What this entry VM uses of an account's quota.
 struct Holder {
   std::deque<TokenBatch> batches;
   std::deque<WaitingRequest> waiting;  // The first to be refused first.
-  std::optional<OpenRequest> open;
+  // At most one for each cell. Not empty while requests wait, except after a
+  // suspension until Advance is called.
+  std::vector<OpenRequest> open;
   // Earlier ones, the oldest first. Their answers may still arrive.
   std::deque<OpenRequest> overdue;
-  std::uint16_t sequence = 0;     // Of the last request for tokens.
-  std::size_t cell = 0;           // Index of the cell that is asked.
-  TimePoint avoid_owner_until{};  // Until then, the cell's deputy is asked.
-  // For each cell, when its owner expects to have a token again.
-  std::vector<TimePoint> empty_until;
+  std::uint16_t sequence = 0;    // Of the last request for tokens.
+  std::size_t cell = 0;          // Index of the cell that is asked next.
+  std::vector<CellView> views;   // By index of the cell.
   TimePoint no_advance_until{};  // No tokens are requested in advance.
   double uses_per_second = 0;    // Mean over about a second.
   TimePoint uses_updated_at{};
@@ -124,8 +131,12 @@
   TimePoint started_at = kNever;
   std::map<std::uint32_t, Member> members;     // Live, by tag; this one too.
   std::map<std::uint32_t, TimePoint> lost_at;  // Members that are not live.
-  std::map<std::string, Account> accounts;     // With a limit, by name.
-  std::map<std::uint32_t, Cell> cells;         // By tag.
+  // Largest number of members that another one has stated, and when. An entry
+  // VM that restarts in a network partition does not know the other side.
+  std::uint16_t stated_size = 0;
+  TimePoint stated_at{};
+  std::map<std::string, Account> accounts;  // With a limit, by name.
+  std::map<std::uint32_t, Cell> cells;      // By tag.
   std::map<std::uint32_t, std::string> account_of_cell;
   // Names of accounts with waiting requests or an open request for tokens.
   std::set<std::string> busy_accounts;
@@ -199,6 +210,11 @@
 // Returns when Advance is to be called.
 TimePoint NextTime(const QuotaState& state);
 
+// Returns the message with the items, for its sender is this entry VM.
+QuotaMessage MakeMessage(const QuotaState& state,
+                         std::vector<QuotaItem> items,
+                         TimePoint now);
+
 // Returns the name of the live member, or an empty string.
 std::string MemberName(const QuotaState& state, std::uint32_t tag);
 
--- a/Libraries/LibQuota/quota.cc
+++ b/Libraries/LibQuota/quota.cc
@@ -3,6 +3,7 @@
 #include "cicadadrum/quota/quota.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "cicadadrum/base/hash.h"
@@ -23,8 +24,6 @@
 // member.
 constexpr Duration kMaxUnnoticedSuspension = Milliseconds(500);
 
-constexpr Duration kLostMemberRetention = Seconds(600);
-
 void Receive(QuotaState& state,
              std::uint32_t sender,
              const QuotaItem& item,
@@ -81,6 +80,13 @@
     state.cells.erase(account.cells[i]);
     state.account_of_cell.erase(account.cells[i]);
   }
+  // Answers refer to the cells of before.
+  if (count != account.holder.views.size()) {
+    account.holder.open.clear();
+    account.holder.overdue.clear();
+    account.holder.views.assign(count, {});
+    account.holder.cell %= count;
+  }
   account.cells.clear();
   for (std::size_t i = 0; i < count; ++i) {
     const std::string name = account.limit.name + "#" + std::to_string(i);
@@ -175,7 +181,6 @@
     Account& account = entry->second;
     account.limit = limit;
     UpdateCells(state, account, now);
-    account.holder.empty_until.resize(account.cells.size());
     // The callers of an account use all its cells.
     if (is_new)
       account.holder.cell =
@@ -205,10 +210,13 @@
                    const std::vector<std::string>& names,
                    TimePoint now) {
   state.started_at = std::min(state.started_at, now);
-  std::map<std::uint32_t, Member> members;
+  std::map<std::uint32_t, Member> members = {
+      {state.tag, state.members.at(state.tag)}};
   std::vector<std::string> joined;
   for (const std::string& name : names) {
     const std::uint32_t tag = NameTag(name);
+    if (tag == state.tag)
+      continue;
     const auto known = state.members.find(tag);
     if (known != state.members.end()) {
       members[tag] = known->second;
@@ -288,6 +296,11 @@
                     QuotaOutput& output) {
   if (!state.members.contains(message.sender) || message.sender == state.tag)
     return;
+  if (message.fleet_size >= state.stated_size ||
+      now - state.stated_at >= kLostMemberRetention) {
+    state.stated_size = message.fleet_size;
+    state.stated_at = now;
+  }
   for (const QuotaItem& item : message.items)
     Receive(state, message.sender, item, now, output);
   DeliverOwnItems(state, now, output);
@@ -322,6 +335,16 @@
   return next;
 }
 
+QuotaMessage MakeMessage(const QuotaState& state,
+                         std::vector<QuotaItem> items,
+                         TimePoint now) {
+  constexpr std::size_t kMaxSize = std::numeric_limits<std::uint16_t>::max();
+  return {.sender = state.tag,
+          .fleet_size = static_cast<std::uint16_t>(
+              std::min(CountMembers(state, now), kMaxSize)),
+          .items = std::move(items)};
+}
+
 std::string MemberName(const QuotaState& state, std::uint32_t tag) {
   const auto found = state.members.find(tag);
   return found == state.members.end() ? std::string() : found->second.name;
