--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -98,6 +98,8 @@
                     connection.get());
   bufferevent_setwatermark(connection->bev, EV_READ, 0,
                            options.limits.max_header_bytes + kInputBytes);
+  // The next requests are read before a large response has left entirely.
+  bufferevent_setwatermark(connection->bev, EV_WRITE, kMaxUnreadBytes / 2, 0);
   connections[connection->id] = connection;
   counters.connections = connections.size();
   bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
@@ -121,6 +123,7 @@
   counters.connections = connections.size();
   if (paused_count > 0)
     SchedulePlan();
+  CheckFlushed();
 }
 
 void HttpServer::Impl::Lose(Connection& connection) {
@@ -166,6 +169,7 @@
 HttpServer::~HttpServer() {
   StopListening();
   impl_->unsent->changed = nullptr;
+  impl_->flush_timer.reset();
   while (!impl_->connections.empty())
     impl_->Close(*impl_->connections.begin()->second);
 }
@@ -258,10 +262,12 @@
 void HttpServer::WhenFlushed(std::function<void()> callback,
                              Duration max_wait) {
   impl_->is_draining = true;
-  impl_->flush_timer =
-      std::make_unique<Timer>(impl_->loop, std::move(callback));
-  impl_->flush_until = impl_->loop.Now() + max_wait;
-  impl_->flush_timer->Schedule(impl_->flush_until);
+  impl_->flush_timer = std::make_unique<Timer>(
+      impl_->loop, [impl = impl_.get(), callback = std::move(callback)] {
+        impl->is_flushed = true;
+        callback();
+      });
+  impl_->flush_timer->Schedule(impl_->loop.Now() + max_wait);
   impl_->CheckFlushed();
 }
 
--- a/Libraries/LibLoop/http_server_impl.h
+++ b/Libraries/LibLoop/http_server_impl.h
@@ -94,7 +94,8 @@
     // No further request is read. The response to the last one of `exchanges`
     // closes the connection.
     bool is_closing = false;
-    bool is_paused = false;  // Memory is short.
+    bool is_paused = false;      // Memory is short.
+    bool is_input_full = false;  // Nothing is read until requests are.
 
     RequestHead head;  // Of the request that is being read.
     std::uint64_t head_bytes = 0;
@@ -206,7 +207,7 @@
   std::unique_ptr<Timer> budget_timer;
   std::unique_ptr<Timer> lost_timer;
   std::unique_ptr<Timer> flush_timer;
-  TimePoint flush_until;
+  bool is_flushed = false;  // The callback of WhenFlushed was called.
   std::string date;
   std::int64_t date_second = 0;
   std::shared_ptr<UnsentBodies> unsent = std::make_shared<UnsentBodies>();
--- a/Libraries/LibLoop/http_server_limits.cc
+++ b/Libraries/LibLoop/http_server_limits.cc
@@ -61,6 +61,14 @@
       std::min<std::uint64_t>(OutputBytes(connection.bev), kMaxUnreadBytes);
   for (const Exchange& exchange : connection.exchanges)
     bytes += exchange.held_bytes;
+  // libevent would call the handler of the input again and again if the input
+  // stayed full.
+  const bool is_full = IsInputFull(connection.bev);
+  if (is_full && !connection.is_input_full)
+    bufferevent_disable(connection.bev, EV_READ);
+  else if (!is_full && connection.is_input_full && !connection.is_paused)
+    bufferevent_enable(connection.bev, EV_READ);
+  connection.is_input_full = is_full;
   const bool is_less = bytes < connection.counted_bytes;
   counters.held_bytes += bytes - connection.counted_bytes;
   connection.counted_bytes = bytes;
@@ -152,7 +160,8 @@
   connection.progress_bytes = 0;
   if (connection.head_until != kNever)
     connection.head_until = now + options.limits.header_timeout;
-  bufferevent_enable(connection.bev, EV_READ);
+  if (!connection.is_input_full)
+    bufferevent_enable(connection.bev, EV_READ);
   ReadRequests(connection);
   if (connection.bev != nullptr)
     Count(connection);
@@ -204,8 +213,7 @@
   const bool is_read = (bufferevent_get_enabled(connection.bev) & EV_READ) != 0;
   // After the end of the input, complete responses are still written.
   const bool has_ended = connection.discard_until != kNever;
-  if (!has_ended && (!is_read || IsInputFull(connection.bev)) &&
-      HasPeerLeft(bufferevent_getfd(connection.bev)))
+  if (!has_ended && !is_read && HasPeerLeft(bufferevent_getfd(connection.bev)))
     return Lose(connection);
   if (unread > 0 && now - connection.read_at >= options.unread_timeout) {
     ++counters.unread;
--- a/Libraries/LibLoop/http_server_reading.cc
+++ b/Libraries/LibLoop/http_server_reading.cc
@@ -162,7 +162,8 @@
       Refuse(connection, kHeadTooLarge);
       return false;
     }
-    connection.searched_bytes = length;
+    // One CR may belong to another empty line.
+    connection.searched_bytes = length == 1 ? 0 : length;
     return false;
   }
   connection.head = {};
--- a/Libraries/LibLoop/http_server_writing.cc
+++ b/Libraries/LibLoop/http_server_writing.cc
@@ -150,7 +150,9 @@
 
 void HttpServer::Impl::HandleOutput(Connection& connection) {
   connection.read_at = loop.Now();
-  if (connection.exchanges.empty()) {
+  const bool is_empty =
+      evbuffer_get_length(bufferevent_get_output(connection.bev)) == 0;
+  if (connection.exchanges.empty() && is_empty) {
     connection.idle_since = connection.read_at;
     if (connection.is_closing) {
       if (connection.discard_until != kNever)
@@ -183,13 +185,18 @@
   const TimePoint now = loop.Now();
   return std::ranges::none_of(connections, [now](const auto& entry) {
     const Connection& connection = *entry.second;
-    return evbuffer_get_length(bufferevent_get_output(connection.bev)) > 0 &&
-           now - connection.read_at < kReadingPause;
+    // A connection that ends before its caller has closed it may be reset, and
+    // the response would be lost.
+    return connection.phase == ReadPhase::kDiscarded
+               ? now < connection.discard_until
+               : evbuffer_get_length(bufferevent_get_output(connection.bev)) >
+                         0 &&
+                     now - connection.read_at < kReadingPause;
   });
 }
 
 void HttpServer::Impl::CheckFlushed() {
-  if (flush_timer != nullptr && IsFlushed())
+  if (flush_timer != nullptr && !is_flushed && IsFlushed())
     flush_timer->Schedule(loop.Now());
 }
 
