--- a/Libraries/LibLoop/byte_budget.cc
+++ b/Libraries/LibLoop/byte_budget.cc
@@ -15,6 +15,10 @@
 // Connections that hold less are not worth closing.
 constexpr std::uint64_t kMinEvictedBytes = 4096;
 
+// Callers may read slowly. A response of which nothing was read for this long
+// may be lost while memory is short.
+constexpr Duration kUnreadTime = Seconds(5);
+
 // What a connection may add before the next plan takes notice.
 constexpr std::uint64_t kReadStepBytes = 32'768;
 
@@ -71,21 +75,27 @@
     draft.plan.favoured = oldest->id;
 }
 
-bool IsEvictable(const Draft& draft, std::size_t index) {
+// What a connection may lose. A request that has not been passed on is refused
+// as not run, so it goes before a response, which would be lost.
+enum class Loss : std::uint8_t { kRequest, kResponse };
+
+bool IsEvictable(const Draft& draft, std::size_t index, Loss loss) {
   const ConnectionUse& use = draft.uses[index];
   if (IsEvicted(draft, index) || use.is_handled ||
       use.id == draft.plan.favoured || use.held_bytes < kMinEvictedBytes)
     return false;
-  return use.is_receiving || (use.has_unread && IsStalled(draft, use));
+  return loss == Loss::kRequest
+             ? use.is_receiving
+             : use.has_unread && draft.now - use.progressed_at >= kUnreadTime;
 }
 
 // Closes connections, first those without progress for the longest time, until
 // the total is below `limit`.
-void EvictDownTo(Draft& draft, std::uint64_t limit) {
+void EvictDownTo(Draft& draft, std::uint64_t limit, Loss loss) {
   while (draft.total >= limit) {
     std::size_t chosen = draft.uses.size();
     for (std::size_t i = 0; i < draft.uses.size(); ++i) {
-      if (IsEvictable(draft, i) &&
+      if (IsEvictable(draft, i, loss) &&
           (chosen == draft.uses.size() ||
            draft.uses[i].progressed_at < draft.uses[chosen].progressed_at))
         chosen = i;
@@ -153,8 +163,10 @@
     return draft.plan;
   }
   ChooseFavoured(draft);
-  EvictDownTo(draft, draft.plan.favoured != 0 ? budget.favoured_limit
-                                              : budget.max_bytes);
+  const std::uint64_t limit =
+      draft.plan.favoured != 0 ? budget.favoured_limit : budget.max_bytes;
+  EvictDownTo(draft, limit, Loss::kRequest);
+  EvictDownTo(draft, limit, Loss::kResponse);
   for (std::size_t i = 0; i < uses.size(); ++i) {
     if (!IsEvicted(draft, i) &&
         !MayReadOn(budget, draft.total, uses[i], draft.plan.favoured))
--- a/Libraries/LibLoop/byte_budget.h
+++ b/Libraries/LibLoop/byte_budget.h
@@ -25,7 +25,7 @@
   std::uint64_t large_limit = 0;
   // The favoured body is read up to this total.
   std::uint64_t favoured_limit = 0;
-  // Without progress for this long, a connection may lose what it holds.
+  // Without progress for this long, the favoured body makes way.
   Duration stall_time = Seconds(1);
 };
 
--- a/Libraries/LibLoop/http_server_impl.h
+++ b/Libraries/LibLoop/http_server_impl.h
@@ -111,7 +111,7 @@
     TimePoint idle_since;  // Since when no request is read or handled.
     TimePoint progressed_at;
     std::uint64_t progress_bytes = 0;  // Received since then.
-    std::size_t unread_bytes = 0;      // Of the output, at the last sweep.
+    std::size_t unread_bytes = 0;      // Of responses, at the last sweep.
     TimePoint read_at;  // When the caller last read of its responses.
     TimePoint discard_until = kNever;
     std::uint64_t discarded_bytes = 0;
--- a/Libraries/LibLoop/http_server_limits.cc
+++ b/Libraries/LibLoop/http_server_limits.cc
@@ -1,8 +1,10 @@
 // Applies the limits of memory, time and number to the server's connections.
 
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -41,6 +43,17 @@
   return evbuffer_get_length(bufferevent_get_output(bev));
 }
 
+// Returns what the caller has not acknowledged of responses that are not
+// entirely in the socket's buffer. The output alone stays the same for seconds
+// while a slow caller reads what is in that buffer.
+std::size_t UnreadBytes(bufferevent* bev) {
+  const std::size_t output = OutputBytes(bev);
+  int queued = 0;
+  if (output > 0 && ioctl(bufferevent_getfd(bev), SIOCOUTQ, &queued) != 0)
+    queued = 0;
+  return output + static_cast<std::size_t>(queued);
+}
+
 std::size_t InputBytes(bufferevent* bev) {
   return evbuffer_get_length(bufferevent_get_input(bev));
 }
@@ -201,7 +214,7 @@
 }
 
 void HttpServer::Impl::SweepConnection(Connection& connection, TimePoint now) {
-  const std::size_t unread = OutputBytes(connection.bev);
+  const std::size_t unread = UnreadBytes(connection.bev);
   if (unread < connection.unread_bytes)
     connection.read_at = now;
   connection.unread_bytes = unread;
--- a/Tests/LibLoop/test_byte_budget.cc
+++ b/Tests/LibLoop/test_byte_budget.cc
@@ -93,6 +93,29 @@
     CHECK(action == ReadingAction::kPause);
 }
 
+// Guards against the loss of a response while a request could be refused as not
+// run, and against responses that keep the memory for good.
+TEST_CASE("requests that have not run go before responses that nobody reads") {
+  const ByteBudget budget = MakeByteBudget(40 * kMegabyte);
+  const auto response = [](std::uint64_t id, Duration since_progress) {
+    return ConnectionUse{.id = id,
+                         .held_bytes = 10 * kMegabyte,
+                         .has_unread = true,
+                         .progressed_at = kNow - since_progress};
+  };
+  std::vector<ConnectionUse> uses{Body(1, 10), Body(2, 10),
+                                  response(3, Seconds(20)),
+                                  response(4, Seconds(2))};
+  ReadingPlan plan = PlanReading(budget, TotalOf(uses), uses, 1, kNow);
+  CHECK(plan.actions[1] == ReadingAction::kEvict);
+  CHECK(plan.actions[2] == ReadingAction::kRead);
+  uses[1] = response(2, Seconds(2));
+  plan = PlanReading(budget, TotalOf(uses), uses, 1, kNow);
+  CHECK(plan.actions[1] == ReadingAction::kRead);
+  CHECK(plan.actions[2] == ReadingAction::kEvict);
+  CHECK(plan.actions[3] == ReadingAction::kRead);
+}
+
 TEST_CASE("paused bodies go on as far as the memory that is free allows") {
   const ByteBudget budget = MakeByteBudget(40 * kMegabyte);
   std::vector<ConnectionUse> uses;
