--- a/Tests/Platform/test_settings.cc
+++ b/Tests/Platform/test_settings.cc
@@ -67,6 +67,7 @@
   CHECK(settings->self.processor_share == doctest::Approx(0.4));
   CHECK(settings->routing.link_megabits_per_second == 10);
   CHECK(settings->routing.response_memory_bytes == 40'000'000);
+  CHECK(settings->caller_memory_bytes == 80'000'000);
 }
 
 TEST_CASE("an unknown VM has no bounds") {
