--- a/Libraries/LibLoop/http_server_limits.cc
+++ b/Libraries/LibLoop/http_server_limits.cc
@@ -1,8 +1,10 @@
 // Applies the limits of memory, time and number to the server's connections.
 
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -41,6 +43,17 @@
   return evbuffer_get_length(bufferevent_get_output(bev));
 }
 
+// Returns what the caller has not acknowledged of responses that are not
+// entirely in the socket's buffer. The output alone stays the same for seconds
+// while a slow caller reads what is in that buffer.
+std::size_t UnreadBytes(bufferevent* bev) {
+  const std::size_t output = OutputBytes(bev);
+  int queued = 0;
+  if (output > 0 && ioctl(bufferevent_getfd(bev), SIOCOUTQ, &queued) != 0)
+    queued = 0;
+  return output + static_cast<std::size_t>(queued);
+}
+
 std::size_t InputBytes(bufferevent* bev) {
   return evbuffer_get_length(bufferevent_get_input(bev));
 }
@@ -61,6 +74,14 @@
       std::min<std::uint64_t>(OutputBytes(connection.bev), kMaxUnreadBytes);
   for (const Exchange& exchange : connection.exchanges)
     bytes += exchange.held_bytes;
+  // libevent would call the handler of the input again and again if the input
+  // stayed full.
+  const bool is_full = IsInputFull(connection.bev);
+  if (is_full && !connection.is_input_full)
+    bufferevent_disable(connection.bev, EV_READ);
+  else if (!is_full && connection.is_input_full && !connection.is_paused)
+    bufferevent_enable(connection.bev, EV_READ);
+  connection.is_input_full = is_full;
   const bool is_less = bytes < connection.counted_bytes;
   counters.held_bytes += bytes - connection.counted_bytes;
   connection.counted_bytes = bytes;
@@ -152,7 +173,8 @@
   connection.progress_bytes = 0;
   if (connection.head_until != kNever)
     connection.head_until = now + options.limits.header_timeout;
-  bufferevent_enable(connection.bev, EV_READ);
+  if (!connection.is_input_full)
+    bufferevent_enable(connection.bev, EV_READ);
   ReadRequests(connection);
   if (connection.bev != nullptr)
     Count(connection);
@@ -192,7 +214,7 @@
 }
 
 void HttpServer::Impl::SweepConnection(Connection& connection, TimePoint now) {
-  const std::size_t unread = OutputBytes(connection.bev);
+  const std::size_t unread = UnreadBytes(connection.bev);
   if (unread < connection.unread_bytes)
     connection.read_at = now;
   connection.unread_bytes = unread;
@@ -204,8 +226,7 @@
   const bool is_read = (bufferevent_get_enabled(connection.bev) & EV_READ) != 0;
   // After the end of the input, complete responses are still written.
   const bool has_ended = connection.discard_until != kNever;
-  if (!has_ended && (!is_read || IsInputFull(connection.bev)) &&
-      HasPeerLeft(bufferevent_getfd(connection.bev)))
+  if (!has_ended && !is_read && HasPeerLeft(bufferevent_getfd(connection.bev)))
     return Lose(connection);
   if (unread > 0 && now - connection.read_at >= options.unread_timeout) {
     ++counters.unread;
