Tests/LibRouting, docs: Print the figures of a fleet short of capacity

Cause: the figures of docs/design/choice-under-load.md came from a program that is not in the repository.

--- a/Tests/LibRouting/test_load.cc
+++ b/Tests/LibRouting/test_load.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdio>
 #include <set>
 
 #include "load_simulation.h"
@@ -79,6 +80,47 @@
   }
 }
 
+// Guards against urgent requests that are late or refused where regions,
+// objects and kinds compete for too little capacity. Prints the figures of
+// docs/design/choice-under-load.md.
+TEST_CASE("urgent requests are in time while a fleet is short of capacity") {
+  LoadScenario scenario{.entries = 30,
+                        .regions = {{"north", 20}, {"east", 14}, {"south", 6}},
+                        .kinds = {{"read", 0, 0.35, Milliseconds(600)},
+                                  {"list", 1, 0.35, Milliseconds(600)},
+                                  {"scan", 2, 0.3, Milliseconds(1000)}},
+                        .slots = 3,
+                        .cached_objects = 24,
+                        .objects = 150,
+                        .uncached_work = Milliseconds(380),
+                        .cached_work = Milliseconds(150),
+                        .zipf_exponent = 0.9,
+                        .tail_share = 0.03,
+                        .wave_swing = 0.55,
+                        .latency = Milliseconds(2),
+                        .callers_return = true};
+  for (const double rate : {420, 600}) {
+    scenario.requests_per_second = rate;
+    LoadSimulation simulation(scenario, 31);
+    const SecondCounts first = SumOf(simulation.Run(Seconds(42)), 0, 2);
+    std::printf("%.0f requests/s: first 2 s in time %.3f", rate,
+                first.in_time_share());
+    for (const LoadKind& kind : scenario.kinds) {
+      const SecondCounts sum = SumOf(simulation.OfKind(kind.route), 4, 38);
+      std::printf("; %s in time %.3f, late %.3f, refused %.3f",
+                  kind.route.c_str(), sum.in_time_share(),
+                  sum.late / sum.arrived, sum.refused / sum.arrived);
+    }
+    std::printf("\n");
+    const SecondCounts read = SumOf(simulation.OfKind("read"), 4, 38);
+    const SecondCounts scan = SumOf(simulation.OfKind("scan"), 4, 38);
+    CHECK(read.answered_share() >= scan.answered_share());
+    CHECK(read.in_time_share() > 0.6);
+    // Kinds of all priorities use regions with few servers.
+    CHECK(SumOf(simulation.OfRegion("south"), 4, 38).in_time_share() > 0.5);
+  }
+}
+
 // Guards against an entry VM that detects a server's long queue only by the
 // rejection of its own requests.
 TEST_CASE("entry VMs avoid servers that others report as full") {
