LibLoop: Check the syntax of fields by one function

Cause: the request reader and the response reader had the same two checks of field names and values. Change: both use http_syntax.

--- a/Libraries/LibLoop/chunk_reader.cc
+++ b/Libraries/LibLoop/chunk_reader.cc
@@ -7,6 +7,7 @@
 #include <limits>
 
 #include "http_request_head.h"
+#include "http_syntax.h"
 
 namespace cicadadrum {
 
@@ -33,7 +34,7 @@
     return true;
   const std::size_t begin = rest.find_first_not_of(" \t");
   return begin != std::string_view::npos && rest[begin] == ';' &&
-         IsFieldText(rest);
+         IsFieldValue(rest);
 }
 
 ChunkStep ReadSizeLine(ChunkReader& reader, std::string_view line) {
--- a/Libraries/LibLoop/http_request_head.cc
+++ b/Libraries/LibLoop/http_request_head.cc
@@ -11,6 +11,8 @@
 #include <cstdlib>
 #include <memory>
 
+#include "http_syntax.h"
+
 namespace cicadadrum {
 
 namespace {
@@ -40,13 +42,6 @@
   return static_cast<unsigned char>(byte) < ' ' || byte == '\x7f';
 }
 
-bool IsTokenByte(char byte) {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') ||
-         (byte >= '0' && byte <= '9') ||
-         kMarks.find(byte) != std::string_view::npos;
-}
-
 // Whether the line is a method, a target and a version with one space between
 // them.
 bool IsRequestLine(std::string_view line) {
@@ -56,7 +51,7 @@
     return false;
   const std::string_view target =
       line.substr(method_end + 1, target_end - method_end - 1);
-  return IsFieldName(line.substr(0, method_end)) &&
+  return IsToken(line.substr(0, method_end)) &&
          std::ranges::none_of(target, [](char byte) {
            return byte == ' ' || IsControlByte(byte);
          });
@@ -239,20 +234,10 @@
 
 }  // namespace
 
-bool IsFieldName(std::string_view name) {
-  return !name.empty() && std::ranges::all_of(name, IsTokenByte);
-}
-
-bool IsFieldText(std::string_view text) {
-  return std::ranges::none_of(
-      text, [](char byte) { return byte != '\t' && IsControlByte(byte); });
-}
-
 bool IsFieldLine(std::string_view line) {
   const std::size_t colon = line.find(':');
-  return colon != std::string_view::npos &&
-         IsFieldName(line.substr(0, colon)) &&
-         IsFieldText(line.substr(colon + 1));
+  return colon != std::string_view::npos && IsToken(line.substr(0, colon)) &&
+         IsFieldValue(line.substr(colon + 1));
 }
 
 bool HasBareLineEnd(std::string_view bytes) {
--- a/Libraries/LibLoop/http_request_head.h
+++ b/Libraries/LibLoop/http_request_head.h
@@ -51,11 +51,6 @@
   bool expects_continue = false;
 };
 
-// Whether `name` is a token (RFC 9110, section 5.6.2).
-bool IsFieldName(std::string_view name);
-// Whether `text` may stand in a field's value: no CR, LF, NUL or other control
-// byte except the tab.
-bool IsFieldText(std::string_view text);
 // Whether `line`, without its end, is a field's name, a colon and a value.
 bool IsFieldLine(std::string_view line);
 
--- a/Libraries/LibLoop/http_server_writing.cc
+++ b/Libraries/LibLoop/http_server_writing.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "http_server_impl.h"
+#include "http_syntax.h"
 
 namespace cicadadrum {
 
@@ -109,7 +110,7 @@
   for (const auto& [name, value] : response.headers) {
     // A body that is not sent has no length here, but its request may state
     // one.
-    if (IsOwnField(name) || !IsFieldName(name) || !IsFieldText(value))
+    if (IsOwnField(name) || !IsToken(name) || !IsFieldValue(value))
       continue;
     has_date = has_date || EqualsIgnoringCase(name, "Date");
     text.append(name).append(": ").append(value).append("\r\n");
