--- a/Libraries/LibQuota/include/cicadadrum/quota/quota.h
+++ b/Libraries/LibQuota/include/cicadadrum/quota/quota.h
@@ -210,7 +210,7 @@
 // Returns when Advance is to be called.
 TimePoint NextTime(const QuotaState& state);
 
-// Returns the message with the items, for its sender is this entry VM.
+// Returns the message of this entry VM with the items.
 QuotaMessage MakeMessage(const QuotaState& state,
                          std::vector<QuotaItem> items,
                          TimePoint now);
--- a/Libraries/LibQuota/rates.cc
+++ b/Libraries/LibQuota/rates.cc
@@ -32,8 +32,8 @@
 // Tokens per second of a cell, and the smallest bucket of several cells. An
 // owner answers about one message for each token of a cell, so that cells of
 // this rate keep the messages of all owners at a similar number.
-constexpr double kCellRate = 6;
-constexpr double kMinCellBurst = 5;
+constexpr double kCellRate = 12;
+constexpr double kMinCellBurst = 8;
 constexpr double kMaxCells = 64;
 
 // A member that joins later counts only after this time, because the owner on
--- a/Tests/LibQuota/test_quota.cc
+++ b/Tests/LibQuota/test_quota.cc
@@ -107,6 +107,45 @@
   return static_cast<double>(part) / static_cast<double>(whole);
 }
 
+// Bytes and datagrams a second of one entry VM.
+struct MessageCounts {
+  std::uint64_t most_bytes = 0;
+  std::uint64_t mean_bytes = 0;
+  std::uint64_t mean_datagrams = 0;
+};
+
+// Runs 59 entry VMs with 72 accounts whose rates follow Zipf's law, and 2,000
+// requests a second. Each quota is a quarter above the rate.
+MessageCounts MeasureMessages() {
+  constexpr int kAccounts = 72;
+  constexpr double kRequestsPerSecond = 2000;
+  constexpr double kExponent = -1.2;
+  constexpr double kMargin = 1.25;
+  constexpr std::uint64_t kSeconds = 20;
+  WorldOptions options{.entries = 59};
+  double total = 0;
+  for (int i = 1; i <= kAccounts; ++i)
+    total += std::pow(i, kExponent);
+  for (int i = 1; i <= kAccounts; ++i) {
+    const double rate = kRequestsPerSecond * std::pow(i, kExponent) / total;
+    const AccountLimit limit{"account-" + std::to_string(i),
+                             std::max(5.0, rate * kMargin),
+                             std::max(5.0, rate)};
+    options.accounts.push_back({limit, rate});
+  }
+  QuotaWorld world(options);
+  world.Run(Seconds(kSeconds));
+  MessageCounts counts;
+  for (std::size_t i = 0; i < options.entries; ++i) {
+    counts.most_bytes = std::max(counts.most_bytes, world.bytes(i) / kSeconds);
+    counts.mean_bytes += world.bytes(i);
+    counts.mean_datagrams += world.datagrams(i);
+  }
+  counts.mean_bytes /= kSeconds * options.entries;
+  counts.mean_datagrams /= kSeconds * options.entries;
+  return counts;
+}
+
 }  // namespace
 
 // Guards against requests over the quota when members, clocks and messages fail
@@ -168,43 +207,19 @@
   }
 }
 
-// Guards against messages that take too much of a slow link: 59 entry VMs, 72
-// accounts whose rates follow Zipf's law, 2,000 requests a second.
-TEST_CASE("messages about quotas stay within 3 KB a second") {
-  WorldOptions options{.entries = 59};
-  double total = 0;
-  for (int i = 1; i <= 72; ++i)
-    total += std::pow(i, -1.2);
-  for (int i = 1; i <= 72; ++i) {
-    const double rate = 2000 * std::pow(i, -1.2) / total;
-    options.accounts.push_back(
-        {{"account-" + std::to_string(i), std::max(5.0, rate * 1.25),
-          std::max(5.0, rate)},
-         rate});
-  }
-  QuotaWorld world(options);
-  world.Run(Seconds(20));
-  std::uint64_t most = 0;
-  std::uint64_t all = 0;
-  std::uint64_t datagrams = 0;
-  for (std::size_t i = 0; i < options.entries; ++i) {
-    most = std::max(most, world.bytes(i) / 20);
-    all += world.bytes(i) / 20;
-    datagrams += world.datagrams(i) / 20;
-  }
-  std::size_t refused = 0;
-  std::size_t arrived = 0;
-  for (const AccountDemand& account : options.accounts) {
-    refused += world.counts(account.limit.name).refused;
-    arrived += world.counts(account.limit.name).arrived;
-  }
-  std::printf(
-      "bytes/s: most %llu, mean %llu; datagrams/s mean %llu; "
-      "refused %zu of %zu\n",
-      static_cast<unsigned long long>(most),
-      static_cast<unsigned long long>(all / 59),
-      static_cast<unsigned long long>(datagrams / 59), refused, arrived);
-  CHECK(most < 3000);
+// Guards against messages that take too much of a slow link.
+TEST_CASE("messages about quotas take less than 3 KB a second in the mean") {
+  const MessageCounts counts = MeasureMessages();
+  std::printf("bytes/s: most %llu, mean %llu; datagrams/s mean %llu\n",
+              static_cast<unsigned long long>(counts.most_bytes),
+              static_cast<unsigned long long>(counts.mean_bytes),
+              static_cast<unsigned long long>(counts.mean_datagrams));
+  CHECK(counts.mean_bytes < 3000);
+}
+
+// Guards against an entry VM that owns the busiest cells and sends more.
+TEST_CASE("messages about quotas take less than 3 KB a second everywhere") {
+  CHECK(MeasureMessages().most_bytes < 3000);
 }
 
 }  // namespace quota
--- a/Tests/LibRouting/routing_fixture.h
+++ b/Tests/LibRouting/routing_fixture.h
@@ -72,6 +72,7 @@
   std::vector<ReportServerLeaving> reported_leaving;
   std::vector<ReportServerPause> reported_pauses;
   std::vector<ReportServerLimit> reported_limits;
+  std::vector<SendQuotaMessage> quota_messages;
   bool drain_completed = false;
   TimePoint wake_at = kNever;
 
@@ -115,6 +116,8 @@
         reported_pauses.push_back(*pause);
       if (const auto* limit = std::get_if<ReportServerLimit>(&action))
         reported_limits.push_back(*limit);
+      if (const auto* message = std::get_if<SendQuotaMessage>(&action))
+        quota_messages.push_back(*message);
       if (std::holds_alternative<DrainCompleted>(action))
         drain_completed = true;
       if (const auto* due = std::get_if<WakeAt>(&action))
--- a/Tests/Platform/test_settings.cc
+++ b/Tests/Platform/test_settings.cc
@@ -69,6 +69,23 @@
   CHECK(settings->routing.response_memory_bytes == 40'000'000);
 }
 
+TEST_CASE("the bounds of quotas are read, and have defaults") {
+  const SettingsFile file(
+      ", \"bounds\": {\"quotaWindowSeconds\": 2.5, \"quotaExcess\": 0.2,"
+      " \"quotaSlack\": 7}");
+  const auto settings = LoadSettings(file.path());
+  REQUIRE(settings);
+  CHECK(settings->routing.bounds.quota ==
+        quota::QuotaBounds{
+            .window = Milliseconds(2500), .excess = 0.2, .slack = 7});
+  const SettingsFile without("");
+  const auto defaults = LoadSettings(without.path());
+  REQUIRE(defaults);
+  CHECK(defaults->routing.bounds.quota == quota::QuotaBounds{});
+  CHECK(ErrorOf(", \"bounds\": {\"quotaWindowSeconds\": 0}") != "");
+  CHECK(ErrorOf(", \"bounds\": {\"quotaSlack\": -1}") != "");
+}
+
 TEST_CASE("an unknown VM has no bounds") {
   const SettingsFile file("");
   const auto settings = LoadSettings(file.path());
