--- a/Tests/LibLoop/test_http_client_forms.cc
+++ b/Tests/LibLoop/test_http_client_forms.cc
@@ -25,7 +25,7 @@
 
 HttpRequest UploadFor(const ResponseForm& form) {
   HttpRequest request = RequestFor(form);
-  request.body.assign(kUploadBytes, 'u');
+  request.body = std::string(kUploadBytes, 'u');
   return request;
 }
 
