--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -187,7 +187,6 @@
     bufferevent_set_timeouts(connection.bev, nullptr, nullptr);
     return;
   }
-  connections_by_address[connection.address].proven_at.reset();
   if (connection.call == nullptr)
     return Close(connection);
   if (HasSentNothing(connection))
@@ -210,7 +209,6 @@
     return Complete(connection, HttpOutcome::kCheckFailed);
   if (IsReusable(connection) && !HasUnsentBytes(connection)) {
     connection.check_passed = true;
-    connections_by_address[connection.address].proven_at = loop.Now();
     call.check_timer.reset();
     const HttpRequest request =
         *std::exchange(call.request_after_check, std::nullopt);
@@ -239,8 +237,6 @@
 // the server has responded early, the rest of the request is sent first.
 void HttpClient::Impl::Complete(Connection& connection, HttpOutcome outcome) {
   Call& call = *connection.call;
-  if (outcome == HttpOutcome::kAnswered)
-    RecordProof(call);
   const Callback callback = std::move(call.callback);
   const std::unique_ptr<Timer> timer = std::move(call.timer);
   const TimePoint deadline = call.deadline;
@@ -388,8 +384,6 @@
   call.timer = std::make_unique<Timer>(
       impl_->loop, [impl = impl_.get(), id] { impl->TimeOutCall(id); });
   call.timer->Schedule(deadline);
-  if (!call.connection->reused && impl_->IsProven(call, address_connections))
-    call.connection->check_passed = true;
   if (impl_->NeedsNoCheck(call, *call.connection))
     impl_->SendRequest(call, request);
   else
--- a/Libraries/LibLoop/http_client_connections.cc
+++ b/Libraries/LibLoop/http_client_connections.cc
@@ -64,20 +64,6 @@
           loop.Now() - connection.connected_at >= call.check->sufficient_age);
 }
 
-void HttpClient::Impl::RecordProof(const Call& call) {
-  const Connection& connection = *call.connection;
-  if (call.check && !call.request_after_check && NeedsNoCheck(call, connection))
-    connections_by_address[connection.address].proven_at = loop.Now();
-}
-
-bool HttpClient::Impl::IsProven(
-    const Call& call,
-    const AddressConnections& address_connections) const {
-  return call.check && address_connections.proven_at &&
-         loop.Now() - *address_connections.proven_at <
-             call.check->sufficient_silence;
-}
-
 // If the limit of connections is reached, the idle connection that has not been
 // used for the longest time is closed.
 HttpClient::Impl::Connection* HttpClient::Impl::Open(
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -61,9 +61,6 @@
     // Invariant: the number of idle connections plus those with a call and
     // those in `sending_rest`.
     std::uint32_t open_count = 0;
-    // When the last response arrived on a connection that needs no check. Not
-    // set after the other end has closed a connection.
-    std::optional<TimePoint> proven_at;
   };
 
   struct Call {
@@ -107,12 +104,6 @@
                         const Call& call);
   // Whether the call's request may be sent on the connection without a check.
   bool NeedsNoCheck(const Call& call, const Connection& connection) const;
-  // Records that a response arrived on the call's connection.
-  void RecordProof(const Call& call);
-  // Whether a new connection for the call leads to the process that others have
-  // proven to be the right one.
-  bool IsProven(const Call& call,
-                const AddressConnections& address_connections) const;
   Connection* Open(const std::string& address,
                    AddressConnections& address_connections,
                    Duration connect_timeout);
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -108,11 +108,6 @@
   HttpRequest request;  // Must not have the echoed header.
   // A connection that has been open for this long needs no check.
   Duration sufficient_age{};
-  // A new connection needs no check if a connection to the same address that
-  // needs none has received a response within this time, and the other end has
-  // closed no connection since. A process that is replaced closes its
-  // connections, and its replacement takes longer than this to start.
-  Duration sufficient_silence{};
   // Time for the response to the check, the connection attempt included, if it
   // is longer than the connect timeout. A busy server may answer late.
   Duration max_wait{};
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -25,10 +25,6 @@
 constexpr double kMinRetryAfterShare = 0.16;
 constexpr double kMaxRetryAfterShare = 0.33;
 
-// A server takes longer than this to restart. Only a VM that loses its power
-// restarts without closing its connections.
-constexpr Duration kMinRestartTime = Seconds(1);
-
 // A server has this part of the time that a request has left to respond to a
 // check: a busy server responds late, and enough time must remain to send the
 // request elsewhere.
@@ -102,7 +98,6 @@
     return std::nullopt;
   return ColdCheck{.health_path = rule->health_path,
                    .cold_time = rule->cold_time,
-                   .sufficient_silence = kMinRestartTime,
                    .max_wait = remaining / kCheckWaitDivisor};
 }
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -323,9 +323,6 @@
       health_path;  // A request for it states whether the server is cold.
   // A connection that has been open for this long needs no check.
   Duration cold_time{};
-  // A new connection needs no check if the server has responded on a checked
-  // connection within this time and has closed none since.
-  Duration sufficient_silence{};
   // Time after which a server that has not responded to the check is busy.
   Duration max_wait{};
 };
--- a/Tests/LibLoop/test_http_client_checks.cc
+++ b/Tests/LibLoop/test_http_client_checks.cc
@@ -117,42 +117,6 @@
   CHECK(fixture.Call(request, Check()).first == HttpOutcome::kNotConnected);
 }
 
-// Guards against checks of a server that has just responded: a busy server
-// answers them late, and it needs more connections than an idle one.
-TEST_CASE("a connection beside one that has just responded needs no check") {
-  ConnectionCheck check = Check();
-  check.sufficient_silence = kConnectTimeout;
-  HttpRequest request = RequestOf("b");
-  request.fresh_connection = true;
-  for (const bool waits_too_long : {false, true}) {
-    CAPTURE(waits_too_long);
-    CheckFixture fixture(
-        {{kWarm},
-         {MakeResponse("a", "first")},
-         {waits_too_long ? kWarm : MakeResponse("b", "second")},
-         {MakeResponse("b", "second")}});
-    CHECK(fixture.Call(RequestOf("a"), check).second.body == "first");
-    if (waits_too_long)
-      fixture.RunFor(kConnectTimeout + kTolerance);
-    CHECK(fixture.Call(request, check).second.body == "second");
-    CHECK(fixture.server.connection_count() == 2);
-    CHECK(fixture.CountRequests("GET /health") == (waits_too_long ? 2 : 1));
-  }
-}
-
-// Guards against trust in a server that has restarted: it closes connections.
-TEST_CASE("a connection that the server has closed ends the proof of others") {
-  ConnectionCheck check = Check();
-  check.sufficient_silence = kCallTimeout;
-  CheckFixture fixture(
-      {{kWarm},
-       {.bytes = MakeResponse("a", "first"), .then_close = true},
-       {kCold}});
-  CHECK(fixture.Call(RequestOf("a"), check).second.body == "first");
-  fixture.RunFor(kTolerance);
-  CHECK(fixture.Call(RequestOf("b"), check).first == HttpOutcome::kCheckFailed);
-}
-
 // Guards against a request that is sent behind a check whose connection can't
 // carry it, that is sent twice, or whose sender is told that it may have run.
 TEST_CASE("a check without a usable response sends nothing of the request") {
