--- a/review/stand_ins-2/deployment.cc
+++ b/review/stand_ins-2/deployment.cc
@@ -52,14 +52,6 @@
   return {};
 }
 
-std::string TargetOf(const Message& request) {
-  std::istringstream line(request.first_line);
-  std::string method;
-  std::string target;
-  line >> method >> target;
-  return target;
-}
-
 std::string Configuration(int timeout_ms) {
   std::string routes;
   for (const char* name : {"read", "write", "upload"}) {
@@ -83,14 +75,35 @@
          R"("idleTimeoutMilliseconds":15000}})";
 }
 
-std::int64_t UnixMilliseconds() {
-  return std::chrono::duration_cast<Milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
+// When this process started.
+std::int64_t StartUnixMs() {
+  static const std::int64_t started =
+      std::chrono::duration_cast<Milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  return started;
 }
 
 }  // namespace
 
+std::string TargetOf(const Message& request) {
+  std::istringstream line(request.first_line);
+  std::string method;
+  std::string target;
+  line >> method >> target;
+  return target;
+}
+
+std::string ServerEntry(const ServerState& state) {
+  return R"({"service":"board","address":")" + state.address.Text() +
+         R"(","failureDomain":"cusco-a","version":"v1","slots":)" +
+         std::to_string(state.slots) +
+         R"(,"state":"ready","coldLeftMilliseconds":)" +
+         std::to_string(state.cold_left_ms) + R"(,"born":)" +
+         std::to_string(StartUnixMs() - state.up_ms) + R"(,"sequence":)" +
+         std::to_string(state.sequence) + "}";
+}
+
 Record::Record(const std::string& path) : file_(path) {}
 
 double Record::Seconds() const {
@@ -109,6 +122,12 @@
         return Handle(request);
       })) {}
 
+void Store::Remove(const std::string& table, const std::string& key) {
+  const std::lock_guard lock(mutex_);
+  tables_[table][key] = {.value = {}, .version = ++version_, .removed = true};
+  changed_.notify_all();
+}
+
 void Store::Put(const std::string& table,
                 const std::string& key,
                 const std::string& value) {
@@ -118,17 +137,20 @@
 }
 
 std::string Store::RowsAfter(const std::string& table,
-                             std::uint64_t after) const {
+                             std::uint64_t after,
+                             bool all) const {
   std::string rows;
   const auto found = tables_.find(table);
   if (found == tables_.end())
     return rows;
   for (const auto& [key, row] : found->second) {
-    if (row.version > after)
-      rows += (rows.empty() ? R"({"table":")" : R"(,{"table":")") + table +
-              R"(","part":"","key":")" + key + R"(","value":")" +
-              EncodeBase64(row.value) + R"(","rowVersion":)" +
-              std::to_string(row.version) + "}";
+    if (all ? row.removed : row.version <= after)
+      continue;
+    rows += (rows.empty() ? R"({"table":")" : R"(,{"table":")") + table +
+            R"(","part":"","key":")" + key + R"(","rowVersion":)" +
+            std::to_string(row.version);
+    rows += row.removed ? std::string(R"(,"removed":true})")
+                        : R"(,"value":")" + EncodeBase64(row.value) + R"("})";
   }
   return rows;
 }
@@ -147,8 +169,8 @@
   std::unique_lock lock(mutex_);
   if (is_feed)
     changed_.wait_for(lock, wait,
-                      [&] { return !RowsAfter(table, after).empty(); });
-  const std::string body = R"({"rows":[)" + RowsAfter(table, after) +
+                      [&] { return !RowsAfter(table, after, false).empty(); });
+  const std::string body = R"({"rows":[)" + RowsAfter(table, after, !is_feed) +
                            R"(],"hasMore":false,"rowVersion":)" +
                            std::to_string(version_) + R"(,"now_ms":1000})";
   return Response(
@@ -159,17 +181,13 @@
     : id_(std::move(id)),
       large_bytes_(large_bytes),
       record_(record),
-      born_(UnixMilliseconds() - 60'000),
       host_(std::make_unique<Host>("127.0.0.1", [this](const Message& request) {
         return Handle(request);
       })) {}
 
 std::string Server::Entry() {
-  return R"({"service":"board","address":")" + host_->address().Text() +
-         R"(","failureDomain":"cusco-a","version":"v1","slots":8,)"
-         R"("state":"ready","coldLeftMilliseconds":0,"born":)" +
-         std::to_string(born_) + R"(,"sequence":)" +
-         std::to_string(++sequence_) + "}";
+  return ServerEntry(
+      {.address = host_->address(), .slots = 8, .sequence = ++sequence_});
 }
 
 std::string Server::Handle(const Message& request) {
@@ -239,12 +257,13 @@
        << R"(", "linkMegabitsPerSecond": 1000.0, "processorShare": 0.2,)"
        << R"("processorSpeed": 1, "memoryMegabytes": )" << options_.memory_mb
        << R"(, "storeAddress": ")" << store_.address().Text()
-       << R"(", "seeds": ["127.0.0.2:8382", "127.0.0.3:8382"],)"
+       << R"(", "seeds": [)" << options_.seeds << "],"
        << R"("failureDomains": [{"failureDomain": "cusco-a",)"
        << R"("region": "cusco"}], "bounds": {"retryBudgetExtra": 62,)"
        << R"("retryWindowSeconds": 10, "retryBudgetRatio": 0.2,)"
        << R"("coldLoadFactor": 1.5, "coldExtraRequests": 5,)"
-       << R"("drainMilliseconds": 2000, "configurationMilliseconds": 2000,)"
+       << R"("drainMilliseconds": )" << options_.drain_ms
+       << R"(, "configurationMilliseconds": 2000,)"
        << R"("maxShift": 0.15, "lookupLifetimeSeconds": 5,)"
        << R"("stopSeconds": 6}})";
   return text.str();
--- a/review/stand_ins-2/deployment.h
+++ b/review/stand_ins-2/deployment.h
@@ -41,15 +41,20 @@
   void Put(const std::string& table,
            const std::string& key,
            const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
 
  private:
   struct Row {
     std::string value;
     std::uint64_t version = 0;
+    bool removed = false;
   };
 
   std::string Handle(const Message& request);
-  std::string RowsAfter(const std::string& table, std::uint64_t after) const;
+  // Rows that changed after the version; with `all`, those that exist.
+  std::string RowsAfter(const std::string& table,
+                        std::uint64_t after,
+                        bool all) const;
 
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -73,7 +78,6 @@
   std::string id_;
   std::size_t large_bytes_;
   Record& record_;
-  std::int64_t born_;
   int sequence_ = 0;
   std::unique_ptr<Host> host_;
 };
@@ -94,6 +98,9 @@
   int memory_mb = 260;
   int max_fds = 4100;
   int timeout_ms = 10'000;  // Of all routes.
+  int drain_ms = 2000;
+  // As in the settings; the ports are those of another role.
+  std::string seeds = R"("127.0.0.2:8382", "127.0.0.3:8382")";
   std::size_t large_bytes = 1000;
 };
 
@@ -107,6 +114,7 @@
   // Waits until all entry VMs are ready. Returns whether they are.
   bool WaitUntilReady();
   Entry& entry(std::size_t index) { return entries_[index]; }
+  Store& store() { return store_; }
   // Ends the entry VMs and this process, whose threads may still serve
   // connections.
   [[noreturn]] void Finish(int result);
@@ -129,6 +137,20 @@
   std::uint16_t peer_port_ = 0;
 };
 
+// What a server says of itself in the store.
+struct ServerState {
+  Address address;
+  int slots = 8;
+  int sequence = 1;
+  std::int64_t cold_left_ms = 0;
+  // Since its start.
+  std::int64_t up_ms = 60'000;
+};
+std::string ServerEntry(const ServerState& state);
+
+// Returns the method and the target of a request.
+std::string TargetOf(const Message& request);
+
 // Returns the bytes of a request. `more_fields` are complete lines.
 std::string RequestText(const std::string& method,
                         const std::string& target,
