--- a/review/stand_ins-2/net.cc
+++ b/review/stand_ins-2/net.cc
@@ -257,16 +257,29 @@
   }
 }
 
+void Host::CloseConnections() {
+  const std::lock_guard lock(mutex_);
+  for (const int fd : connections_)
+    shutdown(fd, SHUT_RDWR);
+}
+
 void Host::Serve(int fd) {
   Stream stream(fd);
+  {
+    const std::lock_guard lock(mutex_);
+    connections_.insert(fd);
+  }
   while (true) {
     const Received received = stream.Read(Clock::now() + kRequestTime);
     if (received.end != ReadEnd::kBytes)
-      return;
+      break;
     const std::string response = handler_(received.message);
     if (response.empty() || !stream.Send(response))
-      return;
+      break;
   }
+  const std::lock_guard lock(mutex_);
+  connections_.erase(fd);
+  stream.Close();
 }
 
 std::string Response(int status, const Fields& fields, std::string_view body) {
--- a/review/stand_ins-2/net.h
+++ b/review/stand_ins-2/net.h
@@ -7,6 +7,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -99,6 +101,8 @@
   Host& operator=(const Host&) = delete;
 
   const Address& address() const { return address_; }
+  // Ends all connections, as the restart of a process does.
+  void CloseConnections();
 
  private:
   void Accept();
@@ -107,6 +111,8 @@
   Handler handler_;
   Address address_;
   int listener_ = -1;
+  std::mutex mutex_;
+  std::set<int> connections_;  // Their descriptors.
   std::thread thread_;
 };
 
