--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,9 +1,11 @@
-// A planned stop while one caller reads a large response slowly: do requests on
-// kept connections still get an answer?
+// The entries of the servers lapse while the store is away, and are back soon
+// after it: do the entry VMs serve again?
 
 #include <algorithm>
-#include <csignal>
+#include <atomic>
 #include <cstdlib>
+#include <functional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -14,118 +16,154 @@
 
 namespace {
 
-constexpr int kDeadlineMs = 10'000;
-constexpr std::size_t kLargeBytes = 16'000'000;
-// What the slow caller reads at a time, and how often.
-constexpr std::size_t kSlowBytes = 40'000;
-constexpr Milliseconds kSlowPause{10};
-constexpr int kSlowReceiveBuffer = 65'536;
-constexpr int kKeptConnections = 12;
-// After the stop signal: when the slow caller asks, and when the others do.
-constexpr Milliseconds kSlowStart{1800};
-constexpr Milliseconds kFirstRequest{3000};
-constexpr Milliseconds kRequestGap{100};
-// The bounds of the rule.
-constexpr Milliseconds kLossSlack{200};
-constexpr Milliseconds kGrace{6000};
+constexpr std::size_t kEntries = 9;
+constexpr int kServers = 4;
+// The store goes away soon after it has answered the entry VM that reads for
+// the others. It is back for this one first.
+constexpr Milliseconds kAwayAfterAnswer{50};
+constexpr Milliseconds kAwayTime{4650};
+constexpr Milliseconds kAwayTimeOfOthers{5100};
+// A store removes an entry after three heartbeats of 1.5 s without a write; the
+// last write was before the store went away.
+constexpr Milliseconds kLapseTime{4600};
+// From the store's first return to the entries' return. They are back within
+// two seconds.
+constexpr Milliseconds kBackTime{1000};
+// Callers ask all the while.
+constexpr Milliseconds kCalmTime{4000};
+constexpr Milliseconds kTimeAfter{75'000};
+constexpr int kCallers = 18;
+constexpr Milliseconds kCallerGap{1000};
+constexpr int kDeadlineMs = 2000;
+// A caller waits as a refusal says, but for at most a third of its time.
+constexpr Milliseconds kMaxRetryWait{kDeadlineMs / 3};
+// The bound of the rule, in percent of the requests.
+constexpr int kMaxUnserved = 60;
 
-struct KeptCaller {
-  Stream stream;
-  std::string id;
-  bool is_broken = false;
+struct Counts {
+  std::atomic<int> owed = 0;
+  std::atomic<int> unserved = 0;
 };
 
-const char* NameOf(ReadEnd end) {
-  switch (end) {
-    case ReadEnd::kBytes:
-      return "answered";
-    case ReadEnd::kClosed:
-      return "closed in order";
-    case ReadEnd::kReset:
-      return "reset";
-    case ReadEnd::kTimedOut:
-      return "no answer";
+// Returns the status, or 0 without an answer. Sets how long the caller waits
+// before it asks elsewhere.
+int Ask(const Entry& entry, const std::string& id, Milliseconds& retry_wait) {
+  retry_wait = Milliseconds(0);
+  Stream stream = Stream::Connect(entry.callers);
+  if (!stream.IsOpen() ||
+      !stream.Send(RequestText("GET", "/read/sign", id, kDeadlineMs, "")))
+    return 0;
+  const Received received =
+      stream.Read(Clock::now() + Milliseconds(kDeadlineMs));
+  const double seconds = std::strtod(
+      FindField(received.message.fields, "Retry-After").c_str(), nullptr);
+  retry_wait = std::min(
+      kMaxRetryWait, Milliseconds(static_cast<std::int64_t>(seconds * 1000)));
+  return received.Status();
+}
+
+// Asks at a random entry VM, and once more at another one if that fails.
+void AskOften(Deployment& deployment,
+              int caller,
+              const std::atomic<bool>& has_ended,
+              Counts& counts) {
+  std::minstd_rand random(static_cast<unsigned>(caller) + 1);
+  auto next = Clock::now() + kCallerGap * caller / kCallers;
+  for (int i = 0; !has_ended; ++i) {
+    std::this_thread::sleep_until(next);
+    next += kCallerGap;
+    const std::string id =
+        "caller-" + std::to_string(caller) + "-" + std::to_string(i);
+    const std::size_t first = random() % kEntries;
+    const std::size_t second =
+        (first + 1 + random() % (kEntries - 1)) % kEntries;
+    Milliseconds retry_wait{0};
+    bool is_served = Ask(deployment.entry(first), id, retry_wait) == 200;
+    if (!is_served) {
+      std::this_thread::sleep_for(retry_wait);
+      is_served =
+          Ask(deployment.entry(second), id + "-again", retry_wait) == 200;
+    }
+    ++counts.owed;
+    counts.unserved += is_served ? 0 : 1;
   }
-  return "";
 }
 
-// A connection that is closed in order has been read: the kernel resets one
-// with unread bytes.
-void SendOne(KeptCaller& caller, Record& record) {
-  const bool is_sent = caller.stream.Send(
-      RequestText("POST", "/write/sign", caller.id, 2500, "on"));
-  const auto sent_at = Clock::now();
-  record.Line("caller sends " + caller.id);
-  const Received received = caller.stream.Read(sent_at + kGrace);
-  const auto waited =
-      std::chrono::duration_cast<Milliseconds>(Clock::now() - sent_at);
-  record.Line(caller.id + ": " + NameOf(received.end) + ", status " +
-              std::to_string(received.Status()) + ", after " +
-              std::to_string(waited.count()) + " ms");
-  caller.is_broken =
-      is_sent && received.end == ReadEnd::kClosed && waited > kLossSlack;
+void RecordServing(Deployment& deployment,
+                   const std::string& when,
+                   Record& record) {
+  std::string line = when + ", answers of the entry VMs:";
+  Milliseconds retry_wait{0};
+  for (std::size_t i = 0; i < kEntries; ++i)
+    line +=
+        " " + std::to_string(Ask(deployment.entry(i),
+                                 when + "-" + std::to_string(i), retry_wait));
+  record.Line(line);
 }
 
-// Asks for the large response and reads it slowly, but without a pause.
-void ReadSlowly(const Entry& entry, Record& record) {
-  Stream stream = Stream::Connect(entry.callers, kSlowReceiveBuffer);
-  stream.Send(
-      RequestText("GET", "/read/large", "slow-caller", kDeadlineMs, ""));
-  record.Line("slow caller sends its request");
-  const auto until = Clock::now() + Milliseconds(kDeadlineMs);
-  std::size_t bytes = 0;
-  ReadEnd end = ReadEnd::kBytes;
-  while (end == ReadEnd::kBytes && bytes < kLargeBytes) {
-    const auto [next, count] = stream.Drop(kSlowBytes, until);
-    end = next;
-    bytes += count;
-    std::this_thread::sleep_for(kSlowPause);
+void SetAway(Deployment& deployment, std::size_t except, bool is_away) {
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    if (i != except)
+      deployment.store().SetAway(i, is_away);
   }
-  record.Line("slow caller has read " + std::to_string(bytes) + " bytes, " +
-              NameOf(end));
+}
+
+// The entries lapse while the store is away, and the next heartbeats of the
+// servers write them again.
+void LoseStore(Deployment& deployment, bool has_trouble, Record& record) {
+  const std::size_t reader = deployment.store().WaitForAnswer("servers");
+  std::this_thread::sleep_for(kAwayAfterAnswer);
+  const auto away_at = Clock::now();
+  if (!has_trouble)
+    return;
+  SetAway(deployment, kEntries, true);
+  record.Line("the store is away");
+  std::this_thread::sleep_until(away_at + kLapseTime);
+  for (int i = 0; i < kServers; ++i)
+    deployment.store().Remove("servers", "i-0000000" + std::to_string(i));
+  record.Line("the entries of the servers have lapsed");
+  std::this_thread::sleep_until(away_at + kAwayTime);
+  deployment.store().SetAway(reader, false);
+  record.Line("the store is back for " + deployment.entry(reader).name);
+  std::this_thread::sleep_until(away_at + kAwayTimeOfOthers);
+  SetAway(deployment, kEntries, false);
+  record.Line("the store is back for all");
+  std::this_thread::sleep_until(away_at + kAwayTime + kBackTime);
+  deployment.PutServers();
+  record.Line("the entries of the servers are back");
 }
 
 [[noreturn]] void Run(const std::string& folder, bool has_trouble) {
   Record record(Variable("RECORD", folder + "/record.txt"));
-  Deployment deployment({.folder = folder, .large_bytes = kLargeBytes}, record);
+  Deployment deployment(
+      {.folder = folder, .entries = kEntries, .servers = kServers}, record);
   if (!deployment.WaitUntilReady()) {
     record.Line("the entry VMs are not ready");
     deployment.Finish(2);
   }
-  Entry& stopped = deployment.entry(0);
-  record.Line("lookup: " + LookUp(stopped));
-  std::vector<KeptCaller> callers(kKeptConnections);
-  for (std::size_t i = 0; i < callers.size(); ++i) {
-    KeptCaller& caller = callers[i];
-    caller.stream = Stream::Connect(stopped.callers);
-    const std::string id = "first-" + std::to_string(i);
-    caller.id = "second-" + std::to_string(i);
-    caller.stream.Send(RequestText("POST", "/write/sign", id, 2500, "on"));
-    const Received received =
-        caller.stream.Read(Clock::now() + Milliseconds(2500));
-    if (received.Status() != 200) {
-      record.Line(id + " got no 200: the case can't run");
-      deployment.Finish(2);
-    }
-  }
-  if (has_trouble)
-    deployment.Signal(stopped, SIGTERM);
-  const auto stopped_at = Clock::now();
-  std::this_thread::sleep_until(stopped_at + kSlowStart);
-  std::thread slow([&] { ReadSlowly(stopped, record); });
-  std::vector<std::thread> threads;
-  for (std::size_t i = 0; i < callers.size(); ++i) {
-    std::this_thread::sleep_until(stopped_at + kFirstRequest +
-                                  kRequestGap * static_cast<int>(i));
-    threads.emplace_back([&, i] { SendOne(callers[i], record); });
-  }
-  for (std::thread& thread : threads)
-    thread.join();
-  slow.join();
-  const auto broken = std::ranges::count_if(callers, &KeptCaller::is_broken);
-  record.Line("requests that were read and got no answer: " +
-              std::to_string(broken));
-  deployment.Finish(broken > 0 ? 1 : 0);
+  std::this_thread::sleep_for(kCalmTime);
+  RecordServing(deployment, "before", record);
+  Counts counts;
+  std::atomic<bool> has_ended = false;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i)
+    callers.emplace_back(AskOften, std::ref(deployment), i,
+                         std::cref(has_ended), std::ref(counts));
+  std::this_thread::sleep_for(kCalmTime);
+  LoseStore(deployment, has_trouble, record);
+  std::this_thread::sleep_for(kTimeAfter / 2);
+  RecordServing(deployment, "later", record);
+  std::this_thread::sleep_for(kTimeAfter / 2);
+  has_ended = true;
+  for (std::thread& caller : callers)
+    caller.join();
+  RecordServing(deployment, "end", record);
+  const int percent = 100 * counts.unserved / std::max(1, counts.owed.load());
+  record.Line("requests " + std::to_string(counts.owed) +
+              ", refused or failed " + std::to_string(counts.unserved) + ", " +
+              std::to_string(percent) + " in 100, allowed " +
+              std::to_string(kMaxUnserved));
+  deployment.Finish(percent > kMaxUnserved ? 1 : 0);
 }
 
 }  // namespace
--- a/review/stand_ins-2/deployment.h
+++ b/review/stand_ins-2/deployment.h
@@ -34,14 +34,22 @@
 };
 
 // The platform's store: rows of tables, full reads and the feed of changes.
+// Each machine has an address of its own, so that the store can turn away some.
 class Store {
  public:
-  Store();
-  const Address& address() const { return host_->address(); }
+  explicit Store(std::size_t machines);
+  const Address& address(std::size_t machine) const {
+    return hosts_[machine]->address();
+  }
   void Put(const std::string& table,
            const std::string& key,
            const std::string& value);
   void Remove(const std::string& table, const std::string& key);
+  // While the store is away for a machine, it answers it with 503.
+  void SetAway(std::size_t machine, bool is_away);
+  // Returns the machine that gets the next answer to a call for the changes of
+  // the table.
+  std::size_t WaitForAnswer(const std::string& table);
 
  private:
   struct Row {
@@ -50,7 +58,7 @@
     bool removed = false;
   };
 
-  std::string Handle(const Message& request);
+  std::string Handle(std::size_t machine, const Message& request);
   // Rows that changed after the version; with `all`, those that exist.
   std::string RowsAfter(const std::string& table,
                         std::uint64_t after,
@@ -60,7 +68,10 @@
   std::condition_variable changed_;
   std::map<std::string, std::map<std::string, Row>> tables_;
   std::uint64_t version_ = 1;
-  std::unique_ptr<Host> host_;
+  std::vector<bool> is_away_;  // By machine.
+  // The machines of all answers of the feed so far, by table.
+  std::map<std::string, std::vector<std::size_t>> answered_;
+  std::vector<std::unique_ptr<Host>> hosts_;  // By machine.
 };
 
 // A backend server that runs each request at once and echoes its id. The
@@ -115,6 +126,8 @@
   bool WaitUntilReady();
   Entry& entry(std::size_t index) { return entries_[index]; }
   Store& store() { return store_; }
+  // Writes the entries of the servers once more, as a heartbeat does.
+  void PutServers();
   // Ends the entry VMs and this process, whose threads may still serve
   // connections.
   [[noreturn]] void Finish(int result);
--- a/review/stand_ins-2/net.cc
+++ b/review/stand_ins-2/net.cc
@@ -114,7 +114,7 @@
 
 Address FreeAddress(const std::string& ip) {
   const int fd = Listen({.ip = ip, .port = 0});
-  const Address address{.ip = ip, .port = PortOf(fd)};
+  Address address{.ip = ip, .port = PortOf(fd)};
   close(fd);
   return address;
 }
