--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -203,6 +203,21 @@
   TableVersion known_version;
 };
 
+// What became of removals that the grace period concerns.
+enum class DeferralOutcome : std::uint8_t {
+  kDeferred,   // They will be published when the grace period ends.
+  kReturned,   // Their rows were written again, and stay published.
+  kPublished,  // The grace period has ended.
+};
+
+// Removals were deferred, or deferred removals ended in one of two ways.
+struct DeferralChanged {
+  DeferralOutcome outcome{};
+  std::size_t rows = 0;
+  std::string key;  // Of the last of the rows, as an example.
+  TableVersion version;
+};
+
 // The store became unreachable or reachable.
 struct StoreReachabilityChanged {
   bool reachable = true;
@@ -226,6 +241,7 @@
                                  RestoredTableRead,
                                  RestoredTableSettled,
                                  OldRowsIgnored,
+                                 DeferralChanged,
                                  StoreReachabilityChanged,
                                  SourceSelected,
                                  TableWake>;
@@ -325,6 +341,16 @@
       });
 };
 
+template <>
+struct EnumNames<discovery::DeferralOutcome> {
+  static constexpr auto kTable =
+      std::to_array<EnumName<discovery::DeferralOutcome>>({
+          {discovery::DeferralOutcome::kDeferred, "deferred"},
+          {discovery::DeferralOutcome::kReturned, "returned"},
+          {discovery::DeferralOutcome::kPublished, "published"},
+      });
+};
+
 template <>
 struct EnumNames<discovery::TablePhase> {
   static constexpr auto kTable =
--- a/Libraries/LibDiscovery/table_rows.cc
+++ b/Libraries/LibDiscovery/table_rows.cc
@@ -24,6 +24,14 @@
   ignored.known_version = known_version;
 }
 
+void RecordDeferral(const std::string& key,
+                    TableVersion version,
+                    DeferralChanged& change) {
+  ++change.rows;
+  change.key = key;
+  change.version = version;
+}
+
 void Publish(TableState& state,
              const TableRow& row,
              std::vector<TableRow>& changed) {
@@ -102,8 +110,10 @@
   if (!row.removed) {
     const auto deferred = state.deferred_removals.find(row.key);
     if (deferred != state.deferred_removals.end() &&
-        deferred->second < row.version)
+        deferred->second < row.version) {
       state.deferred_removals.erase(deferred);
+      RecordDeferral(row.key, row.version, effects.returned);
+    }
     if (known == nullptr || *known < row.version)
       Publish(state, row, effects.changed);
     return;
@@ -111,10 +121,12 @@
   // A removal of an unknown row is published too: a follower may have the row
   // from another source.
   const bool is_published = state.published_versions.contains(row.key);
-  if (is_published && now < state.removals_deferred_until)
+  if (is_published && now < state.removals_deferred_until) {
     state.deferred_removals[row.key] = row.version;
-  else if (is_published || known == nullptr || *known < row.version)
+    RecordDeferral(row.key, row.version, effects.deferred);
+  } else if (is_published || known == nullptr || *known < row.version) {
     PublishRemoval(state, row, now, effects.changed);
+  }
 }
 
 void ApplyFullRead(TableState& state, TimePoint now, ResponseEffects& effects) {
@@ -148,6 +160,10 @@
         RowsChanged{std::move(effects.changed), is_first_read});
   if (effects.ignored.count > 0)
     actions.emplace_back(std::move(effects.ignored));
+  for (DeferralChanged* change : {&effects.deferred, &effects.returned}) {
+    if (change->rows > 0)
+      actions.emplace_back(std::move(*change));
+  }
 }
 
 bool IsSettled(const TableState& state) {
@@ -158,11 +174,14 @@
                             TimePoint now,
                             TableActions& actions) {
   RowsChanged changed;
+  DeferralChanged published{.outcome = DeferralOutcome::kPublished};
   if (now >= state.removals_deferred_until) {
     for (const auto& [key, version] :
-         std::exchange(state.deferred_removals, {}))
+         std::exchange(state.deferred_removals, {})) {
+      RecordDeferral(key, version, published);
       PublishRemoval(state, {.key = key, .version = version, .removed = true},
                      now, changed.rows);
+    }
   }
   if (now >= state.rows_held_until) {
     for (const auto& [key, row] : std::exchange(state.held_rows, {}))
@@ -170,5 +189,8 @@
   }
   if (!changed.rows.empty())
     actions.emplace_back(std::move(changed));
+  if (published.rows > 0)
+    actions.emplace_back(std::move(published));
 }
+
 }  // namespace cicadadrum::discovery
--- a/Libraries/LibDiscovery/table_rows.h
+++ b/Libraries/LibDiscovery/table_rows.h
@@ -14,6 +14,8 @@
 struct ResponseEffects {
   std::vector<TableRow> changed;
   OldRowsIgnored ignored;
+  DeferralChanged deferred{.outcome = DeferralOutcome::kDeferred};
+  DeferralChanged returned{.outcome = DeferralOutcome::kReturned};
 };
 
 // Drops all but the last change of each row, because a response may contain
