LibDiscovery: Pass on rows that return after their removal

Cause: a relay passes on only rows that change something for itself. One that had deferred the removals saw the rows come back unchanged, passed nothing on, and confirmed a version that includes them. A follower that had read and deferred the removals itself takes that version as complete and publishes the removals at the end of the grace period. A heartbeat changes nothing either, so no row followed. Without an outage the same happens if a relay reads a removal and the next row in one response, and a follower has read the removal alone. Change: a table states with its changed rows which keys must be passed on whatever they change here: rows that follow a removal that was deferred or stood in the same response, and rows from a peer, so that a follower that becomes the relay has them too. Why it works: what a follower may have received elsewhere and the relay not published is exactly a removal that a row of the relay ended. SelectRowsToRelay combines this with what the platform finds changed; the simulation of entry VMs in the tests now passes on as the platform does, with heartbeats that change nothing.

--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -4,6 +4,11 @@
 // The relay numbers changes itself: the store's versions give no order, because
 // a removal that was deferred for a while has a version below those of the
 // changes that were passed on before it.
+//
+// A row that was written again without a change is not passed on, as long as
+// every other entry VM has it. One that may have received its removal, from the
+// store or from another relay, has not: it takes the version that the relay
+// confirms for the statement that the row is still removed.
 
 #ifndef CICADADRUM_DISCOVERY_RELAY_H_
 #define CICADADRUM_DISCOVERY_RELAY_H_
@@ -11,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -124,6 +130,12 @@
   std::vector<WaitingRequest> waiting;
 };
 
+// Returns the changed rows that are passed on. `needed_keys` are the keys of
+// the rows whose new content other entry VMs need.
+std::vector<TableRow> SelectRowsToRelay(
+    const RowsChanged& changed,
+    const std::set<std::string>& needed_keys);
+
 // Returns the state of a relay without rows. `first_sequence` must not be 0 and
 // must be larger than every sequence that an earlier run of this entry VM used.
 RelayState MakeRelayState(std::uint64_t first_sequence);
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -24,6 +24,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -162,6 +163,10 @@
 struct RowsChanged {
   std::vector<TableRow> rows;
   bool is_first_read = false;  // This is the first full read of this process.
+  // Keys of rows that other entry VMs must receive even if they change nothing
+  // here: others may have received a removal before the row, from another
+  // source.
+  std::set<std::string> keys_to_relay;
 };
 
 // All changes of the table up to `age` ago are known.
--- a/Libraries/LibDiscovery/relay.cc
+++ b/Libraries/LibDiscovery/relay.cc
@@ -195,6 +195,18 @@
 
 }  // namespace
 
+std::vector<TableRow> SelectRowsToRelay(
+    const RowsChanged& changed,
+    const std::set<std::string>& needed_keys) {
+  std::vector<TableRow> rows;
+  for (const TableRow& row : changed.rows) {
+    if (needed_keys.contains(row.key) ||
+        changed.keys_to_relay.contains(row.key))
+      rows.push_back(row);
+  }
+  return rows;
+}
+
 RelayState MakeRelayState(std::uint64_t first_sequence) {
   return {.sequence = first_sequence, .discarded_sequence = first_sequence - 1};
 }
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -196,8 +196,12 @@
                   TimePoint now,
                   TableActions& actions) {
   ResponseEffects effects;
-  for (const TableRow& row : event.rows)
+  for (const TableRow& row : event.rows) {
     ApplyRow(state, row, now, effects);
+    // A peer passes on only rows that another entry VM may lack.
+    if (!state.call_peer.empty())
+      effects.keys_to_relay.insert(row.key);
+  }
   KeepLastChanges(effects.changed);
   // A peer that has read the table in a new era passes on its rows at once.
   if (event.version.era > state.version.era)
--- a/Libraries/LibDiscovery/table_rows.cc
+++ b/Libraries/LibDiscovery/table_rows.cc
@@ -108,16 +108,21 @@
   if (held != state.held_rows.end() && held->second.version < row.version)
     state.held_rows.erase(held);
   if (!row.removed) {
+    bool follows_removal = effects.removed_keys.contains(row.key);
     const auto deferred = state.deferred_removals.find(row.key);
     if (deferred != state.deferred_removals.end() &&
         deferred->second < row.version) {
       state.deferred_removals.erase(deferred);
       RecordDeferral(row.key, row.version, effects.returned);
+      follows_removal = true;
     }
-    if (known == nullptr || *known < row.version)
-      Publish(state, row, effects.changed);
-    return;
+    if (known != nullptr && *known == row.version)
+      return;
+    if (follows_removal)
+      effects.keys_to_relay.insert(row.key);
+    return Publish(state, row, effects.changed);
   }
+  effects.removed_keys.insert(row.key);
   // A removal of an unknown row is published too: a follower may have the row
   // from another source.
   const bool is_published = state.published_versions.contains(row.key);
@@ -156,8 +161,8 @@
                     bool is_first_read,
                     TableActions& actions) {
   if (!effects.changed.empty() || is_first_read)
-    actions.emplace_back(
-        RowsChanged{std::move(effects.changed), is_first_read});
+    actions.emplace_back(RowsChanged{std::move(effects.changed), is_first_read,
+                                     std::move(effects.keys_to_relay)});
   if (effects.ignored.count > 0)
     actions.emplace_back(std::move(effects.ignored));
   for (DeferralChanged* change : {&effects.deferred, &effects.returned}) {
--- a/Libraries/LibDiscovery/table_rows.h
+++ b/Libraries/LibDiscovery/table_rows.h
@@ -4,6 +4,8 @@
 #ifndef CICADADRUM_DISCOVERY_TABLE_ROWS_H_
 #define CICADADRUM_DISCOVERY_TABLE_ROWS_H_
 
+#include <set>
+#include <string>
 #include <vector>
 
 #include "cicadadrum/discovery/table.h"
@@ -13,6 +15,8 @@
 // The rows of a response that lead to actions.
 struct ResponseEffects {
   std::vector<TableRow> changed;
+  std::set<std::string> keys_to_relay;  // As in RowsChanged.
+  std::set<std::string> removed_keys;   // Removed earlier in the response.
   OldRowsIgnored ignored;
   DeferralChanged deferred{.outcome = DeferralOutcome::kDeferred};
   DeferralChanged returned{.outcome = DeferralOutcome::kReturned};
--- a/Tests/LibDiscovery/relay_world.cc
+++ b/Tests/LibDiscovery/relay_world.cc
@@ -14,8 +14,30 @@
 // Events that arrive at a frozen entry VM are retried after this time.
 constexpr Duration kFrozenRetry = Milliseconds(10);
 
+// Applies the rows and returns the keys of those with another content than the
+// local copy had.
+std::set<std::string> ApplyRows(const RowsChanged& changed,
+                                std::map<std::string, TableRow>& rows) {
+  std::set<std::string> needed_keys;
+  for (const TableRow& row : changed.rows) {
+    const auto known = rows.find(row.key);
+    if (row.removed || known == rows.end() || known->second.value != row.value)
+      needed_keys.insert(row.key);
+    rows[row.key] = row;
+  }
+  std::erase_if(rows, [](const auto& stored) { return stored.second.removed; });
+  return needed_keys;
+}
+
 }  // namespace
 
+std::set<std::string> RelayEntry::Keys() const {
+  std::set<std::string> keys;
+  for (const auto& [key, row] : rows)
+    keys.insert(key);
+  return keys;
+}
+
 RelayWorld::RelayWorld(const std::vector<std::string>& names,
                        const TableOptions& options) {
   std::vector<RelayCandidate> live;
@@ -49,6 +71,24 @@
   AnswerReadyFollows();
 }
 
+void RelayWorld::Repeat(const std::string& key) {
+  change_log_.push_back({.key = key,
+                         .value = std::to_string(last_puts_.at(key).number),
+                         .version = {era_, ++version_}});
+  AnswerReadyFollows();
+}
+
+std::set<std::string> RelayWorld::Keys() const {
+  std::set<std::string> keys;
+  for (const TableRow& row : change_log_) {
+    if (row.removed)
+      keys.erase(row.key);
+    else
+      keys.insert(row.key);
+  }
+  return keys;
+}
+
 void RelayWorld::Remove(const std::string& key) {
   change_log_.push_back(
       {.key = key, .version = {era_, ++version_}, .removed = true});
@@ -132,11 +172,8 @@
     if (const auto* wake = std::get_if<TableWake>(&action))
       entry.table_wake = wake->at;
     if (const auto* changed = std::get_if<RowsChanged>(&action)) {
-      update.rows = changed->rows;
-      for (const TableRow& row : changed->rows)
-        entry.rows[row.key] = row;
-      std::erase_if(entry.rows,
-                    [](const auto& stored) { return stored.second.removed; });
+      update.rows =
+          SelectRowsToRelay(*changed, ApplyRows(*changed, entry.rows));
     }
   }
   update.version = entry.table.complete_version;
--- a/Tests/LibDiscovery/relay_world.h
+++ b/Tests/LibDiscovery/relay_world.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
   bool IsVersionApplied(const std::string& key, std::uint64_t version) const {
     return rows.contains(key) && rows.at(key).version.number == version;
   }
+  std::set<std::string> Keys() const;
 };
 
 class RelayWorld {
@@ -42,8 +44,13 @@
   RelayWorld(const std::vector<std::string>& names,
              const TableOptions& options);
 
+  // Writes the row with a new value.
   void Put(const std::string& key);
+  // Writes the row with its last value, as a heartbeat does.
+  void Repeat(const std::string& key);
   void Remove(const std::string& key);
+  // Returns the keys of the rows that the store has.
+  std::set<std::string> Keys() const;
   std::uint64_t version() const { return version_; }
   // Returns the store to the state at an earlier version, in a new era.
   void Restore(std::uint64_t version);
--- /dev/null
+++ b/Tests/LibDiscovery/test_returning_rows.cc
@@ -0,0 +1,107 @@
+// Tests of rows that are written again after their removal, while entry VMs
+// change between the store and a relay.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "relay_world.h"
+
+namespace cicadadrum::discovery {
+
+namespace {
+
+const std::vector<std::string> kNames = {"north-1", "north-2", "north-3",
+                                         "south-1", "south-2"};
+const std::vector<std::string> kServers = {"a", "b", "c", "d"};
+
+// All entry VMs have the rows of the store after this time without faults: a
+// timeout, a back-off of a peer, and the grace period.
+constexpr Duration kSettlingTime = Seconds(10);
+
+TableOptions MakeOptions() {
+  return {.table = "servers",
+          .period = Milliseconds(800),
+          .wait = Milliseconds(400),
+          .peer_wait = Milliseconds(300),
+          .max_age = Milliseconds(1300)};
+}
+
+void PutServers(RelayWorld& world) {
+  for (const std::string& server : kServers)
+    world.Put(server);
+}
+
+void SetStoreUnreachable(RelayWorld& world, bool is_unreachable) {
+  for (const std::string& name : kNames)
+    world.entry(name).store_unreachable = is_unreachable;
+}
+
+void CheckKeys(RelayWorld& world) {
+  for (const std::string& name : kNames) {
+    CAPTURE(name);
+    CHECK(world.entry(name).Keys() == world.Keys());
+  }
+}
+
+}  // namespace
+
+// Guards against entry VMs that lose all servers for good: they defer the
+// removals that they read from the store, and follow a relay that has seen the
+// rows come back and for which nothing has changed.
+TEST_CASE(
+    "rows that return after an outage are known to followers of a relay") {
+  for (int outage = 4000; outage <= 6500; outage += 100) {
+    for (int others_later = 0; others_later <= 600; others_later += 150) {
+      for (int returned_later = 200; returned_later <= 1800;
+           returned_later += 200) {
+        CAPTURE(outage);
+        CAPTURE(others_later);
+        CAPTURE(returned_later);
+        RelayWorld world(kNames, MakeOptions());
+        PutServers(world);
+        world.RunUntil(kRelayStart + Seconds(3));
+        SetStoreUnreachable(world, true);
+        world.RunUntil(world.now + Milliseconds(outage));
+        for (const std::string& server : kServers)
+          world.Remove(server);
+        world.entry(world.RelayOf("north")).store_unreachable = false;
+        world.RunUntil(world.now + Milliseconds(others_later));
+        SetStoreUnreachable(world, false);
+        world.RunUntil(world.now + Milliseconds(returned_later));
+        for (const std::string& server : kServers)
+          world.Repeat(server);
+        world.RunUntil(world.now + kSettlingTime);
+        CheckKeys(world);
+      }
+    }
+  }
+}
+
+// Guards against the same loss without an outage: a relay that was cut off from
+// the store reads the removal and the new row in one response, and a follower
+// has read the removal alone.
+TEST_CASE(
+    "a row that returns while the relay is cut off is known to followers") {
+  for (int cut = 1000; cut <= 4000; cut += 100) {
+    for (int away = 100; away <= 1000; away += 100) {
+      CAPTURE(cut);
+      CAPTURE(away);
+      RelayWorld world(kNames, MakeOptions());
+      PutServers(world);
+      world.RunUntil(kRelayStart + Seconds(3));
+      RelayEntry& relay = world.entry(world.RelayOf("north"));
+      relay.store_unreachable = true;
+      world.RunUntil(world.now + Milliseconds(cut));
+      world.Remove("a");
+      world.RunUntil(world.now + Milliseconds(away));
+      relay.store_unreachable = false;
+      world.Repeat("a");
+      world.RunUntil(world.now + kSettlingTime);
+      CheckKeys(world);
+    }
+  }
+}
+
+}  // namespace cicadadrum::discovery
