LibDiscovery: Let a full read from a peer end an earlier removal

An entry VM that can't reach the store and reads the full table of a relay after a restore of the store ignores rows whose removal it knows, and then follows the relay, for which nothing changes: the servers stay unknown for good. A relay holds a row with the version that it was passed on with, though the row has been written again since without a change, so the reader takes the removal for the newer of the two. Change: a row of a full read whose removal is older than the version of the read gets that version. Why it works: a full read states that the row stands at its version, and every removal before it is then obsolete.

--- a/Libraries/LibDiscovery/table_rows.cc
+++ b/Libraries/LibDiscovery/table_rows.cc
@@ -83,6 +83,29 @@
          removed->second.version.era < row.version.era;
 }
 
+// Returns the newest removal of the row that was published or is deferred, or
+// null.
+const TableVersion* FindRemoval(const TableState& state,
+                                const std::string& key) {
+  const auto deferred = state.deferred_removals.find(key);
+  if (deferred != state.deferred_removals.end())
+    return &deferred->second;
+  const auto removed = state.removed_rows.find(key);
+  return removed == state.removed_rows.end() ? nullptr
+                                             : &removed->second.version;
+}
+
+// Returns the row of a full read with a version above that of an earlier
+// removal. A peer does not know the row's last version if the row was written
+// again without a change.
+TableRow WithVersionOfRead(const TableState& state, TableRow row) {
+  const TableVersion* removal = FindRemoval(state, row.key);
+  if (removal != nullptr && row.version < *removal &&
+      *removal < state.full_read_version)
+    row.version = state.full_read_version;
+  return row;
+}
+
 }  // namespace
 
 void KeepLastChanges(std::vector<TableRow>& rows) {
@@ -142,7 +165,7 @@
     if (IsHeldBack(state, row))
       state.held_rows[row.key] = row;
     else
-      ApplyRow(state, row, now, effects);
+      ApplyRow(state, WithVersionOfRead(state, row), now, effects);
   }
   std::vector<std::string> absent;
   for (const auto& [key, version] : state.published_versions) {
--- a/Tests/LibDiscovery/relay_world.cc
+++ b/Tests/LibDiscovery/relay_world.cc
@@ -55,6 +55,13 @@
   }
 }
 
+std::vector<std::string> RelayWorld::Names() const {
+  std::vector<std::string> names;
+  for (const auto& [name, entry] : entries_)
+    names.push_back(name);
+  return names;
+}
+
 std::string RelayWorld::RelayOf(const std::string& region) const {
   for (const auto& [name, entry] : entries_) {
     if (entry.self.region == region && entry.table.sources[0].peer.empty())
--- a/Tests/LibDiscovery/relay_world.h
+++ b/Tests/LibDiscovery/relay_world.h
@@ -58,6 +58,7 @@
   void RunUntil(TimePoint end);
 
   RelayEntry& entry(const std::string& name) { return entries_.at(name); }
+  std::vector<std::string> Names() const;
   // Returns the name of the entry VM that reads the store for `region`.
   std::string RelayOf(const std::string& region) const;
 
--- a/Tests/LibDiscovery/test_returning_rows.cc
+++ b/Tests/LibDiscovery/test_returning_rows.cc
@@ -34,12 +34,12 @@
 }
 
 void SetStoreUnreachable(RelayWorld& world, bool is_unreachable) {
-  for (const std::string& name : kNames)
+  for (const std::string& name : world.Names())
     world.entry(name).store_unreachable = is_unreachable;
 }
 
 void CheckKeys(RelayWorld& world) {
-  for (const std::string& name : kNames) {
+  for (const std::string& name : world.Names()) {
     CAPTURE(name);
     CHECK(world.entry(name).Keys() == world.Keys());
   }
@@ -104,4 +104,27 @@
   }
 }
 
+// Guards against a removal of before a restore of the store that outlasts it: a
+// relay that has never seen the removal gives the row with the version of
+// before.
+TEST_CASE("a row of a relay's full table ends an earlier removal") {
+  for (int cut = 1000; cut <= 4000; cut += 100) {
+    CAPTURE(cut);
+    RelayWorld world({"north-1", "north-2", "north-3"}, MakeOptions());
+    PutServers(world);
+    world.RunUntil(kRelayStart + Seconds(3));
+    const std::uint64_t copy = world.version();
+    RelayEntry& relay = world.entry(world.RelayOf("north"));
+    relay.store_unreachable = true;
+    world.RunUntil(world.now + Milliseconds(cut));
+    world.Remove("a");
+    world.RunUntil(world.now + Seconds(1));
+    SetStoreUnreachable(world, true);
+    relay.store_unreachable = false;
+    world.Restore(copy);
+    world.RunUntil(world.now + kSettlingTime);
+    CheckKeys(world);
+  }
+}
+
 }  // namespace cicadadrum::discovery
