LibDiscovery, LibPeer: Pass on from where on a copy knows the history

An entry VM that has read a removal from the store follows a relay that doesn't know of it, and misses the row that was written again: it doesn't know the server until the server changes. Cause: a copy that was read in full does not know which rows were removed and written again before, and refuses followers that lag behind (history_begin). A follower that goes on from such a copy, because it has the relay's sequence, skips the same part of the history, but didn't take over the bound; once others follow it, it confirms versions to them that cover what it never had. Change: responses between entry VMs name the version from which on the sender knows the history (two fields of peer.capnp, 16 bytes; processes of earlier releases send none, and are treated as before), and whoever goes on from the response takes it over.

--- a/Generated/schemas/peer.capnp.h
+++ b/Generated/schemas/peer.capnp.h
@@ -482,7 +482,7 @@
   struct Rows;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9d272fb0f9de9cbd, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9d272fb0f9de9cbd, 8, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -497,7 +497,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(81b534d1cfd6de5b, 6, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(81b534d1cfd6de5b, 8, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3105,6 +3105,10 @@
 
   inline  ::int64_t getQueryAgeMicroseconds() const;
 
+  inline  ::uint64_t getHistoryBegin() const;
+
+  inline  ::uint64_t getHistoryBeginEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3152,6 +3156,12 @@
   inline  ::int64_t getQueryAgeMicroseconds();
   inline void setQueryAgeMicroseconds( ::int64_t value);
 
+  inline  ::uint64_t getHistoryBegin();
+  inline void setHistoryBegin( ::uint64_t value);
+
+  inline  ::uint64_t getHistoryBeginEra();
+  inline void setHistoryBeginEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7708,6 +7718,8 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   return typename RowsAnswer::Rows::Builder(_builder);
 }
@@ -7815,6 +7827,34 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1ll);
 }
 
+inline  ::uint64_t RowsAnswer::Rows::Reader::getHistoryBegin() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowsAnswer::Rows::Builder::getHistoryBegin() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void RowsAnswer::Rows::Builder::setHistoryBegin( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RowsAnswer::Rows::Reader::getHistoryBeginEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RowsAnswer::Rows::Builder::getHistoryBeginEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void RowsAnswer::Rows::Builder::setHistoryBeginEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldLease::Reader::getLease() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/relay.h
@@ -48,6 +48,7 @@
   // Time since the query was sent whose answer confirmed the rows, over all
   // relays; nothing if unknown.
   std::optional<Duration> query_age;
+  TableVersion history_begin;  // RelayState::history_begin.
 };
 
 // --- Events ---
@@ -120,6 +121,9 @@
   // unknown because the table was read in full.
   std::uint64_t discarded_sequence = 0;
   TableVersion discarded_version;
+  // TableState::history_begin. Requesters that continue from a response take it
+  // over, because they pass on no more of the history than this relay.
+  TableVersion history_begin;
   TableVersion version;     // The rows are complete up to it.
   TimePoint complete_at{};  // When the rows were last known to be complete.
   // When the last query was sent whose answer confirmed the rows. Rows of a new
--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -120,6 +120,7 @@
   Duration age{};
   // Set by peers only: as in RelayResponse.
   std::optional<Duration> query_age;
+  TableVersion history_begin;
   // Time from the call to this response, with the time for which the VM was
   // suspended.
   Duration delay{};
@@ -295,8 +296,8 @@
   std::map<std::string, RemovedRow> removed_rows;
   std::vector<TableRow> full_read_rows;  // Of the full read in progress.
   TableVersion full_read_version;
-  // Of the last full read. Rows that were added and removed before it are
-  // unknown.
+  // Of the last full read, here or at a peer that the rows came from. Rows that
+  // were added and removed, or removed and added, before it are unknown.
   TableVersion history_begin;
   std::uint64_t next_call = 1;
   std::uint64_t open_call = 0;  // 0 if none.
--- a/Libraries/LibDiscovery/relay.cc
+++ b/Libraries/LibDiscovery/relay.cc
@@ -88,6 +88,7 @@
   response.age = now - state.complete_at;
   if (state.queried_at)
     response.query_age = now - *state.queried_at;
+  response.history_begin = state.history_begin;
   return response;
 }
 
@@ -103,6 +104,7 @@
   if (!state.has_data)
     state.discarded_version = event.version;
   state.has_data = true;
+  state.history_begin = std::max(state.history_begin, event.history_begin);
   state.discarded_version =
       std::max(state.discarded_version, event.history_begin);
   state.version = std::max(state.version, event.version);
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -207,6 +207,7 @@
   if (event.version.era > state.version.era)
     state.settled_from = now + state.options.restored_row_hold;
   state.version = std::max(state.version, event.version);
+  state.history_begin = std::max(state.history_begin, event.history_begin);
   PublishEffects(std::move(effects), /*is_first_read=*/false, actions);
   actions.emplace_back(ConfirmationBy(state, event, now));
 }
--- a/Libraries/LibPeer/codec_rows.cc
+++ b/Libraries/LibPeer/codec_rows.cc
@@ -89,6 +89,8 @@
   rows.setAgeMicroseconds(DurationToWire(answer.age));
   if (answer.query_age)
     rows.setQueryAgeMicroseconds(DurationToWire(*answer.query_age));
+  rows.setHistoryBegin(answer.history_begin.number);
+  rows.setHistoryBeginEra(answer.history_begin.era);
 }
 
 std::optional<RelayResponse> ReadRelayResponse(
@@ -109,7 +111,9 @@
       .sequence = rows.getSequence(),
       .age = *age,
       // Nothing if an earlier release, which does not know the age, responds.
-      .query_age = DurationFromWire(rows.getQueryAgeMicroseconds())};
+      .query_age = DurationFromWire(rows.getQueryAgeMicroseconds()),
+      .history_begin = {.era = rows.getHistoryBeginEra(),
+                        .number = rows.getHistoryBegin()}};
   for (const auto reader : rows.getChanged()) {
     auto row = ReadRow(reader);
     if (!row)
--- a/Schemas/peer.capnp
+++ b/Schemas/peer.capnp
@@ -296,6 +296,9 @@
       sequence @3 :UInt64;
       ageMicroseconds @4 :Int64;  # Time since the rows were last known to be complete.
       queryAgeMicroseconds @6 :Int64 = -1;  # Time since the oldest query behind the rows was sent; -1 if unknown.
+      # The sender does not know which rows were removed and written again before this version.
+      historyBegin @7 :UInt64;
+      historyBeginEra @8 :UInt64;  # Era of `historyBegin`; 0 if unknown.
     }
   }
 }
--- a/Tests/LibDiscovery/relay_world.cc
+++ b/Tests/LibDiscovery/relay_world.cc
@@ -107,6 +107,7 @@
     return row.version.number > version;
   });
   version_ = version;
+  log_begin_ = std::min(log_begin_, version);
   ++era_;
   AnswerReadyFollows();
 }
@@ -276,7 +277,8 @@
                              .version = response.version,
                              .sequence = response.sequence,
                              .age = response.age,
-                             .query_age = response.query_age});
+                             .query_age = response.query_age,
+                             .history_begin = response.history_begin});
   };
   RunAfter(kOneWay, [this, peer, is_peer_call, request] {
     if (!entries_.at(peer).is_frozen)
@@ -287,7 +289,8 @@
 void RelayWorld::AnswerFollow(const OpenFollow& waiting) {
   if (entries_.at(waiting.entry).store_unreachable)
     return;
-  if (waiting.call.after.number > version_) {
+  if (waiting.call.after.number > version_ ||
+      waiting.call.after.number < log_begin_) {
     const TableFailed failed{waiting.call.call, TableFailure::kHistoryLost,
                              era_};
     return RunAfter(kOneWay, [this, entry = waiting.entry, failed] {
--- a/Tests/LibDiscovery/relay_world.h
+++ b/Tests/LibDiscovery/relay_world.h
@@ -52,6 +52,8 @@
   // Returns the keys of the rows that the store has.
   std::set<std::string> Keys() const;
   std::uint64_t version() const { return version_; }
+  // Lets the store forget its changes, but not its rows.
+  void TruncateChangeLog() { log_begin_ = version_; }
   // Returns the store to the state at an earlier version, in a new era.
   void Restore(std::uint64_t version);
   // Advances the simulation to `end` in steps of a millisecond.
@@ -101,6 +103,7 @@
   std::map<std::string, Change> last_puts_;  // By key.
   std::uint64_t puts_ = 0;
   std::uint64_t version_ = 0;
+  std::uint64_t log_begin_ = 0;  // Earlier changes can't be requested.
   std::uint64_t era_ = 1;
   std::uint64_t next_call_ = 1;
   // Handlers of responses, by call number at the relay.
--- a/Tests/LibDiscovery/test_returning_rows.cc
+++ b/Tests/LibDiscovery/test_returning_rows.cc
@@ -3,9 +3,12 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "cicadadrum/base/random.h"
 #include "relay_world.h"
 
 namespace cicadadrum::discovery {
@@ -24,6 +27,7 @@
   return {.table = "servers",
           .period = Milliseconds(800),
           .wait = Milliseconds(400),
+          .restored_row_hold = Seconds(5),
           .peer_wait = Milliseconds(300),
           .max_age = Milliseconds(1300)};
 }
@@ -127,4 +131,45 @@
   }
 }
 
+// Guards against a difference between entry VMs and the store that stays after
+// all faults, whichever source gave which of a removal and the row after it.
+TEST_CASE(
+    "after faults of any order all entry VMs have the rows of the store") {
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    CAPTURE(seed);
+    Random random{.state = seed};
+    RelayWorld world(kNames, MakeOptions());
+    PutServers(world);
+    world.RunUntil(kRelayStart + Seconds(3));
+    for (int i = 0; i < 60; ++i) {
+      world.RunUntil(world.now +
+                     Milliseconds(static_cast<int>(RandomBelow(random, 700))));
+      RelayEntry& entry = world.entry(kNames[RandomBelow(random, 5)]);
+      const std::string& server = kServers[RandomBelow(random, 4)];
+      const std::uint64_t action = RandomBelow(random, 21);
+      if (action < 6)
+        world.Repeat(server);
+      else if (action < 10)
+        world.Remove(server);
+      else if (action < 13)
+        entry.is_frozen = !entry.is_frozen;
+      else if (action < 16)
+        entry.store_unreachable = !entry.store_unreachable;
+      else if (action < 19) {
+        SetStoreUnreachable(world, RandomBelow(random, 2) == 0);
+      } else if (action < 20) {
+        world.TruncateChangeLog();
+      } else {
+        world.Restore(world.version() -
+                      std::min(world.version(), RandomBelow(random, 4)));
+      }
+    }
+    SetStoreUnreachable(world, false);
+    for (const std::string& name : kNames)
+      world.entry(name).is_frozen = false;
+    world.RunUntil(world.now + kSettlingTime);
+    CheckKeys(world);
+  }
+}
+
 }  // namespace cicadadrum::discovery
--- a/Tests/LibPeer/test_large_answers.cc
+++ b/Tests/LibPeer/test_large_answers.cc
@@ -38,7 +38,8 @@
   return {.rows = {{.key = "config", .value = body, .version = {0, 7}}},
           .version = {0, 7},
           .sequence = 3,
-          .query_age = Milliseconds(7)};
+          .query_age = Milliseconds(7),
+          .history_begin = {2, 5}};
 }
 
 // A server that answers every request for rows at once, and a client.
@@ -85,6 +86,7 @@
   REQUIRE(peers.results[0].value.rows.size() == 1);
   CHECK(peers.results[0].value.rows[0].value == peers.body);
   CHECK(peers.results[0].value.query_age == Milliseconds(7));
+  CHECK(peers.results[0].value.history_begin == discovery::TableVersion{2, 5});
   std::optional<PeerItem> item;
   peers.client->FetchItem(
       peers.address, "configuration", 7, SteadyNow() + Seconds(60),
