LibDiscovery: Pass on rows that are newer than their full read

Cause: a full read refuses followers that are behind its version, since it hides what happened before. Its rows may be newer than its version: a relay that defers removals confirms an earlier version, and rows change between the pages of a long read. A follower at the version of the read gets such a row only if it changed something for the relay. Change: rows of a full read above its version are passed on always. Result: "a row that is newer than the full read it came with is passed on" fails before and holds now; all tests of LibDiscovery hold.

--- a/Libraries/LibDiscovery/table_rows.cc
+++ b/Libraries/LibDiscovery/table_rows.cc
@@ -162,6 +162,9 @@
   state.held_rows.clear();
   for (const TableRow& row : state.full_read_rows) {
     present.insert(row.key);
+    // A follower may go on from the version of the read.
+    if (row.version > state.full_read_version)
+      effects.keys_to_relay.insert(row.key);
     if (IsHeldBack(state, row))
       state.held_rows[row.key] = row;
     else
--- a/Tests/LibDiscovery/test_returning_rows.cc
+++ b/Tests/LibDiscovery/test_returning_rows.cc
@@ -131,6 +131,35 @@
   }
 }
 
+// Guards against followers that miss a row which changed while the table was
+// read in full: they may go on from the version of the read, and know a removal
+// from another source.
+TEST_CASE("a row that is newer than the full read it came with is passed on") {
+  TableState table = MakeTableState(MakeOptions(), 1);
+  TableActions actions;
+  const auto step = [&](const TableEvent& event) {
+    actions.clear();
+    StepTable(table, event, kRelayStart, actions);
+  };
+  step(TableTimerExpired{});
+  step(TableAnswered{.call = table.open_call,
+                     .rows = {{.key = "a", .version = {1, 2}}},
+                     .version = {1, 4}});
+  table.next_call_at = kRelayStart;
+  step(TableTimerExpired{});
+  step(TableFailed{.call = table.open_call,
+                   .failure = TableFailure::kHistoryLost,
+                   .era = 1});
+  step(TableAnswered{.call = table.open_call,
+                     .rows = {{.key = "a", .version = {1, 9}}},
+                     .version = {1, 7}});
+  const auto changed = std::ranges::find_if(actions, [](const auto& action) {
+    return std::holds_alternative<RowsChanged>(action);
+  });
+  REQUIRE(changed != actions.end());
+  CHECK(std::get<RowsChanged>(*changed).keys_to_relay.contains("a"));
+}
+
 // Guards against a difference between entry VMs and the store that stays after
 // all faults, whichever source gave which of a removal and the row after it.
 TEST_CASE(
