LibLoop, platform: Compare names of fields in one place

Change: both are declared beside FindField in http_message.h. A transfer coding is compared with its whole length, not up to a NUL byte, which field values can't hold anyway.

--- a/Libraries/LibLoop/http_fields.cc
+++ b/Libraries/LibLoop/http_fields.cc
@@ -1,4 +1,5 @@
-// Conversion between HttpFields and the key-value lists of evhttp.
+// Comparison of fields, and conversion between HttpFields and the key-value
+// lists of evhttp.
 
 #include "http_fields.h"
 
@@ -11,10 +12,21 @@
 
 namespace cicadadrum {
 
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string_view WithoutBlanks(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t begin = text.find_first_not_of(kBlanks);
+  if (begin == std::string_view::npos)
+    return {};
+  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
+}
+
 std::string_view FindField(const HttpFields& fields, std::string_view name) {
   for (const auto& [field_name, value] : fields) {
-    if (field_name.size() == name.size() &&
-        strncasecmp(field_name.data(), name.data(), name.size()) == 0)
+    if (EqualsIgnoringCase(field_name, name))
       return value;
   }
   return {};
--- a/Libraries/LibLoop/http_parser_state.cc
+++ b/Libraries/LibLoop/http_parser_state.cc
@@ -2,8 +2,6 @@
 
 #include "http_parser_state.h"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -68,19 +66,6 @@
          (parser->flags & F_CHUNKED) == 0;
 }
 
-bool HasName(const HttpFields::value_type& field, std::string_view name) {
-  return field.first.size() == name.size() &&
-         strncasecmp(field.first.data(), name.data(), name.size()) == 0;
-}
-
-std::string_view WithoutBlanks(std::string_view text) {
-  constexpr std::string_view kBlanks = " \t";
-  const std::size_t begin = text.find_first_not_of(kBlanks);
-  if (begin == std::string_view::npos)
-    return {};
-  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
-}
-
 // Whether a length that the head states is one number.
 bool IsLength(std::string_view text) {
   return !text.empty() && std::ranges::all_of(text, [](char byte) {
@@ -94,15 +79,15 @@
 bool HasOneFraming(const ResponseParser& state) {
   std::size_t count = 0;
   for (const auto& field : state.response.headers) {
-    const bool length = HasName(field, "Content-Length");
-    const bool coding = HasName(field, "Transfer-Encoding");
+    const bool length = EqualsIgnoringCase(field.first, "Content-Length");
+    const bool coding = EqualsIgnoringCase(field.first, "Transfer-Encoding");
     if (!length && !coding)
       continue;
     const std::string_view value = WithoutBlanks(field.second);
     if (++count > 1 || (length && !IsLength(value)))
       return false;
-    if (coding && (strcasecmp(std::string(value).c_str(), "chunked") != 0 ||
-                   state.parser.http_minor == 0))
+    if (coding &&
+        (!EqualsIgnoringCase(value, "chunked") || state.parser.http_minor == 0))
       return false;
   }
   return true;
--- a/Libraries/LibLoop/http_request_head.cc
+++ b/Libraries/LibLoop/http_request_head.cc
@@ -4,7 +4,6 @@
 
 #include <event2/http.h>
 #include <http_parser.h>
-#include <strings.h>
 
 #include <algorithm>
 #include <array>
@@ -27,17 +26,6 @@
     {HTTP_DELETE, HttpMethod::kDelete},
 });
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
-std::string_view WithoutBlanks(std::string_view text) {
-  const std::size_t begin = text.find_first_not_of(" \t");
-  if (begin == std::string_view::npos)
-    return {};
-  return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
-}
-
 bool IsControlByte(char byte) {
   return static_cast<unsigned char>(byte) < ' ' || byte == '\x7f';
 }
--- a/Libraries/LibLoop/http_server_writing.cc
+++ b/Libraries/LibLoop/http_server_writing.cc
@@ -2,7 +2,6 @@
 
 #include <event2/event.h>
 #include <http_parser.h>
-#include <strings.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -31,10 +30,6 @@
 constexpr auto kOwnFields = std::to_array<std::string_view>(
     {"Connection", "Content-Length", "Transfer-Encoding"});
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool IsOwnField(std::string_view name) {
   return std::ranges::any_of(kOwnFields, [name](std::string_view own) {
     return EqualsIgnoringCase(own, name);
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
@@ -33,6 +33,12 @@
 
 using HttpFields = std::vector<std::pair<std::string, std::string>>;
 
+// Compares names of fields and other case-insensitive tokens.
+bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+
+// Returns the text without the blanks and tabs at both of its ends.
+std::string_view WithoutBlanks(std::string_view text);
+
 // Returns the value of the first field whose name equals `name`, ignoring case,
 // or an empty view if there is none. The view refers to `fields`.
 std::string_view FindField(const HttpFields& fields, std::string_view name);
