LibDiscovery: Refuse a peer that lacks rows which were received

Cause: a relay passes rows on at once, but confirms an earlier version while it defers removals or holds rows back. A follower then has rows above its version, and goes on from another relay at a version between: that relay has never had the row and passes no removal of it on. Change: a peer is behind if its version is below the newest row that was received, unless it continues its own sequence. It is left for the next source for the back-off of a peer, as before with a version below the local one.

--- a/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
+++ b/Libraries/LibDiscovery/include/cicadadrum/discovery/table.h
@@ -286,6 +286,9 @@
   // the store loses changes. 0 stands for an unknown era.
   std::uint64_t era = 0;
   TableVersion version;  // All changes up to it have been received.
+  // Of the rows that were received. Above `version` if a peer passed rows on
+  // while it deferred removals or held rows.
+  TableVersion newest_row_version;
   // The published rows are complete up to this version. The version does not
   // advance while removals are deferred or rows are held, because a reader that
   // continues from it receives no older changes.
--- a/Libraries/LibDiscovery/table.cc
+++ b/Libraries/LibDiscovery/table.cc
@@ -55,6 +55,12 @@
                            });
 }
 
+// Whether the called peer's changes lead from its last response to the next.
+bool HasPeerSequence(const TableState& state) {
+  return state.phase == TablePhase::kFollowing && !state.call_peer.empty() &&
+         state.sequence_peer == state.call_peer;
+}
+
 // Calls the selected source, or schedules the call for the end of the source's
 // back-off.
 void StartCall(TableState& state, TimePoint now, TableActions& actions) {
@@ -88,15 +94,13 @@
                                    .timeout = timeout});
     return;
   }
-  const bool has_peer_sequence =
-      is_peer_call && state.sequence_peer == source.peer;
   const Duration wait = is_peer_call ? options.peer_wait : options.wait;
   state.call_wait = wait;
   actions.emplace_back(
       FollowTable{.call = state.open_call,
                   .peer = source.peer,
                   .after = state.version,
-                  .sequence = has_peer_sequence ? state.sequence : 0,
+                  .sequence = HasPeerSequence(state) ? state.sequence : 0,
                   .wait = wait,
                   .timeout = wait + timeout});
 }
@@ -124,9 +128,7 @@
 // new era does so only if the peer has sent this entry VM all of its changes.
 bool ContinuesFromKnownVersion(const TableState& state,
                                const TableVersion& version) {
-  const bool has_peer_sequence =
-      !state.call_peer.empty() && state.sequence_peer == state.call_peer;
-  return has_peer_sequence || version.era <= state.version.era;
+  return HasPeerSequence(state) || version.era <= state.version.era;
 }
 
 // Applies the full read and sets the times until which its removals are
@@ -287,7 +289,9 @@
     return true;
   // A peer that names no era may have rows of an earlier one.
   const bool is_behind =
-      event.version < state.version || (!names_era && state.era != 0);
+      event.version < state.version ||
+      (!HasPeerSequence(state) && event.version < state.newest_row_version) ||
+      (!names_era && state.era != 0);
   if (is_behind || IsOld(state, event)) {
     if (TableSource* source = FindSource(state, state.call_peer))
       source->backoff_until = now + state.options.peer_backoff;
--- a/Libraries/LibDiscovery/table_rows.cc
+++ b/Libraries/LibDiscovery/table_rows.cc
@@ -123,6 +123,7 @@
               const TableRow& row,
               TimePoint now,
               ResponseEffects& effects) {
+  state.newest_row_version = std::max(state.newest_row_version, row.version);
   const TableVersion* known = FindKnownVersion(state, row.key);
   // The response of another source may contain an older version.
   if (known != nullptr && row.version < *known)
--- a/Tests/LibDiscovery/test_returning_rows.cc
+++ b/Tests/LibDiscovery/test_returning_rows.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cicadadrum/base/random.h"
@@ -160,6 +161,41 @@
   CHECK(std::get<RowsChanged>(*changed).keys_to_relay.contains("a"));
 }
 
+// Guards against a server that is used for good after its removal: a follower
+// that received its row from a relay which held others back, and then goes on
+// from a relay that has never had the row, would get no removal.
+TEST_CASE("a peer that lacks rows which another peer passed on is refused") {
+  TableState table = MakeTableState(MakeOptions(), 1);
+  TableActions actions;
+  const auto step = [&](const TableEvent& event) {
+    actions.clear();
+    StepTable(table, event, kRelayStart, actions);
+  };
+  const auto answer = [&](std::uint64_t version, std::vector<TableRow> rows) {
+    table.next_call_at = kRelayStart;
+    step(TableTimerExpired{});
+    step(TableAnswered{.call = table.open_call,
+                       .rows = std::move(rows),
+                       .version = {1, version},
+                       .sequence = 3});
+    return table.version;
+  };
+  const auto is_confirmed = [&] {
+    return std::ranges::any_of(actions, [](const auto& action) {
+      return std::holds_alternative<TableConfirmed>(action);
+    });
+  };
+  answer(4, {});
+  step(SourcesChanged{.before_store = {"first"}});
+  answer(5, {{.key = "a", .version = {1, 9}}});
+  CHECK(is_confirmed());
+  answer(5, {});
+  CHECK(is_confirmed());
+  step(SourcesChanged{.before_store = {"second"}});
+  CHECK(answer(7, {}) == TableVersion{1, 5});
+  CHECK_FALSE(is_confirmed());
+}
+
 // Guards against a difference between entry VMs and the store that stays after
 // all faults, whichever source gave which of a removal and the row after it.
 TEST_CASE(
