platform, LibLoop: Log how long a request waited for a check

Cause: the log of an attempt has its duration, but not when its request was written. A repeat that reaches its server 0.5 s late (BUDGET on the large deployment) could have waited before the write, for a new connection and its check, or after it. Change: HttpClient reports the write of a request that had to wait. No decision changes.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -212,7 +212,10 @@
     call.check_timer.reset();
     const HttpRequest request =
         *std::exchange(call.request_after_check, std::nullopt);
-    return SendRequest(call, request);
+    SendRequest(call, request);
+    if (call.on_write)
+      call.on_write();
+    return;
   }
   if (call.checks >= kMaxChecksPerCall)
     return Complete(connection, HttpOutcome::kNotConnected);
@@ -355,7 +358,8 @@
                                const HttpRequest& request,
                                TimePoint deadline,
                                Callback callback,
-                               std::optional<ConnectionCheck> check) {
+                               std::optional<ConnectionCheck> check,
+                               WriteHandler on_write) {
   const std::uint64_t id = impl_->next_id++;
   ++impl_->counters.requests;
   Impl::Call& call = impl_->calls[id];
@@ -365,6 +369,7 @@
   call.deadline = deadline;
   call.head_request = request.method == HttpMethod::kHead;
   call.check = std::move(check);
+  call.on_write = std::move(on_write);
   if (!impl_->options.echoed_header.empty())
     call.echo = FindField(request.headers, impl_->options.echoed_header);
   Impl::AddressConnections& address_connections =
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -70,6 +70,7 @@
     bool head_request = false;
     Connection* connection = nullptr;
     Callback callback;
+    WriteHandler on_write;
     std::unique_ptr<Timer> timer;
     TimePoint deadline;            // Without extensions.
     std::uint32_t extensions = 0;  // Of the deadline, so far.
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -131,6 +131,7 @@
  public:
   using Callback =
       std::function<void(HttpOutcome outcome, HttpResponse response)>;
+  using WriteHandler = std::function<void()>;
 
   HttpClient(EventLoop& loop, const HttpClientOptions& options);
   ~HttpClient();
@@ -146,11 +147,15 @@
   // check or is old enough. A check that gets no response has the outcome
   // kCheckTimedOut if ConnectionCheck::max_wait is longer than the connect
   // timeout and the connection is open at its end, and kNotConnected otherwise.
+  //
+  // `on_write`, if set, is called when a request that had to wait for the check
+  // has been written.
   std::uint64_t Send(const std::string& address,
                      const HttpRequest& request,
                      TimePoint deadline,
                      Callback callback,
-                     std::optional<ConnectionCheck> check = std::nullopt);
+                     std::optional<ConnectionCheck> check = std::nullopt,
+                     WriteHandler on_write = nullptr);
 
   // Closes the connection of the request `id` and discards the callback of the
   // request. An unknown id is ignored.
--- a/Tests/Platform/test_front_log.cc
+++ b/Tests/Platform/test_front_log.cc
@@ -101,6 +101,19 @@
         "caller-left");
 }
 
+// Guards against logs that don't tell a slow server from a slow check before
+// the request was sent.
+TEST_CASE("an attempt that waited for a check is logged with its delay") {
+  LoggedDeployment entry;
+  CHECK(entry.SendRequest(Request("/read/a", "checked")).status == 200);
+  const LogRecord checked = entry.AttemptOf("checked");
+  REQUIRE(checked.fields.contains("write_delay_ms"));
+  CHECK(std::stod(checked.fields.at("write_delay_ms")) <=
+        std::stod(checked.fields.at("took_ms")));
+  CHECK(entry.SendRequest(Request("/read/a", "at-once")).status == 200);
+  CHECK_FALSE(entry.AttemptOf("at-once").fields.contains("write_delay_ms"));
+}
+
 // Guards against an update of many servers that takes the budget of all other
 // changes.
 TEST_CASE("the lines on one update of the servers are bounded and summed up") {
