LibRouting, LibLoop, platform: Decide again when a waiting request can be sent

Cause: the time for the server was computed when the server was chosen, and written after the new connection and its check. The class is a value taken at one moment and used at a later one. What is slow after the write was ruled out: the late arrivals of the trace are explained by the wait before it. Change: when a request that had to wait can be written, HttpClient asks for the request as it is to be written then. The core decides by the event ConnectionReady: it confirms the attempt with the time that is left, or withholds it if since the choice the server was removed, restarted, leaves, has a pause, is cold without a share, is limited or evacuated, if the route, the key or the home regions have changed, or if the time is over. A withheld attempt is no use of the retry budget; the request is dispatched again.

--- a/Libraries/LibLoop/http_client.cc
+++ b/Libraries/LibLoop/http_client.cc
@@ -57,7 +57,7 @@
 void HttpClient::Impl::SendCheck(Call& call, const HttpRequest& request) {
   ++counters.checks;
   ++call.checks;
-  call.request_after_check = request;
+  call.waiting_request = request;
   call.check_timer =
       std::make_unique<Timer>(loop, [this, id = call.id] { TimeOutCheck(id); });
   call.check_timer->Schedule(
@@ -66,13 +66,34 @@
   WriteRequest(call, call.check->request);
 }
 
-void HttpClient::Impl::WriteRequest(Call& call, const HttpRequest& request) {
+// The handler may cancel the call.
+void HttpClient::Impl::SendWaitingRequest(Connection& connection) {
+  Call& call = *connection.call;
+  const std::uint64_t id = call.id;
+  const ReadyHandler on_ready = call.on_ready;
+  const std::optional<HttpRequest> request =
+      on_ready ? on_ready() : call.waiting_request;
+  if (!calls.contains(id))
+    return;
+  call.check_timer.reset();
+  call.waiting_request.reset();
+  if (!request)
+    return Complete(connection, HttpOutcome::kWithheld);
+  SendRequest(call, *request);
+}
+
+void HttpClient::Impl::Attach(Call& call, HttpMethod method) {
   Connection& connection = *call.connection;
-  ResetParser(connection.parser, request.method == HttpMethod::kHead);
+  ResetParser(connection.parser, method == HttpMethod::kHead);
   CountBufferedBytes(connection);
   connection.skipped_response = false;
   connection.received_bytes = 0;
   connection.call = &call;
+}
+
+void HttpClient::Impl::WriteRequest(Call& call, const HttpRequest& request) {
+  Attach(call, request.method);
+  Connection& connection = *call.connection;
   const std::string head = SerializeHead(call.address, request);
   evbuffer* output = bufferevent_get_output(connection.bev);
   evbuffer_add(output, head.data(), head.size());
@@ -99,7 +120,7 @@
     connection.received_bytes += consumed;
     CountBufferedBytes(connection);
     if (progress == ParseProgress::kComplete && IsResponseToCall(connection))
-      return connection.call->request_after_check
+      return connection.call->waiting_request
                  ? CompleteCheck(connection)
                  : Complete(connection, HttpOutcome::kAnswered);
     if (progress == ParseProgress::kMalformed ||
@@ -154,7 +175,7 @@
 // response on a new connection: on a reused connection it may be the repeated
 // response to an earlier request, or to the check.
 bool HttpClient::Impl::IsResponseToCall(const Connection& connection) const {
-  if (options.echoed_header.empty() || connection.call->request_after_check)
+  if (options.echoed_header.empty() || connection.call->waiting_request)
     return true;
   const HttpResponse& response = connection.parser.response;
   const std::string_view echo =
@@ -185,6 +206,9 @@
     connection.connected = true;
     connection.connected_at = loop.Now();
     bufferevent_set_timeouts(connection.bev, nullptr, nullptr);
+    if (connection.call != nullptr && connection.call->waiting_request &&
+        !connection.check_sent)
+      SendWaitingRequest(connection);
     return;
   }
   if (connection.call == nullptr)
@@ -209,13 +233,7 @@
     return Complete(connection, HttpOutcome::kCheckFailed);
   if (IsReusable(connection) && !HasUnsentBytes(connection)) {
     connection.check_passed = true;
-    call.check_timer.reset();
-    const HttpRequest request =
-        *std::exchange(call.request_after_check, std::nullopt);
-    SendRequest(call, request);
-    if (call.on_write)
-      call.on_write();
-    return;
+    return SendWaitingRequest(connection);
   }
   if (call.checks >= kMaxChecksPerCall)
     return Complete(connection, HttpOutcome::kNotConnected);
@@ -224,7 +242,7 @@
                          options.connect_timeout);
   if (call.connection == nullptr)
     return ScheduleCompletion(call, HttpOutcome::kConnectionUnavailable);
-  const HttpRequest request = *call.request_after_check;
+  const HttpRequest request = *call.waiting_request;
   SendCheck(call, request);
 }
 
@@ -252,7 +270,8 @@
   CountBufferedBytes(connection);
   if (evbuffer_get_length(bufferevent_get_input(connection.bev)) > 0)
     ++counters.unsolicited_responses;
-  const bool reusable = has_response && IsReusable(connection);
+  const bool reusable = (has_response || outcome == HttpOutcome::kWithheld) &&
+                        IsReusable(connection);
   connection.call = nullptr;
   calls.erase(call.id);
   if (reusable && HasUnsentBytes(connection))
@@ -284,7 +303,7 @@
 // The request may have been written before the loop reports the connection as
 // established, so the bytes that are still unsent count too.
 bool HttpClient::Impl::HasSentNothing(const Connection& connection) {
-  if (connection.call->request_after_check)
+  if (connection.call->waiting_request)
     return true;
   return !connection.connected &&
          evbuffer_get_length(bufferevent_get_output(connection.bev)) ==
@@ -308,7 +327,7 @@
     return;
   const Call& call = calls.at(id);
   Connection& connection = *call.connection;
-  if (call.request_after_check)
+  if (call.waiting_request)
     return Complete(connection, OutcomeOfCheckTimeout(call));
   Complete(connection, HasSentNothing(connection) ? HttpOutcome::kNotConnected
                                                   : HttpOutcome::kTimedOut);
@@ -325,7 +344,7 @@
 // that may take longer than a connection attempt, but accepted the connection,
 // is busy.
 HttpOutcome HttpClient::Impl::OutcomeOfCheckTimeout(const Call& call) const {
-  return call.connection->connected &&
+  return call.connection->connected && call.check &&
                  call.check->max_wait > options.connect_timeout
              ? HttpOutcome::kCheckTimedOut
              : HttpOutcome::kNotConnected;
@@ -334,8 +353,8 @@
 // Returns the outcome of a call whose connection sends no usable response. The
 // request itself follows only after the check.
 HttpOutcome HttpClient::Impl::OutcomeOfMalformedResponse(const Call& call) {
-  return call.request_after_check ? HttpOutcome::kNotConnected
-                                  : HttpOutcome::kMalformed;
+  return call.waiting_request ? HttpOutcome::kNotConnected
+                              : HttpOutcome::kMalformed;
 }
 
 HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
@@ -359,7 +378,7 @@
                                TimePoint deadline,
                                Callback callback,
                                std::optional<ConnectionCheck> check,
-                               WriteHandler on_write) {
+                               ReadyHandler on_ready) {
   const std::uint64_t id = impl_->next_id++;
   ++impl_->counters.requests;
   Impl::Call& call = impl_->calls[id];
@@ -369,7 +388,7 @@
   call.deadline = deadline;
   call.head_request = request.method == HttpMethod::kHead;
   call.check = std::move(check);
-  call.on_write = std::move(on_write);
+  call.on_ready = std::move(on_ready);
   if (!impl_->options.echoed_header.empty())
     call.echo = FindField(request.headers, impl_->options.echoed_header);
   Impl::AddressConnections& address_connections =
@@ -389,10 +408,14 @@
   call.timer = std::make_unique<Timer>(
       impl_->loop, [impl = impl_.get(), id] { impl->TimeOutCall(id); });
   call.timer->Schedule(deadline);
-  if (impl_->NeedsNoCheck(call, *call.connection))
-    impl_->SendRequest(call, request);
-  else
+  if (!impl_->NeedsNoCheck(call, *call.connection)) {
     impl_->SendCheck(call, request);
+  } else if (call.on_ready && !call.connection->connected) {
+    call.waiting_request = request;
+    impl_->Attach(call, request.method);
+  } else {
+    impl_->SendRequest(call, request);
+  }
   return id;
 }
 
--- a/Libraries/LibLoop/http_client_impl.h
+++ b/Libraries/LibLoop/http_client_impl.h
@@ -70,16 +70,17 @@
     bool head_request = false;
     Connection* connection = nullptr;
     Callback callback;
-    WriteHandler on_write;
+    ReadyHandler on_ready;  // May be empty.
     std::unique_ptr<Timer> timer;
     TimePoint deadline;            // Without extensions.
     std::uint32_t extensions = 0;  // Of the deadline, so far.
     // Bytes that had been received at the last extension.
     std::uint64_t received_at_extension = 0;
     std::optional<ConnectionCheck> check;
-    // Set while the call waits for the response to the check.
-    std::optional<HttpRequest> request_after_check;
-    std::unique_ptr<Timer> check_timer;  // Set with `request_after_check`.
+    // Set while the call waits for its connection or for the response to the
+    // check.
+    std::optional<HttpRequest> waiting_request;
+    std::unique_ptr<Timer> check_timer;  // Set while the call is checked.
     std::uint32_t checks = 0;            // Sent for this call.
   };
 
@@ -110,6 +111,10 @@
                    Duration connect_timeout);
   void SendRequest(Call& call, const HttpRequest& request);
   void WriteRequest(Call& call, const HttpRequest& request);
+  // Makes the call the one of its connection, for a request with this method.
+  void Attach(Call& call, HttpMethod method);
+  // Sends the request of a call that has waited, unless it is withheld.
+  void SendWaitingRequest(Connection& connection);
   // Sends the call's check. `request` follows when the check has been passed.
   void SendCheck(Call& call, const HttpRequest& request);
   // Sends the call's own request if the response to the check is accepted.
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_client.h
@@ -46,6 +46,9 @@
   // The connection was established, but the check got no response within
   // ConnectionCheck::max_wait. The call's request was not sent.
   kCheckTimedOut,
+  // HttpClient::ReadyHandler did not confirm the request. Nothing of it was
+  // sent.
+  kWithheld,
 };
 
 template <>
@@ -60,6 +63,7 @@
       {HttpOutcome::kTimedOut, "timed-out"},
       {HttpOutcome::kCheckFailed, "check-failed"},
       {HttpOutcome::kCheckTimedOut, "check-timed-out"},
+      {HttpOutcome::kWithheld, "withheld"},
   });
 };
 
@@ -131,7 +135,10 @@
  public:
   using Callback =
       std::function<void(HttpOutcome outcome, HttpResponse response)>;
-  using WriteHandler = std::function<void()>;
+  // Returns the request as it is to be written now, or nothing if it must not
+  // be sent any more. The method and the echoed header must be those of the
+  // request that was passed to Send.
+  using ReadyHandler = std::function<std::optional<HttpRequest>()>;
 
   HttpClient(EventLoop& loop, const HttpClientOptions& options);
   ~HttpClient();
@@ -148,14 +155,15 @@
   // kCheckTimedOut if ConnectionCheck::max_wait is longer than the connect
   // timeout and the connection is open at its end, and kNotConnected otherwise.
   //
-  // `on_write`, if set, is called when a request that had to wait for the check
-  // has been written.
+  // A request that has to wait for its connection or for the check may be out
+  // of date when it can be written. `on_ready`, if set, is called then. It is
+  // not called for a request that is written before Send returns.
   std::uint64_t Send(const std::string& address,
                      const HttpRequest& request,
                      TimePoint deadline,
                      Callback callback,
                      std::optional<ConnectionCheck> check = std::nullopt,
-                     WriteHandler on_write = nullptr);
+                     ReadyHandler on_ready = nullptr);
 
   // Closes the connection of the request `id` and discards the callback of the
   // request. An unknown id is ignored.
--- a/Libraries/LibRouting/advice.cc
+++ b/Libraries/LibRouting/advice.cc
@@ -77,10 +77,16 @@
   state.unlisted_advice.erase(unlisted);
 }
 
-bool IsInUse(const RoutingState& state, const Server& server, TimePoint now) {
+bool AcceptsRequests(const RoutingState& state,
+                     const Server& server,
+                     TimePoint now) {
   return server.entry.phase == ServerPhase::kReady && !server.advice.leaving &&
-         server.advice.paused_until <= now && server.backoff_until <= now &&
+         server.advice.paused_until <= now &&
          !state.evacuated_domains.contains(server.entry.failure_domain);
 }
 
+bool IsInUse(const RoutingState& state, const Server& server, TimePoint now) {
+  return AcceptsRequests(state, server, now) && server.backoff_until <= now;
+}
+
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/advice.h
+++ b/Libraries/LibRouting/advice.h
@@ -23,8 +23,14 @@
 // been added.
 void RestoreAdvice(RoutingState& state, Server& server);
 
-// Whether the server may receive requests at all: it is ready, not in back-off
-// and not in an evacuated failure domain, does not leave and has no pause.
+// Whether the server takes requests: it is ready and not in an evacuated
+// failure domain, does not leave and has no pause.
+bool AcceptsRequests(const RoutingState& state,
+                     const Server& server,
+                     TimePoint now);
+
+// Whether the server may receive requests at all: it takes them and is not in
+// back-off.
 bool IsInUse(const RoutingState& state, const Server& server, TimePoint now);
 
 }  // namespace cicadadrum::routing
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -6,12 +6,14 @@
 #include <utility>
 
 #include "accounts.h"
+#include "advice.h"
 #include "choice.h"
 #include "home_regions.h"
 #include "observations.h"
 #include "quota_gate.h"
 #include "request_route.h"
 #include "server_limit.h"
+#include "server_table.h"
 #include "suspects.h"
 
 namespace cicadadrum::routing {
@@ -101,6 +103,54 @@
                    .max_wait = remaining / kCheckWaitDivisor};
 }
 
+// Counts the attempt in the allowance of its server's limit, if the server has
+// one.
+void CountInLimit(const RoutingState& state,
+                  Server& server,
+                  RequestState& request,
+                  TimePoint now) {
+  request.is_limit_counted = server.limit.has_value();
+  CountLimitedRequest(state, server, now);
+}
+
+// Returns why the request may not be sent to any server now, or nothing if it
+// may.
+std::optional<RefusalReason> FindRefusal(const RoutingState& state,
+                                         const RequestState& request,
+                                         TimePoint now) {
+  if (const auto reason =
+          FindKeyRefusal(state, request.route, request.key, now))
+    return reason;
+  if (BlockedUntil(state, request.fingerprint, now))
+    return RefusalReason::kBlocked;
+  if (!AreHomeRegionsCertain(state, request.route, now))
+    return RefusalReason::kConfigurationOutdated;
+  return std::nullopt;
+}
+
+// Whether what led to the current attempt still holds. A request may wait for
+// its connection for a large part of its time.
+bool IsAttemptStillDue(RoutingState& state,
+                       std::uint64_t id,
+                       RequestState& request,
+                       TimePoint now) {
+  const std::string service = request.service;
+  if (now + kMinAttemptTime >= request.deadline ||
+      !RefreshRoute(state, id, request) || request.service != service ||
+      FindRefusal(state, request, now))
+    return false;
+  Server* server = FindServer(state, IncarnationOf(request));
+  if (server == nullptr || !AcceptsRequests(state, *server, now) ||
+      !IsRegionAllowed(request.route, server->region) ||
+      (!request.is_limit_counted && LimitAllowsAt(state, *server, now) > now) ||
+      !RecountSend(state, *server, request, now))
+    return false;
+  request.counted_at = now;
+  if (!request.is_limit_counted)
+    CountInLimit(state, *server, request, now);
+  return true;
+}
+
 // Sends the request to the chosen server.
 void StartAttempt(RoutingState& state,
                   std::uint64_t id,
@@ -119,6 +169,7 @@
   request.server_started_unix_ms = server.entry.started_unix_ms;
   request.tried_servers.push_back(server.entry.id);
   request.sent_at = now;
+  request.counted_at = now;
   request.expected_response_bytes = choice.inputs.expected_response_bytes;
   request.expected_duration = choice.expected_duration;
   request.expected_work_ms = choice.work_ms;
@@ -131,7 +182,7 @@
   if (is_suspect)
     StartTrial(state, id, now);
   RecordAttemptStart(server, request, now);
-  CountLimitedRequest(state, server, now);
+  CountInLimit(state, server, request, now);
   actions.emplace_back(SendAttempt{
       .request = id,
       .attempt = request.attempts,
@@ -152,6 +203,23 @@
 
 }  // namespace
 
+void ConfirmAttempt(RoutingState& state,
+                    const ConnectionReady& event,
+                    TimePoint now,
+                    RoutingActions& actions) {
+  const auto found = state.requests.find(event.request);
+  if (found == state.requests.end() ||
+      found->second.attempts != event.attempt ||
+      !found->second.attempt_in_progress ||
+      !IsAttemptStillDue(state, event.request, found->second, now))
+    return;
+  actions.emplace_back(TransmitAttempt{
+      .request = event.request,
+      .attempt = event.attempt,
+      .server_timeout =
+          ServerTimeout(state, found->second.deadline - now, now)});
+}
+
 void EndRequest(RoutingState& state, std::uint64_t id) {
   const auto found = state.requests.find(id);
   if (found == state.requests.end())
@@ -202,20 +270,19 @@
               RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
   const Duration remaining = request.deadline - now;
-  if (const auto reason =
-          FindKeyRefusal(state, request.route, request.key, now))
-    return Refuse(state, id, *reason,
-                  RetryAfterForEstimate(Seconds(1), remaining), actions);
-  if (const auto end = BlockedUntil(state, request.fingerprint, now))
-    return Refuse(state, id, RefusalReason::kBlocked, *end - now, actions);
+  if (const auto reason = FindRefusal(state, request, now)) {
+    const auto blocked_until = BlockedUntil(state, request.fingerprint, now);
+    const Duration retry_after =
+        *reason == RefusalReason::kBlocked
+            ? *blocked_until - now
+            : RetryAfterForEstimate(Seconds(1), remaining);
+    return Refuse(state, id, *reason, retry_after, actions);
+  }
   if (NextTrialTime(state, request.fingerprint, now) > now) {
     state.suspicions.waiting[request.fingerprint].push_back(
         {.request = id, .reason_without_server = reason_without_server});
     return;
   }
-  if (!AreHomeRegionsCertain(state, request.route, now))
-    return Refuse(state, id, RefusalReason::kConfigurationOutdated,
-                  RetryAfterForEstimate(Seconds(1), remaining), actions);
   if (!HoldsQuotaToken(state, id, reason_without_server, now))
     return;
   const ServerChoice choice = IsSuspect(state, request.fingerprint, now)
--- a/Libraries/LibRouting/dispatch.h
+++ b/Libraries/LibRouting/dispatch.h
@@ -50,6 +50,13 @@
               TimePoint now,
               RoutingActions& actions);
 
+// Decides whether a request that has waited for its connection is still sent to
+// the server that was chosen for it.
+void ConfirmAttempt(RoutingState& state,
+                    const ConnectionReady& event,
+                    TimePoint now,
+                    RoutingActions& actions);
+
 // Dispatches the requests that waited for a trial which has ended.
 void DispatchWaiting(RoutingState& state,
                      TimePoint now,
--- a/Libraries/LibRouting/include/cicadadrum/routing/events.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/events.h
@@ -49,6 +49,14 @@
   std::uint64_t request = 0;
 };
 
+// The request of an attempt has waited for its connection or its check, and can
+// be sent now. The front end sends it only if TransmitAttempt follows, and
+// reports ServerOutcome::kWithheld otherwise.
+struct ConnectionReady {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+};
+
 // An attempt at a server ended. The core ignores an attempt that is not the
 // current attempt of its request.
 struct AttemptEnded {
@@ -176,6 +184,7 @@
 
 using RoutingEvent = std::variant<RequestArrived,
                                   CallerDisconnected,
+                                  ConnectionReady,
                                   AttemptEnded,
                                   ConfigurationAdopted,
                                   ConfigurationConfirmed,
@@ -327,8 +336,10 @@
   Duration max_wait{};
 };
 
-// Send the request to a server. The front end reports the end of the attempt by
-// AttemptEnded, unless it receives CancelAttempt first.
+// Send the request to a server. If it has to wait for its connection or its
+// check, the front end reports ConnectionReady before it sends the request. It
+// reports the end of the attempt by AttemptEnded, unless it receives
+// CancelAttempt first.
 struct SendAttempt {
   std::uint64_t request = 0;
   std::uint32_t attempt = 0;  // Counts from 1 within the request.
@@ -353,6 +364,13 @@
   ChoiceInputs inputs;
 };
 
+// Send the request of an attempt that has waited now.
+struct TransmitAttempt {
+  std::uint64_t request = 0;
+  std::uint32_t attempt = 0;
+  Duration server_timeout{};  // As in SendAttempt, as of now.
+};
+
 // Why an attempt is given up before its end.
 enum class CancelReason : std::uint8_t {
   kTimedOut,    // The deadline of the request has passed.
@@ -471,6 +489,7 @@
 struct DrainCompleted {};
 
 using RoutingAction = std::variant<SendAttempt,
+                                   TransmitAttempt,
                                    CancelAttempt,
                                    DeliverResponse,
                                    RefuseRequest,
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -82,7 +82,7 @@
   // less a margin for the response.
   TimePoint deadline;
   std::uint32_t attempts = 0;  // Number of attempts started so far.
-  // Those of `attempts` that ended as ServerOutcome::kCold or kBusy.
+  // Those of `attempts` that were replaced (see IsReplaced).
   std::uint32_t unsent_attempts = 0;
   // The last attempt was not sent, and its place in the retry window is left to
   // the next one.
@@ -93,6 +93,11 @@
   std::string server;  // Id of the server of the current attempt.
   std::int64_t server_started_unix_ms = 0;  // Start time of that server.
   TimePoint sent_at;
+  // Of the current attempt in Server::recent_sends: its choice, or later if it
+  // has waited for its connection.
+  TimePoint counted_at;
+  // The current attempt is counted in the allowance of the server's limit.
+  bool is_limit_counted = false;
   // Estimated duration of the current attempt.
   Duration expected_duration{};
   // The values that `expected_duration` was computed from. When the attempt
--- a/Libraries/LibRouting/include/cicadadrum/routing/server.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/server.h
@@ -123,6 +123,9 @@
   // The server accepted a new connection, but did not respond to its check in
   // time. The request was not sent.
   kBusy,
+  // The request waited for its connection, and the core did not confirm the
+  // attempt when it could be sent. The request was not sent.
+  kWithheld,
 };
 
 }  // namespace cicadadrum::routing
@@ -145,6 +148,7 @@
           {routing::ServerOutcome::kTimedOut, "timed-out"},
           {routing::ServerOutcome::kCold, "cold"},
           {routing::ServerOutcome::kBusy, "busy"},
+          {routing::ServerOutcome::kWithheld, "withheld"},
       });
 };
 
@@ -152,13 +156,19 @@
 
 namespace cicadadrum::routing {
 
+// Whether the attempt ended before its request could be sent, and another one
+// takes its place.
+constexpr bool IsReplaced(ServerOutcome outcome) {
+  return outcome == ServerOutcome::kCold || outcome == ServerOutcome::kBusy ||
+         outcome == ServerOutcome::kWithheld;
+}
+
 // Whether the outcome proves that the server has not run the request and will
 // not run it.
 constexpr bool ProvesNotRun(ServerOutcome outcome) {
   return outcome == ServerOutcome::kRejected ||
          outcome == ServerOutcome::kWrongServer ||
-         outcome == ServerOutcome::kNotSent ||
-         outcome == ServerOutcome::kCold || outcome == ServerOutcome::kBusy;
+         outcome == ServerOutcome::kNotSent || IsReplaced(outcome);
 }
 
 // A moving average of samples that decays towards a neutral value while there
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -268,6 +268,16 @@
   RecordHandledObject(server, ObjectTag(request.object));
 }
 
+bool RecountSend(const RoutingState& state,
+                 Server& server,
+                 const RequestState& request,
+                 TimePoint now) {
+  RemoveOne(server.recent_sends, request.counted_at);
+  const bool is_allowed = HasColdServerAllowance(state, server, now);
+  server.recent_sends.push_back(is_allowed ? now : request.counted_at);
+  return is_allowed;
+}
+
 void RecordAttemptEnd(RoutingState& state,
                       Server& server,
                       const RequestState& request,
@@ -293,12 +303,13 @@
       server.backoff_until = now + kMaxBackoff;
       return;
     case ServerOutcome::kCold:
-      RemoveOne(server.recent_sends, request.sent_at);
+      RemoveOne(server.recent_sends, request.counted_at);
       RecordCold(server, end.cold_left, now);
       return;
     case ServerOutcome::kBusy:
+    case ServerOutcome::kWithheld:
       // Like a full queue, this is no failure of the server.
-      RemoveOne(server.recent_sends, request.sent_at);
+      RemoveOne(server.recent_sends, request.counted_at);
       return;
     case ServerOutcome::kLostUnused:
       state.services[request.service].connection_reuse_suspended_until =
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -94,6 +94,13 @@
                         const RequestState& request,
                         TimePoint now);
 
+// Moves the current attempt of the request to `now` in the window of the
+// server. Returns whether the rate limit of a cold server allows that.
+bool RecountSend(const RoutingState& state,
+                 Server& server,
+                 const RequestState& request,
+                 TimePoint now);
+
 // Records the outcome of an attempt and the load report of its response.
 void RecordAttemptEnd(RoutingState& state,
                       Server& server,
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -116,6 +116,7 @@
     case ServerOutcome::kNotSent:
       return RefusalReason::kUnreachable;
     case ServerOutcome::kCold:
+    case ServerOutcome::kWithheld:
       return RefusalReason::kNoServer;
     case ServerOutcome::kBusy:
       return RefusalReason::kOverloaded;
@@ -142,9 +143,10 @@
          HasRetryAllowance(state, request.service, now);
 }
 
-// Dispatches a request whose last attempt was not sent because the server is
-// cold or busy. The attempt is no use of the retry budget. A cold server may
-// receive the request if the rate of a cold server allows.
+// Dispatches a request whose last attempt was not sent, because the server is
+// cold or busy or the attempt was out of date. The attempt is no use of the
+// retry budget. A cold server may receive the request if the rate of a cold
+// server allows.
 void DispatchAgain(RoutingState& state,
                    std::uint64_t id,
                    ServerOutcome outcome,
@@ -164,6 +166,13 @@
   Refuse(state, id, reason, estimate, actions);
 }
 
+void Apply(RoutingState& state,
+           const ConnectionReady& event,
+           TimePoint now,
+           RoutingActions& actions) {
+  ConfirmAttempt(state, event, now, actions);
+}
+
 void Apply(RoutingState& state,
            const AttemptEnded& event,
            TimePoint now,
@@ -192,8 +201,7 @@
         DeliverResponse{event.request, request.server, request.route.kind});
     return EndRequest(state, event.request);
   }
-  if (event.outcome == ServerOutcome::kCold ||
-      event.outcome == ServerOutcome::kBusy)
+  if (IsReplaced(event.outcome))
     return DispatchAgain(state, event.request, event.outcome, now, actions);
   if (!ProvesNotRun(event.outcome))
     request.verdict = Verdict::kMayHaveRun;
--- a/Tests/LibLoop/http_client_fixture.h
+++ b/Tests/LibLoop/http_client_fixture.h
@@ -41,7 +41,8 @@
 
   std::pair<HttpOutcome, HttpResponse> Call(
       const HttpRequest& request,
-      const std::optional<ConnectionCheck>& check = std::nullopt) {
+      const std::optional<ConnectionCheck>& check = std::nullopt,
+      const HttpClient::ReadyHandler& on_ready = nullptr) {
     std::pair<HttpOutcome, HttpResponse> result;
     client.Send(
         server.address(), request, loop.Now() + kCallTimeout,
@@ -49,7 +50,7 @@
           result = {outcome, std::move(response)};
           loop.Stop();
         },
-        check);
+        check, on_ready);
     loop.Run();
     return result;
   }
--- a/Tests/LibLoop/test_http_client_checks.cc
+++ b/Tests/LibLoop/test_http_client_checks.cc
@@ -117,6 +117,68 @@
   CHECK(fixture.Call(request, Check()).first == HttpOutcome::kNotConnected);
 }
 
+// Guards against a request that is written as it was before it waited.
+TEST_CASE("a request that waits is written as it is confirmed") {
+  for (const bool is_checked : {false, true}) {
+    CAPTURE(is_checked);
+    CheckFixture fixture(
+        is_checked ? std::vector<ScriptedResponse>{{kWarm},
+                                                   {MakeResponse("a", "ok")},
+                                                   {MakeResponse("b", "ok")}}
+                   : std::vector<ScriptedResponse>{{MakeResponse("a", "ok")},
+                                                   {MakeResponse("b", "ok")}});
+    int confirmed = 0;
+    const auto confirm = [&] {
+      ++confirmed;
+      HttpRequest request = RequestOf("a");
+      request.headers.emplace_back("Deadline", "2");
+      return std::optional(request);
+    };
+    const auto check =
+        is_checked ? std::optional(Check()) : std::optional<ConnectionCheck>();
+    CHECK(fixture.Call(RequestOf("a"), check, confirm).second.body == "ok");
+    CHECK(confirmed == 1);
+    CHECK(fixture.server.requests().back().find("Deadline: 2") !=
+          std::string::npos);
+    // The connection is open, so the request doesn't wait.
+    CHECK(fixture.Call(RequestOf("b"), check, confirm).second.body == "ok");
+    CHECK(confirmed == 1);
+  }
+}
+
+TEST_CASE("a request that is not confirmed is withheld") {
+  CheckFixture fixture({{kWarm}, {MakeResponse("b", "other call")}});
+  const auto withhold = [] { return std::optional<HttpRequest>(); };
+  CHECK(fixture.Call(RequestOf("a"), Check(), withhold).first ==
+        HttpOutcome::kWithheld);
+  CHECK(fixture.Call(RequestOf("b"), Check()).second.body == "other call");
+  CHECK(fixture.server.connection_count() == 1);
+  HttpRequest fresh = RequestOf("c");
+  fresh.fresh_connection = true;
+  CHECK(fixture.Call(fresh, std::nullopt, withhold).first ==
+        HttpOutcome::kWithheld);
+  CHECK(fixture.CountRequests("GET /a") == 0);
+  CHECK(fixture.CountRequests("GET /c") == 0);
+}
+
+// Guards against a use of the call after its owner has cancelled it.
+TEST_CASE("a call can be cancelled while it is confirmed") {
+  CheckFixture fixture({{kWarm}});
+  std::uint64_t id = 0;
+  bool is_completed = false;
+  id = fixture.client.Send(
+      fixture.server.address(), RequestOf("a"),
+      fixture.loop.Now() + kCallTimeout,
+      [&](HttpOutcome, const HttpResponse&) { is_completed = true; }, Check(),
+      [&] {
+        fixture.client.Cancel(id);
+        return std::optional(RequestOf("a"));
+      });
+  fixture.RunFor(Milliseconds(100));
+  CHECK_FALSE(is_completed);
+  CHECK(fixture.RequestLines() == Lines{"GET /health"});
+}
+
 // Guards against a request that is sent behind a check whose connection can't
 // carry it, that is sent twice, or whose sender is told that it may have run.
 TEST_CASE("a check without a usable response sends nothing of the request") {
--- a/Tests/LibRouting/routing_fixture.h
+++ b/Tests/LibRouting/routing_fixture.h
@@ -63,6 +63,7 @@
   std::uint64_t next_request = 1;
 
   std::vector<SendAttempt> sent;
+  std::vector<TransmitAttempt> transmitted;
   std::vector<CancelAttempt> cancelled;
   std::vector<DeliverResponse> delivered;
   std::vector<RefuseRequest> refused;
@@ -98,6 +99,8 @@
     for (const RoutingAction& action : actions) {
       if (const auto* send = std::get_if<SendAttempt>(&action))
         sent.push_back(*send);
+      if (const auto* transmit = std::get_if<TransmitAttempt>(&action))
+        transmitted.push_back(*transmit);
       if (const auto* cancel = std::get_if<CancelAttempt>(&action))
         cancelled.push_back(*cancel);
       if (const auto* deliver = std::get_if<DeliverResponse>(&action))
@@ -146,6 +149,14 @@
     Step(end);
   }
 
+  // Reports that the connection of the attempt is ready. Returns whether its
+  // request may be sent.
+  bool IsTransmitted(const SendAttempt& attempt) {
+    const std::size_t before = transmitted.size();
+    Step(ConnectionReady{attempt.request, attempt.attempt});
+    return transmitted.size() > before;
+  }
+
   // Ends the last attempt that was sent.
   void End(ServerOutcome outcome, std::optional<LoadReport> report = {}) {
     const SendAttempt attempt = sent.back();
