LibRouting: Count attempts in the retry window when and where they are sent

Servers may get more repeats in a window than the retry budget allows. An attempt was counted when it was decided, but may reach its server up to a third of the request's time later. An attempt that was replaced left its place to the next one, even at another service, whose budget was not asked. Change: an attempt that has waited is counted when it is confirmed. One that is replaced is taken out of the window of its service, and the next one is counted anew; as a retry it needs an allowance of the service that it goes to. The retry window has a file of its own. Result: three tests of the new file failed before (4 attempts sent in place of 3; 1 and 0 requests counted in place of 0 and 1; 3 attempts in place of 2) and pass; the tests of LibRouting pass.

--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -12,6 +12,7 @@
 #include "observations.h"
 #include "quota_gate.h"
 #include "request_route.h"
+#include "retry_budget.h"
 #include "server_limit.h"
 #include "server_table.h"
 #include "suspects.h"
@@ -146,6 +147,7 @@
       !RecountSend(state, *server, request, now))
     return false;
   request.counted_at = now;
+  RecountAttempt(state, request, now);
   if (!request.is_limit_counted)
     CountInLimit(state, *server, request, now);
   return true;
@@ -159,9 +161,7 @@
                   RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
   Server& server = *choice.server;
-  if (!std::exchange(request.is_next_attempt_counted, false))
-    CountAttempt(state.services[request.service], state.options.bounds,
-                 request.attempts > request.unsent_attempts, now);
+  CountAttempt(state, request, now);
   ++request.attempts;
   request.quota_token.reset();
   request.attempt_in_progress = true;
--- a/Libraries/LibRouting/fleet_shares.h
+++ b/Libraries/LibRouting/fleet_shares.h
@@ -11,6 +11,10 @@
 
 namespace cicadadrum::routing {
 
+// Share of a fleet bound that is used. Other entry VMs may briefly assume a
+// smaller fleet and use more than their share.
+constexpr double kBoundUseShare = 0.75;
+
 // Whether this entry VM started so recently that it may not know all members.
 bool IsFleetSizeUnverified(const RoutingState& state, TimePoint now);
 
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -52,6 +52,13 @@
   return {entry.id, entry.started_unix_ms};
 }
 
+// How an attempt is counted in the retry window of a service.
+struct RetryCount {
+  std::string service;
+  TimePoint at{};
+  bool is_retry = false;
+};
+
 // A request in progress: the caller has received no response yet.
 struct RequestState {
   std::string host;
@@ -84,9 +91,7 @@
   std::uint32_t attempts = 0;  // Number of attempts started so far.
   // Those of `attempts` that were replaced (see IsReplaced).
   std::uint32_t unsent_attempts = 0;
-  // The last attempt was not sent, and its place in the retry window is left to
-  // the next one.
-  bool is_next_attempt_counted = false;
+  RetryCount retry_count;                  // Of the current attempt.
   std::vector<std::string> tried_servers;  // Ids.
   Verdict verdict = Verdict::kNotRun;      // Of the attempts that have ended.
   bool attempt_in_progress = false;
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -1,4 +1,4 @@
-// Estimates from attempts, rate limits of cold servers, and the retry budget.
+// Estimates from attempts, and rate limits of cold servers.
 
 #include "observations.h"
 
@@ -32,10 +32,6 @@
 constexpr Duration kMaxBackoff = Seconds(4);
 constexpr std::uint32_t kFailuresToBackOff = 2;
 
-// Share of a fleet bound that is used. Other entry VMs may briefly assume a
-// smaller fleet and use more than their share.
-constexpr double kBoundUseShare = 0.75;
-
 // How long idle connections to a service's servers are not reused after a
 // reused connection was lost.
 constexpr Duration kConnectionReuseSuspension = Seconds(5);
@@ -222,34 +218,6 @@
   return static_cast<std::uint32_t>(sends.end() - first);
 }
 
-void CountAttempt(ServiceState& service,
-                  const FleetBounds& bounds,
-                  bool retry,
-                  TimePoint now) {
-  service.sends_in_window.emplace_back(now, retry);
-  ++(retry ? service.retries_in_window : service.requests_in_window);
-  while (service.sends_in_window.front().first <= now - bounds.retry_window) {
-    const bool was_retry = service.sends_in_window.front().second;
-    --(was_retry ? service.retries_in_window : service.requests_in_window);
-    service.sends_in_window.pop_front();
-  }
-}
-
-bool HasRetryAllowance(const RoutingState& state,
-                       const std::string& service,
-                       TimePoint now) {
-  const FleetBounds& bounds = state.options.bounds;
-  const ServiceState& current = state.services.at(service);
-  const double extra =
-      IsFleetSizeUnverified(state, now)
-          ? 0
-          : bounds.retry_extra / EffectiveFleetSize(state, now);
-  const double allowed =
-      (current.requests_in_window * bounds.retry_ratio + extra) *
-      kBoundUseShare;
-  return current.retries_in_window + 1 <= allowed;
-}
-
 void RecordCold(Server& server, Duration cold_left, TimePoint now) {
   server.cold_until = std::max(server.cold_until, now + cold_left);
   server.handled_objects.clear();
--- a/Libraries/LibRouting/observations.h
+++ b/Libraries/LibRouting/observations.h
@@ -74,17 +74,6 @@
 // limit of the server while it is cold.
 std::uint32_t CountRecentSends(const Server& server, TimePoint now);
 
-// Counts an attempt in the service's retry window.
-void CountAttempt(ServiceState& service,
-                  const FleetBounds& bounds,
-                  bool retry,
-                  TimePoint now);
-
-// Whether this entry VM's share of the retry budget allows another retry.
-bool HasRetryAllowance(const RoutingState& state,
-                       const std::string& service,
-                       TimePoint now);
-
 // Records that the server is cold for `cold_left` from now on. What is known of
 // its load and its cache concerns the time before, and is discarded.
 void RecordCold(Server& server, Duration cold_left, TimePoint now);
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -15,6 +15,7 @@
 #include "quota_gate.h"
 #include "region_shares.h"
 #include "request_route.h"
+#include "retry_budget.h"
 #include "server_limit.h"
 #include "server_table.h"
 #include "sharing.h"
@@ -132,9 +133,7 @@
          IsIdempotent(request.route.kind);
 }
 
-bool MayRetry(const RoutingState& state,
-              const RequestState& request,
-              TimePoint now) {
+bool MayRetry(RoutingState& state, const RequestState& request, TimePoint now) {
   return IsRepeatable(request) &&
          request.attempts - request.unsent_attempts <
              request.route.max_attempts &&
@@ -145,21 +144,23 @@
 
 // Dispatches a request whose last attempt was not sent, because the server is
 // cold or busy or the attempt was out of date. The attempt is no use of the
-// retry budget. A cold server may receive the request if the rate of a cold
-// server allows.
+// retry budget, but the next one may be at another service. A cold server may
+// receive the request if the rate of a cold server allows.
 void DispatchAgain(RoutingState& state,
                    std::uint64_t id,
                    ServerOutcome outcome,
                    TimePoint now,
                    RoutingActions& actions) {
   RequestState& request = state.requests.at(id);
+  UncountAttempt(state, request);
   ++request.unsent_attempts;
-  request.is_next_attempt_counted = true;
   if (outcome == ServerOutcome::kCold)
     std::erase(request.tried_servers, request.server);
   const RefusalReason reason = RefusalReasonFor(outcome);
   const bool has_time = now + kMinAttemptTime < request.deadline;
-  if (has_time && RefreshRoute(state, id, request))
+  if (has_time && RefreshRoute(state, id, request) &&
+      (!IsNextAttemptRetry(request) ||
+       HasRetryAllowance(state, request.service, now)))
     return Dispatch(state, id, reason, now, actions);
   const Duration estimate = RetryAfterForEstimate(
       request.expected_duration, request.caller_deadline - now);
