LibRouting: Judge retries by the attempts of the present window

What callers saw: nothing yet; found by reading beside the late repeats. After a quiet time each entry VM may send a retry more than the budget allows. Cause: attempts left the retry window only when another one was counted, so a retry after a quiet time was judged by requests of long ago. The first retry then put the window right, so the excess is one for each entry VM and service. Change: the window is updated before it is asked. Result: "requests that have left the window allow no retry" failed before (102 attempts sent in place of 101) and passes.

--- a/Libraries/LibRouting/retry_budget.cc
+++ b/Libraries/LibRouting/retry_budget.cc
@@ -71,6 +71,7 @@
                        TimePoint now) {
   const FleetBounds& bounds = state.options.bounds;
   ServiceState& current = state.services.at(service);
+  ForgetOldAttempts(current, bounds, now);
   const double extra =
       IsFleetSizeUnverified(state, now)
           ? 0
--- a/Tests/LibRouting/test_retry_window.cc
+++ b/Tests/LibRouting/test_retry_window.cc
@@ -92,4 +92,20 @@
   CHECK(fixture.refused[0].verdict == Verdict::kMayHaveRun);
 }
 
+// Guards against retries that are allowed for requests of long ago.
+TEST_CASE("requests that have left the window allow no retry") {
+  RetryFixture fixture;
+  fixture.state.options.bounds.retry_ratio = 0.2;
+  fixture.state.options.bounds.retry_extra = 0;
+  for (std::uint64_t i = 0; i < 100; ++i)
+    fixture.Serve("read", i, Duration::zero());
+  fixture.now += kWindow - Milliseconds(500);
+  fixture.Arrive("read", 1);
+  const std::size_t sent = fixture.sent.size();
+  fixture.now += Seconds(1);
+  fixture.End(ServerOutcome::kLost);
+  CHECK(fixture.sent.size() == sent);
+  CHECK(fixture.refused.size() == 1);
+}
+
 }  // namespace cicadadrum::routing
