LibRouting: Keep the shares of lost entry VMs in the retry budget for longer

What callers saw: nothing yet; found by reading beside the late repeats. In a cut of more than 20 s both sides use the whole extra part of the retry budget, while both still reach the servers. Cause: an entry VM kept the shares of lost members for 20 s in this budget, and for 600 s in the rate of cold servers, where the same was fixed before. Change: both use the longer time. A fleet that loses members for good retries less for ten minutes, by the share of those that were lost; the part of the budget that grows with the requests is not affected. Result: "entry VMs that are cut off for long keep their share of retries" failed before (3 retries in place of 1) and passes.

--- a/Libraries/LibRouting/fleet_shares.cc
+++ b/Libraries/LibRouting/fleet_shares.cc
@@ -18,10 +18,9 @@
 // How long members that are no longer live keep their shares of a bound.
 constexpr Duration kLostMemberRetention = Seconds(20);
 
-// The same for the rate of cold servers. It outlasts a long cut, whose sides
-// may reach the same servers; cold servers lose little by it, since they are
-// cold for seconds.
-constexpr Duration kColdShareRetention = Seconds(600);
+// The same for the bounds that a long cut must not double, since its sides may
+// reach the same servers.
+constexpr Duration kCutRetention = Seconds(600);
 
 std::size_t CountMembers(const RoutingState& state,
                          Duration retention,
@@ -42,8 +41,8 @@
   return static_cast<double>(CountMembers(state, kLostMemberRetention, now));
 }
 
-double ColdShareCount(const RoutingState& state, TimePoint now) {
-  return static_cast<double>(CountMembers(state, kColdShareRetention, now));
+double LastingFleetSize(const RoutingState& state, TimePoint now) {
+  return static_cast<double>(CountMembers(state, kCutRetention, now));
 }
 
 std::uint64_t MemberScore(const Server& server, const std::string& member) {
@@ -62,7 +61,7 @@
   const auto lost =
       std::count_if(state.lost_members.begin(), state.lost_members.end(),
                     [&](const auto& member) {
-                      return now - member.second < kColdShareRetention &&
+                      return now - member.second < kCutRetention &&
                              MemberScore(server, member.first) > own_score;
                     });
   return static_cast<std::size_t>(live + lost);
@@ -77,7 +76,7 @@
   for (const FleetMember& member : members)
     state.lost_members.erase(member.name);
   std::erase_if(state.lost_members, [&](const auto& member) {
-    return now - member.second >= kColdShareRetention;
+    return now - member.second >= kCutRetention;
   });
   state.members = std::move(members);
 }
--- a/Libraries/LibRouting/fleet_shares.h
+++ b/Libraries/LibRouting/fleet_shares.h
@@ -22,9 +22,9 @@
 // for a while those that were live before.
 double EffectiveFleetSize(const RoutingState& state, TimePoint now);
 
-// Returns the number of entry VMs that share the rate of cold servers: the live
-// members, and for longer those that were live before.
-double ColdShareCount(const RoutingState& state, TimePoint now);
+// The same with those that were live long before. The sides of a long cut,
+// which may reach the same servers, do not take each other's shares by it.
+double LastingFleetSize(const RoutingState& state, TimePoint now);
 
 // Returns the member's score in the server's rendezvous order.
 std::uint64_t MemberScore(const Server& server, const std::string& member);
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -200,7 +200,7 @@
        bounds.cold_extra) *
       kBoundUseShare;
   const double entry_allowance =
-      std::floor(fleet_allowance / ColdShareCount(state, now));
+      std::floor(fleet_allowance / LastingFleetSize(state, now));
   RemoveUpTo(server.recent_sends, now - kColdRateWindow);
   const auto sent = static_cast<double>(server.recent_sends.size());
   if (entry_allowance >= 1)
--- a/Libraries/LibRouting/retry_budget.cc
+++ b/Libraries/LibRouting/retry_budget.cc
@@ -72,10 +72,9 @@
   const FleetBounds& bounds = state.options.bounds;
   ServiceState& current = state.services.at(service);
   ForgetOldAttempts(current, bounds, now);
-  const double extra =
-      IsFleetSizeUnverified(state, now)
-          ? 0
-          : bounds.retry_extra / EffectiveFleetSize(state, now);
+  const double extra = IsFleetSizeUnverified(state, now)
+                           ? 0
+                           : bounds.retry_extra / LastingFleetSize(state, now);
   const double allowed =
       (current.requests_in_window * bounds.retry_ratio + extra) *
       kBoundUseShare;
--- a/Tests/LibRouting/test_retry_window.cc
+++ b/Tests/LibRouting/test_retry_window.cc
@@ -108,4 +108,22 @@
   CHECK(fixture.refused.size() == 1);
 }
 
+// Guards against both sides of a long cut using the whole budget, since both
+// still reach the servers.
+TEST_CASE("entry VMs that are cut off for long keep their share of retries") {
+  RetryFixture fixture;
+  constexpr std::size_t kMembers = 4;
+  fixture.state.options.bounds.retry_extra = 2 * kMembers;
+  fixture.Step(Members({"entry-1", "entry-2", "entry-3", "entry-4"}));
+  fixture.Step(Members({"entry-1", "entry-2"}));
+  fixture.now += Seconds(60);
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    fixture.Arrive("read", i);
+    fixture.End(ServerOutcome::kRejected);
+    if (fixture.sent.back().attempt == 2)
+      fixture.End(ServerOutcome::kSucceeded);
+  }
+  CHECK(fixture.Service("desk").retries_in_window == 1);
+}
+
 }  // namespace cicadadrum::routing
