--- a/Tests/UncontrolledCallers/entry_process.cc
+++ b/Tests/UncontrolledCallers/entry_process.cc
@@ -33,7 +33,8 @@
 EntryProcess::EntryProcess(const EntryProcessOptions& options)
     : folder_(MakeFolder()),
       caller_address_(FindFreeAddress()),
-      readiness_address_(FindFreeAddress()) {
+      readiness_address_(FindFreeAddress()),
+      lookup_address_(FindFreeAddress()) {
   const std::string settings_path = folder_ + "/settings.json";
   std::ofstream(settings_path)
       << "{\n"
@@ -41,7 +42,7 @@
       << FormatSetting("failureDomain", "north-a")
       << FormatSetting("callerAddress", caller_address_)
       << FormatSetting("readinessAddress", readiness_address_)
-      << FormatSetting("lookupAddress", FindFreeAddress())
+      << FormatSetting("lookupAddress", lookup_address_)
       << FormatSetting("peerAddress", FindFreeAddress())
       << FormatSetting("storeAddress", options.store_address)
       << "  \"memoryMegabytes\": " << options.memory_megabytes << ",\n"
--- a/Tests/UncontrolledCallers/entry_process.h
+++ b/Tests/UncontrolledCallers/entry_process.h
@@ -27,6 +27,7 @@
 
   const std::string& caller_address() const { return caller_address_; }
   const std::string& readiness_address() const { return readiness_address_; }
+  const std::string& lookup_address() const { return lookup_address_; }
 
   // Whether the process still runs. Must be called from the thread that started
   // it.
@@ -38,6 +39,7 @@
   std::string folder_;
   std::string caller_address_;
   std::string readiness_address_;
+  std::string lookup_address_;
   pid_t pid_ = 0;  // 0 after the process has ended.
 };
 
