LibLoop: Read parameters of a query when they are asked for

Cause: each parameter of a query became two strings, 64 bytes for "a&", in the head of every request, though requests at the address of callers need none. A head of 16 KB held half a megabyte while its body arrived. The class is memory that grows with the callers and is in no budget. Ruled out: the byte budget itself; it held, but did not count this memory. Change: FindParameter searches the target when a parameter is asked for.

--- a/Libraries/LibEntry/entry_server.cc
+++ b/Libraries/LibEntry/entry_server.cc
@@ -89,9 +89,9 @@
 
 HttpResponse EntryServer::Impl::MakeLookupResponse(const HttpRequest& request) {
   const EntryState& state = core.state();
-  const std::string client_account(FindField(request.query, "client_account"));
-  const std::string service(FindField(request.query, "service"));
-  std::string region(FindField(request.query, "region"));
+  const std::string client_account = FindParameter(request, "client_account");
+  const std::string service = FindParameter(request, "service");
+  std::string region = FindParameter(request, "region");
   if (region.empty())
     region = state.self.region;
   capnp::MallocMessageBuilder message;
--- a/Libraries/LibLoop/http_request_head.cc
+++ b/Libraries/LibLoop/http_request_head.cc
@@ -2,14 +2,12 @@
 
 #include "http_request_head.h"
 
-#include <event2/http.h>
 #include <http_parser.h>
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
-#include <memory>
 
+#include "http_query.h"
 #include "http_syntax.h"
 
 namespace cicadadrum {
@@ -161,34 +159,6 @@
   return true;
 }
 
-std::string Decode(std::string_view text, bool is_query) {
-  if (text.find_first_of(is_query ? "%+" : "%") == std::string_view::npos)
-    return std::string(text);
-  std::size_t length = 0;
-  const std::unique_ptr<char, decltype(&std::free)> decoded(
-      evhttp_uridecode(std::string(text).c_str(), is_query ? 1 : 0, &length),
-      &std::free);
-  return decoded == nullptr ? std::string()
-                            : std::string(decoded.get(), length);
-}
-
-// Splits the query at '&'. A parameter without '=' has an empty value.
-HttpFields ReadQuery(std::string_view text) {
-  HttpFields query;
-  while (!text.empty()) {
-    const std::size_t end = std::min(text.find('&'), text.size());
-    const std::string_view parameter = text.substr(0, end);
-    text.remove_prefix(std::min(end + 1, text.size()));
-    if (parameter.empty())
-      continue;
-    const std::size_t equals = std::min(parameter.find('='), parameter.size());
-    query.emplace_back(
-        Decode(parameter.substr(0, equals), true),
-        Decode(parameter.substr(std::min(equals + 1, parameter.size())), true));
-  }
-  return query;
-}
-
 bool ReadTarget(HttpRequest& request) {
   http_parser_url url;
   http_parser_url_init(&url);
@@ -199,14 +169,11 @@
   }
   if (http_parser_parse_url(target.data(), target.size(), 0, &url) != 0)
     return false;
-  const auto part = [&](http_parser_url_fields field) {
-    return (url.field_set & (1U << field)) == 0
-               ? std::string_view()
-               : target.substr(url.field_data[field].off,
-                               url.field_data[field].len);
-  };
-  request.path = Decode(part(UF_PATH), false);
-  request.query = ReadQuery(part(UF_QUERY));
+  if ((url.field_set & (1U << UF_PATH)) == 0)
+    return true;
+  const auto& path = url.field_data[UF_PATH];
+  request.path =
+      DecodePercent(target.substr(path.off, path.len), UrlPart::kPath);
   return true;
 }
 
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
@@ -70,11 +70,10 @@
 
 struct HttpRequest {
   HttpMethod method = HttpMethod::kGet;
-  // Path and query as on the wire. The client sends `target` and ignores `path`
-  // and `query`.
+  // Path and query as on the wire. The client sends `target` and ignores
+  // `path`.
   std::string target;
   std::string path;  // Percent-decoded, without the query.
-  HttpFields query;  // Parameters of the query, percent-decoded.
   HttpFields headers;
   HttpBody body;
   // The client opens a new connection for this request instead of reusing an
@@ -84,6 +83,11 @@
   std::optional<Duration> connect_timeout;
 };
 
+// Returns the value of the first parameter `name` of the target's query,
+// percent-decoded, or an empty string if there is none. A parameter without '='
+// has an empty value.
+std::string FindParameter(const HttpRequest& request, std::string_view name);
+
 struct HttpResponse {
   std::uint16_t status = 200;
   HttpFields headers;
--- a/Tests/LibLoop/test_http_syntax.cc
+++ b/Tests/LibLoop/test_http_syntax.cc
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "cicadadrum/loop/http_message.h"
 #include "http_syntax.h"
 
 namespace cicadadrum {
@@ -32,4 +33,16 @@
   }
 }
 
+// Guards against a parameter that is read in another way than it was sent.
+TEST_CASE("parameters of a query are found and decoded") {
+  const HttpRequest request{
+      .target = "/a?x&name=one+two&name=three&r%C3%A9gion=%41%26b&last#z=1"};
+  CHECK(FindParameter(request, "name") == "one two");
+  CHECK(FindParameter(request, "r\xC3\xA9gion") == "A&b");
+  CHECK(FindParameter(request, "x").empty());
+  CHECK(FindParameter(request, "last").empty());
+  CHECK(FindParameter(request, "z").empty());
+  CHECK(FindParameter({.target = "/a"}, "name").empty());
+}
+
 }  // namespace cicadadrum
--- a/Tests/PlatformStandIns/stand_ins.cc
+++ b/Tests/PlatformStandIns/stand_ins.cc
@@ -42,7 +42,7 @@
 }
 
 std::string QueryValue(const HttpRequest& request, std::string_view name) {
-  return std::string(FindField(request.query, name));
+  return FindParameter(request, name);
 }
 
 HttpResponse Json(std::string body) {
