LibLoop: Count what parsed heads hold, before more is read

Cause: the budget counted the bytes of a head on the wire, and for a head whose body was arriving nothing. A field "a:b" takes 64 bytes. Besides, a connection was read before its memory was counted, and a plan resumed all paused connections at once, so that hundreds of heads were parsed above the budget. Heads that wait could not be evicted. Ruled out: fragments of the heap; with the memory counted and read in turn the peak is the budget and the idle size of the process. Change: MemoryOfHead is counted, twice while a request is handled; a connection is read or resumed only while memory is free; a head that is incomplete or waits counts as a request that is being received.

--- a/Libraries/LibLoop/http_fields.cc
+++ b/Libraries/LibLoop/http_fields.cc
@@ -32,6 +32,19 @@
   return {};
 }
 
+std::uint64_t MemoryOfHead(const HttpRequest& request) {
+  // Short strings are stored in the object itself.
+  const auto allocated = [](const std::string& text) -> std::uint64_t {
+    return text.capacity() < sizeof(std::string) / 2 ? 0 : text.capacity() + 1;
+  };
+  std::uint64_t bytes =
+      allocated(request.target) + allocated(request.path) +
+      request.headers.capacity() * sizeof(HttpFields::value_type);
+  for (const auto& [name, value] : request.headers)
+    bytes += allocated(name) + allocated(value);
+  return bytes;
+}
+
 HttpBody::HttpBody(std::string bytes) {
   if (bytes.empty())
     return;
--- a/Libraries/LibLoop/http_server_impl.h
+++ b/Libraries/LibLoop/http_server_impl.h
@@ -168,6 +168,10 @@
     return counters.held_bytes + unsent->bytes;
   }
   ConnectionUse UseOf(const Connection& connection) const;
+  // Size of the body that is being read, as far as it is known.
+  static std::uint64_t ExpectedBytes(const Connection& connection);
+  // Whether memory is free for more requests of the connection.
+  bool MayRead(const Connection& connection) const;
   // Pauses, resumes and evicts connections.
   void ApplyBudget();
   // Applies the budget soon.
--- a/Libraries/LibLoop/http_server_limits.cc
+++ b/Libraries/LibLoop/http_server_limits.cc
@@ -71,6 +71,7 @@
 void HttpServer::Impl::Count(Connection& connection) {
   std::uint64_t bytes =
       kConnectionBytes + InputBytes(connection.bev) + connection.body.size +
+      MemoryOfHead(connection.head.request) +
       std::min<std::uint64_t>(OutputBytes(connection.bev), kMaxUnreadBytes);
   for (const Exchange& exchange : connection.exchanges)
     bytes += exchange.held_bytes;
@@ -87,23 +88,33 @@
   connection.counted_bytes = bytes;
   if (is_less && paused_count > 0)
     SchedulePlan();
-  if (TotalBytes() < budget.large_limit || connection.is_paused ||
-      connection.is_closing)
+  if (connection.is_paused || connection.is_closing || MayRead(connection))
     return;
-  if (!MayReadOn(budget, TotalBytes(), UseOf(connection), favoured)) {
-    Pause(connection);
-    SchedulePlan();
-  }
+  Pause(connection);
+  SchedulePlan();
+}
+
+std::uint64_t HttpServer::Impl::ExpectedBytes(const Connection& connection) {
+  if (connection.phase == ReadPhase::kHead)
+    return 0;
+  return connection.head.framing == BodyFraming::kLength
+             ? connection.head.body_bytes
+             : connection.body.size;
+}
+
+bool HttpServer::Impl::MayRead(const Connection& connection) const {
+  return TotalBytes() < budget.large_limit ||
+         MayReadOn(budget, TotalBytes(), UseOf(connection), favoured);
 }
 
 ConnectionUse HttpServer::Impl::UseOf(const Connection& connection) const {
-  const bool is_receiving = connection.phase == ReadPhase::kBody;
+  const bool is_receiving = connection.phase == ReadPhase::kBody ||
+                            connection.phase == ReadPhase::kBodyStart ||
+                            connection.head_until != kNever;
   return {.id = connection.id,
           .held_bytes = connection.counted_bytes,
           .is_receiving = is_receiving,
-          .expected_bytes = connection.head.framing == BodyFraming::kLength
-                                ? connection.head.body_bytes
-                                : connection.body.size,
+          .expected_bytes = ExpectedBytes(connection),
           .body_started_at = connection.body_started_at,
           .has_unread = OutputBytes(connection.bev) > 0,
           .is_handled = std::ranges::any_of(
@@ -142,7 +153,8 @@
       continue;
     switch (plan.actions[i]) {
       case ReadingAction::kRead:
-        if (connection.is_paused)
+        // Those that were resumed before may have taken what was free.
+        if (connection.is_paused && MayRead(connection))
           Resume(connection);
         break;
       case ReadingAction::kPause:
--- a/Libraries/LibLoop/http_server_reading.cc
+++ b/Libraries/LibLoop/http_server_reading.cc
@@ -23,6 +23,10 @@
 
 constexpr std::uint16_t kBadRequest = 400;
 
+// While a request is handled, its head is held by the handler and, in part, by
+// what is sent on to a server.
+constexpr std::uint64_t kHandledHeads = 2;
+
 // Time after which memory is usually free again.
 constexpr const char* kRetryAfterSeconds = "1.00";
 
@@ -92,7 +96,10 @@
 void HttpServer::Impl::HandleInput(Connection& connection) {
   if (connection.is_closing)
     return Discard(connection);
-  ReadRequests(connection);
+  // A head takes several times its size once it is parsed, and many connections
+  // may be read before the next plan.
+  if (MayRead(connection))
+    ReadRequests(connection);
   if (connection.bev != nullptr)
     Count(connection);
 }
@@ -142,8 +149,10 @@
   const std::uint64_t max_bytes =
       options.limits.max_header_bytes -
       std::min(options.limits.max_header_bytes, connection.empty_line_bytes);
-  if (connection.head_until == kNever)
+  if (connection.head_until == kNever) {
     connection.head_until = loop.Now() + options.limits.header_timeout;
+    connection.progressed_at = loop.Now();
+  }
   const auto available =
       static_cast<std::size_t>(std::min<std::uint64_t>(length, max_bytes));
   const std::string_view bytes =
@@ -298,7 +307,8 @@
       {.id = id,
        .method = request.method,
        .is_http_1_0 = connection.head.is_http_1_0,
-       .held_bytes = connection.head_bytes + request.body.size()});
+       .held_bytes =
+           kHandledHeads * MemoryOfHead(request) + request.body.size()});
   connection.head = {};
   connection.has_requested = true;
   connections_by_request[id] = &connection;
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_message.h
@@ -88,6 +88,10 @@
 // has an empty value.
 std::string FindParameter(const HttpRequest& request, std::string_view name);
 
+// Returns the memory that the request takes without its body. Many short fields
+// take several times their size on the wire.
+std::uint64_t MemoryOfHead(const HttpRequest& request);
+
 struct HttpResponse {
   std::uint16_t status = 200;
   HttpFields headers;
