LibLoop: Close connections that make no progress for new ones

What callers saw: no ordinary request is answered while a crowd of uncontrolled callers holds all connections, for up to 60 s (the time of a body). Cause: only idle connections were closed for new ones. A connection whose body stops short of its end, or whose caller reads no response, kept its place. Change: such a connection may be closed for a new one after 5 s without progress, unless a request of it is handled: that request may have run. A request whose body is incomplete has not run.

--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -62,7 +62,7 @@
 }
 
 void HttpServer::Impl::Accept(evutil_socket_t fd) {
-  if (connections.size() >= options.max_connections && !DisplaceIdle()) {
+  if (connections.size() >= options.max_connections && !Displace()) {
     StopAccepting();
     evutil_closesocket(fd);
     return;
--- a/Libraries/LibLoop/http_server_impl.h
+++ b/Libraries/LibLoop/http_server_impl.h
@@ -183,8 +183,10 @@
   void Sweep();
   void SweepConnection(Connection& connection, TimePoint now);
   void ScheduleSweep();
-  // Closes an idle connection for a new one. Returns whether there was one.
-  bool DisplaceIdle();
+  // Whether the connection may be closed for a new one.
+  bool IsDisplaceable(const Connection& connection, TimePoint now) const;
+  // Closes a connection for a new one. Returns whether there was one.
+  bool Displace();
   void StopAccepting();
 
   EventLoop& loop;
--- a/Libraries/LibLoop/http_server_limits.cc
+++ b/Libraries/LibLoop/http_server_limits.cc
@@ -30,6 +30,10 @@
 // new one.
 constexpr Duration kMinHeadTime = Milliseconds(500);
 
+// A connection whose body has made no progress, or whose caller has read
+// nothing of its responses, for this long may be closed for a new one.
+constexpr Duration kMinStallTime = Seconds(5);
+
 // Whether the peer has closed its sending half or reset the connection. Only
 // this tells it while the connection is not read.
 bool HasPeerLeft(evutil_socket_t fd) {
@@ -259,22 +263,31 @@
     Close(connection);
 }
 
-bool HttpServer::Impl::DisplaceIdle() {
-  const TimePoint begun_before =
-      loop.Now() + options.limits.header_timeout - kMinHeadTime;
+// A request that is handled keeps its connection: it may have run.
+bool HttpServer::Impl::IsDisplaceable(const Connection& connection,
+                                      TimePoint now) const {
+  const ConnectionUse use = UseOf(connection);
+  if (use.is_handled)
+    return false;
+  if (use.has_unread || connection.phase == ReadPhase::kBody ||
+      connection.phase == ReadPhase::kBodyStart)
+    return now - use.progressed_at >= kMinStallTime;
+  return connection.head_until == kNever ||
+         connection.head_until <=
+             now + options.limits.header_timeout - kMinHeadTime;
+}
+
+bool HttpServer::Impl::Displace() {
   // Connections without a whole request so far come first.
   using Rank = std::tuple<bool, bool, TimePoint>;
+  const TimePoint now = loop.Now();
   Connection* chosen = nullptr;
   Rank chosen_rank;
   for (const auto& [id, connection] : connections) {
-    const bool is_begun = connection->head_until != kNever;
-    if (!connection->exchanges.empty() || OutputBytes(connection->bev) > 0 ||
-        connection->phase == ReadPhase::kBody ||
-        connection->phase == ReadPhase::kBodyStart ||
-        (is_begun && connection->head_until > begun_before))
+    if (!IsDisplaceable(*connection, now))
       continue;
     const Rank rank{connection->has_requested && !connection->is_closing,
-                    is_begun, connection->idle_since};
+                    connection->head_until != kNever, connection->idle_since};
     if (chosen == nullptr || rank < chosen_rank) {
       chosen = connection.get();
       chosen_rank = rank;
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
@@ -49,7 +49,8 @@
   // Memory for requests, and for responses that have not been sent.
   std::uint64_t max_held_bytes = std::uint64_t{64} << 20;
   // Beyond this number the connection that has been idle for the longest time
-  // is closed for a new one.
+  // is closed for a new one. One whose body or whose responses have made no
+  // progress for 5 s counts as idle, unless a request of it is handled.
   std::size_t max_connections = 4096;
   // Requests of one connection that are handled at a time.
   std::size_t max_requests_ahead = 16;
@@ -73,7 +74,7 @@
   std::uint64_t unread = 0;
   // Times that reading a connection was paused, because memory was short.
   std::uint64_t pauses = 0;
-  // Idle connections that were closed for new ones.
+  // Connections that were closed for new ones.
   std::uint64_t displaced = 0;
   std::uint64_t connections = 0;  // Open at this moment.
   // Requests, input and queued responses at this moment.
