LibLoop: Check for free memory wherever requests are read

Cause: after a response was written, the next request that waited in the input was parsed before its memory was counted, as it was on new input before. Change: the check stands where requests are read, so it holds for all callers.

--- a/Libraries/LibLoop/http_server_reading.cc
+++ b/Libraries/LibLoop/http_server_reading.cc
@@ -96,10 +96,7 @@
 void HttpServer::Impl::HandleInput(Connection& connection) {
   if (connection.is_closing)
     return Discard(connection);
-  // A head takes several times its size once it is parsed, and many connections
-  // may be read before the next plan.
-  if (MayRead(connection))
-    ReadRequests(connection);
+  ReadRequests(connection);
   if (connection.bev != nullptr)
     Count(connection);
 }
@@ -112,8 +109,10 @@
     bufferevent_disable(connection.bev, EV_READ);
 }
 
+// A head takes several times its size once it is parsed, and many connections
+// may be read before the next plan. Count pauses those that may not be read.
 void HttpServer::Impl::ReadRequests(Connection& connection) {
-  if (connection.is_reading)
+  if (connection.is_reading || !MayRead(connection))
     return;
   connection.is_reading = true;
   bool has_more = true;
