LibLoop: Count the memory that incomplete bodies hold

What callers saw: an entry VM runs out of memory and ends (users' trial). Cause: the budget counted the bytes of a body that had arrived, but its buffer was up to twice as large, 64 KiB for one byte in chunks. Buffers below 256 KiB lie in the heap, whose pages stay resident. Change: the capacity is counted; a buffer begins with 16 KiB and grows by 128 KiB at most.

--- a/Libraries/LibLoop/body_buffer.cc
+++ b/Libraries/LibLoop/body_buffer.cc
@@ -13,7 +13,10 @@
 constexpr std::size_t kMaxUnusedBytes = 4096;
 
 // Bodies whose length is known get all of their memory at once up to this size.
-constexpr std::uint64_t kMaxFirstCapacity = 65'536;
+constexpr std::uint64_t kMaxFirstCapacity = 16'384;
+
+// Limits the memory that a body holds for bytes which may never come.
+constexpr std::uint64_t kMaxGrowth = 131'072;
 
 bool Resize(BodyBuffer& buffer, std::size_t capacity) {
   auto* resized =
@@ -36,7 +39,9 @@
     const std::uint64_t wanted =
         buffer.capacity == 0
             ? std::min(max_capacity, kMaxFirstCapacity)
-            : std::min<std::uint64_t>(2 * buffer.capacity, max_capacity);
+            : std::min(buffer.capacity +
+                           std::min<std::uint64_t>(buffer.capacity, kMaxGrowth),
+                       max_capacity);
     if (!Resize(buffer, std::max(wanted, needed)))
       return nullptr;
   }
--- a/Libraries/LibLoop/http_server_limits.cc
+++ b/Libraries/LibLoop/http_server_limits.cc
@@ -74,7 +74,7 @@
 // be heads counts here.
 void HttpServer::Impl::Count(Connection& connection) {
   std::uint64_t bytes =
-      kConnectionBytes + InputBytes(connection.bev) + connection.body.size +
+      kConnectionBytes + InputBytes(connection.bev) + connection.body.capacity +
       MemoryOfHead(connection.head.request) +
       std::min<std::uint64_t>(OutputBytes(connection.bev), kMaxUnreadBytes);
   for (const Exchange& exchange : connection.exchanges)
--- a/Tests/UncontrolledCallers/test_large_crowds.cc
+++ b/Tests/UncontrolledCallers/test_large_crowds.cc
@@ -18,13 +18,33 @@
 
 namespace {
 
-constexpr double kMemoryMegabytes = 64;
-constexpr std::uint64_t kMaxDescriptors = 1024;
-// So few that the crowd wants more connections than callers may have.
-constexpr std::uint64_t kFewDescriptors = 256;
+// The sanitizers need memory of their own.
+#if defined(__SANITIZE_ADDRESS__)
+constexpr std::uint64_t kMemoryFactor = 4;
+#else
+constexpr std::uint64_t kMemoryFactor = 1;
+#endif
+
+// The VM, and how many callers come to it.
+struct Crowding {
+  double memory_megabytes = 64;
+  std::uint64_t max_descriptors = 1024;
+  std::size_t callers = 300;
+
+  std::uint64_t MaxResidentBytes() const {
+    return kMemoryFactor * static_cast<std::uint64_t>(memory_megabytes * 1e6);
+  }
+};
+
+// The crowd wants more connections than callers may have.
+constexpr Crowding kFewDescriptors{.max_descriptors = 256};
+// Many callers for little memory.
+constexpr Crowding kLittleMemory{.memory_megabytes = 40,
+                                 .max_descriptors = 2048,
+                                 .callers = 900};
+
 // Descriptors that must stay free, for connections to servers and the store.
 constexpr std::uint64_t kFreeDescriptors = 64;
-constexpr std::size_t kCrowdSize = 300;
 
 // Limits of callers in the configuration.
 constexpr std::size_t kHeadLimit = 16'384;
@@ -37,16 +57,6 @@
 constexpr Duration kQuietTime = Seconds(2);
 constexpr Duration kMaxCrowdTime = Seconds(15);
 
-// The sanitizers need memory of their own.
-#if defined(__SANITIZE_ADDRESS__)
-constexpr std::uint64_t kMemoryFactor = 4;
-#else
-constexpr std::uint64_t kMemoryFactor = 1;
-#endif
-
-constexpr std::uint64_t kMaxResidentBytes =
-    kMemoryFactor * static_cast<std::uint64_t>(kMemoryMegabytes * 1e6);
-
 // The caller states that it waits for long, also for the end of its own body.
 std::string HeadBegin(const std::string& method, const std::string& target) {
   return method + " " + target + " HTTP/1.1\r\nHost: host\r\n" +
@@ -169,15 +179,15 @@
 
 // A store, a server and the process of an entry VM, which is ready.
 struct CrowdedDeployment : Deployment {
-  std::uint64_t max_descriptors;
+  Crowding crowding;
   EntryProcess entry{{.store_address = store.address(),
-                      .memory_megabytes = kMemoryMegabytes,
-                      .max_descriptors = max_descriptors}};
+                      .memory_megabytes = crowding.memory_megabytes,
+                      .max_descriptors = crowding.max_descriptors}};
   std::uint64_t most_resident = 0;
   std::uint64_t most_descriptors = 0;
 
-  explicit CrowdedDeployment(std::uint64_t descriptors)
-      : max_descriptors(descriptors) {
+  explicit CrowdedDeployment(const Crowding& vm_and_callers)
+      : crowding(vm_and_callers) {
     std::string body = ConfigurationBody(2);
     body.replace(body.find("\"limits\":"), std::string::npos,
                  "\"limits\":{\"headerBytes\":" + std::to_string(kHeadLimit) +
@@ -244,15 +254,15 @@
 };
 
 void CheckCrowdsAt(const std::vector<CrowdAt>& crowds_at,
-                   std::uint64_t max_descriptors = kMaxDescriptors) {
-  CrowdedDeployment deployment(max_descriptors);
+                   const Crowding& crowding = {}) {
+  CrowdedDeployment deployment(crowding);
   EntryProcess& entry = deployment.entry;
   {
     std::vector<std::unique_ptr<Crowd>> crowds;
     for (const CrowdAt& crowd : crowds_at)
       crowds.push_back(std::make_unique<Crowd>(
           (entry.*crowd.address)(),
-          std::vector<CallerScript>(kCrowdSize / crowds_at.size(),
+          std::vector<CallerScript>(crowding.callers / crowds_at.size(),
                                     crowd.make_script())));
     deployment.Send(crowds);
     REQUIRE(entry.IsAlive());
@@ -265,19 +275,17 @@
   deployment.Measure();
   MESSAGE("resident bytes at most ", deployment.most_resident,
           "; descriptors at most ", deployment.most_descriptors);
-  CHECK(deployment.most_resident < kMaxResidentBytes);
-  CHECK(deployment.most_descriptors <= max_descriptors - kFreeDescriptors);
+  CHECK(deployment.most_resident < crowding.MaxResidentBytes());
+  CHECK(deployment.most_descriptors <=
+        crowding.max_descriptors - kFreeDescriptors);
 }
 
-void CheckCrowds(ScriptMaker make_script,
-                 std::uint64_t max_descriptors = kMaxDescriptors) {
+void CheckCrowds(ScriptMaker make_script, const Crowding& crowding = {}) {
   SUBCASE("at the address of requests") {
-    CheckCrowdsAt({{&EntryProcess::caller_address, make_script}},
-                  max_descriptors);
+    CheckCrowdsAt({{&EntryProcess::caller_address, make_script}}, crowding);
   }
   SUBCASE("at the address of lookups") {
-    CheckCrowdsAt({{&EntryProcess::lookup_address, make_script}},
-                  max_descriptors);
+    CheckCrowdsAt({{&EntryProcess::lookup_address, make_script}}, crowding);
   }
 }
 
@@ -354,6 +362,11 @@
                  {&EntryProcess::readiness_address, LargeChunks}});
 }
 
+// Guards against memory that bodies hold beside their bytes.
+TEST_CASE("a large crowd sends large chunks to a VM with little memory") {
+  CheckCrowds(LargeChunks, kLittleMemory);
+}
+
 // Guards against connections that no caller can use while others hold them.
 TEST_CASE("a crowd takes all connections with bodies that stop short") {
   CheckCrowds(SmallBodyThatStopsShort, kFewDescriptors);
