Tests/LibRouting: Let the world of restarts confirm requests that wait

Cause: the world sent a request after its connection and check as the choice had it, which the front end does no more.

--- a/Tests/LibRouting/restart_world.h
+++ b/Tests/LibRouting/restart_world.h
@@ -155,7 +155,11 @@
   void Perform(std::size_t entry, const RoutingAction& action);
   void BeginAttempt(std::size_t entry, const SendAttempt& send);
   void Connect(AttemptKey key);
+  // Checks the connection that has been opened, or sends the request.
+  void UseConnection(AttemptKey key);
   void CheckConnection(AttemptKey key);
+  // Sends the request if the entry VM still wants to.
+  void Confirm(AttemptKey key);
   void Receive(AttemptKey key);
   void CountArrival(std::size_t server);
   void Finish(AttemptKey key);
@@ -188,6 +192,7 @@
   AnswerCounts answers_;
   ColdPeak cold_peak_;
   std::size_t cold_requests_ = 0;
+  bool is_confirmed_ = false;  // By the last step.
 };
 
 }  // namespace cicadadrum::routing
