LibLoop, LibRouting: Compute a head's memory once, name the renewal of attempts

Behaviour is unchanged: the memory of a parsed head was computed on each read of its body, and a function that counts an attempt was named as if it only asked. head_bytes had become a member that one function used. Tests of LibLoop and LibRouting pass (93 and 162).

--- a/Libraries/LibLoop/http_server_impl.h
+++ b/Libraries/LibLoop/http_server_impl.h
@@ -97,8 +97,8 @@
     bool is_paused = false;      // Memory is short.
     bool is_input_full = false;  // Nothing is read until requests are.
 
-    RequestHead head;  // Of the request that is being read.
-    std::uint64_t head_bytes = 0;
+    RequestHead head;                    // Of the request that is being read.
+    std::uint64_t head_memory = 0;       // MemoryOfHead of `head`.
     std::uint64_t empty_line_bytes = 0;  // Before the head.
     std::size_t searched_bytes = 0;  // Of the input, for the end of the head.
     BodyBuffer body;
--- a/Libraries/LibLoop/http_server_limits.cc
+++ b/Libraries/LibLoop/http_server_limits.cc
@@ -75,7 +75,7 @@
 void HttpServer::Impl::Count(Connection& connection) {
   std::uint64_t bytes =
       kConnectionBytes + InputBytes(connection.bev) + connection.body.capacity +
-      MemoryOfHead(connection.head.request) +
+      connection.head_memory +
       std::min<std::uint64_t>(OutputBytes(connection.bev), kMaxUnreadBytes);
   for (const Exchange& exchange : connection.exchanges)
     bytes += exchange.held_bytes;
--- a/Libraries/LibLoop/http_server_reading.cc
+++ b/Libraries/LibLoop/http_server_reading.cc
@@ -175,10 +175,11 @@
     return false;
   }
   connection.head = {};
-  connection.head_bytes = end + kHeadEnd.size();
+  const std::size_t head_bytes = end + kHeadEnd.size();
   const HeadVerdict verdict =
-      ReadRequestHead(bytes.substr(0, connection.head_bytes), connection.head);
-  evbuffer_drain(input, connection.head_bytes);
+      ReadRequestHead(bytes.substr(0, head_bytes), connection.head);
+  evbuffer_drain(input, head_bytes);
+  connection.head_memory = MemoryOfHead(connection.head.request);
   connection.searched_bytes = 0;
   connection.empty_line_bytes = 0;
   connection.head_until = kNever;
@@ -307,8 +308,9 @@
        .method = request.method,
        .is_http_1_0 = connection.head.is_http_1_0,
        .held_bytes =
-           kHandledHeads * MemoryOfHead(request) + request.body.size()});
+           kHandledHeads * connection.head_memory + request.body.size()});
   connection.head = {};
+  connection.head_memory = 0;
   connection.has_requested = true;
   connections_by_request[id] = &connection;
   ++counters.requests;
@@ -336,6 +338,7 @@
                                   .response = std::move(response)});
   connection.is_closing = true;
   connection.head = {};
+  connection.head_memory = 0;
   connection.body = {};
   connection.head_until = kNever;
   connection.body_until = kNever;
--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -129,12 +129,13 @@
   return std::nullopt;
 }
 
-// Whether what led to the current attempt still holds. A request may wait for
-// its connection for a large part of its time.
-bool IsAttemptStillDue(RoutingState& state,
-                       std::uint64_t id,
-                       RequestState& request,
-                       TimePoint now) {
+// Counts the current attempt as sent now, if what led to it still holds.
+// Returns whether it does. A request may wait for its connection for a large
+// part of its time.
+bool RenewAttempt(RoutingState& state,
+                  std::uint64_t id,
+                  RequestState& request,
+                  TimePoint now) {
   const std::string service = request.service;
   if (now + kMinAttemptTime >= request.deadline ||
       !RefreshRoute(state, id, request) || request.service != service ||
@@ -211,7 +212,7 @@
   if (found == state.requests.end() ||
       found->second.attempts != event.attempt ||
       !found->second.attempt_in_progress ||
-      !IsAttemptStillDue(state, event.request, found->second, now))
+      !RenewAttempt(state, event.request, found->second, now))
     return;
   actions.emplace_back(TransmitAttempt{
       .request = event.request,
