--- a/Tests/UncontrolledCallers/test_large_crowds.cc
+++ b/Tests/UncontrolledCallers/test_large_crowds.cc
@@ -259,6 +259,7 @@
   EntryProcess& entry = deployment.entry;
   {
     std::vector<std::unique_ptr<Crowd>> crowds;
+    crowds.reserve(crowds_at.size());
     for (const CrowdAt& crowd : crowds_at)
       crowds.push_back(std::make_unique<Crowd>(
           (entry.*crowd.address)(),
