LibLoop: Let large bodies grow by a share of their size

What callers saw: nothing; the test of the largest body failed under the sanitizers (408 after its 15 s). Cause: since a buffer grew by 128 KiB at most. An allocator that copies on each growth then copies a body of 64 MiB 512 times; glibc moves the pages, so the default build did not show it. Change: above 1 MiB a buffer grows by an eighth.

--- a/Libraries/LibLoop/body_buffer.cc
+++ b/Libraries/LibLoop/body_buffer.cc
@@ -15,8 +15,15 @@
 // Bodies whose length is known get all of their memory at once up to this size.
 constexpr std::uint64_t kMaxFirstCapacity = 16'384;
 
-// Limits the memory that a body holds for bytes which may never come.
+// Limit the memory that a body holds for bytes which may never come. A larger
+// body grows by a share of its size, because an allocator may copy it each
+// time.
 constexpr std::uint64_t kMaxGrowth = 131'072;
+constexpr std::uint64_t kGrowthDivisor = 8;
+
+std::uint64_t GrowthOf(std::uint64_t capacity) {
+  return std::min(capacity, std::max(kMaxGrowth, capacity / kGrowthDivisor));
+}
 
 bool Resize(BodyBuffer& buffer, std::size_t capacity) {
   auto* resized =
@@ -39,8 +46,7 @@
     const std::uint64_t wanted =
         buffer.capacity == 0
             ? std::min(max_capacity, kMaxFirstCapacity)
-            : std::min(buffer.capacity +
-                           std::min<std::uint64_t>(buffer.capacity, kMaxGrowth),
+            : std::min(buffer.capacity + GrowthOf(buffer.capacity),
                        max_capacity);
     if (!Resize(buffer, std::max(wanted, needed)))
       return nullptr;
