--- a/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
+++ b/Libraries/LibNode/include/cicadadrum/node/fleet_node.h
@@ -19,6 +19,7 @@
 #include "cicadadrum/loop/kj_event_port.h"
 #include "cicadadrum/membership/membership.h"
 #include "cicadadrum/peer/messages.h"
+#include "cicadadrum/routing/actions.h"
 #include "cicadadrum/routing/events.h"
 
 namespace cicadadrum {
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -23,6 +23,7 @@
 #include "cicadadrum/base/random.h"
 #include "cicadadrum/base/time.h"
 #include "cicadadrum/quota/quota.h"
+#include "cicadadrum/routing/actions.h"
 #include "cicadadrum/routing/events.h"
 #include "cicadadrum/shift/split.h"
 
