LibRouting: Keep the time of an attempt's count once

RequestState::counted_at was always equal to retry_count.at, and two places looked the current attempt of a request up by the same four lines. The time is in AttemptCount now, and FindAttempt looks the attempt up.

Ruled out that the two times differ: both were set together when an attempt starts, and both when it is counted again after its connection; nothing else writes them.

--- a/Libraries/LibRouting/dispatch.cc
+++ b/Libraries/LibRouting/dispatch.cc
@@ -147,7 +147,6 @@
       (!request.is_limit_counted && LimitAllowsAt(state, *server, now) > now) ||
       !RecountSend(state, *server, request, now))
     return false;
-  request.counted_at = now;
   RecountAttempt(state, request, now);
   if (!request.is_limit_counted)
     CountInLimit(state, *server, request, now);
@@ -170,7 +169,6 @@
   request.server_started_unix_ms = server.entry.started_unix_ms;
   request.tried_servers.push_back(server.entry.id);
   request.sent_at = now;
-  request.counted_at = now;
   request.expected_response_bytes = choice.inputs.expected_response_bytes;
   request.expected_duration = choice.expected_duration;
   request.expected_work_ms = choice.work_ms;
@@ -204,21 +202,27 @@
 
 }  // namespace
 
+RequestState* FindAttempt(RoutingState& state,
+                          std::uint64_t id,
+                          std::uint32_t attempt) {
+  const auto found = state.requests.find(id);
+  return found != state.requests.end() && found->second.attempts == attempt &&
+                 found->second.attempt_in_progress
+             ? &found->second
+             : nullptr;
+}
+
 void ConfirmAttempt(RoutingState& state,
                     const ConnectionReady& event,
                     TimePoint now,
                     RoutingActions& actions) {
-  const auto found = state.requests.find(event.request);
-  if (found == state.requests.end() ||
-      found->second.attempts != event.attempt ||
-      !found->second.attempt_in_progress ||
-      !RenewAttempt(state, event.request, found->second, now))
+  RequestState* request = FindAttempt(state, event.request, event.attempt);
+  if (request == nullptr || !RenewAttempt(state, event.request, *request, now))
     return;
   actions.emplace_back(TransmitAttempt{
       .request = event.request,
       .attempt = event.attempt,
-      .server_timeout =
-          ServerTimeout(state, found->second.deadline - now, now)});
+      .server_timeout = ServerTimeout(state, request->deadline - now, now)});
 }
 
 void EndRequest(RoutingState& state, std::uint64_t id) {
--- a/Libraries/LibRouting/dispatch.h
+++ b/Libraries/LibRouting/dispatch.h
@@ -50,6 +50,12 @@
               TimePoint now,
               RoutingActions& actions);
 
+// Returns the request if `attempt` is its current one and has not ended, and
+// null otherwise.
+RequestState* FindAttempt(RoutingState& state,
+                          std::uint64_t id,
+                          std::uint32_t attempt);
+
 // Decides whether a request that has waited for its connection is still sent to
 // the server that was chosen for it.
 void ConfirmAttempt(RoutingState& state,
--- a/Libraries/LibRouting/include/cicadadrum/routing/routing.h
+++ b/Libraries/LibRouting/include/cicadadrum/routing/routing.h
@@ -53,9 +53,12 @@
   return {entry.id, entry.started_unix_ms};
 }
 
-// How an attempt is counted in the retry window of a service.
-struct RetryCount {
+// How an attempt is counted in the retry window of its service, and in
+// Server::recent_sends.
+struct AttemptCount {
   std::string service;
+  // The choice of the server, or later if the attempt waited for its
+  // connection.
   TimePoint at{};
   bool is_retry = false;
 };
@@ -92,16 +95,13 @@
   std::uint32_t attempts = 0;  // Number of attempts started so far.
   // Those of `attempts` that were replaced (see IsReplaced).
   std::uint32_t unsent_attempts = 0;
-  RetryCount retry_count;                  // Of the current attempt.
+  AttemptCount attempt_count;              // Of the current attempt.
   std::vector<std::string> tried_servers;  // Ids.
   Verdict verdict = Verdict::kNotRun;      // Of the attempts that have ended.
   bool attempt_in_progress = false;
   std::string server;  // Id of the server of the current attempt.
   std::int64_t server_started_unix_ms = 0;  // Start time of that server.
   TimePoint sent_at;
-  // Of the current attempt in Server::recent_sends: its choice, or later if it
-  // has waited for its connection.
-  TimePoint counted_at;
   // The current attempt is counted in the allowance of the server's limit.
   bool is_limit_counted = false;
   // Estimated duration of the current attempt.
--- a/Libraries/LibRouting/observations.cc
+++ b/Libraries/LibRouting/observations.cc
@@ -240,9 +240,9 @@
                  Server& server,
                  const RequestState& request,
                  TimePoint now) {
-  RemoveOne(server.recent_sends, request.counted_at);
+  RemoveOne(server.recent_sends, request.attempt_count.at);
   const bool is_allowed = HasColdServerAllowance(state, server, now);
-  server.recent_sends.push_back(is_allowed ? now : request.counted_at);
+  server.recent_sends.push_back(is_allowed ? now : request.attempt_count.at);
   return is_allowed;
 }
 
@@ -271,13 +271,13 @@
       server.backoff_until = now + kMaxBackoff;
       return;
     case ServerOutcome::kCold:
-      RemoveOne(server.recent_sends, request.counted_at);
+      RemoveOne(server.recent_sends, request.attempt_count.at);
       RecordCold(server, end.cold_left, now);
       return;
     case ServerOutcome::kBusy:
     case ServerOutcome::kWithheld:
       // Like a full queue, this is no failure of the server.
-      RemoveOne(server.recent_sends, request.counted_at);
+      RemoveOne(server.recent_sends, request.attempt_count.at);
       return;
     case ServerOutcome::kLostUnused:
       state.services[request.service].connection_reuse_suspended_until =
--- a/Libraries/LibRouting/retry_budget.cc
+++ b/Libraries/LibRouting/retry_budget.cc
@@ -27,7 +27,7 @@
 }
 
 void Count(RoutingState& state, const RequestState& request) {
-  const RetryCount& counted = request.retry_count;
+  const AttemptCount& counted = request.attempt_count;
   ServiceState& service = state.services[counted.service];
   service.sends_in_window.emplace_back(counted.at, counted.is_retry);
   ++CounterOf(service, counted.is_retry);
@@ -41,15 +41,15 @@
 }
 
 void CountAttempt(RoutingState& state, RequestState& request, TimePoint now) {
-  request.retry_count = {.service = request.service,
-                         .at = now,
-                         .is_retry = IsNextAttemptRetry(request)};
+  request.attempt_count = {.service = request.service,
+                           .at = now,
+                           .is_retry = IsNextAttemptRetry(request)};
   Count(state, request);
 }
 
 // The attempt is one of the last in the window, so it is searched from there.
 void UncountAttempt(RoutingState& state, const RequestState& request) {
-  const RetryCount& counted = request.retry_count;
+  const AttemptCount& counted = request.attempt_count;
   ServiceState& service = state.services[counted.service];
   auto& sends = service.sends_in_window;
   const auto found = std::find(sends.rbegin(), sends.rend(),
@@ -62,7 +62,7 @@
 
 void RecountAttempt(RoutingState& state, RequestState& request, TimePoint now) {
   UncountAttempt(state, request);
-  request.retry_count.at = now;
+  request.attempt_count.at = now;
   Count(state, request);
 }
 
--- a/Libraries/LibRouting/routing.cc
+++ b/Libraries/LibRouting/routing.cc
@@ -178,12 +178,10 @@
            const AttemptEnded& event,
            TimePoint now,
            RoutingActions& actions) {
-  const auto found = state.requests.find(event.request);
-  if (found == state.requests.end() ||
-      found->second.attempts != event.attempt ||
-      !found->second.attempt_in_progress)
+  RequestState* current = FindAttempt(state, event.request, event.attempt);
+  if (current == nullptr)
     return;
-  RequestState& request = found->second;
+  RequestState& request = *current;
   request.attempt_in_progress = false;
   EndTrial(state, event.request, request.fingerprint);
   RecordAdvice(state, request, event, now, actions);
--- a/Tests/Platform/test_front_log.cc
+++ b/Tests/Platform/test_front_log.cc
@@ -101,8 +101,8 @@
         "caller-left");
 }
 
-// Guards against logs that don't tell a slow server from a slow check before
-// the request was sent.
+// Guards against logs that do not distinguish a slow server from a slow check
+// before the request was sent.
 TEST_CASE("an attempt that waited for a check is logged with its delay") {
   LoggedDeployment entry;
   CHECK(entry.SendRequest(Request("/read/a", "checked")).status == 200);
