LibLoop: Free the descriptors of connections that make way at once

What callers would have seen: a burst of callers takes all descriptors of the process for a moment, and accepting pauses for 100 ms; connections to servers and the store can fail meanwhile.

Cause: all waiting connections are accepted in one callback, and each one beyond the limit displaces another. bufferevent_free() with BEV_OPT_CLOSE_ON_FREE closes the socket in a finalizer, which runs only after that callback, so each of them held a descriptor until then. Ruled out: the limit of connections (never exceeded), connections to servers (one).

Change: HttpServer closes the socket itself; its events have been removed from the loop by then. The same option in LibLoop's client and in LibPeer's streams closes connections one at a time, whose number members and servers bound.

Test: "connections that make way free their descriptors at once", 100 callers for 8 connections with 9 descriptors.

--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -76,8 +76,9 @@
   connection->idle_since = now;
   connection->progressed_at = now;
   connection->read_at = now;
-  connection->bev =
-      bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+  // Close closes the socket. BEV_OPT_CLOSE_ON_FREE would do so only after all
+  // waiting connections have been accepted, each with a descriptor of its own.
+  connection->bev = bufferevent_socket_new(loop.base(), fd, 0);
   const auto readable = [](bufferevent* /*bev*/, void* argument) {
     // The connection may be closed meanwhile.
     const ConnectionPointer source =
@@ -118,7 +119,9 @@
   if (connection.is_paused)
     --paused_count;
   counters.held_bytes -= connection.counted_bytes;
+  const evutil_socket_t fd = bufferevent_getfd(connection.bev);
   bufferevent_free(std::exchange(connection.bev, nullptr));
+  evutil_closesocket(fd);
   connections.erase(connection.id);
   counters.connections = connections.size();
   if (paused_count > 0)
--- a/Tests/LibLoop/test_http_server_limits.cc
+++ b/Tests/LibLoop/test_http_server_limits.cc
@@ -2,6 +2,8 @@
 // limit of time, leave, or read slowly.
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <memory>
 #include <string>
@@ -202,4 +204,26 @@
   CHECK(fixture.closed.empty());
 }
 
+// Guards against a burst of callers that takes all descriptors of the process.
+TEST_CASE("connections that make way free their descriptors at once") {
+  constexpr std::size_t kMaxConnections = 8;
+  constexpr std::size_t kCallers = 100;
+  ServerFixture fixture({.max_connections = kMaxConnections});
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i)
+    callers.push_back(std::make_unique<RawCaller>(fixture.loop, fixture.port));
+  const int next = dup(STDERR_FILENO);
+  close(next);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  // The connections, and the one that is being accepted.
+  const rlimit lowered{.rlim_cur = next + kMaxConnections + 1,
+                       .rlim_max = before.rlim_max};
+  setrlimit(RLIMIT_NOFILE, &lowered);
+  for (int i = 0; i < 4; ++i)
+    event_base_loop(fixture.loop.base(), EVLOOP_NONBLOCK);
+  setrlimit(RLIMIT_NOFILE, &before);
+  CHECK(fixture.server->counters().displaced == kCallers - kMaxConnections);
+}
+
 }  // namespace cicadadrum
