LibLoop: Read the requests of all connections in turn

Cause: the requests in a connection's input were handled in a row, some 290 in 32 KiB, before the next connection's turn, so the time until another caller's request is read grew with the crowd. Ruled out: memory (75 of 256 MB), the number of connections (322 of 512), accepting (the ordinary connection was open).

Change: a connection reads one request; those behind it wait in a queue, from which up to 64 are read in each iteration of the loop, one of each connection in turn. What waits stays in the kernel: nothing is read from the socket of a connection in the queue, and 4 KiB at a time before a head is complete.

Tests: "a request does not wait for those that others have sent ahead": 5,120 requests were handled before the other caller's with 104 allowed, now it holds.

--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -52,6 +52,7 @@
       on_request(std::move(handler)),
       on_close(std::move(close)),
       budget(MakeByteBudget(options.max_held_bytes)),
+      turn_timer(std::make_unique<Timer>(loop, [this] { ReadWaiting(); })),
       sweep_timer(std::make_unique<Timer>(loop, [this] { Sweep(); })),
       budget_timer(std::make_unique<Timer>(loop, [this] { ApplyBudget(); })),
       lost_timer(std::make_unique<Timer>(loop, [this] {
@@ -99,6 +100,7 @@
                     connection.get());
   bufferevent_setwatermark(connection->bev, EV_READ, 0,
                            options.limits.max_header_bytes + kInputBytes);
+  bufferevent_set_max_single_read(connection->bev, kHeadReadBytes);
   // The next requests are read before a large response has left entirely.
   bufferevent_setwatermark(connection->bev, EV_WRITE, kMaxUnreadBytes / 2, 0);
   connections[connection->id] = connection;
--- a/Libraries/LibLoop/http_server_impl.h
+++ b/Libraries/LibLoop/http_server_impl.h
@@ -25,6 +25,11 @@
 
 namespace cicadadrum {
 
+// Bytes that are read at a time. Of requests ahead, the rest stays in the
+// kernel.
+constexpr std::size_t kHeadReadBytes = 4096;
+constexpr std::size_t kBodyReadBytes = 16'384;
+
 constexpr std::uint16_t kRequestTimeout = 408;
 constexpr std::uint16_t kContentTooLarge = 413;
 constexpr std::uint16_t kHeadTooLarge = 431;
@@ -90,6 +95,10 @@
     ReadPhase phase = ReadPhase::kHead;
     // A loop over the input runs, so responses need not resume it.
     bool is_reading = false;
+    // The input may hold requests behind one that was read. The connection is
+    // in `waiting`, or paused.
+    bool has_requests_ahead = false;
+    bool is_waiting = false;     // In `waiting`.
     bool has_requested = false;  // A whole request was read.
     // No further request is read. The response to the last one of `exchanges`
     // closes the connection.
@@ -134,8 +143,14 @@
 
   // http_server_reading.cc
   void HandleInput(Connection& connection);
-  // Reads as many requests as may be handled now.
+  // Reads a request, if it may be handled now. Those behind it wait for a turn
+  // of their own, so that no connection keeps the others waiting.
   void ReadRequests(Connection& connection);
+  // Reads a request. Returns whether there may be another one in the input.
+  bool ReadRequest(Connection& connection);
+  void WaitForTurn(Connection& connection);
+  // Reads a request from each of the connections whose turn it is.
+  void ReadWaiting();
   // Return whether there may be more to read.
   bool ReadHead(Connection& connection);
   bool StartBody(Connection& connection);
@@ -199,6 +214,8 @@
   bool is_accepting = false;
   bool is_draining = false;  // WhenFlushed was called.
   std::map<std::uint64_t, ConnectionPointer> connections;
+  // Connections with requests ahead, in the order of their turns.
+  std::deque<ConnectionPointer> waiting;
   // The connections of the requests that are being handled.
   std::unordered_map<std::uint64_t, Connection*> connections_by_request;
   std::uint64_t next_request = 1;
@@ -209,6 +226,7 @@
   // Requests that ended with Abort of another one on the same connection.
   std::vector<std::uint64_t> lost_requests;
   std::unique_ptr<Timer> resume_accept;
+  std::unique_ptr<Timer> turn_timer;
   std::unique_ptr<Timer> sweep_timer;
   std::unique_ptr<Timer> budget_timer;
   std::unique_ptr<Timer> lost_timer;
--- a/Libraries/LibLoop/http_server_limits.cc
+++ b/Libraries/LibLoop/http_server_limits.cc
@@ -80,8 +80,9 @@
   for (const Exchange& exchange : connection.exchanges)
     bytes += exchange.held_bytes;
   // libevent would call the handler of the input again and again if the input
-  // stayed full.
-  const bool is_full = IsInputFull(connection.bev);
+  // stayed full. What comes behind requests ahead stays in the kernel.
+  const bool is_full =
+      connection.has_requests_ahead || IsInputFull(connection.bev);
   if (is_full && !connection.is_input_full)
     bufferevent_disable(connection.bev, EV_READ);
   else if (!is_full && connection.is_input_full && !connection.is_paused)
@@ -112,15 +113,19 @@
 }
 
 ConnectionUse HttpServer::Impl::UseOf(const Connection& connection) const {
-  const bool is_receiving = connection.phase == ReadPhase::kBody ||
-                            connection.phase == ReadPhase::kBodyStart ||
-                            connection.head_until != kNever;
+  const bool has_unread = OutputBytes(connection.bev) > 0;
+  // Input that waits for memory holds some, like a body that stops short.
+  const bool is_receiving =
+      connection.phase == ReadPhase::kBody ||
+      connection.phase == ReadPhase::kBodyStart ||
+      connection.head_until != kNever ||
+      (connection.is_paused && !has_unread && InputBytes(connection.bev) > 0);
   return {.id = connection.id,
           .held_bytes = connection.counted_bytes,
           .is_receiving = is_receiving,
           .expected_bytes = ExpectedBytes(connection),
           .body_started_at = connection.body_started_at,
-          .has_unread = OutputBytes(connection.bev) > 0,
+          .has_unread = has_unread,
           .is_handled = std::ranges::any_of(
               connection.exchanges,
               [](const Exchange& exchange) { return !exchange.response; }),
@@ -177,6 +182,9 @@
     return;
   bufferevent_disable(connection.bev, EV_READ);
   connection.is_paused = true;
+  // Input that waits for memory is evicted after that which waited before it.
+  if (connection.phase == ReadPhase::kHead && connection.head_until == kNever)
+    connection.progressed_at = loop.Now();
   ++paused_count;
   ++counters.pauses;
 }
@@ -191,7 +199,10 @@
     connection.head_until = now + options.limits.header_timeout;
   if (!connection.is_input_full)
     bufferevent_enable(connection.bev, EV_READ);
-  ReadRequests(connection);
+  if (connection.has_requests_ahead)
+    WaitForTurn(connection);
+  else
+    ReadRequests(connection);
   if (connection.bev != nullptr)
     Count(connection);
 }
@@ -242,7 +253,9 @@
   const bool is_read = (bufferevent_get_enabled(connection.bev) & EV_READ) != 0;
   // After the end of the input, complete responses are still written.
   const bool has_ended = connection.discard_until != kNever;
-  if (!has_ended && !is_read && HasPeerLeft(bufferevent_getfd(connection.bev)))
+  // The end of the input is behind the requests that wait for their turns.
+  if (!has_ended && !is_read && !connection.is_waiting &&
+      HasPeerLeft(bufferevent_getfd(connection.bev)))
     return Lose(connection);
   if (unread > 0 && now - connection.read_at >= options.unread_timeout) {
     ++counters.unread;
@@ -257,6 +270,7 @@
     return Refuse(connection,
                   connection.is_paused ? kServiceUnavailable : kRequestTimeout);
   const bool is_idle = connection.exchanges.empty() && unread == 0 &&
+                       !connection.has_requests_ahead &&
                        connection.phase == ReadPhase::kHead &&
                        connection.head_until == kNever;
   if (is_idle && now - connection.idle_since >= options.limits.idle_timeout)
@@ -278,15 +292,17 @@
 }
 
 bool HttpServer::Impl::Displace() {
-  // Connections without a whole request so far come first.
-  using Rank = std::tuple<bool, bool, TimePoint>;
+  // Connections without a whole request so far come first, those with requests
+  // ahead last.
+  using Rank = std::tuple<bool, bool, bool, TimePoint>;
   const TimePoint now = loop.Now();
   Connection* chosen = nullptr;
   Rank chosen_rank;
   for (const auto& [id, connection] : connections) {
     if (!IsDisplaceable(*connection, now))
       continue;
-    const Rank rank{connection->has_requested && !connection->is_closing,
+    const Rank rank{connection->has_requests_ahead,
+                    connection->has_requested && !connection->is_closing,
                     connection->head_until != kNever, connection->idle_since};
     if (chosen == nullptr || rank < chosen_rank) {
       chosen = connection.get();
--- a/Libraries/LibLoop/http_server_reading.cc
+++ b/Libraries/LibLoop/http_server_reading.cc
@@ -21,6 +21,10 @@
 // ends the connection with a reset.
 constexpr std::uint64_t kMaxDiscardedBytes = std::uint64_t{1} << 20;
 
+// Requests that were sent ahead and are handled in one iteration of the loop,
+// at most. More would keep other connections waiting.
+constexpr std::size_t kMaxTurns = 64;
+
 constexpr std::uint16_t kBadRequest = 400;
 
 // While a request is handled, its head is held by the handler and, in part, by
@@ -112,12 +116,50 @@
 // A head takes several times its size once it is parsed, and many connections
 // may be read before the next plan. Count pauses those that may not be read.
 void HttpServer::Impl::ReadRequests(Connection& connection) {
-  if (connection.is_reading || !MayRead(connection))
+  if (connection.is_reading || connection.has_requests_ahead ||
+      !MayRead(connection) || !ReadRequest(connection))
     return;
+  connection.has_requests_ahead = true;
+  WaitForTurn(connection);
+}
+
+void HttpServer::Impl::WaitForTurn(Connection& connection) {
+  if (connection.is_waiting)
+    return;
+  connection.is_waiting = true;
+  waiting.push_back(connection.shared_from_this());
+  turn_timer->Schedule(loop.Now());
+}
+
+void HttpServer::Impl::ReadWaiting() {
+  const std::size_t turns = std::min(waiting.size(), kMaxTurns);
+  for (std::size_t i = 0; i < turns; ++i) {
+    const ConnectionPointer connection = std::move(waiting.front());
+    waiting.pop_front();
+    connection->is_waiting = false;
+    if (connection->bev == nullptr)
+      continue;
+    if (connection->is_closing || MayRead(*connection))
+      connection->has_requests_ahead = ReadRequest(*connection);
+    if (connection->bev == nullptr)
+      continue;
+    Count(*connection);
+    if (connection->has_requests_ahead && !connection->is_paused)
+      WaitForTurn(*connection);
+  }
+  if (!waiting.empty())
+    turn_timer->Schedule(loop.Now());
+}
+
+bool HttpServer::Impl::ReadRequest(Connection& connection) {
   connection.is_reading = true;
+  const std::uint64_t first = next_request;
   bool has_more = true;
-  while (has_more && connection.bev != nullptr && !connection.is_closing &&
-         !is_draining) {
+  const auto may_read = [&] {
+    return has_more && connection.bev != nullptr && !connection.is_closing &&
+           !is_draining;
+  };
+  while (may_read() && next_request == first) {
     switch (connection.phase) {
       case ReadPhase::kHead:
         has_more = ReadHead(connection);
@@ -134,6 +176,8 @@
     }
   }
   connection.is_reading = false;
+  return may_read() &&
+         evbuffer_get_length(bufferevent_get_input(connection.bev)) > 0;
 }
 
 bool HttpServer::Impl::ReadHead(Connection& connection) {
@@ -216,6 +260,7 @@
   connection.progress_bytes = 0;
   connection.chunks = {};
   connection.phase = ReadPhase::kBody;
+  bufferevent_set_max_single_read(connection.bev, kBodyReadBytes);
   if (head.expects_continue &&
       evbuffer_get_length(bufferevent_get_input(connection.bev)) == 0)
     evbuffer_add(bufferevent_get_output(connection.bev), kContinue.data(),
@@ -300,6 +345,7 @@
   request.body = TakeBody(connection.body);
   connection.body_until = kNever;
   connection.phase = ReadPhase::kHead;
+  bufferevent_set_max_single_read(connection.bev, kHeadReadBytes);
   if (!connection.head.keeps_connection)
     connection.is_closing = true;
   const std::uint64_t id = next_request++;
