--- a/Tests/UncontrolledCallers/test_uncontrolled_callers.cc
+++ b/Tests/UncontrolledCallers/test_uncontrolled_callers.cc
@@ -1,10 +1,13 @@
 // Uncontrolled callers against the real program: it must live, keep to its
 // memory and its descriptors, and answer ordinary requests.
 
-#include <functional>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
 
-#include "crowd.h"
-#include "entry_process.h"
+#include "crowd_check.h"
 #include "front_fixture.h"
 
 namespace cicadadrum::platform {
@@ -14,9 +17,11 @@
 // Of the process. The crowds send several times as much.
 constexpr double kMemoryMegabytes = 80;
 constexpr std::uint64_t kMaxDescriptors = 256;
-// Descriptors that must stay free, for connections to servers and the store.
 constexpr std::uint64_t kFreeDescriptors = 16;
-constexpr std::uint64_t kBodyLimit = 4'000'000;
+constexpr std::size_t kHeadLimit = 4096;
+constexpr std::size_t kBodyLimit = 4'000'000;
+constexpr int kHeadTimeoutMs = 1000;
+constexpr int kIdleTimeoutMs = 2000;
 constexpr std::size_t kCrowdSize = 24;
 constexpr std::size_t kIdleCallers = 400;
 
@@ -26,38 +31,6 @@
 // A whole body is sent this often on one connection.
 constexpr std::uint64_t kWholeBodies = 2;
 
-// A crowd has sent all that it can if nothing was sent for this long.
-// A connection attempt that the kernel dropped is repeated after a second.
-constexpr Duration kQuietTime = Seconds(2);
-constexpr Duration kMaxCrowdTime = Seconds(15);
-
-// The sanitizers need memory of their own.
-#if defined(__SANITIZE_ADDRESS__)
-constexpr std::uint64_t kMemoryFactor = 4;
-#elif defined(__has_feature)
-#if __has_feature(address_sanitizer)
-constexpr std::uint64_t kMemoryFactor = 4;
-#else
-constexpr std::uint64_t kMemoryFactor = 1;
-#endif
-#else
-constexpr std::uint64_t kMemoryFactor = 1;
-#endif
-
-constexpr std::uint64_t kMaxResidentBytes =
-    kMemoryFactor * static_cast<std::uint64_t>(kMemoryMegabytes * 1e6);
-
-// Returns the configuration with lower limits of callers.
-std::string LimitedConfiguration() {
-  std::string body = ConfigurationBody(2);
-  const std::size_t begin = body.find("\"limits\":");
-  return body.replace(begin, std::string::npos,
-                      "\"limits\":{\"headerBytes\":4096,\"bodyBytes\":" +
-                          std::to_string(kBodyLimit) +
-                          ",\"headerTimeoutMilliseconds\":1000,"
-                          "\"idleTimeoutMilliseconds\":2000}}");
-}
-
 std::string Head(const std::string& method,
                  const std::string& target,
                  const std::string& framing = "") {
@@ -134,73 +107,15 @@
   return scripts;
 }
 
-// A store, servers and the process of an entry VM, which is ready.
-struct ProcessDeployment : Deployment {
-  EntryProcess entry{{.store_address = store.address(),
-                      .memory_megabytes = kMemoryMegabytes,
-                      .max_descriptors = kMaxDescriptors}};
-
-  ProcessDeployment() {
-    store.Put("op", "config", LimitedConfiguration());
-    store.Put("servers", "s-two", server_two.Row("ready"));
-    REQUIRE(WaitUntil([this] {
-      return IsOk(entry.readiness_address(), {.target = "/readiness"});
-    }));
-    REQUIRE(IsServed());
-  }
-
-  bool IsOk(const std::string& address, const HttpRequest& request) {
-    const auto [outcome, response] = Call(address, request);
-    return outcome == HttpOutcome::kAnswered && response.status == 200;
-  }
-
-  // Sends an ordinary request until it is answered, as callers do whose
-  // requests are refused as not run.
-  bool IsServed() {
-    HttpRequest request = Request("/read/a", "ordinary");
-    request.fresh_connection = true;
-    bool is_served = false;
-    return WaitUntil([&] {
-      is_served = is_served || IsOk(entry.caller_address(), request);
-      return is_served;
-    });
-  }
-};
-
 void CheckCrowd(std::vector<CallerScript> scripts) {
-  ProcessDeployment deployment;
-  EntryProcess& entry = deployment.entry;
-  const std::uint64_t resident_before = entry.ResidentBytes();
-  std::uint64_t most_resident = 0;
-  std::uint64_t most_descriptors = 0;
-  const auto measure = [&] {
-    most_resident = std::max(most_resident, entry.ResidentBytes());
-    most_descriptors = std::max(most_descriptors, entry.OpenDescriptors());
-  };
-  {
-    Crowd crowd(entry.caller_address(), std::move(scripts));
-    TimePoint last_sent = deployment.loop.Now();
-    deployment.WaitUntil(
-        [&] {
-          if (crowd.Send())
-            last_sent = deployment.loop.Now();
-          measure();
-          return !entry.IsAlive() ||
-                 deployment.loop.Now() > last_sent + kQuietTime;
-        },
-        kMaxCrowdTime);
-    REQUIRE(entry.IsAlive());
-    // The crowd is still connected.
-    CHECK(deployment.IsServed());
-    measure();
-  }
-  REQUIRE(entry.IsAlive());
-  CHECK(deployment.IsServed());
-  measure();
-  MESSAGE("resident bytes ", resident_before, " before, at most ",
-          most_resident, "; descriptors at most ", most_descriptors);
-  CHECK(most_resident < kMaxResidentBytes);
-  CHECK(most_descriptors <= kMaxDescriptors - kFreeDescriptors);
+  CheckCrowds({.memory_megabytes = kMemoryMegabytes,
+               .max_descriptors = kMaxDescriptors,
+               .free_descriptors = kFreeDescriptors,
+               .header_bytes = kHeadLimit,
+               .body_bytes = kBodyLimit,
+               .header_timeout_ms = kHeadTimeoutMs,
+               .idle_timeout_ms = kIdleTimeoutMs},
+              {{&EntryProcess::caller_address, std::move(scripts)}});
 }
 
 }  // namespace
