LibLoop: Pass requests on while a planned stop waits

With requests read in turn, those that were sent ahead and wait for their turns at that moment would be lost in the same way.

Cause: WhenFlushed() made the server handle no further request, but the connections went on reading. Ruled out: the core, which refuses such requests as not run (kStopping) when it gets them.

Change: requests are passed on until the end; the core refuses them, and the refusal closes their connections. The end waits for requests in the queue, too, and looks again before it calls back, since requests may have come after the timer was scheduled.

Test: "requests that come while the end waits are passed on".

--- a/Libraries/LibLoop/http_server.cc
+++ b/Libraries/LibLoop/http_server.cc
@@ -174,7 +174,7 @@
 HttpServer::~HttpServer() {
   StopListening();
   impl_->unsent->changed = nullptr;
-  impl_->flush_timer.reset();
+  impl_->flush_until = kNever;
   while (!impl_->connections.empty())
     impl_->Close(*impl_->connections.begin()->second);
 }
@@ -266,13 +266,12 @@
 
 void HttpServer::WhenFlushed(std::function<void()> callback,
                              Duration max_wait) {
-  impl_->is_draining = true;
+  impl_->flush_until = impl_->loop.Now() + max_wait;
   impl_->flush_timer = std::make_unique<Timer>(
       impl_->loop, [impl = impl_.get(), callback = std::move(callback)] {
-        impl->is_flushed = true;
-        callback();
+        impl->EndFlush(callback);
       });
-  impl_->flush_timer->Schedule(impl_->loop.Now() + max_wait);
+  impl_->flush_timer->Schedule(impl_->flush_until);
   impl_->CheckFlushed();
 }
 
--- a/Libraries/LibLoop/http_server_impl.h
+++ b/Libraries/LibLoop/http_server_impl.h
@@ -176,6 +176,7 @@
   void StartDiscarding(Connection& connection);
   bool IsFlushed() const;
   void CheckFlushed();
+  void EndFlush(const std::function<void()>& callback);
 
   // http_server_limits.cc
   void Count(Connection& connection);
@@ -212,7 +213,6 @@
   std::uint64_t favoured = 0;  // Id of the connection whose body is favoured.
   evconnlistener* listener = nullptr;
   bool is_accepting = false;
-  bool is_draining = false;  // WhenFlushed was called.
   std::map<std::uint64_t, ConnectionPointer> connections;
   // Connections with requests ahead, in the order of their turns.
   std::deque<ConnectionPointer> waiting;
@@ -231,7 +231,7 @@
   std::unique_ptr<Timer> budget_timer;
   std::unique_ptr<Timer> lost_timer;
   std::unique_ptr<Timer> flush_timer;
-  bool is_flushed = false;  // The callback of WhenFlushed was called.
+  TimePoint flush_until = kNever;  // Set while WhenFlushed waits.
   std::string date;
   std::int64_t date_second = 0;
   std::shared_ptr<UnsentBodies> unsent = std::make_shared<UnsentBodies>();
--- a/Libraries/LibLoop/http_server_reading.cc
+++ b/Libraries/LibLoop/http_server_reading.cc
@@ -156,8 +156,7 @@
   const std::uint64_t first = next_request;
   bool has_more = true;
   const auto may_read = [&] {
-    return has_more && connection.bev != nullptr && !connection.is_closing &&
-           !is_draining;
+    return has_more && connection.bev != nullptr && !connection.is_closing;
   };
   while (may_read() && next_request == first) {
     switch (connection.phase) {
--- a/Libraries/LibLoop/http_server_writing.cc
+++ b/Libraries/LibLoop/http_server_writing.cc
@@ -183,17 +183,25 @@
     const Connection& connection = *entry.second;
     // A connection that ends before its caller has closed it may be reset, and
     // the response would be lost.
-    return connection.phase == ReadPhase::kDiscarded
-               ? now < connection.discard_until
-               : evbuffer_get_length(bufferevent_get_output(connection.bev)) >
-                         0 &&
-                     now - connection.read_at < kReadingPause;
+    if (connection.phase == ReadPhase::kDiscarded)
+      return now < connection.discard_until;
+    return connection.is_waiting ||
+           (evbuffer_get_length(bufferevent_get_output(connection.bev)) > 0 &&
+            now - connection.read_at < kReadingPause);
   });
 }
 
 void HttpServer::Impl::CheckFlushed() {
-  if (flush_timer != nullptr && !is_flushed && IsFlushed())
+  if (flush_until != kNever && IsFlushed())
     flush_timer->Schedule(loop.Now());
 }
 
+// Requests may have come since the timer was scheduled.
+void HttpServer::Impl::EndFlush(const std::function<void()>& callback) {
+  if (loop.Now() < flush_until && !IsFlushed())
+    return flush_timer->Schedule(flush_until);
+  flush_until = kNever;
+  callback();
+}
+
 }  // namespace cicadadrum
--- a/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
@@ -123,9 +123,9 @@
   // unknown id is ignored.
   void Abort(std::uint64_t id);
 
-  // Reads no further requests and calls `callback` once all responses have been
-  // written to the kernel's socket buffers, except those whose callers have
-  // stopped reading, or after `max_wait` at the latest.
+  // Calls `callback` once all responses have been written to the kernel's socket
+  // buffers, except those whose callers have stopped reading, or after
+  // `max_wait` at the latest. Requests that come meanwhile are still passed on.
   void WhenFlushed(std::function<void()> callback,
                    Duration max_wait = Milliseconds(500));
 
--- a/Tests/LibLoop/test_http_server_limits.cc
+++ b/Tests/LibLoop/test_http_server_limits.cc
@@ -186,6 +186,29 @@
   CHECK(caller.received().size() > kBytes);
 }
 
+// Guards against requests on kept connections that are read at a planned stop
+// and never answered.
+TEST_CASE("requests that come while the end waits are passed on") {
+  ServerFixture fixture;
+  RawCaller slow(fixture.loop, fixture.port);
+  RawCaller kept(fixture.loop, fixture.port);
+  slow.Send(RequestFor("GET", "/slow"));
+  kept.Send(RequestFor("GET", "/first"));
+  REQUIRE(kept.WaitUntil([&] { return fixture.requests.size() == 2; }));
+  fixture.server->Respond(fixture.requests[0].first,
+                          {.body = std::string(std::size_t{32} << 20, 'x')});
+  fixture.Respond(1);
+  REQUIRE(kept.WaitUntil([&] { return kept.Statuses() == "200 "; }));
+  bool flushed = false;
+  fixture.server->WhenFlushed([&] { flushed = true; }, Seconds(20));
+  kept.Send(RequestFor("POST", "/second"));
+  REQUIRE(kept.WaitUntil([&] { return fixture.requests.size() == 3; }));
+  fixture.Respond(2, {{"Connection", "close"}});
+  CHECK(kept.WaitUntil([&] { return kept.has_ended(); }));
+  CHECK(kept.Statuses() == "200 200 ");
+  CHECK(!flushed);
+}
+
 TEST_CASE("the oldest idle connection makes way for a new one") {
   ServerFixture fixture({.max_connections = 3});
   std::vector<std::unique_ptr<RawCaller>> callers;
