--- a/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
+++ b/Libraries/LibLoop/include/cicadadrum/loop/http_server.h
@@ -123,8 +123,8 @@
   // unknown id is ignored.
   void Abort(std::uint64_t id);
 
-  // Calls `callback` once all responses have been written to the kernel's socket
-  // buffers, except those whose callers have stopped reading, or after
+  // Calls `callback` once all responses have been written to the kernel's
+  // socket buffers, except those whose callers have stopped reading, or after
   // `max_wait` at the latest. Requests that come meanwhile are still passed on.
   void WhenFlushed(std::function<void()> callback,
                    Duration max_wait = Milliseconds(500));
