--- a/Tests/UncontrolledCallers/test_large_crowds.cc
+++ b/Tests/UncontrolledCallers/test_large_crowds.cc
@@ -173,6 +173,7 @@
 void CheckUniformCrowds(const std::vector<UniformCrowd>& crowds,
                         const Crowding& crowding = {}) {
   std::vector<CrowdAt> crowds_at;
+  crowds_at.reserve(crowds.size());
   for (const UniformCrowd& crowd : crowds)
     crowds_at.push_back({crowd.address, std::vector<CallerScript>(
                                             crowding.callers / crowds.size(),
