--- a/review/stand_ins-3/case_14.cc
+++ b/review/stand_ins-3/case_14.cc
@@ -29,10 +29,10 @@
 
 int Run(Place& place, Record& record) {
   Store store({place.Ip(1), place.port_base()});
-  store.Put("op", "config",
-            ConfigurationBody({{.name = "r2", .prefix = "/activate/",
-                                .kind = "unsafe"}},
-                              {}));
+  store.Put(
+      "op", "config",
+      ConfigurationBody(
+          {{.name = "r2", .prefix = "/activate/", .kind = "unsafe"}}, {}));
   const auto server_options = [&](int number) {
     ServerOptions options;
     options.id = "i-" + std::to_string(number);
@@ -90,8 +90,8 @@
     record.Tell("server " + options.id + ": " + std::to_string(round_late) +
                 " requests later than drain_ms after it was draining, the "
                 "last " +
-                Format(latest) + " ms after it; cut by its end: " +
-                std::to_string(round_cut));
+                Format(latest) +
+                " ms after it; cut by its end: " + std::to_string(round_cut));
     late += round_late;
     cut += round_cut;
     SleepMs(1000);
