review: Add case 11, slow readers of large answers

Cause: FindTransferLimit accepts requests before the first answer of a route has shown its size, and each complete answer is held until its caller has read it.

--- a/review/stand_ins-3/net.cc
+++ b/review/stand_ins-3/net.cc
@@ -8,13 +8,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <strings.h>
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
 #include <cstdlib>
 #include <stdexcept>
-#include <strings.h>
 
 namespace review {
 
@@ -22,6 +22,7 @@
 
 constexpr std::size_t kReadBytes = 16'384;
 constexpr int kBacklog = 256;
+constexpr int kSegmentBytes = 1400;
 
 std::chrono::steady_clock::time_point StartOfProgram() {
   static const auto start = std::chrono::steady_clock::now();
@@ -39,11 +40,18 @@
 // Waits until the socket is ready. Returns false after the time.
 bool Wait(int fd, short events, double timeout_ms) {
   pollfd entry{.fd = fd, .events = events, .revents = 0};
-  const int limit =
-      static_cast<int>(std::clamp(timeout_ms, 0.0, 1'000'000.0));
+  const int limit = static_cast<int>(std::clamp(timeout_ms, 0.0, 1'000'000.0));
   return poll(&entry, 1, limit) > 0;
 }
 
+void BoundReceived(int fd, int receive_bytes) {
+  if (receive_bytes == 0)
+    return;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
+  setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes,
+             sizeof(kSegmentBytes));
+}
+
 void ParseFirstLine(Message& message) {
   const std::string& line = message.first_line;
   const std::size_t first = line.find(' ');
@@ -129,7 +137,7 @@
   return true;
 }
 
-std::optional<Message> Stream::ReadMessage(double timeout_ms) {
+std::optional<Message> Stream::ReadHead(double timeout_ms) {
   const double until = NowMs() + timeout_ms;
   std::size_t end = 0;
   while ((end = buffer_.find("\r\n\r\n")) == std::string::npos) {
@@ -138,6 +146,28 @@
   }
   Message message = ParseHead(buffer_.substr(0, end + 2));
   buffer_.erase(0, end + 4);
+  return message;
+}
+
+std::size_t Stream::ReadSome(std::size_t size, double timeout_ms) {
+  if (buffer_.empty()) {
+    if (!Wait(fd_, POLLIN, timeout_ms))
+      return 0;
+    std::vector<char> bytes(size);
+    const ssize_t count = recv(fd_, bytes.data(), size, 0);
+    return count <= 0 ? 0 : static_cast<std::size_t>(count);
+  }
+  const std::size_t count = std::min(size, buffer_.size());
+  buffer_.erase(0, count);
+  return count;
+}
+
+std::optional<Message> Stream::ReadMessage(double timeout_ms) {
+  const double until = NowMs() + timeout_ms;
+  auto head = ReadHead(timeout_ms);
+  if (!head)
+    return std::nullopt;
+  Message message = *std::move(head);
   const std::string length = FieldOf(message.fields, "Content-Length");
   const auto size = static_cast<std::size_t>(std::atoll(length.c_str()));
   while (buffer_.size() < size) {
@@ -172,8 +202,9 @@
   return recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
 }
 
-int Connect(const Address& address, double timeout_ms) {
+int Connect(const Address& address, double timeout_ms, int receive_bytes) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  BoundReceived(fd, receive_bytes);
   const sockaddr_in target = ToSocketAddress(address);
   fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
   const int result =
@@ -195,11 +226,12 @@
   return fd;
 }
 
-Listener::Listener(Address address, Handler handler)
+Listener::Listener(Address address, Handler handler, int receive_bytes)
     : address_(std::move(address)), handler_(std::move(handler)) {
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  BoundReceived(fd_, receive_bytes);
   const sockaddr_in bound = ToSocketAddress(address_);
   if (bind(fd_, reinterpret_cast<const sockaddr*>(&bound), sizeof(bound)) !=
           0 ||
@@ -260,8 +292,8 @@
 
 Proxy::Proxy(Address address, Address target)
     : target_(std::move(target)),
-      listener_(std::move(address), [this](Stream& caller) { Forward(caller); }) {
-}
+      listener_(std::move(address),
+                [this](Stream& caller) { Forward(caller); }) {}
 
 void Proxy::Forward(Stream& caller) {
   const auto wait_while_cut = [&] {
--- a/review/stand_ins-3/net.h
+++ b/review/stand_ins-3/net.h
@@ -51,6 +51,10 @@
 
   // Returns nothing when the connection has ended or `timeout_ms` has passed.
   std::optional<Message> ReadMessage(double timeout_ms);
+  // The same without the body, which ReadSome returns piece by piece.
+  std::optional<Message> ReadHead(double timeout_ms);
+  // Returns how many bytes were read and dropped, 0 at the end.
+  std::size_t ReadSome(std::size_t size, double timeout_ms);
   bool Write(const std::string& bytes);
   // Ends both directions; blocked calls return. Any thread may call it.
   void Shutdown();
@@ -71,16 +75,19 @@
   std::string text() const { return ip + ":" + std::to_string(port); }
 };
 
-// Returns a connected socket, or -1.
-int Connect(const Address& address, double timeout_ms);
+// Returns a connected socket, or -1. `receive_bytes` bounds what the kernel
+// holds of what was received, and makes segments as small as on a network; 0
+// for neither.
+int Connect(const Address& address, double timeout_ms, int receive_bytes = 0);
 
 // Accepts connections in a thread and handles each in another one.
 class Listener {
  public:
   using Handler = std::function<void(Stream&)>;
 
-  // Throws std::runtime_error if the address is in use.
-  Listener(Address address, Handler handler);
+  // Throws std::runtime_error if the address is in use. `receive_bytes` as in
+  // Connect.
+  Listener(Address address, Handler handler, int receive_bytes = 0);
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
--- a/review/stand_ins-3/server.cc
+++ b/review/stand_ins-3/server.cc
@@ -43,10 +43,9 @@
 
 std::string Server::Row(const std::string& state) const {
   return "{\"service\":\"" + options_.service + "\",\"address\":\"" +
-         options_.address.text() + "\",\"failureDomain\":\"" +
-         options_.domain + "\",\"version\":\"v1\",\"slots\":" +
-         std::to_string(options_.slots) + ",\"state\":\"" + state +
-         "\",\"coldLeftMilliseconds\":" +
+         options_.address.text() + "\",\"failureDomain\":\"" + options_.domain +
+         "\",\"version\":\"v1\",\"slots\":" + std::to_string(options_.slots) +
+         ",\"state\":\"" + state + "\",\"coldLeftMilliseconds\":" +
          std::to_string(static_cast<long>(ColdLeftMs())) +
          ",\"sequence\":" + std::to_string(sequence_) +
          ",\"born\":" + std::to_string(options_.born_unix_ms) + "}";
@@ -105,10 +104,9 @@
   const std::lock_guard lock(mutex_);
   arrivals_.push_back(
       {.at = now, .id = id, .server = options_.id, .is_cold = is_cold});
-  const auto recent =
-      std::count_if(arrivals_.begin(), arrivals_.end(), [&](const Arrival& a) {
-        return a.is_cold && a.at > now - kWindowMs;
-      });
+  const auto recent = std::count_if(
+      arrivals_.begin(), arrivals_.end(),
+      [&](const Arrival& a) { return a.is_cold && a.at > now - kWindowMs; });
   if (is_cold && options_.crash_per_second > 0 &&
       recent > options_.crash_per_second)
     has_crashed_by_load_ = true;
@@ -144,8 +142,7 @@
                                   {{"Cicadadrum-Request-Id", id},
                                    {"Cicadadrum-Instance-Id", options_.id}},
                                   ""));
-  if (running_ >= options_.slots &&
-      waiting_ >= options_.slots * kQueueFactor) {
+  if (running_ >= options_.slots && waiting_ >= options_.slots * kQueueFactor) {
     return stream.Write(Serialize("HTTP/1.1 503 Service Unavailable",
                                   {{"Cicadadrum-Request-Id", id},
                                    {"Cicadadrum-Not-Executed", "1"},
@@ -190,11 +187,13 @@
   const std::string load = std::to_string(running_) + "," +
                            std::to_string(waiting_) + "," +
                            std::to_string(options_.slots) + ",100";
-  return stream.Write(Serialize("HTTP/1.1 200 OK",
-                                {{"Cicadadrum-Request-Id", id},
-                                 {"Cicadadrum-Response-Seal", "seal." + id},
-                                 {"Cicadadrum-Server-Load", load}},
-                                "answer to " + id));
+  const Fields fields = {{"Cicadadrum-Request-Id", id},
+                         {"Cicadadrum-Response-Seal", "seal." + id},
+                         {"Cicadadrum-Server-Load", load}};
+  std::string body = "answer to " + id;
+  if (request.target.starts_with(kFilePrefix))
+    body.resize(options_.file_bytes, '.');
+  return stream.Write(Serialize("HTTP/1.1 200 OK", fields, body));
 }
 
 }  // namespace review
--- a/review/stand_ins-3/store.cc
+++ b/review/stand_ins-3/store.cc
@@ -74,8 +74,7 @@
 }
 
 double Store::Remove(const std::string& table, const std::string& key) {
-  return Change(
-      {.table = table, .key = key, .value = {}, .is_removed = true});
+  return Change({.table = table, .key = key, .value = {}, .is_removed = true});
 }
 
 void Store::Serve(Stream& stream) {
@@ -102,12 +101,12 @@
 std::string Store::RowsJson(const std::vector<const Row*>& rows) {
   std::string json;
   for (const Row* row : rows) {
-    json += (json.empty() ? "" : ",") + std::string("{\"table\":\"") +
-            row->table + "\",\"part\":\"\",\"key\":\"" + row->key +
-            "\",\"rowVersion\":" + std::to_string(row->version) +
-            (row->is_removed
-                 ? std::string(",\"removed\":true}")
-                 : ",\"value\":\"" + EncodeBase64(row->value) + "\"}");
+    json +=
+        (json.empty() ? "" : ",") + std::string("{\"table\":\"") + row->table +
+        "\",\"part\":\"\",\"key\":\"" + row->key +
+        "\",\"rowVersion\":" + std::to_string(row->version) +
+        (row->is_removed ? std::string(",\"removed\":true}")
+                         : ",\"value\":\"" + EncodeBase64(row->value) + "\"}");
   }
   return "{\"rows\":[" + json + "],\"hasMore\":false";
 }
--- a/review/stand_ins-3/world.cc
+++ b/review/stand_ins-3/world.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <csignal>
@@ -207,6 +208,56 @@
   pid_ = 0;
 }
 
+std::uint64_t Entry::ResidentBytes() const {
+  if (pid_ <= 0)
+    return 0;
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
+  std::uint64_t total = 0;
+  std::uint64_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+SlowAnswer ReadSlowly(const Address& address,
+                      const std::string& target,
+                      const std::string& id,
+                      int deadline_ms,
+                      const Reading& reading) {
+  constexpr std::size_t kPiece = 32'768;
+  SlowAnswer answer;
+  const int fd = Connect(address, kConnectTimeoutMs, kPiece);
+  if (fd < 0)
+    return answer;
+  Stream stream(fd);
+  if (!stream.Write("GET " + target + " HTTP/1.1\r\nHost: " + kHost +
+                    "\r\nCicadadrum-Request-Id: " + id +
+                    "\r\nCicadadrum-Request-Deadline-Ms: " +
+                    std::to_string(deadline_ms) + "\r\n\r\n"))
+    return answer;
+  const double until = NowMs() + reading.timeout_ms;
+  const auto head = stream.ReadHead(reading.timeout_ms);
+  if (!head)
+    return answer;
+  answer.status = head->status;
+  const auto size = static_cast<std::uint64_t>(
+      std::atoll(FieldOf(head->fields, "Content-Length").c_str()));
+  double next = NowMs();
+  while (answer.bytes < size && NowMs() < until) {
+    const std::size_t count = stream.ReadSome(
+        std::min<std::uint64_t>(kPiece, size - answer.bytes), until - NowMs());
+    if (count == 0)
+      return answer;
+    const bool was_before_pause = answer.bytes < reading.bytes_before_pause;
+    answer.bytes += count;
+    next += 1000 * static_cast<double>(count) / reading.bytes_per_second;
+    SleepUntilMs(next);
+    if (was_before_pause && answer.bytes >= reading.bytes_before_pause)
+      SleepMs(reading.pause_ms);
+  }
+  answer.is_complete = answer.bytes == size;
+  return answer;
+}
+
 std::string Lookup(const Entry& entry, const Zone& zone) {
   const int fd = Connect(entry.lookup_address(), kConnectTimeoutMs);
   if (fd < 0)
@@ -220,9 +271,7 @@
 }
 
 Callers::Callers(const Entry& entry, Record& record)
-    : entry_(entry.name()),
-      address_(entry.caller_address()),
-      record_(record) {}
+    : entry_(entry.name()), address_(entry.caller_address()), record_(record) {}
 
 Callers::~Callers() {
   Stop();
--- a/review/stand_ins-3/world.h
+++ b/review/stand_ins-3/world.h
@@ -91,8 +91,12 @@
   // A cold server crashes if more requests than this arrive within a second. 0
   // for a server that does not crash.
   int crash_per_second = 0;
+  // Size of the answer to a request for a path that begins with kFilePrefix.
+  std::size_t file_bytes = 0;
 };
 
+constexpr const char* kFilePrefix = "/files/";
+
 struct Arrival {
   double at = 0;
   std::string id;
@@ -201,6 +205,8 @@
   bool IsAlive();
   bool WaitUntilReady(double timeout_ms);
   void Kill();
+  // Returns the resident memory of the process in bytes, or 0.
+  std::uint64_t ResidentBytes() const;
 
  private:
   std::string SettingsPath() const;
@@ -239,8 +245,11 @@
   std::vector<Answer> answers();
 
  private:
-  void Call(int number, double period_ms, const std::string& method,
-            const std::string& prefix, int deadline_ms);
+  void Call(int number,
+            double period_ms,
+            const std::string& method,
+            const std::string& prefix,
+            int deadline_ms);
   Answer Ask(std::unique_ptr<Stream>& stream, const std::string& request);
 
   std::string entry_;
@@ -252,6 +261,29 @@
   std::vector<std::thread> threads_;
 };
 
+// The answer counts as complete if all of its body has come.
+struct SlowAnswer {
+  int status = 0;
+  std::uint64_t bytes = 0;  // Of the body.
+  bool is_complete = false;
+};
+
+// How a caller reads an answer: at `bytes_per_second`, and with a pause behind
+// the first `bytes_before_pause`.
+struct Reading {
+  double bytes_per_second = 1e9;
+  std::uint64_t bytes_before_pause = 0;
+  double pause_ms = 0;
+  double timeout_ms = 15'000;
+};
+
+// Sends a GET over a new connection and reads the answer.
+SlowAnswer ReadSlowly(const Address& address,
+                      const std::string& target,
+                      const std::string& id,
+                      int deadline_ms,
+                      const Reading& reading);
+
 // Returns the body of the answer to a lookup, or an empty text.
 std::string Lookup(const Entry& entry, const Zone& zone);
 
